--- /dev/null
+++ b/_scripts/check-link.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Fails if a program is not linked dynamically to the C library.
+set -euo pipefail
+for program in "$@"; do
+	if ! ldd "$program" | grep -q 'libc\.so'; then
+		echo "$program is not linked to the C library" >&2
+		exit 1
+	fi
+done
--- /dev/null
+++ b/core/config/config.go
@@ -0,0 +1,106 @@
+// Package config holds the immutable configuration that a release puts in
+// force, and finds in it the route and the organisation of a request.
+package config
+
+import (
+	"crypto/sha256"
+	"time"
+
+	"marigoldlug.example/core/rate"
+)
+
+// Digest identifies a key without revealing it.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of a caller's key.
+func DigestOf(key string) Digest { return sha256.Sum256([]byte(key)) }
+
+// Access says who may use a route.
+type Access string
+
+// The kinds of access to a route.
+const (
+	AccessOpen  Access = "open"
+	AccessKeyed Access = "keyed"
+)
+
+// Organisation is a tenant whose callers share one rate and burst.
+type Organisation struct {
+	Name  string
+	Limit rate.Limit
+	// Weight is at least 1 and sets the share of contended slots.
+	Weight int
+}
+
+// WithLimit returns a copy of the organisation with another limit.
+func (org Organisation) WithLimit(lim rate.Limit) Organisation {
+	org.Limit = lim
+	return org
+}
+
+// Key admits its bearer as one organisation.
+type Key struct {
+	ID           string
+	Organisation string
+	Digest       Digest
+}
+
+// Route maps requests to a service.
+type Route struct {
+	Name string
+	// Host is lower case and without port; empty matches every host.
+	Host string
+	// PathPrefix starts with a slash and matches whole segments.
+	PathPrefix string
+	// Methods is sorted; empty matches every method.
+	Methods []string
+	Access  Access
+	// Organisations is sorted; empty admits every organisation.
+	Organisations []string
+	Service       string
+	// Idempotent allows a request to be sent to a target more than once.
+	Idempotent bool
+	// Timeout bounds the time from arrival to the first byte of the answer.
+	Timeout time.Duration
+	// MaxAttempts is at least 1.
+	MaxAttempts int
+}
+
+// Target is one worker of a service.
+type Target struct {
+	Name string
+	// Address is an IP address and port.
+	Address       string
+	FailureDomain string
+	// Slots is the number of requests that the target runs at a time.
+	Slots int
+	// Connections bounds the connections from the whole fleet.
+	Connections int
+}
+
+// Service is a set of interchangeable targets.
+type Service struct {
+	Name string
+	// HealthyFloor is the share of targets, above 0 and at most 1, that
+	// ejection must leave in use.
+	HealthyFloor float64
+	// Targets is sorted by name.
+	Targets []Target
+}
+
+// Floor returns the least number of targets that must stay in use.
+func (svc Service) Floor() int {
+	cnt := int(svc.HealthyFloor * float64(len(svc.Targets)))
+	if float64(cnt) < svc.HealthyFloor*float64(len(svc.Targets)) {
+		cnt++
+	}
+	return min(max(cnt, 1), len(svc.Targets))
+}
+
+// Content lists every object of a configuration, each sorted by name.
+type Content struct {
+	Organisations []Organisation
+	Keys          []Key
+	Routes        []Route
+	Services      []Service
+}
--- /dev/null
+++ b/core/health/outcome.go
@@ -0,0 +1,52 @@
+// Package health chooses targets for requests and judges which of them fail.
+package health
+
+import "time"
+
+// Outcome classifies the end of one attempt for the judgement of its target.
+type Outcome uint8
+
+const (
+	// Success is an answer that is not the target's own failure.
+	Success Outcome = iota
+	// Failure is a failed, cut or timed out attempt.
+	Failure
+	// Unreachable is an attempt for which no connection could be opened.
+	Unreachable
+	// Shed is a refusal by an overloaded target, which is load and not illness.
+	Shed
+	// Canceled is an attempt that the caller gave up.
+	Canceled
+)
+
+// String returns the name of the outcome used in metrics.
+func (out Outcome) String() string {
+	names := [...]string{"success", "failure", "unreachable", "shed", "canceled"}
+	if int(out) < len(names) {
+		return names[out]
+	}
+	return "unknown"
+}
+
+// Bad reports whether the outcome counts against the target.
+func (out Outcome) Bad() bool { return out == Failure || out == Unreachable }
+
+// Target is what the choice of targets knows of one worker.
+type Target struct {
+	// ID is the service and the name of the target, joined by a slash.
+	ID            string
+	Address       string
+	FailureDomain string
+	// Slots is the number of requests that the target runs at a time.
+	Slots int
+}
+
+// Report describes the end of one attempt.
+type Report struct {
+	Service string
+	Target  string
+	Outcome Outcome
+	// Latency is the time from dispatch to the first byte of the answer, or to
+	// the failure.
+	Latency time.Duration
+}
--- /dev/null
+++ b/core/health/stat.go
@@ -0,0 +1,17 @@
+package health
+
+import "math"
+
+func meanDeviation(vals []float64) (mean, deviation float64) {
+	if len(vals) == 0 {
+		return 0, 0
+	}
+	for _, val := range vals {
+		mean += val
+	}
+	mean /= float64(len(vals))
+	for _, val := range vals {
+		deviation += (val - mean) * (val - mean)
+	}
+	return mean, math.Sqrt(deviation / float64(len(vals)))
+}
--- /dev/null
+++ b/core/note/apply.go
@@ -0,0 +1,211 @@
+package note
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"marigoldlug.example/core/config"
+)
+
+// objects holds a configuration by name for editing.
+type objects struct {
+	organisations map[string]config.Organisation
+	keys          map[string]config.Key
+	routes        map[string]config.Route
+	services      map[string]config.Service
+	targets       map[string]target
+}
+
+func index[T any](knd kind[T], objs []T) map[string]T {
+	out := make(map[string]T, len(objs))
+	for _, obj := range objs {
+		out[knd.id(obj)] = obj
+	}
+	return out
+}
+
+func newObjects(con config.Content) objects {
+	obs := objects{
+		organisations: index(organisationKind, con.Organisations),
+		keys:          index(keyKind, con.Keys),
+		routes:        index(routeKind, con.Routes),
+		services:      index(serviceKind, con.Services),
+		targets:       make(map[string]target),
+	}
+	for _, svc := range con.Services {
+		for _, tgt := range svc.Targets {
+			one := target{service: svc.Name, Target: tgt}
+			obs.targets[targetKind.id(one)] = one
+		}
+	}
+	return obs
+}
+
+func sortedValues[T any](objs map[string]T) []T {
+	out := make([]T, 0, len(objs))
+	for _, id := range slices.Sorted(maps.Keys(objs)) {
+		out = append(out, objs[id])
+	}
+	return out
+}
+
+func (obs objects) content() config.Content {
+	services := maps.Clone(obs.services)
+	for id, svc := range services {
+		svc.Targets = nil
+		services[id] = svc
+	}
+	for _, tgt := range sortedValues(obs.targets) {
+		svc := services[tgt.service]
+		svc.Targets = append(svc.Targets, tgt.Target)
+		services[tgt.service] = svc
+	}
+	return config.Content{
+		Organisations: sortedValues(obs.organisations),
+		Keys:          sortedValues(obs.keys),
+		Routes:        sortedValues(obs.routes),
+		Services:      sortedValues(services),
+	}
+}
+
+// Apply returns now as changed by the note. base is the configuration at
+// version nte.Base. The error is of type FaultsError where the note does not fit
+// the configuration, or a *ConflictError where it sets what another release
+// has changed since base.
+func (nte *Note) Apply(base, now config.Content, nowVersion uint64) (config.Content, error) {
+	app := &applier{base: newObjects(base), now: newObjects(now)}
+	app.run(nte)
+	if len(app.conflicts) > 0 {
+		return config.Content{}, &ConflictError{Base: nte.Base, Now: nowVersion, Conflicts: app.conflicts}
+	}
+	app.checkReferences()
+	if len(app.faults) > 0 {
+		return config.Content{}, app.faults
+	}
+	return app.now.content(), nil
+}
+
+type applier struct {
+	base      objects
+	now       objects
+	faults    FaultsError
+	conflicts []Conflict
+}
+
+func (app *applier) run(nte *Note) {
+	edit(app, organisationKind, nte.added.organisations, nte.changed.organisations, nte.withdrawn.organisations, app.base.organisations, app.now.organisations)
+	edit(app, keyKind, nte.added.keys, nte.changed.keys, nte.withdrawn.keys, app.base.keys, app.now.keys)
+	edit(app, routeKind, nte.added.routes, nte.changed.routes, nte.withdrawn.routes, app.base.routes, app.now.routes)
+	edit(app, serviceKind, nte.added.services, nte.changed.services, nte.withdrawn.services, app.base.services, app.now.services)
+	edit(app, targetKind, nte.added.targets, nte.changed.targets, nte.withdrawn.targets, app.base.targets, app.now.targets)
+}
+
+// edit applies the patches and withdrawals of one kind to now.
+func edit[T any](app *applier, knd kind[T], added, changed []patch[T], withdrawn []string, base, now map[string]T) {
+	touched := make(map[string]bool)
+	for _, pat := range added {
+		touched[pat.id] = true
+		if _, found := now[pat.id]; found {
+			app.fail(pat.line, knd.name, pat.id, "exists already")
+			continue
+		}
+		now[pat.id] = pat.value
+	}
+	for _, pat := range changed {
+		obj, found := now[pat.id]
+		if !found || touched[pat.id] {
+			app.fail(pat.line, knd.name, pat.id, "does not exist or is added by the same note")
+			continue
+		}
+		touched[pat.id] = true
+		app.compare(knd.name+"/"+pat.id, differing(knd, pat.fields, base[pat.id], obj, pat.apply(obj)))
+		now[pat.id] = pat.apply(obj)
+	}
+	for _, id := range withdrawn {
+		obj, found := now[id]
+		if !found || touched[id] {
+			app.fail(0, knd.name, id, "does not exist or is added or changed by the same note")
+			continue
+		}
+		app.compare(knd.name+"/"+id, differing(knd, nil, base[id], obj, knd.empty))
+		delete(now, id)
+	}
+}
+
+// differing returns the given fields, or all when names is nil, that differ
+// between base and now and that the note would set to something else.
+func differing[T any](knd kind[T], names []string, base, now, next T) []Conflict {
+	var out []Conflict
+	for _, fld := range knd.fields {
+		if names != nil && !slices.Contains(names, fld.name) {
+			continue
+		}
+		was, has := fld.show(base), fld.show(now)
+		if was != has && fld.show(next) != has {
+			out = append(out, Conflict{Field: fld.name, Base: was, Now: has})
+		}
+	}
+	return out
+}
+
+func (app *applier) compare(object string, cons []Conflict) {
+	for _, con := range cons {
+		con.Object = object
+		app.conflicts = append(app.conflicts, con)
+	}
+}
+
+func (app *applier) fail(line int, kindName, id, message string) {
+	app.faults = append(app.faults, Fault{Line: line, Field: kindName + "/" + id, Message: message})
+}
+
+func (app *applier) checkReferences() {
+	for _, key := range sortedValues(app.now.keys) {
+		if _, found := app.now.organisations[key.Organisation]; !found {
+			app.fail(0, keyKind.name, key.ID, "belongs to organisation "+key.Organisation+", which does not exist")
+		}
+	}
+	for _, tgt := range sortedValues(app.now.targets) {
+		if _, found := app.now.services[tgt.service]; !found {
+			app.fail(0, targetKind.name, targetKind.id(tgt), "belongs to service "+tgt.service+", which does not exist")
+		}
+	}
+	app.checkRoutes()
+	app.checkDigests()
+}
+
+func (app *applier) checkRoutes() {
+	seen := make(map[string]string)
+	for _, rou := range sortedValues(app.now.routes) {
+		if _, found := app.now.services[rou.Service]; !found {
+			app.fail(0, routeKind.name, rou.Name, "leads to service "+rou.Service+", which does not exist")
+		}
+		for _, org := range rou.Organisations {
+			if _, found := app.now.organisations[org]; !found {
+				app.fail(0, routeKind.name, rou.Name, "admits organisation "+org+", which does not exist")
+			}
+		}
+		methods := rou.Methods
+		if len(methods) == 0 {
+			methods = []string{"*"}
+		}
+		for _, mth := range methods {
+			match := mth + " " + rou.Host + strings.TrimSuffix(rou.PathPrefix, "/")
+			if other, dup := seen[match]; dup {
+				app.fail(0, routeKind.name, rou.Name, "matches the same requests as route "+other)
+			}
+			seen[match] = rou.Name
+		}
+	}
+}
+
+func (app *applier) checkDigests() {
+	seen := make(map[config.Digest]string)
+	for _, key := range sortedValues(app.now.keys) {
+		if other, dup := seen[key.Digest]; dup {
+			app.fail(0, keyKind.name, key.ID, "has the same digest as key "+other)
+		}
+		seen[key.Digest] = key.ID
+	}
+}
--- /dev/null
+++ b/core/note/diff.go
@@ -0,0 +1,52 @@
+package note
+
+import (
+	"maps"
+	"slices"
+
+	"marigoldlug.example/core/config"
+)
+
+// Difference is one field that differs between two configurations.
+type Difference struct {
+	// Object is the kind and the name of the object, joined by a slash.
+	Object string
+	Field  string
+	// Before is empty for an object that is added.
+	Before string
+	// After is empty for an object that is withdrawn.
+	After string
+}
+
+// Diff lists every field in which two configurations differ.
+func Diff(before, after config.Content) []Difference {
+	one, two := newObjects(before), newObjects(after)
+	var out []Difference
+	out = appendDiff(out, organisationKind, one.organisations, two.organisations)
+	out = appendDiff(out, keyKind, one.keys, two.keys)
+	out = appendDiff(out, routeKind, one.routes, two.routes)
+	out = appendDiff(out, serviceKind, one.services, two.services)
+	return appendDiff(out, targetKind, one.targets, two.targets)
+}
+
+func appendDiff[T any](out []Difference, knd kind[T], before, after map[string]T) []Difference {
+	ids := slices.AppendSeq(slices.Collect(maps.Keys(before)), maps.Keys(after))
+	slices.Sort(ids)
+	for _, id := range slices.Compact(ids) {
+		was, had := before[id]
+		has, still := after[id]
+		for _, fld := range knd.fields {
+			dif := Difference{Object: knd.name + "/" + id, Field: fld.name}
+			if had {
+				dif.Before = fld.show(was)
+			}
+			if still {
+				dif.After = fld.show(has)
+			}
+			if dif.Before != dif.After {
+				out = append(out, dif)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/note/note.go
@@ -0,0 +1,135 @@
+package note
+
+import (
+	"strconv"
+
+	"gopkg.in/yaml.v3"
+
+	"marigoldlug.example/core/config"
+)
+
+// changes holds the patches of every kind in one section of a note.
+type changes struct {
+	organisations []patch[config.Organisation]
+	keys          []patch[config.Key]
+	routes        []patch[config.Route]
+	services      []patch[config.Service]
+	targets       []patch[target]
+}
+
+type withdrawals struct {
+	organisations []string
+	keys          []string
+	routes        []string
+	services      []string
+	targets       []string
+}
+
+// Note is a release note that was read without faults.
+type Note struct {
+	// ID names the release; applying the same ID twice changes nothing.
+	ID string
+	// Base is the version of the configuration the note was written against.
+	Base      uint64
+	added     changes
+	changed   changes
+	withdrawn withdrawals
+}
+
+// Read parses a note in YAML or JSON. The error is of type FaultsError and lists
+// every fault found.
+func Read(doc []byte) (*Note, error) {
+	var root yaml.Node
+	if err := yaml.Unmarshal(doc, &root); err != nil {
+		return nil, FaultsError{{Field: "note", Message: err.Error()}}
+	}
+	var rdr reader
+	nte := new(Note)
+	if len(root.Content) != 1 {
+		return nil, FaultsError{{Line: 1, Field: "note", Message: "the document is empty"}}
+	}
+	nte.read(&rdr, root.Content[0])
+	if len(rdr.faults) > 0 {
+		return nil, rdr.faults
+	}
+	return nte, nil
+}
+
+func (nte *Note) read(rdr *reader, nod *yaml.Node) {
+	for _, prr := range rdr.pairs(nod, "note") {
+		switch prr.name {
+		case "release":
+			nte.ID = rdr.name(prr.value, prr.name)
+		case "base":
+			nte.readBase(rdr, prr.value)
+		case "added":
+			nte.added.read(rdr, prr.value, prr.name, true)
+		case "changed":
+			nte.changed.read(rdr, prr.value, prr.name, false)
+		case "withdrawn":
+			nte.withdrawn.read(rdr, prr.value)
+		default:
+			rdr.fail(prr.at, prr.name, "is not a section of a release note")
+		}
+	}
+	if nte.ID == "" {
+		rdr.fail(nod, "release", "is missing")
+	}
+}
+
+func (nte *Note) readBase(rdr *reader, nod *yaml.Node) {
+	base, err := strconv.ParseUint(rdr.text(nod, "base"), 10, 63)
+	if err != nil {
+		rdr.fail(nod, "base", "must be a version number, not %q", nod.Value)
+	}
+	nte.Base = base
+}
+
+func (chg *changes) read(rdr *reader, nod *yaml.Node, path string, complete bool) {
+	for _, prr := range rdr.pairs(nod, path) {
+		at := path + "." + prr.name
+		switch prr.name {
+		case organisationKind.name:
+			chg.organisations = organisationKind.read(rdr, prr.value, at, complete)
+		case keyKind.name:
+			chg.keys = keyKind.read(rdr, prr.value, at, complete)
+		case routeKind.name:
+			chg.routes = routeKind.read(rdr, prr.value, at, complete)
+		case serviceKind.name:
+			chg.services = serviceKind.read(rdr, prr.value, at, complete)
+		case targetKind.name:
+			chg.targets = targetKind.read(rdr, prr.value, at, complete)
+		default:
+			rdr.fail(prr.at, at, "is not a kind of object")
+		}
+	}
+}
+
+func (wdr *withdrawals) read(rdr *reader, nod *yaml.Node) {
+	const path = "withdrawn"
+	for _, prr := range rdr.pairs(nod, path) {
+		at := path + "." + prr.name
+		switch prr.name {
+		case organisationKind.name:
+			wdr.organisations = rdr.names(prr.value, at)
+		case keyKind.name:
+			wdr.keys = rdr.names(prr.value, at)
+		case routeKind.name:
+			wdr.routes = rdr.names(prr.value, at)
+		case serviceKind.name:
+			wdr.services = rdr.names(prr.value, at)
+		case targetKind.name:
+			wdr.targets = rdr.targetNames(prr.value, at)
+		default:
+			rdr.fail(prr.at, at, "is not a kind of object")
+		}
+	}
+}
+
+func (rdr *reader) targetNames(nod *yaml.Node, path string) []string {
+	var out []string
+	for _, itm := range rdr.items(nod, path) {
+		out = append(out, rdr.text(itm, path))
+	}
+	return rdr.sorted(nod, path, out)
+}
--- /dev/null
+++ b/core/note/reader.go
@@ -0,0 +1,164 @@
+package note
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/yaml.v3"
+)
+
+const (
+	maxNameLength = 253
+	maxTimeout    = time.Hour
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$`)
+
+// reader collects the faults met while nodes are decoded.
+type reader struct {
+	faults FaultsError
+}
+
+func (rdr *reader) fail(nod *yaml.Node, field, format string, args ...any) {
+	line := 0
+	if nod != nil {
+		line = nod.Line
+	}
+	rdr.faults = append(rdr.faults, Fault{Line: line, Field: field, Message: fmt.Sprintf(format, args...)})
+}
+
+// pairs returns the entries of a mapping and reports duplicate names.
+func (rdr *reader) pairs(nod *yaml.Node, path string) []pair {
+	if nod.Kind != yaml.MappingNode {
+		rdr.fail(nod, path, "must be a mapping")
+		return nil
+	}
+	seen := make(map[string]bool)
+	prs := make([]pair, 0, len(nod.Content)/2)
+	for idx := 0; idx+1 < len(nod.Content); idx += 2 {
+		nam := nod.Content[idx]
+		if seen[nam.Value] {
+			rdr.fail(nam, path+"."+nam.Value, "is given twice")
+			continue
+		}
+		seen[nam.Value] = true
+		prs = append(prs, pair{name: nam.Value, at: nam, value: nod.Content[idx+1]})
+	}
+	return prs
+}
+
+type pair struct {
+	name  string
+	at    *yaml.Node
+	value *yaml.Node
+}
+
+func (rdr *reader) items(nod *yaml.Node, path string) []*yaml.Node {
+	if nod.Kind == yaml.ScalarNode && nod.Tag == "!!null" {
+		return nil
+	}
+	if nod.Kind != yaml.SequenceNode {
+		rdr.fail(nod, path, "must be a list")
+		return nil
+	}
+	return nod.Content
+}
+
+func (rdr *reader) text(nod *yaml.Node, path string) string {
+	if nod.Kind != yaml.ScalarNode || nod.Tag == "!!null" {
+		rdr.fail(nod, path, "must be a text")
+		return ""
+	}
+	return nod.Value
+}
+
+func (rdr *reader) name(nod *yaml.Node, path string) string {
+	val := rdr.text(nod, path)
+	if len(val) > maxNameLength || !namePattern.MatchString(val) {
+		rdr.fail(nod, path, "%q is not a name: use lower case letters, digits, dots, underscores and hyphens", val)
+	}
+	return val
+}
+
+func (rdr *reader) names(nod *yaml.Node, path string) []string {
+	var out []string
+	for _, itm := range rdr.items(nod, path) {
+		out = append(out, rdr.name(itm, path))
+	}
+	return rdr.sorted(nod, path, out)
+}
+
+func (rdr *reader) sorted(nod *yaml.Node, path string, vals []string) []string {
+	slices.Sort(vals)
+	for idx := 1; idx < len(vals); idx++ {
+		if vals[idx] == vals[idx-1] {
+			rdr.fail(nod, path, "%q is listed twice", vals[idx])
+		}
+	}
+	return slices.Compact(vals)
+}
+
+func (rdr *reader) number(nod *yaml.Node, path string, low, high float64) float64 {
+	val, err := strconv.ParseFloat(rdr.text(nod, path), 64)
+	if err != nil || math.IsNaN(val) || val < low || val > high {
+		rdr.fail(nod, path, "must be a number from %v to %v, not %q", low, high, nod.Value)
+		return low
+	}
+	return val
+}
+
+func (rdr *reader) count(nod *yaml.Node, path string, high int) int {
+	val, err := strconv.Atoi(rdr.text(nod, path))
+	if err != nil || val < 1 || val > high {
+		rdr.fail(nod, path, "must be a whole number from 1 to %d, not %q", high, nod.Value)
+		return 1
+	}
+	return val
+}
+
+func (rdr *reader) boolean(nod *yaml.Node, path string) bool {
+	val, err := strconv.ParseBool(rdr.text(nod, path))
+	if err != nil {
+		rdr.fail(nod, path, "must be true or false, not %q", nod.Value)
+	}
+	return val
+}
+
+func (rdr *reader) duration(nod *yaml.Node, path string) time.Duration {
+	val, err := time.ParseDuration(rdr.text(nod, path))
+	if err != nil || val <= 0 || val > maxTimeout {
+		rdr.fail(nod, path, "must be a duration above 0 and up to %v, such as 2s, not %q", maxTimeout, nod.Value)
+		return time.Second
+	}
+	return val
+}
+
+func (rdr *reader) address(nod *yaml.Node, path string) string {
+	val, err := netip.ParseAddrPort(rdr.text(nod, path))
+	if err != nil || val.Port() == 0 {
+		rdr.fail(nod, path, "must be an IP address and port, not %q", nod.Value)
+		return ""
+	}
+	return val.String()
+}
+
+func (rdr *reader) pathPrefix(nod *yaml.Node, path string) string {
+	val := rdr.text(nod, path)
+	if !strings.HasPrefix(val, "/") || strings.Contains(val, "//") || strings.Contains(val+"/", "/../") || strings.Contains(val+"/", "/./") {
+		rdr.fail(nod, path, "must start with a slash and have no empty or dot segments, not %q", val)
+	}
+	return val
+}
+
+func (rdr *reader) host(nod *yaml.Node, path string) string {
+	if nod.Value == "" {
+		return ""
+	}
+	return rdr.name(nod, path)
+}
--- /dev/null
+++ b/core/note/render.go
@@ -0,0 +1,53 @@
+package note
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"marigoldlug.example/core/config"
+)
+
+// listFields are the fields whose values are lists.
+var listFields = map[string]bool{"methods": true, "organisations": true}
+
+// Render returns a configuration in the form of the added section of a note.
+func Render(con config.Content) string {
+	obs := newObjects(con)
+	var bld strings.Builder
+	bld.WriteString("added:\n")
+	render(&bld, organisationKind, sortedValues(obs.organisations))
+	render(&bld, keyKind, sortedValues(obs.keys))
+	render(&bld, serviceKind, sortedValues(obs.services))
+	render(&bld, targetKind, sortedValues(obs.targets))
+	render(&bld, routeKind, sortedValues(obs.routes))
+	return bld.String()
+}
+
+func render[T any](bld *strings.Builder, knd kind[T], objs []T) {
+	if len(objs) == 0 {
+		return
+	}
+	fmt.Fprintf(bld, "  %s:\n", knd.name)
+	for _, obj := range objs {
+		var parts []string
+		for _, fld := range knd.fields {
+			val := strconv.Quote(fld.show(obj))
+			if listFields[fld.name] {
+				val = "[" + fld.show(obj) + "]"
+			}
+			parts = append(parts, fld.name+": "+val)
+		}
+		fmt.Fprintf(bld, "    - {%s}\n", strings.Join(parts, ", "))
+	}
+}
+
+// KeyNote returns a note that adds one key.
+func KeyNote(release string, base uint64, key config.Key) string {
+	return fmt.Sprintf("release: %q\nbase: %d\n%s", release, base, Render(config.Content{Keys: []config.Key{key}}))
+}
+
+// WithdrawKeyNote returns a note that withdraws one key.
+func WithdrawKeyNote(release string, base uint64, id string) string {
+	return fmt.Sprintf("release: %q\nbase: %d\nwithdrawn:\n  keys: [%q]\n", release, base, id)
+}
--- /dev/null
+++ b/lugbench/pkg/quickstart/quickstart_test.go
@@ -0,0 +1,89 @@
+package quickstart
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"marigoldlug.example/lugd/service/api"
+)
+
+func startFleet(t *testing.T) *Fleet {
+	t.Helper()
+	fle, err := Start(context.Background(), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := fle.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	return fle
+}
+
+func applyNote(t *testing.T, fle *Fleet, doc []byte) api.Release {
+	t.Helper()
+	rel, err := fle.Apply(context.Background(), doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := fle.AwaitVersion(context.Background(), rel.Version); err != nil {
+		t.Fatal(err)
+	}
+	return rel
+}
+
+func request(t *testing.T, fle *Fleet, vmIndex int, method, path, key string) Answer {
+	t.Helper()
+	ans, err := fle.Request(context.Background(), vmIndex, method, path, key, t.Name())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ans
+}
+
+func TestWholePath(t *testing.T) {
+	fle := startFleet(t)
+	first := applyNote(t, fle, fle.Note())
+	again := applyNote(t, fle, fle.Note())
+	if !again.Repeated || again.Version != first.Version {
+		t.Errorf("the same note made another release: %+v after %+v", again, first)
+	}
+	for num := range fle.VMs {
+		if ans := request(t, fle, num, http.MethodGet, "/recipes/celadon", Key); ans.Status != http.StatusOK || !strings.Contains(ans.Body, "/recipes/celadon") {
+			t.Errorf("vm-%d: got %+v", num+1, ans)
+		}
+		if ans := request(t, fle, num, http.MethodGet, "/recipes/celadon", "unknown"); ans.Status != http.StatusUnauthorized || ans.Verdict != "not-run" {
+			t.Errorf("vm-%d: unknown key got %+v", num+1, ans)
+		}
+	}
+	withdrawn := applyNote(t, fle, []byte("release: withdraw\nbase: 4\nwithdrawn: {keys: [studio-1]}\n"))
+	if withdrawn.Version <= first.Version {
+		t.Errorf("version went from %d to %d", first.Version, withdrawn.Version)
+	}
+	for num := range fle.VMs {
+		if ans := request(t, fle, num, http.MethodGet, "/recipes/celadon", Key); ans.Status != http.StatusUnauthorized {
+			t.Errorf("vm-%d: withdrawn key got %+v", num+1, ans)
+		}
+	}
+	for _, tgt := range fle.Targets {
+		for _, hdr := range tgt.Headers() {
+			if hdr.Get("Authorization") != "" {
+				t.Error("a target saw a key")
+			}
+		}
+	}
+}
+
+func TestApplyReportsEveryFault(t *testing.T) {
+	fle := startFleet(t)
+	_, err := fle.Apply(context.Background(), []byte("release: bad\nadded:\n  organisations:\n    - {name: Studio, rate: x, burst: 0}\n  kilns: []\n"))
+	var fail *api.Error
+	if !errors.As(err, &fail) || fail.Code != api.CodeFaults || len(fail.Faults) != 4 {
+		t.Errorf("got %v", err)
+	}
+}
--- /dev/null
+++ b/lugctl/pkg/command/command.go
@@ -0,0 +1,71 @@
+// Package command is the command line of lugctl.
+package command
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"marigoldlug.example/lugctl/pkg/client"
+)
+
+const (
+	callTimeout  = 30 * time.Second
+	pollInterval = 200 * time.Millisecond
+)
+
+// session is what every command needs.
+type session struct {
+	out      io.Writer
+	progress io.Writer
+	address  string
+	operator string
+	output   string
+	wait     time.Duration
+}
+
+// New returns the command line, which writes results to out and progress to
+// progress.
+func New(out, progress io.Writer) *cli.Command {
+	ses := &session{out: out, progress: progress}
+	return &cli.Command{
+		Name:   "lugctl",
+		Usage:  "drive a marigoldlug proxy fleet",
+		Writer: out,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "address", Usage: "URL of the operator API of any VM", Value: "http://127.0.0.1:8082", Destination: &ses.address, Sources: cli.EnvVars("LUGCTL_ADDRESS")},
+			&cli.StringFlag{Name: "operator", Usage: "name of the operator, kept in the history", Value: os.Getenv("USER"), Destination: &ses.operator, Sources: cli.EnvVars("LUGCTL_OPERATOR")},
+			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Usage: "json or table", Value: "table", Destination: &ses.output, Sources: cli.EnvVars("LUGCTL_OUTPUT")},
+			&cli.DurationFlag{Name: "wait", Usage: "how long to wait until a release is in force", Value: 30 * time.Second, Destination: &ses.wait, Sources: cli.EnvVars("LUGCTL_WAIT")},
+		},
+		Commands: []*cli.Command{ses.releaseCommand(), ses.keyCommand(), ses.vmCommand(), ses.targetCommand()},
+	}
+}
+
+func (ses *session) client() *client.Client {
+	return client.New(ses.address, ses.operator, &http.Client{Timeout: callTimeout})
+}
+
+// action is a command that prints its result.
+type action func(ctx context.Context, cmd *cli.Command, cli *client.Client, prn *printer) error
+
+func (ses *session) run(act action) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		prn, err := newPrinter(ses.out, ses.output)
+		if err != nil {
+			return err
+		}
+		return act(ctx, cmd, ses.client(), prn)
+	}
+}
+
+func argument(cmd *cli.Command, name string) (string, error) {
+	if cmd.Args().Len() != 1 {
+		return "", &usageError{message: cmd.FullName() + " takes one argument: " + name}
+	}
+	return cmd.Args().First(), nil
+}
--- /dev/null
+++ b/lugd/pkg/daemon/daemon.go
@@ -0,0 +1,217 @@
+// Package daemon assembles one VM of the fleet from its parts and runs it.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldlug.example/core/member"
+	"marigoldlug.example/core/node"
+	"marigoldlug.example/lugd/pkg/caller"
+	"marigoldlug.example/lugd/pkg/logflags"
+	"marigoldlug.example/lugd/pkg/metrics"
+	"marigoldlug.example/lugd/pkg/operator"
+	"marigoldlug.example/lugd/pkg/platform"
+	"marigoldlug.example/lugd/pkg/release"
+	"marigoldlug.example/lugd/pkg/settings"
+	"marigoldlug.example/lugd/pkg/target"
+	"marigoldlug.example/lugd/pkg/trace"
+	"marigoldlug.example/lugd/pkg/vm"
+)
+
+const (
+	sweepInterval = 10 * time.Second
+	joinInterval  = time.Second
+	bodyPause     = 60 * time.Second
+)
+
+// Daemon is one VM of the fleet.
+type Daemon struct {
+	set       settings.Settings
+	log       logrus.FieldLogger
+	self      member.VM
+	runtime   *vm.Runtime
+	committer *release.Committer
+	pool      *target.Pool
+	tracer    *trace.Tracer
+	callers   *http.Server
+	operators *http.Server
+	listeners listeners
+}
+
+type listeners struct {
+	caller   net.Listener
+	operator net.Listener
+}
+
+// New checks the settings, binds the addresses and returns a VM that does not
+// run yet.
+func New(ctx context.Context, set settings.Settings, lgs *logflags.Logs) (*Daemon, error) {
+	if err := set.Check(); err != nil {
+		return nil, err
+	}
+	dmn := &Daemon{set: set, log: lgs.Logger(logflags.Daemon)}
+	if err := dmn.listen(); err != nil {
+		return nil, err
+	}
+	address := set.AdvertiseAddress
+	if address == "" {
+		address = set.PeerAddress
+	}
+	dmn.self = member.VM{ID: set.Name + "." + runID(), Address: address, FailureDomain: set.FailureDomain}
+	cli := platform.New(set.PlatformURL, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}, set.PlatformCalls, int(4*set.PlatformCalls)+1)
+	dmn.committer = release.NewCommitter(cli, dmn.self.ID, time.Now)
+	dmn.runtime = vm.New(node.Settings{Self: dmn.self, LeaseDuration: set.LeaseDuration}, cli, lgs.Logger(logflags.Machine))
+	dmn.pool = target.New(target.Settings{DialTimeout: set.DialTimeout, IdlePerTarget: set.IdlePerTarget, BodyPause: bodyPause})
+	var err error
+	if dmn.tracer, err = trace.New(ctx, set.TraceEndpoint, dmn.self.ID, set.TraceShare); err != nil {
+		return nil, err
+	}
+	dmn.serve(lgs)
+	return dmn, nil
+}
+
+// runID returns a part of a VM's ID that no other run of a process has.
+func runID() string {
+	var raw [6]byte
+	_, _ = rand.Read(raw[:]) // Read never fails; see crypto/rand.
+	return hex.EncodeToString(raw[:])
+}
+
+func (dmn *Daemon) listen() error {
+	var err error
+	if dmn.listeners.caller, err = net.Listen("tcp", dmn.set.CallerAddress); err != nil {
+		return fmt.Errorf("cannot listen for callers: %w", err)
+	}
+	if dmn.listeners.operator, err = net.Listen("tcp", dmn.set.OperatorAddress); err != nil {
+		return fmt.Errorf("cannot listen for operators: %w", err)
+	}
+	return nil
+}
+
+func (dmn *Daemon) serve(lgs *logflags.Logs) {
+	met := metrics.New()
+	dmn.register(met)
+	han := caller.New(
+		caller.Settings{MaxBody: dmn.set.MaxBodyBytes, BodyTimeout: dmn.set.BodyTimeout},
+		dmn.runtime, dmn.pool, &observer{metrics: met, tracer: dmn.tracer},
+	)
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	dmn.callers = &http.Server{
+		Handler:           han,
+		ReadHeaderTimeout: dmn.set.HeaderTimeout,
+		IdleTimeout:       dmn.set.IdleTimeout,
+		MaxHeaderBytes:    dmn.set.MaxHeaderBytes,
+		Protocols:         &protocols,
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", operator.New(dmn.committer, &fleet{dmn: dmn}, lgs.Logger(logflags.Operator)))
+	mux.Handle("GET /metrics", met.Handler())
+	mux.HandleFunc("GET /livez", func(wrt http.ResponseWriter, _ *http.Request) { wrt.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", dmn.readyz)
+	dmn.operators = &http.Server{Handler: mux, ReadHeaderTimeout: dmn.set.HeaderTimeout}
+}
+
+func (dmn *Daemon) register(met *metrics.Set) {
+	met.Gauge("lease_active", "1 while the VM may serve keyed routes.", func() float64 {
+		if sta, _ := dmn.runtime.Status(); sta.Active {
+			return 1
+		}
+		return 0
+	})
+	met.Gauge("head_version", "Version of the head in force.", func() float64 {
+		sta, _ := dmn.runtime.Status()
+		return float64(sta.Version)
+	})
+	met.Gauge("proof_age_seconds", "Age of the newest proof that the head is the newest.", func() float64 {
+		sta, _ := dmn.runtime.Status()
+		return sta.ProofAge.Seconds()
+	})
+	met.Gauge("targets_ejected", "Targets that the VM does not use.", func() float64 {
+		sta, _ := dmn.runtime.Status()
+		return float64(len(sta.Ejected))
+	})
+}
+
+func (dmn *Daemon) readyz(wrt http.ResponseWriter, _ *http.Request) {
+	if _, ready := dmn.runtime.Status(); !ready {
+		wrt.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	wrt.WriteHeader(http.StatusOK)
+}
+
+// Self returns the VM.
+func (dmn *Daemon) Self() member.VM { return dmn.self }
+
+// CallerAddress returns the address on which callers are served.
+func (dmn *Daemon) CallerAddress() string { return dmn.listeners.caller.Addr().String() }
+
+// OperatorAddress returns the address on which operators are served.
+func (dmn *Daemon) OperatorAddress() string { return dmn.listeners.operator.Addr().String() }
+
+// Run serves until ctx ends, then stops gracefully.
+func (dmn *Daemon) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var wgr sync.WaitGroup
+	wgr.Go(func() { dmn.runtime.Run(work) })
+	wgr.Go(func() { dmn.join(work) })
+	wgr.Go(func() { dmn.sweep(work) })
+	failed := make(chan error, 2)
+	for srv, lis := range map[*http.Server]net.Listener{dmn.callers: dmn.listeners.caller, dmn.operators: dmn.listeners.operator} {
+		wgr.Go(func() {
+			if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		})
+	}
+	dmn.log.WithFields(logrus.Fields{"vm": dmn.self.ID, "callers": dmn.CallerAddress(), "operators": dmn.OperatorAddress()}).Info("serving")
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	err = errors.Join(err, dmn.stop(work))
+	cancel()
+	wgr.Wait()
+	return err
+}
+
+// join makes the VM a member of the view.
+func (dmn *Daemon) join(ctx context.Context) {
+	for ctx.Err() == nil {
+		_, err := dmn.committer.ChangeView(ctx, []member.VM{dmn.self}, nil)
+		if err == nil {
+			return
+		}
+		dmn.log.WithError(err).Warn("cannot join the fleet yet")
+		sleep(ctx, joinInterval)
+	}
+}
+
+func sleep(ctx context.Context, dur time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(dur):
+	}
+}
+
+func (dmn *Daemon) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, sweepInterval)
+		dmn.pool.Sweep(time.Now())
+	}
+}
--- /dev/null
+++ b/lugd/pkg/logflags/logflags.go
@@ -0,0 +1,66 @@
+// Package logflags switches the logs of each subsystem on and off.
+package logflags
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+)
+
+// The subsystems that log.
+const (
+	Daemon   = "daemon"
+	Caller   = "caller"
+	Machine  = "machine"
+	Peer     = "peer"
+	Platform = "platform"
+	Operator = "operator"
+)
+
+// Subsystems lists the names of the subsystems.
+func Subsystems() []string { return []string{Daemon, Caller, Machine, Peer, Platform, Operator} }
+
+// Logs makes the loggers of the subsystems.
+type Logs struct {
+	out     io.Writer
+	format  logrus.Formatter
+	verbose []string
+}
+
+// New returns loggers that write to out. Those named in verbose, separated by
+// commas, also write debug messages; format is "json" or "text".
+func New(out io.Writer, format, verbose string) (*Logs, error) {
+	lgs := &Logs{out: out}
+	switch format {
+	case "json":
+		lgs.format = &logrus.JSONFormatter{}
+	case "text":
+		lgs.format = &logrus.TextFormatter{FullTimestamp: true}
+	default:
+		return nil, fmt.Errorf("log format %q is not json or text", format)
+	}
+	for name := range strings.SplitSeq(verbose, ",") {
+		if name = strings.TrimSpace(name); name == "" {
+			continue
+		}
+		if !slices.Contains(Subsystems(), name) {
+			return nil, fmt.Errorf("subsystem %q does not exist; there are %s", name, strings.Join(Subsystems(), ", "))
+		}
+		lgs.verbose = append(lgs.verbose, name)
+	}
+	return lgs, nil
+}
+
+// Logger returns the logger of a subsystem.
+func (lgs *Logs) Logger(subsystem string) logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(lgs.out)
+	log.SetFormatter(lgs.format)
+	if slices.Contains(lgs.verbose, subsystem) {
+		log.SetLevel(logrus.DebugLevel)
+	}
+	return log.WithField("subsystem", subsystem)
+}
--- /dev/null
+++ b/lugd/pkg/metrics/metrics.go
@@ -0,0 +1,74 @@
+// Package metrics counts what a VM does, for Prometheus.
+package metrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const namespace = "marigoldlug"
+
+// latencyBuckets are the upper bounds of the latency histograms in seconds.
+var latencyBuckets = prometheus.ExponentialBuckets(0.0005, 2, 16)
+
+// Set holds the metrics of one VM.
+type Set struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	added    prometheus.Histogram
+}
+
+// New returns metrics at zero.
+func New() *Set {
+	set := &Set{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "requests_total", Help: "Requests of callers by route and result.",
+		}, []string{"route", "result"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "attempts_total", Help: "Attempts sent to targets by target and outcome.",
+		}, []string{"target", "outcome"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "request_seconds", Help: "Time from arrival to the end of the answer.", Buckets: latencyBuckets,
+		}, []string{"route"}),
+		added: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "added_seconds", Help: "Time of a request not spent waiting for targets.", Buckets: latencyBuckets,
+		}),
+	}
+	set.registry.MustRegister(set.requests, set.attempts, set.latency, set.added, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return set
+}
+
+// Gauge registers a value that is read when metrics are collected.
+func (set *Set) Gauge(name, help string, read func() float64) {
+	set.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// Counter registers a count that is read when metrics are collected.
+func (set *Set) Counter(name, help string, read func() float64) {
+	set.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// Request counts a request that ended. waited is the part of elapsed that was
+// spent waiting for targets.
+func (set *Set) Request(route, result string, elapsed, waited time.Duration) {
+	set.requests.WithLabelValues(route, result).Inc()
+	set.latency.WithLabelValues(route).Observe(elapsed.Seconds())
+	set.added.Observe(max(elapsed-waited, 0).Seconds())
+}
+
+// Attempt counts an attempt that ended or whose answer began.
+func (set *Set) Attempt(target, outcome string) {
+	set.attempts.WithLabelValues(target, outcome).Inc()
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (set *Set) Handler() http.Handler {
+	return promhttp.HandlerFor(set.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/lugd/pkg/release/loader.go
@@ -0,0 +1,121 @@
+package release
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"marigoldlug.example/core/chunk"
+	"marigoldlug.example/core/config"
+	"marigoldlug.example/core/fence"
+	"marigoldlug.example/core/member"
+	"marigoldlug.example/lugd/pkg/platform"
+)
+
+// chunkSource obtains the content of chunks.
+type chunkSource interface {
+	Chunk(ctx context.Context, id chunk.ID) ([]byte, error)
+}
+
+// Loader turns heads into configurations and views. It obtains only the chunks
+// that differ from those of the configuration loaded last. It is not safe for
+// concurrent use.
+type Loader struct {
+	source   chunkSource
+	manifest chunk.Manifest
+	snapshot *config.Snapshot
+}
+
+// NewLoader returns a loader that holds the empty configuration.
+func NewLoader(src chunkSource) *Loader {
+	return &Loader{source: src, manifest: chunk.NewManifest(), snapshot: config.New(config.Content{})}
+}
+
+// Load returns the configuration and the view that a head names.
+func (loa *Loader) Load(ctx context.Context, hea fence.Head) (*config.Snapshot, member.View, error) {
+	vie, err := loadView(ctx, loa.source, hea.View)
+	if err != nil {
+		return nil, vie, err
+	}
+	man, err := loadManifest(ctx, loa.source, hea.Manifest)
+	if err != nil {
+		return nil, vie, err
+	}
+	var rpls []config.Replacement
+	for _, plc := range man.Differing(loa.manifest) {
+		rpl, err := loadPlace(ctx, loa.source, plc)
+		if err != nil {
+			return nil, vie, err
+		}
+		rpls = append(rpls, rpl)
+	}
+	if len(rpls) > 0 {
+		loa.snapshot = loa.snapshot.With(rpls)
+	}
+	loa.manifest = man
+	return loa.snapshot, vie, nil
+}
+
+func loadView(ctx context.Context, src chunkSource, id chunk.ID) (member.View, error) {
+	if id == (chunk.ID{}) {
+		return member.View{}, nil
+	}
+	raw, err := src.Chunk(ctx, id)
+	if err != nil {
+		return member.View{}, err
+	}
+	return member.Decode(raw)
+}
+
+func loadManifest(ctx context.Context, src chunkSource, id chunk.ID) (chunk.Manifest, error) {
+	if id == (chunk.ID{}) {
+		return chunk.NewManifest(), nil
+	}
+	raw, err := src.Chunk(ctx, id)
+	if err != nil {
+		return chunk.Manifest{}, err
+	}
+	return chunk.DecodeManifest(raw)
+}
+
+func loadPlace(ctx context.Context, src chunkSource, plc chunk.Place) (config.Replacement, error) {
+	if plc.ID == (chunk.ID{}) {
+		return chunk.Decode(plc, nil)
+	}
+	raw, err := src.Chunk(ctx, plc.ID)
+	if err != nil {
+		return config.Replacement{}, err
+	}
+	return chunk.Decode(plc, raw)
+}
+
+// PlatformChunks obtains chunks from the platform.
+type PlatformChunks struct {
+	Client *platform.Client
+}
+
+// Chunk returns the content of a chunk, whose name it checks.
+func (pch PlatformChunks) Chunk(ctx context.Context, id chunk.ID) ([]byte, error) {
+	obj, err := pch.Client.Get(ctx, platform.ChunkName(id))
+	if err != nil {
+		return nil, fmt.Errorf("cannot get chunk %v: %w", id, err)
+	}
+	if chunk.IDOf(obj.Value) != id {
+		return nil, fmt.Errorf("chunk %v does not have the content that its name states", id)
+	}
+	return obj.Value, nil
+}
+
+// ReadHead returns the head that the platform holds and the version of its
+// object; both are zero before the first.
+func ReadHead(ctx context.Context, cli *platform.Client) (fence.Head, uint64, error) {
+	obj, err := cli.Get(ctx, platform.HeadName)
+	if errors.Is(err, platform.ErrNotFound) {
+		return fence.Head{}, 0, nil
+	}
+	if err != nil {
+		return fence.Head{}, 0, err
+	}
+	hea, err := platform.DecodeHead(obj.Value)
+	return hea, obj.Version, err
+}
--- /dev/null
+++ b/lugd/pkg/target/exchange.go
@@ -0,0 +1,127 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/verdict"
+)
+
+// exchange is one request on one connection.
+type exchange struct {
+	con    *conn
+	cancel context.CancelFunc
+	// stop cancels the closing of the connection by the context.
+	stop func() bool
+	// written receives the result of writing the request.
+	written chan error
+}
+
+func (exc *exchange) write(req *http.Request) {
+	wrt := bufio.NewWriterSize(exc.con, bufferSize)
+	err := req.Write(wrt)
+	if err == nil {
+		err = wrt.Flush()
+	}
+	if err != nil {
+		// The target must not take a request that was cut short for a whole one.
+		_ = exc.con.Close()
+	}
+	exc.written <- err
+}
+
+func (exc *exchange) readHead(req *http.Request) (*http.Response, error) {
+	for range maxAnswerHeads {
+		rsp, err := http.ReadResponse(exc.con.reader, req)
+		switch {
+		case err != nil:
+			return nil, fmt.Errorf("cannot read the answer of target %s: %w", exc.con.address, err)
+		case rsp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errSwitching
+		case rsp.StatusCode < http.StatusOK:
+			continue
+		case unframed(rsp, req.Method):
+			return nil, errUnframed
+		}
+		return rsp, nil
+	}
+	return nil, errInterim
+}
+
+// unframed reports whether the end of the answer is marked only by the end of
+// the connection, so that an answer cut short would look whole.
+func unframed(rsp *http.Response, method string) bool {
+	if method == http.MethodHead || rsp.StatusCode == http.StatusNoContent || rsp.StatusCode == http.StatusNotModified {
+		return false
+	}
+	return rsp.ContentLength < 0 && len(rsp.TransferEncoding) == 0
+}
+
+// fail ends the exchange before an answer and waits until the request is no
+// longer read, so that the verdict is final.
+func (exc *exchange) fail(cause error) *Error {
+	if cause == nil {
+		cause = fmt.Errorf("target %s did not answer in time", exc.con.address)
+	}
+	exc.stop()
+	exc.cancel()
+	_ = exc.con.Close()
+	select {
+	case err := <-exc.written:
+		if err != nil && exc.con.sent == 0 {
+			return &Error{Verdict: verdict.NotRun, Outcome: health.Failure, Err: fmt.Errorf("cannot send to target %s: %w", exc.con.address, err)}
+		}
+	case <-time.After(time.Millisecond):
+		// The writer waits for the caller's body; the head has been sent.
+	}
+	return &Error{Verdict: verdict.MayHaveRun, Outcome: health.Failure, Err: cause}
+}
+
+// body is the body of an answer. It gives the connection back at its end.
+type body struct {
+	io.ReadCloser
+	exchange *exchange
+	reusable bool
+	whole    bool
+}
+
+// Read notes the end of the body. It fails when the target sends nothing for
+// the longest pause allowed.
+func (bod *body) Read(buf []byte) (int, error) {
+	if err := bod.exchange.con.SetReadDeadline(time.Now().Add(bod.exchange.con.pool.set.BodyPause)); err != nil {
+		return 0, err
+	}
+	cnt, err := bod.ReadCloser.Read(buf)
+	if errors.Is(err, io.EOF) {
+		bod.whole = true
+	}
+	return cnt, err
+}
+
+// Close ends the exchange and keeps the connection only if both the request
+// and the answer have gone over it to their ends.
+func (bod *body) Close() error {
+	exc := bod.exchange
+	kept := false
+	if bod.whole && bod.reusable && exc.stop() {
+		select {
+		case err := <-exc.written:
+			kept = err == nil
+		default:
+		}
+	}
+	if kept && exc.con.SetReadDeadline(time.Time{}) == nil {
+		exc.con.pool.keep(exc.con)
+	} else {
+		exc.stop()
+		_ = exc.con.Close()
+	}
+	exc.cancel()
+	return nil
+}
--- /dev/null
+++ b/lugd/pkg/target/pool.go
@@ -0,0 +1,259 @@
+// Package target speaks HTTP/1.1 to targets. It sends each request at most
+// once and states what is known of its execution when it fails.
+package target
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/verdict"
+)
+
+const (
+	// freshIdle bounds how long a connection may have been idle to carry a
+	// request that is not idempotent; the target may be closing an older one.
+	freshIdle      = time.Second
+	maxIdle        = 30 * time.Second
+	bufferSize     = 8 << 10
+	maxAnswerHeads = 5
+)
+
+// Error is the failure of an attempt.
+type Error struct {
+	// Verdict is NotRun only if no byte of the request left the VM.
+	Verdict verdict.Verdict
+	Outcome health.Outcome
+	Err     error
+}
+
+// Error returns the cause.
+func (err *Error) Error() string { return err.Err.Error() }
+
+// Unwrap returns the cause.
+func (err *Error) Unwrap() error { return err.Err }
+
+var (
+	errUnframed  = errors.New("the target's answer states neither length nor chunks")
+	errInterim   = errors.New("the target sent too many interim answers")
+	errSwitching = errors.New("the target switched protocols unasked")
+)
+
+// Settings bound the connections to targets.
+type Settings struct {
+	DialTimeout time.Duration
+	// IdlePerTarget bounds the idle connections kept to one target.
+	IdlePerTarget int
+	// BodyPause bounds the time between two parts of an answer's body.
+	BodyPause time.Duration
+}
+
+// Pool keeps idle connections to targets. It is safe for concurrent use.
+type Pool struct {
+	set  Settings
+	dial func(ctx context.Context, address string) (net.Conn, error)
+
+	mut sync.Mutex
+	// idle has the most recently used connection of each address last.
+	idle map[string][]*conn
+	open map[string]int
+}
+
+// New returns a pool without connections.
+func New(set Settings) *Pool {
+	dlr := &net.Dialer{Timeout: set.DialTimeout}
+	return &Pool{
+		set: set,
+		dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dlr.DialContext(ctx, "tcp", address)
+		},
+		idle: make(map[string][]*conn),
+		open: make(map[string]int),
+	}
+}
+
+// conn is a connection that carries one request at a time.
+type conn struct {
+	net.Conn
+	pool    *Pool
+	address string
+	reader  *bufio.Reader
+	// sent counts the bytes handed to the kernel for the present request.
+	sent   int64
+	used   time.Time
+	closed sync.Once
+}
+
+// Write counts the bytes that leave the VM.
+func (con *conn) Write(buf []byte) (int, error) {
+	cnt, err := con.Conn.Write(buf)
+	con.sent += int64(cnt)
+	return cnt, err
+}
+
+// Close closes the connection once and forgets it.
+func (con *conn) Close() error {
+	var err error
+	con.closed.Do(func() {
+		err = con.Conn.Close()
+		con.pool.mut.Lock()
+		defer con.pool.mut.Unlock()
+		if con.pool.open[con.address]--; con.pool.open[con.address] <= 0 {
+			delete(con.pool.open, con.address)
+		}
+	})
+	return err
+}
+
+// quiet reports whether the connection is open with nothing to read. A
+// connection with something to read was closed or owes an answer.
+func (con *conn) quiet() bool {
+	if con.reader.Buffered() > 0 {
+		return false
+	}
+	sys, ok := con.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// take returns an idle connection used within age, or nil.
+func (pol *Pool) take(address string, age time.Duration) *conn {
+	for {
+		con := pol.pop(address)
+		if con == nil {
+			return nil
+		}
+		if time.Since(con.used) <= age && con.quiet() {
+			con.sent = 0
+			return con
+		}
+		_ = con.Close()
+	}
+}
+
+func (pol *Pool) pop(address string) *conn {
+	pol.mut.Lock()
+	defer pol.mut.Unlock()
+	list := pol.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	con := list[len(list)-1]
+	pol.idle[address] = list[:len(list)-1]
+	return con
+}
+
+// keep puts a connection that owes nothing back among the idle ones.
+func (pol *Pool) keep(con *conn) {
+	con.used = time.Now()
+	pol.mut.Lock()
+	full := len(pol.idle[con.address]) >= pol.set.IdlePerTarget
+	if !full {
+		pol.idle[con.address] = append(pol.idle[con.address], con)
+	}
+	pol.mut.Unlock()
+	if full {
+		_ = con.Close()
+	}
+}
+
+// Sweep closes the connections that have been idle for too long.
+func (pol *Pool) Sweep(now time.Time) {
+	var old []*conn
+	pol.mut.Lock()
+	for address, list := range pol.idle {
+		kept := list[:0]
+		for _, con := range list {
+			if now.Sub(con.used) > maxIdle {
+				old = append(old, con)
+				continue
+			}
+			kept = append(kept, con)
+		}
+		pol.idle[address] = kept
+		if len(kept) == 0 {
+			delete(pol.idle, address)
+		}
+	}
+	pol.mut.Unlock()
+	for _, con := range old {
+		_ = con.Close()
+	}
+}
+
+// Open returns the number of connections open to each address.
+func (pol *Pool) Open() map[string]int {
+	pol.mut.Lock()
+	defer pol.mut.Unlock()
+	out := make(map[string]int, len(pol.open))
+	for address, cnt := range pol.open {
+		out[address] = cnt
+	}
+	return out
+}
+
+func (pol *Pool) connect(ctx context.Context, address string, idempotent bool) (*conn, error) {
+	age := freshIdle
+	if idempotent {
+		age = maxIdle
+	}
+	if con := pol.take(address, age); con != nil {
+		return con, nil
+	}
+	raw, err := pol.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	pol.mut.Lock()
+	pol.open[address]++
+	pol.mut.Unlock()
+	return &conn{Conn: raw, pool: pol, address: address, reader: bufio.NewReaderSize(raw, bufferSize)}, nil
+}
+
+// Answer is the head of an answer and its body, which must be closed.
+type Answer struct {
+	*http.Response
+}
+
+// Send sends req to the target at address once, and returns when the head of
+// the answer has arrived or the timeout has passed. Cancelling ctx closes the
+// connection, also while the body of the answer is read.
+func (pol *Pool) Send(ctx context.Context, address string, req *http.Request, idempotent bool, timeout time.Duration) (*Answer, *Error) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(timeout, cancel)
+	con, err := pol.connect(ctx, address, idempotent)
+	if err != nil {
+		timer.Stop()
+		cancel()
+		return nil, &Error{Verdict: verdict.NotRun, Outcome: health.Unreachable, Err: fmt.Errorf("cannot connect to target %s: %w", address, err)}
+	}
+	exc := &exchange{con: con, cancel: cancel, written: make(chan error, 1)}
+	exc.stop = context.AfterFunc(ctx, func() { _ = con.Close() })
+	go exc.write(req)
+	rsp, err := exc.readHead(req) //nolint:bodyclose // the caller of Send closes it
+	if err != nil || !timer.Stop() {
+		return nil, exc.fail(err)
+	}
+	rsp.Body = &body{ReadCloser: rsp.Body, exchange: exc, reusable: !rsp.Close}
+	return &Answer{Response: rsp}, nil
+}
