Move allowance between VMs and prove heads by votes

Cause: each VM held 1/N of every rate, so bursts below N requests were crumbs, and each VM trusted its own reads of the platform, which may lag or be away.

Now allowance is moved and never copied (core/rate), a lease rests on the votes of a majority of the view (core/fence), and one keeper commits batched changes of the view (core/member). VMs exchange msgpack frames over TCP.

Before: burst 1 on 48 VMs admitted nothing.

--- a/core/chunk/chunk.go
+++ b/core/chunk/chunk.go
@@ -146,3 +146,16 @@
 
 // At returns the chunk of one bucket.
 func (man Manifest) At(sec config.Section, num int) ID { return man.chunks[sec][num] }
+
+// Find returns the content of a chunk of a configuration with this manifest,
+// or nil where the manifest does not name it.
+func (man Manifest) Find(id ID, sna *config.Snapshot) []byte {
+	for sec, ids := range man.chunks {
+		for num := range ids {
+			if ids[num] == id {
+				return encodeBucket(config.Section(sec), sna.Bucket(config.Section(sec), num))
+			}
+		}
+	}
+	return nil
+}
--- a/core/chunk/codec.go
+++ b/core/chunk/codec.go
@@ -144,13 +144,17 @@
 	fld.do(enc.EncodeInt(int64(org.Limit.Rate)))
 	fld.do(enc.EncodeInt(int64(org.Limit.Burst)))
 	fld.do(enc.EncodeInt(int64(org.Weight)))
+	fld.do(enc.EncodeUint(org.Created))
+	fld.do(enc.EncodeUint(org.Changed))
 }
 
 func decodeOrganisation(fld *fielder, dec *msgpack.Decoder) config.Organisation {
 	return config.Organisation{
-		Name:   fld.text(dec),
-		Limit:  rate.Limit{Rate: rate.PerSecond(fld.whole(dec)), Burst: rate.Tokens(fld.whole(dec))},
-		Weight: int(fld.whole(dec)),
+		Name:    fld.text(dec),
+		Limit:   rate.Limit{Rate: rate.PerSecond(fld.whole(dec)), Burst: rate.Tokens(fld.whole(dec))},
+		Weight:  int(fld.whole(dec)),
+		Created: uint64(fld.whole(dec)),
+		Changed: uint64(fld.whole(dec)),
 	}
 }
 
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -30,14 +30,24 @@
 	Limit rate.Limit
 	// Weight is at least 1 and sets the share of contended slots.
 	Weight int
+	// Created and Changed are the versions of the head at which the
+	// organisation was created and its limit last set.
+	Created uint64
+	Changed uint64
 }
 
-// WithLimit returns a copy of the organisation with another limit.
-func (org Organisation) WithLimit(lim rate.Limit) Organisation {
-	org.Limit = lim
+// WithVersions returns a copy of the organisation that was created and had its
+// limit set at the given versions.
+func (org Organisation) WithVersions(created, changed uint64) Organisation {
+	org.Created, org.Changed = created, changed
 	return org
 }
 
+// Allowance returns the limit of the organisation and its age.
+func (org Organisation) Allowance() rate.Allowance {
+	return rate.Allowance{Limit: org.Limit, Created: org.Created, Changed: org.Changed}
+}
+
 // Key admits its bearer as one organisation.
 type Key struct {
 	ID           string
@@ -97,6 +107,33 @@
 	return min(max(cnt, 1), len(svc.Targets))
 }
 
+// WithLimitVersions returns the content with the versions of each organisation
+// set: those of before where the limit is the same, and version where it was
+// set or the organisation is new. It reports whether any limit was set.
+func (con Content) WithLimitVersions(before Content, version uint64) (Content, bool) {
+	old := make(map[string]Organisation, len(before.Organisations))
+	for _, org := range before.Organisations {
+		old[org.Name] = org
+	}
+	set := false
+	orgs := make([]Organisation, 0, len(con.Organisations))
+	for _, org := range con.Organisations {
+		was, found := old[org.Name]
+		switch {
+		case !found:
+			org = org.WithVersions(version, version)
+		case was.Limit != org.Limit:
+			org = org.WithVersions(was.Created, version)
+		default:
+			org = org.WithVersions(was.Created, was.Changed)
+		}
+		set = set || org.Changed == version
+		orgs = append(orgs, org)
+	}
+	con.Organisations = orgs
+	return con, set
+}
+
 // Content lists every object of a configuration, each sorted by name.
 type Content struct {
 	Organisations []Organisation
--- a/core/config/snapshot.go
+++ b/core/config/snapshot.go
@@ -255,3 +255,26 @@
 	_, found := slices.BinarySearch(rou.Organisations, organisation)
 	return found
 }
+
+// Bucket returns the objects of one bucket sorted by name, as Split does.
+func (sna *Snapshot) Bucket(sec Section, num int) Bucket {
+	var buc Bucket
+	switch sec {
+	case SectionOrganisations:
+		buc.Organisations = appendValues(nil, sna.organisations[num])
+	case SectionKeys:
+		buc.Keys = appendValues(nil, sna.keys[num])
+	case SectionRoutes:
+		buc.Routes = sna.routes[num]
+	case SectionServices:
+		buc.Services = appendValues(nil, sna.services[num])
+	}
+	buc.sort()
+	return buc
+}
+
+func (buc *Bucket) sort() {
+	slices.SortFunc(buc.Organisations, func(one, two Organisation) int { return cmp.Compare(one.Name, two.Name) })
+	slices.SortFunc(buc.Keys, func(one, two Key) int { return cmp.Compare(one.ID, two.ID) })
+	slices.SortFunc(buc.Services, func(one, two Service) int { return cmp.Compare(one.Name, two.Name) })
+}
--- a/core/fence/head.go
+++ b/core/fence/head.go
@@ -16,7 +16,10 @@
 	Manifest       chunk.ID
 	// History names the chunk that lists the latest releases.
 	History chunk.ID
-	// Epoch is the number of the view.
+	// LimitsVersion is the version at which a limit of any organisation was
+	// last set.
+	LimitsVersion uint64
+	// Epoch is the version at which the view last changed.
 	Epoch uint64
 	View  chunk.ID
 	// PriorView is the view before the present one; a change is accepted only
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -34,7 +34,7 @@
 	return View{epoch: epoch, vms: sorted}
 }
 
-// Epoch returns the number of the view, which grows with every change.
+// Epoch returns the number of the view: the version of the head that brought it.
 func (vie View) Epoch() uint64 { return vie.epoch }
 
 // VMs returns the members sorted by ID, which must not be changed.
@@ -55,11 +55,10 @@
 	return vie.vms[idx], true
 }
 
-// With returns the view of the next epoch with some VMs added and some
-// removed.
-func (vie View) With(added []VM, removed []string) View {
+// With returns the view of a later epoch with some VMs added and some removed.
+func (vie View) With(epoch uint64, added []VM, removed []string) View {
 	vms := slices.DeleteFunc(slices.Clone(vie.vms), func(vmm VM) bool { return slices.Contains(removed, vmm.ID) })
-	return NewView(vie.epoch+1, append(vms, added...))
+	return NewView(epoch, append(vms, added...))
 }
 
 // Ranked returns the cnt members that rendezvous hashing puts first for a
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -56,32 +56,66 @@
 type HeadRead struct {
 	// Asked is when the question was sent.
 	Asked clock.Instant
-	Head  fence.Head
+	// Head is the zero head where the platform holds none yet.
+	Head fence.Head
 	// Failed is set when the platform gave no answer.
 	Failed bool
 }
 
-// Loaded is the configuration and view that a head names.
+// Loaded is the configuration and the views that a head names.
 type Loaded struct {
 	Head     fence.Head
 	Snapshot *config.Snapshot
 	View     member.View
+	Prior    member.View
+}
+
+// LoadFailed says that what a head names could not be obtained.
+type LoadFailed struct{}
+
+// Message is a message from another VM: one of the messages of the packages
+// fence, member, rate and health.
+type Message any
+
+// Received is a message from another VM.
+type Received struct {
+	From    string
+	Message Message
+}
+
+// PeerGone says that a VM is known to have ended, because another run of the
+// process answers at its address.
+type PeerGone struct {
+	ID string
 }
 
+// VMsListed is the platform's list of VMs by address.
+type VMsListed struct {
+	Addresses map[string]bool
+}
+
+// ViewCommitted ends a CommitView; the head follows by other events.
+type ViewCommitted struct{}
+
 // Ticked is the passing of time, expected every TickInterval.
 type Ticked struct{}
 
 // StopBegan is the start of a planned stop.
 type StopBegan struct{}
 
-func (Arrived) event()      {}
-func (AnswerBegan) event()  {}
-func (AttemptEnded) event() {}
-func (CallerLeft) event()   {}
-func (HeadRead) event()     {}
-func (Loaded) event()       {}
-func (Ticked) event()       {}
-func (StopBegan) event()    {}
+func (Arrived) event()       {}
+func (AnswerBegan) event()   {}
+func (AttemptEnded) event()  {}
+func (CallerLeft) event()    {}
+func (HeadRead) event()      {}
+func (Loaded) event()        {}
+func (LoadFailed) event()    {}
+func (Received) event()      {}
+func (PeerGone) event()      {}
+func (VMsListed) event()     {}
+func (ViewCommitted) event() {}
+func (Ticked) event()        {}
+func (StopBegan) event()     {}
 
 // Action is something that the driver is to do.
 type Action interface{ action() }
@@ -118,10 +152,29 @@
 // Load obtains the chunks that a head names.
 type Load struct {
 	Head fence.Head
+	// From is a VM that holds them; empty means the platform.
+	From string
+}
+
+// Send sends a message to another VM.
+type Send struct {
+	To      string
+	Message Message
+}
+
+// ListVMs reads the platform's list of VMs.
+type ListVMs struct{}
+
+// CommitView commits a change of the view.
+type CommitView struct {
+	Change member.Change
 }
 
-func (Dispatch) action() {}
-func (Relay) action()    {}
-func (Refuse) action()   {}
-func (ReadHead) action() {}
-func (Load) action()     {}
+func (Dispatch) action()   {}
+func (Relay) action()      {}
+func (Refuse) action()     {}
+func (ReadHead) action()   {}
+func (Load) action()       {}
+func (Send) action()       {}
+func (ListVMs) action()    {}
+func (CommitView) action() {}
--- a/core/node/flight.go
+++ b/core/node/flight.go
@@ -7,6 +7,7 @@
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/rate"
 	"marigoldlug.example/core/request"
 	"marigoldlug.example/core/verdict"
 )
@@ -41,16 +42,35 @@
 		mac.do(Refuse{Request: req.ID, Refusal: *ref})
 		return
 	}
-	if fli.organisation != "" {
-		if retryAfter, admitted := mac.limiter.Admit(now, fli.organisation); !admitted {
-			mac.refuse(fli, request.Refusal{
-				Reason: request.RateExceeded, Detail: "the organisation's rate is exceeded", RetryAfter: retryAfter,
-			})
-			return
-		}
-	}
 	mac.flights[req.ID] = fli
-	mac.budgets[fli.route.Service].Deposit()
+	if fli.organisation == "" {
+		mac.start(now, fli)
+		return
+	}
+	if dec, decided := mac.ledger.Admit(now, fli.organisation, uint64(req.ID)); decided {
+		mac.rateDecided(now, dec)
+	}
+}
+
+// rateDecided takes the decision of the ledger on a request.
+func (mac *Machine) rateDecided(now clock.Instant, dec rate.Decided) {
+	fli := mac.flights[request.ID(dec.Request)]
+	if fli == nil {
+		return
+	}
+	if !dec.Admitted {
+		mac.refuse(fli, request.Refusal{
+			Reason: request.RateExceeded, Detail: "the organisation's rate is exceeded", RetryAfter: dec.RetryAfter,
+		})
+		return
+	}
+	mac.start(now, fli)
+}
+
+func (mac *Machine) start(now clock.Instant, fli *flight) {
+	if bud := mac.budgets[fli.route.Service]; bud != nil {
+		bud.Deposit()
+	}
 	mac.dispatch(now, fli, "no target is configured")
 }
 
@@ -84,7 +104,7 @@
 	default:
 		return &request.Refusal{Reason: request.ManyKeys, Detail: "the request carries several keys"}
 	}
-	if !mac.lease.Active(now) {
+	if !mac.prover.Lease().Active(now) {
 		return &request.Refusal{Reason: request.LeaseLapsed, Detail: "this VM cannot tell whether its configuration is the newest", RetryAfter: time.Second}
 	}
 	key := mac.snapshot.Key(fli.Keys[0])
@@ -239,6 +259,7 @@
 	if fli == nil {
 		return
 	}
+	mac.ledger.Cancel(fli.organisation, uint64(id))
 	if fli.running && !fli.answering {
 		mac.report(now, fli, health.Canceled)
 	}
--- a/core/node/machine.go
+++ b/core/node/machine.go
@@ -17,12 +17,11 @@
 // TickInterval is how often the driver delivers Ticked.
 const TickInterval = 50 * time.Millisecond
 
-const headInterval = 500 * time.Millisecond
-
-// limiter divides the rates of organisations among VMs.
-type limiter interface {
-	Admit(now clock.Instant, organisation string) (time.Duration, bool)
-}
+const (
+	listInterval = 10 * time.Second
+	// patienceForLoad is how long a load may take before another may start.
+	patienceForLoad = 10 * time.Second
+)
 
 // balancer chooses targets and learns how they fare.
 type balancer interface {
@@ -41,35 +40,51 @@
 	// LeaseDuration is the longest that a VM acts without proof that its head
 	// is the newest.
 	LeaseDuration time.Duration
+	// TrustReads states that the platform's reads never lag, so that they are
+	// proofs.
+	TrustReads bool
 }
 
 // Machine is the decision logic of one VM. It is not safe for concurrent use.
 type Machine struct {
 	set      Settings
-	lease    fence.Lease
-	head     fence.Head
+	rnd      *rand.Rand
+	prover   *fence.Prover
+	ledger   *rate.Ledger
+	roster   *member.Roster
+	balancer balancer
 	snapshot *config.Snapshot
 	view     member.View
-	limiter  limiter
-	balancer balancer
+	prior    member.View
 	budgets  map[string]*request.Budget
 	flights  map[request.ID]*flight
-	headRead clock.Instant
-	reading  bool
-	loading  uint64
+	gone     map[string]bool
+	listed   map[string]bool
+	listedAt clock.Instant
+	loading  loading
 	stopping bool
 	actions  []Action
 }
 
+// loading is the load of a head that is under way.
+type loading struct {
+	version uint64
+	since   clock.Instant
+}
+
 // New returns the machine of a VM that holds no head yet.
 func New(set Settings, rnd *rand.Rand) *Machine {
 	mac := &Machine{
 		set:      set,
-		lease:    fence.NewLease(set.LeaseDuration),
+		rnd:      rnd,
+		prover:   fence.NewProver(set.Self, set.LeaseDuration, set.TrustReads),
+		roster:   member.NewRoster(set.Self),
 		balancer: health.NewSolo(rnd),
 		budgets:  make(map[string]*request.Budget),
 		flights:  make(map[request.ID]*flight),
+		gone:     make(map[string]bool),
 	}
+	mac.ledger = rate.NewLedger(set.Self.ID, set.LeaseDuration, mac.allowance)
 	return mac
 }
 
@@ -85,62 +100,158 @@
 		mac.attemptEnded(now, evt)
 	case CallerLeft:
 		mac.callerLeft(now, evt.Request)
-	case HeadRead:
-		mac.headWasRead(evt)
-	case Loaded:
-		mac.loaded(now, evt)
+	case Received:
+		mac.received(now, evt)
 	case Ticked:
 		mac.ticked(now)
 	case StopBegan:
 		mac.stopping = true
+		mac.ledger.Stop()
+	default:
+		mac.learned(now, evt)
 	}
+	mac.gather(now)
 	return mac.actions
 }
 
+// learned takes what the platform and the peers' addresses reveal.
+func (mac *Machine) learned(now clock.Instant, evt Event) {
+	switch evt := evt.(type) {
+	case HeadRead:
+		mac.headWasRead(now, evt)
+	case Loaded:
+		mac.loaded(now, evt)
+	case LoadFailed:
+		mac.loading = loading{}
+	case PeerGone:
+		mac.gone[evt.ID] = true
+		mac.prover.Gone(evt.ID)
+	case VMsListed:
+		mac.listed = evt.Addresses
+	case ViewCommitted:
+		mac.roster.Committed()
+	}
+}
+
 func (mac *Machine) do(act Action) { mac.actions = append(mac.actions, act) }
 
+func (mac *Machine) received(now clock.Instant, evt Received) {
+	if _, member := mac.view.VM(evt.From); member {
+		mac.roster.Heard(now)
+	}
+	switch msg := evt.Message.(type) {
+	case fence.Message:
+		mac.prover.Receive(now, evt.From, msg)
+	case rate.Message:
+		mac.ledger.Receive(now, evt.From, msg)
+	case member.Message:
+		if lea, leaves := msg.(member.Leave); leaves {
+			// A VM that leaves has stopped acting before it says so.
+			mac.prover.Gone(lea.ID)
+		}
+		mac.roster.Receive(now, evt.From, msg)
+	}
+}
+
 func (mac *Machine) ticked(now clock.Instant) {
 	mac.balancer.Tick(now)
-	if !mac.reading && (mac.headRead == (clock.Instant{}) || now.Since(mac.headRead) >= headInterval) {
-		mac.reading = true
-		mac.headRead = now
-		mac.do(ReadHead{})
+	mac.prover.Tick(now)
+	mac.ledger.Tick(now)
+	mac.roster.Tick(now, mac.knowledge(now))
+	if mac.prover.Watcher() && (mac.listedAt == (clock.Instant{}) || now.Since(mac.listedAt) >= listInterval) {
+		mac.listedAt = now
+		mac.do(ListVMs{})
+	}
+}
+
+func (mac *Machine) knowledge(now clock.Instant) member.Knowledge {
+	kno := member.Knowledge{
+		View:     mac.view,
+		Settled:  mac.prover.Accepted() >= mac.prover.Head().Epoch,
+		Watchers: mac.prover.Watchers(),
+		Listed:   mac.listed,
+		Gone:     func(id string) bool { return mac.gone[id] },
+	}
+	if mac.prover.Watcher() {
+		kno.Silent, kno.SilentDomains = mac.prover.Silent(now)
+	}
+	return kno
+}
+
+// gather turns the outputs of the parts into actions until none is left.
+func (mac *Machine) gather(now clock.Instant) {
+	for _, out := range mac.prover.Take() {
+		switch out := out.(type) {
+		case fence.Send:
+			mac.do(Send{To: out.To, Message: out.Message})
+		case fence.ReadPlatform:
+			mac.do(ReadHead{})
+		case fence.Want:
+			mac.load(now, out)
+		}
+	}
+	for _, out := range mac.roster.Take() {
+		switch out := out.(type) {
+		case member.Send:
+			mac.do(Send{To: out.To, Message: out.Message})
+		case member.Change:
+			mac.do(CommitView{Change: out})
+		}
+	}
+	for _, out := range mac.ledger.Take() {
+		switch out := out.(type) {
+		case rate.Send:
+			mac.do(Send{To: out.To, Message: out.Message})
+		case rate.Decided:
+			mac.rateDecided(now, out)
+		}
 	}
 }
 
-func (mac *Machine) headWasRead(evt HeadRead) {
-	mac.reading = false
-	if evt.Failed {
-		mac.loading = 0
+func (mac *Machine) load(now clock.Instant, wan fence.Want) {
+	busy := mac.loading.version != 0 && now.Since(mac.loading.since) < patienceForLoad
+	if busy || wan.Head.Version <= mac.prover.Lease().Held() {
 		return
 	}
-	mac.lease = mac.lease.WithProof(fence.Proof{Version: evt.Head.Version, Moment: evt.Asked})
-	if evt.Head.Version > mac.lease.Held() && evt.Head.Version > mac.loading {
-		mac.loading = evt.Head.Version
-		mac.do(Load{Head: evt.Head})
+	mac.loading = loading{version: wan.Head.Version, since: now}
+	mac.do(Load{Head: wan.Head, From: wan.From})
+}
+
+func (mac *Machine) headWasRead(now clock.Instant, evt HeadRead) {
+	switch {
+	case evt.Failed:
+		mac.prover.PlatformFailed(mac.rnd.Float64())
+	case evt.Head.Version == 0:
+		mac.prover.PlatformFailed(mac.rnd.Float64())
+		if mac.prover.Lease().Held() == 0 {
+			mac.do(CommitView{Change: member.Change{Added: []member.VM{mac.set.Self}}})
+		}
+	default:
+		mac.prover.PlatformRead(now, evt.Asked, evt.Head)
 	}
 }
 
 func (mac *Machine) loaded(now clock.Instant, evt Loaded) {
-	if evt.Head.Version <= mac.lease.Held() {
+	mac.loading = loading{}
+	if evt.Head.Version <= mac.prover.Lease().Held() {
 		return
 	}
-	mac.head = evt.Head
 	mac.snapshot = evt.Snapshot
-	mac.view = evt.View
-	mac.lease = mac.lease.WithHead(evt.Head.Version)
-	if mac.limiter == nil {
-		mac.limiter = rate.NewStatic(evt.View.Size(), mac.limit)
-	}
+	mac.view, mac.prior = evt.View, evt.Prior
+	mac.prover.Hold(now, evt.Head, evt.View, evt.Prior)
+	mac.ledger.Adopt(now, rate.Fleet{Version: evt.Head.Version, View: evt.View, LimitsVersion: evt.Head.LimitsVersion})
 	mac.setServices(now)
 }
 
-func (mac *Machine) limit(organisation string) (rate.Limit, bool) {
+func (mac *Machine) allowance(organisation string) (rate.Allowance, bool) {
+	if mac.snapshot == nil {
+		return rate.Allowance{}, false
+	}
 	org := mac.snapshot.Organisation(organisation)
 	if org == nil {
-		return rate.Limit{}, false
+		return rate.Allowance{}, false
 	}
-	return org.Limit, true
+	return org.Allowance(), true
 }
 
 func (mac *Machine) setServices(now clock.Instant) {
@@ -181,20 +292,24 @@
 	Members  int
 	Active   bool
 	ProofAge time.Duration
+	Accepted uint64
+	Watcher  bool
 	Flights  int
 	Ejected  []string
 }
 
 // Status returns the state of the VM at now.
 func (mac *Machine) Status(now clock.Instant) Status {
-	age, _ := mac.lease.Age(now)
+	age, _ := mac.prover.Lease().Age(now)
 	sta := Status{
-		Version:  mac.lease.Held(),
-		Release:  mac.head.Release,
+		Version:  mac.prover.Lease().Held(),
+		Release:  mac.prover.Head().Release,
 		Epoch:    mac.view.Epoch(),
 		Members:  mac.view.Size(),
-		Active:   mac.lease.Active(now),
+		Active:   mac.prover.Lease().Active(now),
 		ProofAge: age,
+		Accepted: mac.prover.Accepted(),
+		Watcher:  mac.prover.Watcher(),
 		Flights:  len(mac.flights),
 	}
 	if mac.snapshot != nil {
@@ -208,11 +323,32 @@
 
 // Ready reports whether the VM may be sent requests.
 func (mac *Machine) Ready(now clock.Instant) bool {
-	return !mac.stopping && mac.lease.Active(now)
+	return !mac.stopping && mac.prover.Lease().Active(now)
 }
 
 // Head returns the head that the VM holds.
-func (mac *Machine) Head() fence.Head { return mac.head }
+func (mac *Machine) Head() fence.Head { return mac.prover.Head() }
+
+// Prior returns the view before the one that the VM holds.
+func (mac *Machine) Prior() member.View { return mac.prior }
+
+// Spread returns how far the head has come, as a watcher knows.
+func (mac *Machine) Spread() fence.Spread { return mac.prover.Spread() }
+
+// Watchers returns the watchers of every failure domain.
+func (mac *Machine) Watchers() []member.VM { return mac.prover.Watchers() }
+
+// Drained reports whether the VM holds nothing that others could use and is no
+// longer listed in the view.
+func (mac *Machine) Drained() bool {
+	if _, listed := mac.view.VM(mac.set.Self.ID); listed {
+		return mac.view.Size() == 1 // No one is left to hand anything to.
+	}
+	return !mac.ledger.Holds()
+}
+
+// Leave makes the VM ask to be dropped from the view.
+func (mac *Machine) Leave() { mac.roster.Leave() }
 
 // Snapshot returns the configuration that the VM holds, or nil.
 func (mac *Machine) Snapshot() *config.Snapshot { return mac.snapshot }
--- a/lugd/pkg/command/flags.go
+++ b/lugd/pkg/command/flags.go
@@ -41,6 +41,7 @@
 		text("operator-address", "IP address and port for operators, health and metrics", &set.OperatorAddress),
 		text("advertise-address", "IP address and port at which other VMs reach this one, if not peer-address", &set.AdvertiseAddress),
 		text("platform", "URL of the platform's object API", &set.PlatformURL),
+		text("platform-reads", "consistent if the platform answers every read with its newest value, else lagging", &set.PlatformReads),
 		&cli.StringSliceFlag{Name: "peers", Usage: "addresses of VMs to ask while the platform is away", Destination: &set.Peers, Sources: environment("peers")},
 		number("platform-calls", "budget of platform calls a second", &set.PlatformCalls),
 		duration("lease-duration", "longest time to serve keyed routes without proof of the newest configuration", &set.LeaseDuration),
--- a/lugd/pkg/daemon/daemon.go
+++ b/lugd/pkg/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"marigoldlug.example/lugd/pkg/logflags"
 	"marigoldlug.example/lugd/pkg/metrics"
 	"marigoldlug.example/lugd/pkg/operator"
+	"marigoldlug.example/lugd/pkg/peer"
 	"marigoldlug.example/lugd/pkg/platform"
 	"marigoldlug.example/lugd/pkg/release"
 	"marigoldlug.example/lugd/pkg/settings"
@@ -30,7 +31,6 @@
 
 const (
 	sweepInterval = 10 * time.Second
-	joinInterval  = time.Second
 	bodyPause     = 60 * time.Second
 )
 
@@ -43,6 +43,9 @@
 	committer *release.Committer
 	pool      *target.Pool
 	tracer    *trace.Tracer
+	transport *peer.Transport
+	// cancel ends the work of the runtime.
+	cancel    context.CancelFunc
 	callers   *http.Server
 	operators *http.Server
 	listeners listeners
@@ -50,6 +53,7 @@
 
 type listeners struct {
 	caller   net.Listener
+	peer     net.Listener
 	operator net.Listener
 }
 
@@ -65,12 +69,18 @@
 	}
 	address := set.AdvertiseAddress
 	if address == "" {
-		address = set.PeerAddress
+		address = dmn.listeners.peer.Addr().String()
 	}
 	dmn.self = member.VM{ID: set.Name + "." + runID(), Address: address, FailureDomain: set.FailureDomain}
 	cli := platform.New(set.PlatformURL, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}, set.PlatformCalls, int(4*set.PlatformCalls)+1)
 	dmn.committer = release.NewCommitter(cli, dmn.self.ID, time.Now)
-	dmn.runtime = vm.New(node.Settings{Self: dmn.self, LeaseDuration: set.LeaseDuration}, cli, lgs.Logger(logflags.Machine))
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	dmn.cancel = cancel
+	dmn.runtime = vm.New(work, node.Settings{
+		Self: dmn.self, LeaseDuration: set.LeaseDuration, TrustReads: set.PlatformReads == settings.ConsistentReads,
+	}, cli, dmn.committer, lgs.Logger(logflags.Machine))
+	dmn.transport = peer.New(dmn.self, dmn.listeners.peer, dmn.runtime, lgs.Logger(logflags.Peer))
+	dmn.runtime.SetTransport(dmn.transport)
 	dmn.pool = target.New(target.Settings{DialTimeout: set.DialTimeout, IdlePerTarget: set.IdlePerTarget, BodyPause: bodyPause})
 	var err error
 	if dmn.tracer, err = trace.New(ctx, set.TraceEndpoint, dmn.self.ID, set.TraceShare); err != nil {
@@ -92,6 +102,9 @@
 	if dmn.listeners.caller, err = net.Listen("tcp", dmn.set.CallerAddress); err != nil {
 		return fmt.Errorf("cannot listen for callers: %w", err)
 	}
+	if dmn.listeners.peer, err = net.Listen("tcp", dmn.set.PeerAddress); err != nil {
+		return fmt.Errorf("cannot listen for other VMs: %w", err)
+	}
 	if dmn.listeners.operator, err = net.Listen("tcp", dmn.set.OperatorAddress); err != nil {
 		return fmt.Errorf("cannot listen for operators: %w", err)
 	}
@@ -164,11 +177,12 @@
 
 // Run serves until ctx ends, then stops gracefully.
 func (dmn *Daemon) Run(ctx context.Context) error {
+	defer dmn.cancel()
+	var wgr sync.WaitGroup
+	wgr.Go(dmn.transport.Serve)
+	wgr.Go(dmn.runtime.Run)
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	var wgr sync.WaitGroup
-	wgr.Go(func() { dmn.runtime.Run(work) })
-	wgr.Go(func() { dmn.join(work) })
 	wgr.Go(func() { dmn.sweep(work) })
 	failed := make(chan error, 2)
 	for srv, lis := range map[*http.Server]net.Listener{dmn.callers: dmn.listeners.caller, dmn.operators: dmn.listeners.operator} {
@@ -186,22 +200,12 @@
 	}
 	err = errors.Join(err, dmn.stop(work))
 	cancel()
+	dmn.cancel()
+	dmn.transport.Close()
 	wgr.Wait()
 	return err
 }
 
-// join makes the VM a member of the view.
-func (dmn *Daemon) join(ctx context.Context) {
-	for ctx.Err() == nil {
-		_, err := dmn.committer.ChangeView(ctx, []member.VM{dmn.self}, nil)
-		if err == nil {
-			return
-		}
-		dmn.log.WithError(err).Warn("cannot join the fleet yet")
-		sleep(ctx, joinInterval)
-	}
-}
-
 func sleep(ctx context.Context, dur time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/lugd/pkg/daemon/fleet.go
+++ b/lugd/pkg/daemon/fleet.go
@@ -47,13 +47,12 @@
 
 // Spread says how far a version has come, as far as this VM knows.
 func (fle *fleet) Spread(version uint64) api.Spread {
-	sta, _ := fle.dmn.runtime.Status()
-	spr := api.Spread{Version: version, Members: sta.Members}
-	if sta.Version >= version {
-		spr.Holding = 1
-	}
+	var spr api.Spread
+	fle.dmn.runtime.Machine(func(mac *node.Machine, now clock.Instant) {
+		spr = api.ConvertSpread(version, mac.Spread(), mac.Status(now))
+	})
 	return spr
 }
 
 // Announce makes a head that this VM has just written known at once.
-func (fle *fleet) Announce(fence.Head) {}
+func (fle *fleet) Announce(hea fence.Head) { fle.dmn.runtime.Announce(hea) }
--- a/lugd/pkg/daemon/stop.go
+++ b/lugd/pkg/daemon/stop.go
@@ -5,10 +5,17 @@
 	"errors"
 	"time"
 
+	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/node"
 )
 
-const farewellTimeout = 2 * time.Second
+const (
+	farewellTimeout = 2 * time.Second
+	// leaveTimeout bounds the handing over of what the VM holds. The platform
+	// may be away, and then the view cannot change.
+	leaveTimeout = 5 * time.Second
+	leavePoll    = 50 * time.Millisecond
+)
 
 // stop ends the service without cutting a request: the VM says that it is not
 // ready, waits until the balancer has noticed, lets every request finish,
@@ -25,10 +32,23 @@
 		dmn.log.WithError(err).Warn("requests are cut after the drain timeout")
 		_ = dmn.callers.Close()
 	}
+	dmn.leave(ctx)
 	farewell, cancelFarewell := context.WithTimeout(ctx, farewellTimeout)
 	defer cancelFarewell()
-	if _, verr := dmn.committer.ChangeView(farewell, nil, []string{dmn.self.ID}); verr != nil {
-		dmn.log.WithError(verr).Warn("cannot leave the view; peers will exclude this VM")
-	}
 	return errors.Join(err, dmn.operators.Close(), dmn.tracer.Shutdown(farewell))
 }
+
+// leave hands over the allowance that the VM holds and leaves the view.
+func (dmn *Daemon) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	dmn.runtime.Machine(func(mac *node.Machine, _ clock.Instant) { mac.Leave() })
+	for drained := false; !drained; {
+		dmn.runtime.Machine(func(mac *node.Machine, _ clock.Instant) { drained = mac.Drained() })
+		if ctx.Err() != nil {
+			dmn.log.Warn("cannot hand over everything; peers will exclude this VM")
+			return
+		}
+		sleep(ctx, leavePoll)
+	}
+}
--- /dev/null
+++ b/lugd/pkg/peer/wire.go
@@ -0,0 +1,135 @@
+// Package peer speaks to the other VMs of the fleet: TCP frames that carry
+// msgpack.
+package peer
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"marigoldlug.example/core/clock"
+)
+
+const (
+	// maxFrame is the greatest length in bytes of a frame.
+	maxFrame = 2 << 20
+	// maxList is the greatest length of a list in a frame.
+	maxList = 1 << 16
+)
+
+var errMalformed = errors.New("malformed frame")
+
+// writer encodes fields one after another and keeps the first error.
+type writer struct {
+	buf bytes.Buffer
+	enc *msgpack.Encoder
+	err error
+}
+
+func newWriter() *writer {
+	wrt := new(writer)
+	wrt.enc = msgpack.NewEncoder(&wrt.buf)
+	wrt.enc.UseCompactInts(true)
+	return wrt
+}
+
+func (wrt *writer) keep(err error) {
+	if wrt.err == nil {
+		wrt.err = err
+	}
+}
+
+func (wrt *writer) text(val string)            { wrt.keep(wrt.enc.EncodeString(val)) }
+func (wrt *writer) raw(val []byte)             { wrt.keep(wrt.enc.EncodeBytes(val)) }
+func (wrt *writer) whole(val int64)            { wrt.keep(wrt.enc.EncodeInt(val)) }
+func (wrt *writer) number(val uint64)          { wrt.keep(wrt.enc.EncodeUint(val)) }
+func (wrt *writer) boolean(val bool)           { wrt.keep(wrt.enc.EncodeBool(val)) }
+func (wrt *writer) duration(val time.Duration) { wrt.whole(int64(val)) }
+func (wrt *writer) count(val int)              { wrt.keep(wrt.enc.EncodeArrayLen(val)) }
+
+func (wrt *writer) instant(val clock.Instant) {
+	wrt.duration(val.Mono)
+	wrt.duration(val.Wall)
+}
+
+func (wrt *writer) texts(vals []string) {
+	wrt.count(len(vals))
+	for _, val := range vals {
+		wrt.text(val)
+	}
+}
+
+// reader decodes fields one after another and keeps the first error.
+type reader struct {
+	dec *msgpack.Decoder
+	err error
+}
+
+func newReader(payload []byte) *reader {
+	return &reader{dec: msgpack.NewDecoder(bytes.NewReader(payload))}
+}
+
+func (rdr *reader) keep(err error) {
+	if rdr.err == nil && err != nil {
+		rdr.err = fmt.Errorf("%w: %w", errMalformed, err)
+	}
+}
+
+func (rdr *reader) text() string {
+	val, err := rdr.dec.DecodeString()
+	rdr.keep(err)
+	return val
+}
+
+func (rdr *reader) raw() []byte {
+	val, err := rdr.dec.DecodeBytes()
+	rdr.keep(err)
+	return val
+}
+
+func (rdr *reader) whole() int64 {
+	val, err := rdr.dec.DecodeInt64()
+	rdr.keep(err)
+	return val
+}
+
+func (rdr *reader) number() uint64 {
+	val, err := rdr.dec.DecodeUint64()
+	rdr.keep(err)
+	return val
+}
+
+func (rdr *reader) boolean() bool {
+	val, err := rdr.dec.DecodeBool()
+	rdr.keep(err)
+	return val
+}
+
+func (rdr *reader) duration() time.Duration { return time.Duration(rdr.whole()) }
+
+func (rdr *reader) instant() clock.Instant {
+	return clock.Instant{Mono: rdr.duration(), Wall: rdr.duration()}
+}
+
+func (rdr *reader) count() int {
+	cnt, err := rdr.dec.DecodeArrayLen()
+	rdr.keep(err)
+	if rdr.err == nil && (cnt < 0 || cnt > maxList) {
+		rdr.err = errMalformed
+	}
+	if rdr.err != nil {
+		return 0
+	}
+	return cnt
+}
+
+func (rdr *reader) texts() []string {
+	var out []string
+	for range rdr.count() {
+		out = append(out, rdr.text())
+	}
+	return out
+}
--- a/lugd/pkg/platform/head.go
+++ b/lugd/pkg/platform/head.go
@@ -21,6 +21,7 @@
 	ReleaseVersion uint64 `json:"releaseVersion"`
 	Manifest       string `json:"manifest"`
 	History        string `json:"history"`
+	LimitsVersion  uint64 `json:"limitsVersion"`
 	Epoch          uint64 `json:"epoch"`
 	View           string `json:"view"`
 	PriorView      string `json:"priorView"`
@@ -36,6 +37,7 @@
 		ReleaseVersion: hea.ReleaseVersion,
 		Manifest:       hea.Manifest.String(),
 		History:        hea.History.String(),
+		LimitsVersion:  hea.LimitsVersion,
 		Epoch:          hea.Epoch,
 		View:           hea.View.String(),
 		PriorView:      hea.PriorView.String(),
@@ -58,6 +60,7 @@
 		Version:        wir.Version,
 		Release:        wir.Release,
 		ReleaseVersion: wir.ReleaseVersion,
+		LimitsVersion:  wir.LimitsVersion,
 		Epoch:          wir.Epoch,
 		Writer:         wir.Writer,
 		Sequence:       wir.Sequence,
--- a/lugd/pkg/release/committer.go
+++ b/lugd/pkg/release/committer.go
@@ -147,12 +147,16 @@
 		}
 		return Result{ID: ent.ID, Version: ent.Version, Head: sta.head, Repeated: true}, nil
 	}
-	_, after, err := com.applied(ctx, sta, nte)
+	before, after, err := com.applied(ctx, sta, nte)
 	if err != nil {
 		return Result{}, err
 	}
-	man, chunks := chunk.Build(after)
 	next := com.next(sta.head)
+	after, limitSet := after.WithLimitVersions(before, next.Version)
+	if limitSet {
+		next.LimitsVersion = next.Version
+	}
+	man, chunks := chunk.Build(after)
 	next.Release = nte.ID
 	next.ReleaseVersion = next.Version
 	next.Manifest = chunk.IDOf(man.Encode())
@@ -208,12 +212,11 @@
 }
 
 func (com *Committer) content(ctx context.Context, manifest chunk.ID) (config.Content, error) {
-	loa := NewLoader(com.chunks)
-	sna, _, err := loa.Load(ctx, fence.Head{Manifest: manifest})
+	cts, err := NewLoader().Load(ctx, com.chunks, fence.Head{Manifest: manifest})
 	if err != nil {
 		return config.Content{}, err
 	}
-	return sna.Content(), nil
+	return cts.Snapshot.Content(), nil
 }
 
 // next returns the head that follows hea, signed by this writer.
@@ -257,35 +260,30 @@
 	return fmt.Errorf("%w: %w", errUncertain, err)
 }
 
-// ChangeView commits a view with some VMs added and some removed, and returns
-// the head that holds it.
-func (com *Committer) ChangeView(ctx context.Context, added []member.VM, removed []string) (fence.Head, error) {
-	return retry(ctx, func() (fence.Head, error) { return com.tryChangeView(ctx, added, removed) })
+// ErrMoved is returned for a change of a view that is not the newest.
+var ErrMoved = errors.New("the view has changed since")
+
+// ChangeView commits a change of the view of an epoch and returns the head that
+// holds the next one.
+func (com *Committer) ChangeView(ctx context.Context, chg member.Change) (fence.Head, error) {
+	return retry(ctx, func() (fence.Head, error) { return com.tryChangeView(ctx, chg) })
 }
 
-func (com *Committer) tryChangeView(ctx context.Context, added []member.VM, removed []string) (fence.Head, error) {
+func (com *Committer) tryChangeView(ctx context.Context, chg member.Change) (fence.Head, error) {
 	hea, object, err := ReadHead(ctx, com.client)
 	if err != nil {
 		return hea, err
 	}
+	if hea.Epoch != chg.Epoch {
+		return hea, ErrMoved
+	}
 	vie, err := loadView(ctx, com.chunks, hea.View)
 	if err != nil {
 		return hea, err
 	}
-	added = slices.DeleteFunc(slices.Clone(added), func(vmm member.VM) bool {
-		_, found := vie.VM(vmm.ID)
-		return found
-	})
-	removed = slices.DeleteFunc(slices.Clone(removed), func(id string) bool {
-		_, found := vie.VM(id)
-		return !found
-	})
-	if len(added) == 0 && len(removed) == 0 {
-		return hea, nil
-	}
-	raw := vie.With(added, removed).Encode()
 	next := com.next(hea)
-	next.Epoch = vie.Epoch() + 1
+	raw := vie.With(next.Version, chg.Added, chg.Removed).Encode()
+	next.Epoch = next.Version
 	next.PriorView = hea.View
 	next.View = chunk.IDOf(raw)
 	if err := com.putChunks(ctx, map[chunk.ID][]byte{next.View: raw}, chunk.NewManifest()); err != nil {
--- a/lugd/pkg/release/loader.go
+++ b/lugd/pkg/release/loader.go
@@ -21,31 +21,41 @@
 // that differ from those of the configuration loaded last. It is not safe for
 // concurrent use.
 type Loader struct {
-	source   chunkSource
 	manifest chunk.Manifest
 	snapshot *config.Snapshot
 }
 
 // NewLoader returns a loader that holds the empty configuration.
-func NewLoader(src chunkSource) *Loader {
-	return &Loader{source: src, manifest: chunk.NewManifest(), snapshot: config.New(config.Content{})}
+func NewLoader() *Loader {
+	return &Loader{manifest: chunk.NewManifest(), snapshot: config.New(config.Content{})}
 }
 
-// Load returns the configuration and the view that a head names.
-func (loa *Loader) Load(ctx context.Context, hea fence.Head) (*config.Snapshot, member.View, error) {
-	vie, err := loadView(ctx, loa.source, hea.View)
-	if err != nil {
-		return nil, vie, err
+// Contents is what a head names.
+type Contents struct {
+	Snapshot *config.Snapshot
+	View     member.View
+	Prior    member.View
+}
+
+// Load obtains from src what a head names.
+func (loa *Loader) Load(ctx context.Context, src chunkSource, hea fence.Head) (Contents, error) {
+	var cts Contents
+	var err error
+	if cts.View, err = loadView(ctx, src, hea.View); err != nil {
+		return cts, err
 	}
-	man, err := loadManifest(ctx, loa.source, hea.Manifest)
+	if cts.Prior, err = loadView(ctx, src, hea.PriorView); err != nil {
+		return cts, err
+	}
+	man, err := loadManifest(ctx, src, hea.Manifest)
 	if err != nil {
-		return nil, vie, err
+		return cts, err
 	}
 	var rpls []config.Replacement
 	for _, plc := range man.Differing(loa.manifest) {
-		rpl, err := loadPlace(ctx, loa.source, plc)
+		rpl, err := loadPlace(ctx, src, plc)
 		if err != nil {
-			return nil, vie, err
+			return cts, err
 		}
 		rpls = append(rpls, rpl)
 	}
@@ -53,9 +63,16 @@
 		loa.snapshot = loa.snapshot.With(rpls)
 	}
 	loa.manifest = man
-	return loa.snapshot, vie, nil
+	cts.Snapshot = loa.snapshot
+	return cts, nil
 }
 
+// Snapshot returns the configuration loaded last.
+func (loa *Loader) Snapshot() *config.Snapshot { return loa.snapshot }
+
+// Manifest returns the manifest of the configuration loaded last.
+func (loa *Loader) Manifest() chunk.Manifest { return loa.manifest }
+
 func loadView(ctx context.Context, src chunkSource, id chunk.ID) (member.View, error) {
 	if id == (chunk.ID{}) {
 		return member.View{}, nil
--- a/lugd/pkg/settings/settings.go
+++ b/lugd/pkg/settings/settings.go
@@ -23,6 +23,9 @@
 	// AdvertiseAddress is where peers reach this VM; empty means PeerAddress.
 	AdvertiseAddress string
 	PlatformURL      string
+	// PlatformReads is ConsistentReads where the platform answers every read
+	// with its newest value, and LaggingReads where it may not.
+	PlatformReads string
 	// Peers lists addresses of VMs to ask while the platform is away.
 	Peers []string
 	// PlatformCalls is the budget of calls to the platform a second.
@@ -43,12 +46,19 @@
 	TraceShare     float64
 }
 
+// The values of PlatformReads.
+const (
+	ConsistentReads = "consistent"
+	LaggingReads    = "lagging"
+)
+
 // Default returns the settings in force where nothing is set.
 func Default() Settings {
 	return Settings{
 		CallerAddress:   "127.0.0.1:8080",
 		PeerAddress:     "127.0.0.1:8081",
 		OperatorAddress: "127.0.0.1:8082",
+		PlatformReads:   LaggingReads,
 		PlatformCalls:   20,
 		LeaseDuration:   5 * time.Second,
 		BalancerLag:     5 * time.Second,
@@ -82,6 +92,9 @@
 	if loc, err := url.Parse(set.PlatformURL); err != nil || loc.Host == "" || loc.Scheme != "http" && loc.Scheme != "https" {
 		errs = append(errs, fault("platform", "%q must be an http or https URL", set.PlatformURL))
 	}
+	if set.PlatformReads != ConsistentReads && set.PlatformReads != LaggingReads {
+		errs = append(errs, fault("platform-reads", "%q must be %s or %s", set.PlatformReads, ConsistentReads, LaggingReads))
+	}
 	errs = append(errs, set.checkDurations()...)
 	errs = append(errs, set.checkNumbers()...)
 	return errors.Join(errs...)
--- a/lugd/pkg/vm/runtime.go
+++ b/lugd/pkg/vm/runtime.go
@@ -12,8 +12,10 @@
 
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/fence"
+	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/node"
 	"marigoldlug.example/core/request"
+	"marigoldlug.example/lugd/pkg/peer"
 	"marigoldlug.example/lugd/pkg/platform"
 	"marigoldlug.example/lugd/pkg/release"
 )
@@ -24,12 +26,21 @@
 
 // Runtime owns the machine of one VM. It is safe for concurrent use.
 type Runtime struct {
-	log    logrus.FieldLogger
-	client *platform.Client
-	loader *release.Loader
-	start  time.Time
-	// work receives the actions that need the platform.
-	work chan node.Action
+	self      member.VM
+	log       logrus.FieldLogger
+	client    *platform.Client
+	committer *release.Committer
+	start     time.Time
+	// transport is set before Run.
+	transport *peer.Transport
+	// ctx ends the work that the machine asks for.
+	ctx  context.Context
+	work sync.WaitGroup
+	book addressBook
+
+	// loading is held while a head is loaded.
+	loading sync.Mutex
+	loader  *release.Loader
 
 	mut   sync.Mutex
 	mac   *node.Machine
@@ -37,37 +48,41 @@
 	waits map[request.ID]chan node.Action
 }
 
-// New returns a runtime whose machine has the given settings.
-func New(set node.Settings, cli *platform.Client, log logrus.FieldLogger) *Runtime {
+// New returns a runtime whose machine has the given settings. ctx ends the work
+// that the machine asks for.
+func New(ctx context.Context, set node.Settings, cli *platform.Client, com *release.Committer, log logrus.FieldLogger) *Runtime {
 	return &Runtime{
-		log:    log,
-		client: cli,
-		loader: release.NewLoader(release.PlatformChunks{Client: cli}),
-		start:  time.Now(),
-		work:   make(chan node.Action, actionBuffer),
-		mac:    node.New(set, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		waits:  make(map[request.ID]chan node.Action),
+		self:      set.Self,
+		log:       log,
+		client:    cli,
+		committer: com,
+		start:     time.Now(),
+		ctx:       ctx,
+		loader:    release.NewLoader(),
+		mac:       node.New(set, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		waits:     make(map[request.ID]chan node.Action),
 	}
 }
 
+// SetTransport sets the transport to the other VMs, before Run.
+func (rtm *Runtime) SetTransport(trn *peer.Transport) { rtm.transport = trn }
+
 // Now reads both clocks of the VM.
 func (rtm *Runtime) Now() clock.Instant {
 	now := time.Now()
 	return clock.Instant{Mono: now.Sub(rtm.start), Wall: now.Round(0).Sub(rtm.start.Round(0))}
 }
 
-// Run drives the machine until ctx ends.
-func (rtm *Runtime) Run(ctx context.Context) {
-	var wgr sync.WaitGroup
-	wgr.Go(func() { rtm.runWork(ctx) })
+// Run drives the machine until its context ends.
+func (rtm *Runtime) Run() {
 	tck := time.NewTicker(node.TickInterval)
 	defer tck.Stop()
 	for {
 		rtm.Step(node.Ticked{})
 		select {
 		case <-tck.C:
-		case <-ctx.Done():
-			wgr.Wait()
+		case <-rtm.ctx.Done():
+			rtm.work.Wait()
 			return
 		}
 	}
@@ -95,11 +110,11 @@
 		rtm.deliver(act.Request, act)
 	case node.Refuse:
 		rtm.deliver(act.Request, act)
+	case node.Send:
+		rtm.transport.Send(act.To, act.Message)
 	default:
-		select {
-		case rtm.work <- act:
-		default:
-			rtm.log.WithField("action", act).Warn("too many actions wait for the platform")
+		if rtm.ctx.Err() == nil {
+			rtm.work.Go(func() { rtm.perform(act) })
 		}
 	}
 }
@@ -145,41 +160,15 @@
 	return sta, ready
 }
 
-func (rtm *Runtime) runWork(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case act := <-rtm.work:
-			rtm.perform(ctx, act)
+// Announce makes a head known that this VM has written: to the machine, and to
+// the watchers of every failure domain.
+func (rtm *Runtime) Announce(hea fence.Head) {
+	rtm.mut.Lock()
+	defer rtm.mut.Unlock()
+	for _, wat := range rtm.mac.Watchers() {
+		if wat.ID != rtm.self.ID {
+			rtm.transport.Send(wat.ID, fence.News{Head: hea})
 		}
 	}
-}
-
-func (rtm *Runtime) perform(ctx context.Context, act node.Action) {
-	switch act := act.(type) {
-	case node.ReadHead:
-		rtm.readHead(ctx)
-	case node.Load:
-		rtm.load(ctx, act.Head)
-	}
-}
-
-func (rtm *Runtime) readHead(ctx context.Context) {
-	asked := rtm.Now()
-	hea, _, err := release.ReadHead(ctx, rtm.client)
-	if err != nil {
-		rtm.log.WithError(err).Debug("cannot read the head")
-	}
-	rtm.Step(node.HeadRead{Asked: asked, Head: hea, Failed: err != nil || hea.Version == 0})
-}
-
-func (rtm *Runtime) load(ctx context.Context, hea fence.Head) {
-	sna, vie, err := rtm.loader.Load(ctx, hea)
-	if err != nil {
-		rtm.log.WithError(err).WithField("version", hea.Version).Warn("cannot load the configuration")
-		rtm.Step(node.HeadRead{Failed: true})
-		return
-	}
-	rtm.Step(node.Loaded{Head: hea, Snapshot: sna, View: vie})
+	rtm.step(node.Received{Message: fence.News{Head: hea}})
 }
--- a/lugd/service/api/conversions.go
+++ b/lugd/service/api/conversions.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"marigoldlug.example/core/fence"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/node"
 	"marigoldlug.example/core/note"
@@ -50,6 +51,19 @@
 	}
 }
 
+// ConvertSpread converts what a VM knows of the spread of a version. A VM that
+// holds a later version knows that all holders of it hold the version, too.
+func ConvertSpread(version uint64, spr fence.Spread, sta node.Status) Spread {
+	out := Spread{Version: version, Members: spr.Members, Accepted: sta.Accepted >= version}
+	if spr.Version < version {
+		return out
+	}
+	out.Holding = spr.Holding
+	out.Lagging = spr.Lagging
+	out.InForce = out.Accepted && spr.Holding == spr.Members
+	return out
+}
+
 // ConvertError converts the error of a release to its wire form.
 func ConvertError(err error) *Error {
 	out := &Error{Code: CodeUnavailable, Message: err.Error()}
