Judge targets by the evidence of the whole fleet

Cause: each VM sees a few requests a second per target, so a VM alone needs ten seconds and more to tell a failing target from chance.

VMs send digests to the owner of each service, which runs a CUSUM test per failure domain against the target's peers and ejects within the floor. A runner drives all machines in virtual time (lugbench measure detection).

--- /dev/null
+++ b/core/health/judge.go
@@ -0,0 +1,383 @@
+package health
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"marigoldlug.example/core/clock"
+)
+
+// The rules by which the owner of a service judges its targets.
+const (
+	// evidenceTime is the time constant of the counts from which the rates of
+	// a target's peers are taken.
+	evidenceTime = 5 * time.Second
+	minBadRate   = 0.002
+	minSlowRate  = 0.02
+	// badStep and slowStep are how far the rate of a failing target is taken
+	// to lie above that of its peers, besides a factor.
+	badStep     = 0.06
+	slowStep    = 0.25
+	riseFactor  = 3.0
+	maxRiseRate = 0.95
+	priorCounts = 50.0
+	// secondShare is the part of the threshold that a second failure domain
+	// must confirm, so that a cut link is not taken for a failed target.
+	secondShare = 0.2
+	// topShare is the greatest part of the evidence that one VM may give.
+	topShare = 0.75
+	// memberLife is how long a VM's digest counts.
+	memberLife    = 3 * time.Second
+	baseEjection  = 2 * time.Second
+	maxEjection   = 60 * time.Second
+	rampTime      = 4 * time.Second
+	firstPercent  = 5
+	forgiveTime   = 60 * time.Second
+	retrialFactor = 0.5
+	maxStatistic  = 4.0
+)
+
+// Threshold is the evidence at which a target is ejected, in units of the
+// natural logarithm of the odds. Lower values detect sooner and eject more
+// healthy targets.
+type Threshold float64
+
+// The ends of the useful range and the value between them.
+const (
+	ThresholdQuick    Threshold = 6
+	ThresholdBalanced Threshold = 12
+	ThresholdCareful  Threshold = 20
+)
+
+// judge is what the owner of a service knows of it.
+type judge struct {
+	threshold Threshold
+	floor     int
+	targets   map[string]*suspect
+	members   map[string]*reporter
+	median    time.Duration
+	working   clock.Instant
+}
+
+// reporter is a VM that sends digests.
+type reporter struct {
+	domain      string
+	at          clock.Instant
+	median      time.Duration
+	outstanding map[string]int
+}
+
+// suspect is the evidence on one target.
+type suspect struct {
+	// ok, bad and slow are decayed counts.
+	ok, bad, slow float64
+	decayed       clock.Instant
+	// domains has the evidence by failure domain of the reporting VMs.
+	domains map[string]*evidence
+	// blame is the decayed evidence by reporting VM.
+	blame map[string]float64
+
+	ejected bool
+	until   clock.Instant
+	times   int
+	// back is when the last ejection ended.
+	back clock.Instant
+}
+
+// evidence holds two CUSUM statistics: sums of logarithms of likelihood ratios
+// that never fall below 0.
+type evidence struct {
+	bad, slow float64
+}
+
+func newJudge(threshold Threshold, floor int) *judge {
+	return &judge{threshold: threshold, floor: floor, targets: make(map[string]*suspect), members: make(map[string]*reporter)}
+}
+
+func (jud *judge) target(now clock.Instant, id string) *suspect {
+	sus := jud.targets[id]
+	if sus == nil {
+		sus = &suspect{decayed: now, domains: make(map[string]*evidence), blame: make(map[string]float64)}
+		jud.targets[id] = sus
+	}
+	return sus
+}
+
+// setTargets replaces the targets and keeps the evidence on those that stay.
+func (jud *judge) setTargets(now clock.Instant, floor int, ids []string) {
+	jud.floor = floor
+	for _, id := range ids {
+		jud.target(now, id)
+	}
+	maps.DeleteFunc(jud.targets, func(id string, _ *suspect) bool { return !slices.Contains(ids, id) })
+}
+
+func (sus *suspect) decay(now clock.Instant) {
+	elapsed := now.Mono - sus.decayed.Mono
+	if elapsed <= 0 {
+		return
+	}
+	factor := math.Exp(-float64(elapsed) / float64(evidenceTime))
+	sus.ok *= factor
+	sus.bad *= factor
+	sus.slow *= factor
+	for id := range sus.blame {
+		sus.blame[id] *= factor
+	}
+	sus.decayed = now
+}
+
+// digest takes the report of a VM and returns whether an ejection began.
+func (jud *judge) digest(now clock.Instant, from, domain string, dig Digest) bool {
+	rep := jud.members[from]
+	if rep == nil {
+		rep = &reporter{outstanding: make(map[string]int)}
+		jud.members[from] = rep
+		jud.inherit(now, dig.Ejected)
+	}
+	rep.domain, rep.at, rep.median = domain, now, dig.Median
+	clear(rep.outstanding)
+	for _, cnt := range dig.Counts {
+		rep.outstanding[cnt.Target] = cnt.Outstanding
+		if sus := jud.targets[cnt.Target]; sus != nil {
+			jud.weigh(now, from, domain, cnt, sus)
+		}
+	}
+	jud.updateMedian(now)
+	return jud.eject(now)
+}
+
+// inherit takes over ejections that a VM still applies from an earlier owner.
+func (jud *judge) inherit(now clock.Instant, ejs []Ejection) {
+	for _, eje := range ejs {
+		sus := jud.targets[eje.Target]
+		if sus == nil || sus.ejected || sus.times > 0 || jud.ejectedCount(now)+1 > len(jud.targets)-jud.floor {
+			continue
+		}
+		sus.ejected, sus.times = true, eje.Times
+		sus.until = now.Add(min(eje.Left, maxEjection))
+	}
+}
+
+// weigh adds the counts of a VM to the evidence on a target.
+func (jud *judge) weigh(now clock.Instant, from, domain string, cnt Counts, sus *suspect) {
+	sus.decay(now)
+	if cnt.OK > 0 {
+		jud.working = now
+	}
+	badRate, slowRate := jud.peerRates(now, sus)
+	evi := sus.domains[domain]
+	if evi == nil {
+		evi = new(evidence)
+		sus.domains[domain] = evi
+	}
+	top := maxStatistic * float64(jud.threshold)
+	before := evi.bad + evi.slow
+	evi.bad = cusum(evi.bad, cnt.Bad, cnt.OK, badRate, min(badRate*riseFactor+badStep, maxRiseRate), top)
+	evi.slow = cusum(evi.slow, cnt.Slow, cnt.OK-cnt.Slow, slowRate, min(slowRate*riseFactor+slowStep, maxRiseRate), top)
+	if gain := evi.bad + evi.slow - before; gain > 0 {
+		sus.blame[from] += gain
+	}
+	sus.ok += float64(cnt.OK)
+	sus.bad += float64(cnt.Bad)
+	sus.slow += float64(cnt.Slow)
+}
+
+// cusum adds hits and misses to a statistic that tests a rate of hits of high
+// against one of low.
+func cusum(stat float64, hits, misses int, low, high, top float64) float64 {
+	stat += float64(hits)*math.Log(high/low) + float64(misses)*math.Log((1-high)/(1-low))
+	return min(max(stat, 0), top)
+}
+
+// peerRates returns the rates of bad and slow attempts of the other targets, so
+// that what befalls all of them is not held against one.
+func (jud *judge) peerRates(now clock.Instant, self *suspect) (bad, slow float64) {
+	var oks, bads, slows float64
+	for _, sus := range jud.targets {
+		if sus == self || sus.ejected {
+			continue
+		}
+		sus.decay(now)
+		oks += sus.ok
+		bads += sus.bad
+		slows += sus.slow
+	}
+	bad = (bads + minBadRate*priorCounts) / (oks + bads + priorCounts)
+	slow = (slows + minSlowRate*priorCounts) / (oks + priorCounts)
+	return min(max(bad, minBadRate), maxRiseRate/2), min(max(slow, minSlowRate), maxRiseRate/2)
+}
+
+// updateMedian takes the median of the medians that the VMs report.
+func (jud *judge) updateMedian(now clock.Instant) {
+	var meds []time.Duration
+	for _, rep := range jud.members {
+		if rep.median > 0 && now.Mono-rep.at.Mono < memberLife {
+			meds = append(meds, rep.median)
+		}
+	}
+	if len(meds) > 0 {
+		slices.Sort(meds)
+		jud.median = meds[len(meds)/2]
+	}
+}
+
+func (jud *judge) ejectedCount(now clock.Instant) int {
+	cnt := 0
+	for _, sus := range jud.targets {
+		if sus.ejectedAt(now) {
+			cnt++
+		}
+	}
+	return cnt
+}
+
+func (sus *suspect) ejectedAt(now clock.Instant) bool { return sus.ejected && now.Before(sus.until) }
+
+// eject takes the targets with enough evidence out of use, the worst first,
+// while the floor allows it. It returns whether any was.
+func (jud *judge) eject(now clock.Instant) bool {
+	began := false
+	for {
+		worst, id := 0.0, ""
+		for _, one := range slices.Sorted(maps.Keys(jud.targets)) {
+			if sum := jud.targets[one].guilt(now, jud); sum > worst {
+				worst, id = sum, one
+			}
+		}
+		if id == "" || jud.ejectedCount(now)+1 > len(jud.targets)-jud.floor {
+			return began
+		}
+		jud.targets[id].eject(now)
+		began = true
+	}
+}
+
+// guilt returns the evidence on a target in use, or 0 where it does not suffice:
+// it must reach the threshold, come from more than one VM and, where several
+// failure domains report, from more than one of them.
+func (sus *suspect) guilt(now clock.Instant, jud *judge) float64 {
+	if sus.ejectedAt(now) {
+		return 0
+	}
+	need := float64(jud.threshold)
+	if sus.times > 0 && now.Mono-sus.back.Mono < rampTime {
+		need *= retrialFactor
+	}
+	sum, second := sus.sums()
+	if sum < need {
+		return 0
+	}
+	domains, vms := jud.reporting(now)
+	if domains > 1 && second < secondShare*need || vms > 1 && sus.topBlame() > topShare {
+		return 0
+	}
+	return sum
+}
+
+// sums returns the evidence of all failure domains, and that of the second.
+func (sus *suspect) sums() (sum, second float64) {
+	var first float64
+	for _, evi := range sus.domains {
+		one := evi.bad + evi.slow
+		sum += one
+		if one > first {
+			first, second = one, first
+		} else if one > second {
+			second = one
+		}
+	}
+	return sum, second
+}
+
+func (jud *judge) reporting(now clock.Instant) (domains, vms int) {
+	seen := make(map[string]bool)
+	for _, rep := range jud.members {
+		if now.Mono-rep.at.Mono < memberLife {
+			vms++
+			seen[rep.domain] = true
+		}
+	}
+	return len(seen), vms
+}
+
+func (sus *suspect) topBlame() float64 {
+	var top, sum float64
+	for _, one := range sus.blame {
+		top = max(top, one)
+		sum += one
+	}
+	if sum == 0 {
+		return 0
+	}
+	return top / sum
+}
+
+func (sus *suspect) eject(now clock.Instant) {
+	if now.Mono-sus.back.Mono > forgiveTime {
+		sus.times = 0
+	}
+	sus.times++
+	sus.ejected = true
+	sus.until = now.Add(min(baseEjection<<min(sus.times-1, 10), maxEjection))
+	clear(sus.domains)
+	clear(sus.blame)
+}
+
+// tick ends ejections whose time is over and forgets VMs that are silent.
+func (jud *judge) tick(now clock.Instant) {
+	for _, sus := range jud.targets {
+		if sus.ejected && !now.Before(sus.until) {
+			sus.ejected = false
+			sus.back = now
+			clear(sus.domains)
+			clear(sus.blame)
+		}
+	}
+	maps.DeleteFunc(jud.members, func(_ string, rep *reporter) bool { return now.Mono-rep.at.Mono > 4*memberLife })
+}
+
+// percent returns the share of its usual traffic that a target may get. After
+// an ejection it rises from a trickle of real requests to the whole.
+func (sus *suspect) percent(now clock.Instant) int {
+	if sus.ejectedAt(now) {
+		return 0
+	}
+	if sus.times == 0 {
+		return 100
+	}
+	share := float64(now.Mono-sus.back.Mono) / float64(rampTime)
+	if share >= 1 {
+		return 100
+	}
+	return max(firstPercent, int(100*share))
+}
+
+// speak returns the verdict on the service.
+func (jud *judge) speak(now clock.Instant, service string) Verdict {
+	ver := Verdict{
+		Service: service, Median: jud.median,
+		Working: jud.working != (clock.Instant{}) && now.Mono-jud.working.Mono < memberLife,
+	}
+	for _, id := range slices.Sorted(maps.Keys(jud.targets)) {
+		sus := jud.targets[id]
+		switch pct := sus.percent(now); {
+		case pct == 0:
+			ver.Ejected = append(ver.Ejected, Ejection{Target: id, Left: sus.until.Mono - now.Mono, Times: sus.times})
+		case pct < 100:
+			ver.Weighted = append(ver.Weighted, Weighted{Target: id, Percent: pct})
+		}
+		load := 0
+		for _, rep := range jud.members {
+			if now.Mono-rep.at.Mono < memberLife {
+				load += rep.outstanding[id]
+			}
+		}
+		if load > 0 {
+			ver.Loads = append(ver.Loads, Load{Target: id, Outstanding: load})
+		}
+	}
+	return ver
+}
--- a/core/health/outcome.go
+++ b/core/health/outcome.go
@@ -1,8 +1,6 @@
 // Package health chooses targets for requests and judges which of them fail.
 package health
 
-import "time"
-
 // Outcome classifies the end of one attempt for the judgement of its target.
 type Outcome uint8
 
@@ -40,13 +38,3 @@
 	// Slots is the number of requests that the target runs at a time.
 	Slots int
 }
-
-// Report describes the end of one attempt.
-type Report struct {
-	Service string
-	Target  string
-	Outcome Outcome
-	// Latency is the time from dispatch to the first byte of the answer, or to
-	// the failure.
-	Latency time.Duration
-}
--- a/core/health/solo.go
+++ b/core/health/solo.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/member"
 )
 
 // The rules of Solo are those known from public service proxies.
@@ -26,6 +27,8 @@
 type Solo struct {
 	rnd      *rand.Rand
 	services map[string]*soloService
+	attempts map[Ticket]*attempt
+	next     Ticket
 }
 
 type soloService struct {
@@ -48,7 +51,7 @@
 
 // NewSolo returns a Solo without services.
 func NewSolo(rnd *rand.Rand) *Solo {
-	return &Solo{rnd: rnd, services: make(map[string]*soloService)}
+	return &Solo{rnd: rnd, services: make(map[string]*soloService), attempts: make(map[Ticket]*attempt)}
 }
 
 // SetService replaces the targets and the floor of a service and keeps what is
@@ -72,24 +75,39 @@
 // DropService forgets a service.
 func (sol *Solo) DropService(service string) { delete(sol.services, service) }
 
-// Pick chooses a target that is not among tried, preferring failure domains
-// other than avoid.
-func (sol *Solo) Pick(now clock.Instant, service string, tried []string, avoid string) (Target, bool) {
-	svc := sol.services[service]
+// SetView does nothing: the VM judges alone.
+func (sol *Solo) SetView(member.View) {}
+
+// Receive does nothing: the VM judges alone.
+func (sol *Solo) Receive(clock.Instant, string, Message) {}
+
+// Take returns no messages: the VM judges alone.
+func (sol *Solo) Take() []Send { return nil }
+
+// Leaving does nothing: the baseline has no notion of it.
+func (sol *Solo) Leaving(string, string) {}
+
+// Blind reports false: a VM alone cannot tell its own faults from others'.
+func (sol *Solo) Blind(clock.Instant) bool { return false }
+
+// Pick chooses a target that is not among those tried, preferring failure
+// domains other than the one to avoid.
+func (sol *Solo) Pick(now clock.Instant, wis Wish) (Target, bool) {
+	svc := sol.services[wis.Service]
 	if svc == nil {
 		return Target{}, false
 	}
 	var best []*soloTarget
 	bestRank := 0
 	for _, tgt := range svc.targets {
-		if slices.Contains(tried, tgt.ID) {
+		if slices.Contains(wis.Tried, tgt.ID) {
 			continue
 		}
 		rank := 1
 		if !tgt.ejectedAt(now) {
 			rank += 2
 		}
-		if tgt.FailureDomain != avoid {
+		if tgt.FailureDomain != wis.Avoid {
 			rank++
 		}
 		if rank > bestRank {
@@ -120,32 +138,38 @@
 }
 
 // Began counts an attempt sent to a target.
-func (sol *Solo) Began(_ clock.Instant, service, target string) {
-	if svc := sol.services[service]; svc != nil {
-		if tgt := svc.target(target); tgt != nil {
-			tgt.outstanding++
-		}
+func (sol *Solo) Began(now clock.Instant, service, target string) Ticket {
+	sol.next++
+	sol.attempts[sol.next] = &attempt{service: service, target: target, began: now}
+	if _, tgt := sol.find(service, target); tgt != nil {
+		tgt.outstanding++
 	}
+	return sol.next
 }
 
-// Ended counts the end of an attempt.
-func (sol *Solo) Ended(now clock.Instant, rep Report) {
-	svc := sol.services[rep.Service]
+func (sol *Solo) find(service, target string) (*soloService, *soloTarget) {
+	svc := sol.services[service]
 	if svc == nil {
-		return
+		return nil, nil
 	}
-	tgt := svc.target(rep.Target)
-	if tgt == nil {
+	return svc, svc.target(target)
+}
+
+// Answered counts the outcome of an attempt, once.
+func (sol *Solo) Answered(now clock.Instant, tic Ticket, outcome Outcome) {
+	att := sol.attempts[tic]
+	if att == nil || att.answered {
 		return
 	}
-	tgt.outstanding = max(tgt.outstanding-1, 0)
-	if rep.Outcome == Canceled || rep.Outcome == Shed {
+	att.answered = true
+	svc, tgt := sol.find(att.service, att.target)
+	if tgt == nil || outcome == Canceled || outcome == Shed {
 		return
 	}
 	tgt.requests++
-	if !rep.Outcome.Bad() {
+	if !outcome.Bad() {
 		tgt.consecutive = 0
-		tgt.latency += time.Duration(latencyWeight * float64(rep.Latency-tgt.latency))
+		tgt.latency += time.Duration(latencyWeight * float64(now.Mono-att.began.Mono-tgt.latency))
 		return
 	}
 	tgt.failures++
@@ -155,6 +179,19 @@
 	}
 }
 
+// Ended counts the end of an attempt.
+func (sol *Solo) Ended(now clock.Instant, tic Ticket, outcome Outcome) {
+	att := sol.attempts[tic]
+	if att == nil {
+		return
+	}
+	sol.Answered(now, tic, outcome)
+	delete(sol.attempts, tic)
+	if _, tgt := sol.find(att.service, att.target); tgt != nil {
+		tgt.outstanding = max(tgt.outstanding-1, 0)
+	}
+}
+
 // Tick looks for targets with an outlying success rate.
 func (sol *Solo) Tick(now clock.Instant) {
 	for _, svc := range sol.services {
--- a/core/node/flight.go
+++ b/core/node/flight.go
@@ -15,6 +15,9 @@
 // minAttemptTime is the least time to the deadline that is worth an attempt.
 const minAttemptTime = 5 * time.Millisecond
 
+// maxSheds bounds the targets that may refuse to run one request.
+const maxSheds = 3
+
 // flight is a request that has not been answered to its end.
 type flight struct {
 	request.Request
@@ -25,7 +28,11 @@
 	attempt      int
 	tried        []string
 	target       health.Target
-	dispatched   clock.Instant
+	ticket       health.Ticket
+	// queued is set while the request waits in its gate.
+	queued bool
+	// sheds counts the attempts that a target refused to run.
+	sheds int
 	// running is set while an attempt is under way.
 	running bool
 	// answering is set once an answer is passed to the caller.
@@ -67,13 +74,6 @@
 	mac.start(now, fli)
 }
 
-func (mac *Machine) start(now clock.Instant, fli *flight) {
-	if bud := mac.budgets[fli.route.Service]; bud != nil {
-		bud.Deposit()
-	}
-	mac.dispatch(now, fli, "no target is configured")
-}
-
 // admit finds the route and the organisation of a request.
 func (mac *Machine) admit(now clock.Instant, req request.Request) (*flight, *request.Refusal) {
 	if mac.snapshot == nil {
@@ -120,6 +120,9 @@
 
 func (mac *Machine) refuse(fli *flight, ref request.Refusal) {
 	ref.Verdict = fli.verdict
+	if gat := mac.gates[fli.route.Service]; fli.queued && gat != nil {
+		gat.fair.Remove(fli.organisation, uint64(fli.ID))
+	}
 	delete(mac.flights, fli.ID)
 	mac.do(Refuse{Request: fli.ID, Refusal: ref})
 }
@@ -138,22 +141,28 @@
 			return
 		}
 	}
-	avoid := fli.target.FailureDomain
-	tgt, found := mac.balancer.Pick(now, fli.route.Service, fli.tried, avoid)
+	tgt, found := mac.balancer.Pick(now, health.Wish{
+		Service: fli.route.Service, Tried: fli.tried, Avoid: fli.target.FailureDomain, Careful: !fli.route.Idempotent,
+	})
 	if !found {
-		reason := request.NoTarget
-		if fli.attempt > 0 {
-			reason = request.TargetFailed
+		reason := request.TargetFailed
+		switch fli.attempt {
+		case 0:
+			reason = request.NoTarget
+		case fli.sheds:
+			reason = request.Overloaded
 		}
 		mac.refuse(fli, request.Refusal{Reason: reason, Detail: detail, RetryAfter: time.Second})
 		return
 	}
 	fli.attempt++
 	fli.target = tgt
-	fli.dispatched = now
 	fli.running = true
 	fli.tried = append(fli.tried, tgt.ID)
-	mac.balancer.Began(now, fli.route.Service, tgt.ID)
+	fli.ticket = mac.balancer.Began(now, fli.route.Service, tgt.ID)
+	if gat := mac.gates[fli.route.Service]; gat != nil {
+		gat.limit.Start()
+	}
 	mac.do(Dispatch{
 		Request:      fli.ID,
 		Attempt:      fli.attempt,
@@ -180,9 +189,11 @@
 		return
 	}
 	fli.spent = evt.Spent
+	if evt.Leaving {
+		mac.balancer.Leaving(fli.route.Service, fli.target.ID)
+	}
 	if evt.Shed {
-		mac.endAttempt(now, fli, health.Shed)
-		mac.retryOrRefuse(now, fli, verdict.NotRun, request.Refusal{Reason: request.Overloaded, Detail: "the target is overloaded", RetryAfter: time.Second})
+		mac.wasShed(now, fli)
 		return
 	}
 	failed := evt.Status >= 502 && evt.Status <= 504
@@ -198,17 +209,35 @@
 	if evt.Status >= 500 {
 		outcome = health.Failure
 	}
-	mac.report(now, fli, outcome)
+	mac.balancer.Answered(now, fli.ticket, outcome)
 	mac.do(Relay{Request: fli.ID})
 }
 
+// wasShed sends a request that its target refused to run to another target,
+// which is safe on every route.
+func (mac *Machine) wasShed(now clock.Instant, fli *flight) {
+	if gat := mac.gates[fli.route.Service]; gat != nil {
+		gat.limit.Shed(now)
+	}
+	mac.endAttempt(now, fli, health.Shed)
+	fli.sheds++
+	if fli.sheds < maxSheds && !fli.spent && mac.takeRetry(now, fli) {
+		mac.dispatch(now, fli, "the targets are overloaded")
+		return
+	}
+	mac.refuse(fli, request.Refusal{Reason: request.Overloaded, Detail: "the targets are overloaded", RetryAfter: time.Second})
+	mac.room(now, fli)
+}
+
 func (mac *Machine) attemptEnded(now clock.Instant, evt AttemptEnded) {
 	fli := mac.current(evt.Request, evt.Attempt)
 	if fli == nil {
 		return
 	}
 	if fli.answering {
+		mac.endAttempt(now, fli, evt.Outcome)
 		delete(mac.flights, fli.ID)
+		mac.room(now, fli)
 		return
 	}
 	fli.spent = evt.Spent
@@ -217,41 +246,43 @@
 	if fli.deadline.Mono-now.Mono < minAttemptTime {
 		reason = request.TimedOut
 	}
-	mac.retryOrRefuse(now, fli, evt.Verdict, request.Refusal{Reason: reason, Detail: evt.Detail})
+	fli.verdict = fli.verdict.Worse(evt.Verdict)
+	if (evt.Verdict == verdict.NotRun || fli.route.Idempotent) && mac.mayRetry(now, fli) {
+		mac.dispatch(now, fli, evt.Detail)
+		return
+	}
+	mac.refuse(fli, request.Refusal{Reason: reason, Detail: evt.Detail})
+	mac.room(now, fli)
 }
 
+// endAttempt closes the attempt under way.
 func (mac *Machine) endAttempt(now clock.Instant, fli *flight, outcome health.Outcome) {
 	fli.running = false
-	mac.report(now, fli, outcome)
-}
-
-func (mac *Machine) report(now clock.Instant, fli *flight, outcome health.Outcome) {
-	mac.balancer.Ended(now, health.Report{
-		Service: fli.route.Service,
-		Target:  fli.target.ID,
-		Outcome: outcome,
-		Latency: now.Mono - fli.dispatched.Mono,
-	})
+	mac.balancer.Ended(now, fli.ticket, outcome)
+	if gat := mac.gates[fli.route.Service]; gat != nil {
+		gat.limit.End()
+		if outcome == health.Success {
+			gat.limit.Succeeded()
+		}
+	}
 }
 
-// retryOrRefuse starts another attempt where the verdict on the last one and
-// the route permit it.
-func (mac *Machine) retryOrRefuse(now clock.Instant, fli *flight, ver verdict.Verdict, ref request.Refusal) {
-	fli.verdict = fli.verdict.Worse(ver)
-	if (ver == verdict.NotRun || fli.route.Idempotent) && mac.mayRetry(now, fli) {
-		mac.dispatch(now, fli, ref.Detail)
-		return
+// room lets a waiting request start where one has ended.
+func (mac *Machine) room(now clock.Instant, fli *flight) {
+	if gat := mac.gates[fli.route.Service]; gat != nil {
+		mac.pump(now, gat)
 	}
-	mac.refuse(fli, ref)
 }
 
-// mayRetry takes a retry from the budget when the request may have another.
+// mayRetry takes a retry from the budget when the route allows another attempt.
 func (mac *Machine) mayRetry(now clock.Instant, fli *flight) bool {
-	if fli.spent || fli.attempt >= fli.route.MaxAttempts || fli.deadline.Mono-now.Mono < minAttemptTime {
-		return false
-	}
-	bud := mac.budgets[fli.route.Service]
-	return bud != nil && bud.Withdraw()
+	return !fli.spent && fli.attempt-fli.sheds < fli.route.MaxAttempts && mac.takeRetry(now, fli)
+}
+
+// takeRetry takes a retry from the budget when there is time for it.
+func (mac *Machine) takeRetry(now clock.Instant, fli *flight) bool {
+	gat := mac.gates[fli.route.Service]
+	return gat != nil && fli.deadline.Mono-now.Mono >= minAttemptTime && gat.budget.Withdraw()
 }
 
 func (mac *Machine) callerLeft(now clock.Instant, id request.ID) {
@@ -260,10 +291,15 @@
 		return
 	}
 	mac.ledger.Cancel(fli.organisation, uint64(id))
-	if fli.running && !fli.answering {
-		mac.report(now, fli, health.Canceled)
+	gat := mac.gates[fli.route.Service]
+	if fli.queued && gat != nil {
+		gat.fair.Remove(fli.organisation, uint64(id))
+	}
+	if fli.running {
+		mac.endAttempt(now, fli, health.Canceled)
 	}
 	delete(mac.flights, id)
+	mac.room(now, fli)
 }
 
 // Waiting lists the requests that have not been answered, in order of arrival.
--- a/core/node/machine.go
+++ b/core/node/machine.go
@@ -25,13 +25,19 @@
 
 // balancer chooses targets and learns how they fare.
 type balancer interface {
+	SetView(vie member.View)
 	SetService(now clock.Instant, service string, floor int, tgs []health.Target)
 	DropService(service string)
-	Pick(now clock.Instant, service string, tried []string, avoid string) (health.Target, bool)
-	Began(now clock.Instant, service, target string)
-	Ended(now clock.Instant, rep health.Report)
+	Pick(now clock.Instant, wis health.Wish) (health.Target, bool)
+	Began(now clock.Instant, service, target string) health.Ticket
+	Answered(now clock.Instant, tic health.Ticket, outcome health.Outcome)
+	Ended(now clock.Instant, tic health.Ticket, outcome health.Outcome)
+	Leaving(service, target string)
 	Tick(now clock.Instant)
+	Receive(now clock.Instant, from string, msg health.Message)
+	Take() []health.Send
 	Ejected(now clock.Instant, service string) []string
+	Blind(now clock.Instant) bool
 }
 
 // Settings are the values that an operator may choose for a VM.
@@ -43,6 +49,10 @@
 	// TrustReads states that the platform's reads never lag, so that they are
 	// proofs.
 	TrustReads bool
+	// Threshold is the evidence at which targets are ejected.
+	Threshold health.Threshold
+	// Alone makes the VM judge targets by its own traffic only.
+	Alone bool
 }
 
 // Machine is the decision logic of one VM. It is not safe for concurrent use.
@@ -56,7 +66,7 @@
 	snapshot *config.Snapshot
 	view     member.View
 	prior    member.View
-	budgets  map[string]*request.Budget
+	gates    map[string]*gate
 	flights  map[request.ID]*flight
 	gone     map[string]bool
 	listed   map[string]bool
@@ -79,11 +89,14 @@
 		rnd:      rnd,
 		prover:   fence.NewProver(set.Self, set.LeaseDuration, set.TrustReads),
 		roster:   member.NewRoster(set.Self),
-		balancer: health.NewSolo(rnd),
-		budgets:  make(map[string]*request.Budget),
+		balancer: health.NewPool(set.Self, set.Threshold, rnd),
+		gates:    make(map[string]*gate),
 		flights:  make(map[request.ID]*flight),
 		gone:     make(map[string]bool),
 	}
+	if set.Alone {
+		mac.balancer = health.NewSolo(rnd)
+	}
 	mac.ledger = rate.NewLedger(set.Self.ID, set.LeaseDuration, mac.allowance)
 	return mac
 }
@@ -144,6 +157,8 @@
 		mac.prover.Receive(now, evt.From, msg)
 	case rate.Message:
 		mac.ledger.Receive(now, evt.From, msg)
+	case health.Message:
+		mac.balancer.Receive(now, evt.From, msg)
 	case member.Message:
 		if lea, leaves := msg.(member.Leave); leaves {
 			// A VM that leaves has stopped acting before it says so.
@@ -155,6 +170,7 @@
 
 func (mac *Machine) ticked(now clock.Instant) {
 	mac.balancer.Tick(now)
+	mac.expire(now)
 	mac.prover.Tick(now)
 	mac.ledger.Tick(now)
 	mac.roster.Tick(now, mac.knowledge(now))
@@ -190,6 +206,9 @@
 			mac.load(now, out)
 		}
 	}
+	for _, out := range mac.balancer.Take() {
+		mac.do(Send{To: out.To, Message: out.Message})
+	}
 	for _, out := range mac.roster.Take() {
 		switch out := out.(type) {
 		case member.Send:
@@ -240,6 +259,7 @@
 	mac.view, mac.prior = evt.View, evt.Prior
 	mac.prover.Hold(now, evt.Head, evt.View, evt.Prior)
 	mac.ledger.Adopt(now, rate.Fleet{Version: evt.Head.Version, View: evt.View, LimitsVersion: evt.Head.LimitsVersion})
+	mac.balancer.SetView(evt.View)
 	mac.setServices(now)
 }
 
@@ -258,14 +278,14 @@
 	kept := make(map[string]bool)
 	for _, svc := range mac.snapshot.Services() {
 		kept[svc.Name] = true
-		if mac.budgets[svc.Name] == nil {
-			mac.budgets[svc.Name] = request.NewBudget()
+		if mac.gates[svc.Name] == nil {
+			mac.gates[svc.Name] = newGate()
 		}
 		mac.balancer.SetService(now, svc.Name, svc.Floor(), healthTargets(svc))
 	}
-	for name := range mac.budgets {
+	for name := range mac.gates {
 		if !kept[name] {
-			delete(mac.budgets, name)
+			delete(mac.gates, name)
 			mac.balancer.DropService(name)
 		}
 	}
@@ -323,7 +343,12 @@
 
 // Ready reports whether the VM may be sent requests.
 func (mac *Machine) Ready(now clock.Instant) bool {
-	return !mac.stopping && mac.prover.Lease().Active(now)
+	return !mac.stopping && mac.prover.Lease().Active(now) && !mac.balancer.Blind(now)
+}
+
+// Ejected lists the targets of a service that the VM does not use.
+func (mac *Machine) Ejected(now clock.Instant, service string) []string {
+	return mac.balancer.Ejected(now, service)
 }
 
 // Head returns the head that the VM holds.
--- a/lugbench/pkg/command/command.go
+++ b/lugbench/pkg/command/command.go
@@ -7,6 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"marigoldlug.example/lugbench/pkg/measure"
 	"marigoldlug.example/lugbench/pkg/quickstart"
 )
 
@@ -25,6 +26,22 @@
 					return quickstart.Demo(ctx, out, log)
 				},
 			},
+			{
+				Name:    "measure",
+				Aliases: []string{"m"},
+				Usage:   "measure the decisions in virtual time and print tables",
+				Commands: []*cli.Command{
+					{
+						Name: "detection", Usage: "time to detect each kind of fault of a target",
+						Flags:  []cli.Flag{seedsFlag()},
+						Action: func(_ context.Context, cmd *cli.Command) error { return measure.DetectionReport(out, cmd.Int("seeds")) },
+					},
+				},
+			},
 		},
 	}
 }
+
+func seedsFlag() cli.Flag {
+	return &cli.IntFlag{Name: "seeds", Usage: "number of seeds for each figure", Value: 20}
+}
--- a/lugd/pkg/command/flags.go
+++ b/lugd/pkg/command/flags.go
@@ -43,6 +43,7 @@
 		text("platform", "URL of the platform's object API", &set.PlatformURL),
 		text("platform-reads", "consistent if the platform answers every read with its newest value, else lagging", &set.PlatformReads),
 		&cli.StringSliceFlag{Name: "peers", Usage: "addresses of VMs to ask while the platform is away", Destination: &set.Peers, Sources: environment("peers")},
+		number("ejection-threshold", "evidence at which targets are ejected: 6 detects soonest, 20 ejects fewest healthy targets", &set.EjectionThreshold),
 		number("platform-calls", "budget of platform calls a second", &set.PlatformCalls),
 		duration("lease-duration", "longest time to serve keyed routes without proof of the newest configuration", &set.LeaseDuration),
 		duration("balancer-lag", "time that the balancer takes to notice that a VM is not ready", &set.BalancerLag),
--- a/lugd/pkg/daemon/daemon.go
+++ b/lugd/pkg/daemon/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/node"
 	"marigoldlug.example/lugd/pkg/caller"
@@ -78,6 +79,7 @@
 	dmn.cancel = cancel
 	dmn.runtime = vm.New(work, node.Settings{
 		Self: dmn.self, LeaseDuration: set.LeaseDuration, TrustReads: set.PlatformReads == settings.ConsistentReads,
+		Threshold: health.Threshold(set.EjectionThreshold),
 	}, cli, dmn.committer, lgs.Logger(logflags.Machine))
 	dmn.transport = peer.New(dmn.self, dmn.listeners.peer, dmn.runtime, lgs.Logger(logflags.Peer))
 	dmn.runtime.SetTransport(dmn.transport)
--- a/lugd/pkg/peer/codec.go
+++ b/lugd/pkg/peer/codec.go
@@ -34,6 +34,9 @@
 	kindLeave = 31
 	kindPing  = 32
 	kindPong  = 33
+
+	kindDigest  = 40
+	kindVerdict = 41
 )
 
 // protocolVersion is raised when frames change in a way that older programs
@@ -65,7 +68,7 @@
 // encode returns the payload of the frame for a message.
 func encode(msg any) ([]byte, error) {
 	wrt := newWriter()
-	if !wrt.own(msg) && !wrt.fence(msg) && !wrt.rate(msg) && !wrt.member(msg) {
+	if !wrt.own(msg) && !wrt.fence(msg) && !wrt.rate(msg) && !wrt.member(msg) && !wrt.health(msg) {
 		return nil, fmt.Errorf("message of type %T has no frame", msg)
 	}
 	return wrt.buf.Bytes(), wrt.err
@@ -255,8 +258,10 @@
 		msg = rdr.fence(kind)
 	case kind < kindJoin:
 		msg = rdr.rate(kind)
-	default:
+	case kind < kindDigest:
 		msg = rdr.member(kind)
+	default:
+		msg = rdr.health(kind)
 	}
 	if rdr.err != nil {
 		return nil, rdr.err
@@ -393,3 +398,9 @@
 	}
 	return nil
 }
+
+// FrameSize returns the length in bytes of the frame that carries a message.
+func FrameSize(msg any) (int, error) {
+	payload, err := encode(msg)
+	return len(payload) + frameHeader, err
+}
--- a/lugd/pkg/settings/settings.go
+++ b/lugd/pkg/settings/settings.go
@@ -9,6 +9,8 @@
 	"net/url"
 	"strings"
 	"time"
+
+	"marigoldlug.example/core/health"
 )
 
 // Settings are the values for one VM.
@@ -28,6 +30,8 @@
 	PlatformReads string
 	// Peers lists addresses of VMs to ask while the platform is away.
 	Peers []string
+	// EjectionThreshold is the evidence at which targets are ejected.
+	EjectionThreshold float64
 	// PlatformCalls is the budget of calls to the platform a second.
 	PlatformCalls  float64
 	LeaseDuration  time.Duration
@@ -55,23 +59,24 @@
 // Default returns the settings in force where nothing is set.
 func Default() Settings {
 	return Settings{
-		CallerAddress:   "127.0.0.1:8080",
-		PeerAddress:     "127.0.0.1:8081",
-		OperatorAddress: "127.0.0.1:8082",
-		PlatformReads:   LaggingReads,
-		PlatformCalls:   20,
-		LeaseDuration:   5 * time.Second,
-		BalancerLag:     5 * time.Second,
-		DrainTimeout:    60 * time.Second,
-		BodyTimeout:     60 * time.Second,
-		HeaderTimeout:   5 * time.Second,
-		IdleTimeout:     90 * time.Second,
-		MaxHeaderBytes:  32 << 10,
-		MaxBodyBytes:    64 << 20,
-		DialTimeout:     250 * time.Millisecond,
-		IdlePerTarget:   8,
-		LogFormat:       "json",
-		TraceShare:      1,
+		CallerAddress:     "127.0.0.1:8080",
+		PeerAddress:       "127.0.0.1:8081",
+		OperatorAddress:   "127.0.0.1:8082",
+		PlatformReads:     LaggingReads,
+		EjectionThreshold: float64(health.ThresholdBalanced),
+		PlatformCalls:     20,
+		LeaseDuration:     5 * time.Second,
+		BalancerLag:       5 * time.Second,
+		DrainTimeout:      60 * time.Second,
+		BodyTimeout:       60 * time.Second,
+		HeaderTimeout:     5 * time.Second,
+		IdleTimeout:       90 * time.Second,
+		MaxHeaderBytes:    32 << 10,
+		MaxBodyBytes:      64 << 20,
+		DialTimeout:       250 * time.Millisecond,
+		IdlePerTarget:     8,
+		LogFormat:         "json",
+		TraceShare:        1,
 	}
 }
 
@@ -150,6 +155,7 @@
 		{"max-header-bytes", float64(set.MaxHeaderBytes), 1 << 10, 1 << 20},
 		{"max-body-bytes", float64(set.MaxBodyBytes), 0, 1 << 40},
 		{"idle-per-target", float64(set.IdlePerTarget), 0, 10000},
+		{"ejection-threshold", set.EjectionThreshold, float64(health.ThresholdQuick), float64(health.ThresholdCareful)},
 		{"trace-share", set.TraceShare, 0, 1},
 	} {
 		if one.val < one.low || one.val > one.high {
