Return tokens to a home before they overflow

Cause: at 99% of its rate an organisation had all of the rate spread over VMs whose small buckets overflowed while others ran dry; homes had nothing left.

A busy VM now returns tokens above three quarters of its burst. Requests wait at most 250 ms for room.

--- a/core/health/message.go
+++ b/core/health/message.go
@@ -14,8 +14,6 @@
 	// Slow counts the answers among OK that took far longer than is usual for
 	// the service.
 	Slow int
-	// Outstanding is the number of attempts under way.
-	Outstanding int
 }
 
 // Digest reports what one VM saw of a service to the owner of the service.
@@ -45,19 +43,12 @@
 	Percent int
 }
 
-// Load is the number of attempts under way at a target from the whole fleet.
-type Load struct {
-	Target      string
-	Outstanding int
-}
-
 // Verdict is the owner's answer to a Digest.
 type Verdict struct {
 	Service  string
 	Median   time.Duration
 	Ejected  []Ejection
 	Weighted []Weighted
-	Loads    []Load
 	// Working is set while any VM has answers from the service.
 	Working bool
 }
--- a/core/health/pick.go
+++ b/core/health/pick.go
@@ -108,7 +108,8 @@
 	return best
 }
 
-// occupancy estimates the part of the target's slots that the fleet uses.
+// occupancy is the part of the target's slots that this VM uses. What the whole
+// fleet uses changes faster than it can be told.
 func (tgt *pooled) occupancy() float64 {
-	return float64(max(tgt.load+tgt.since, tgt.outstanding)) / float64(max(tgt.Slots, 1))
+	return float64(tgt.outstanding) / float64(max(tgt.Slots, 1))
 }
--- a/core/health/pool.go
+++ b/core/health/pool.go
@@ -84,9 +84,6 @@
 	Target
 	counts      Counts
 	outstanding int
-	// load is the fleet's outstanding attempts as last told, and since the
-	// attempts that this VM has begun after that.
-	load, since int
 	latency     time.Duration
 	percent     int
 	until       clock.Instant
@@ -190,7 +187,6 @@
 	pol.attempts[pol.next] = &attempt{service: name, target: target, began: now}
 	if _, tgt := pol.find(name, target); tgt != nil {
 		tgt.outstanding++
-		tgt.since++
 	}
 	return pol.next
 }
@@ -305,7 +301,6 @@
 	delete(pol.attempts, tic)
 	if _, tgt := pol.find(att.service, att.target); tgt != nil {
 		tgt.outstanding = max(tgt.outstanding-1, 0)
-		tgt.since = max(tgt.since-1, -tgt.load)
 	}
 }
 
@@ -366,9 +361,9 @@
 	dig := Digest{Service: svc.name, Sequence: svc.sequence, Median: svc.median, Ejected: svc.ejections(now)}
 	for _, tgt := range svc.targets {
 		cnt := tgt.counts
-		cnt.Target, cnt.Outstanding = tgt.ID, tgt.outstanding
+		cnt.Target = tgt.ID
 		tgt.counts = Counts{}
-		if cnt.OK+cnt.Bad+cnt.Outstanding > 0 {
+		if cnt.OK+cnt.Bad > 0 {
 			dig.Counts = append(dig.Counts, cnt)
 		}
 	}
@@ -447,7 +442,7 @@
 	svc.fleetMedian = ver.Median
 	svc.working = ver.Working
 	for _, tgt := range svc.targets {
-		tgt.percent, tgt.load, tgt.since = 100, 0, 0
+		tgt.percent = 100
 	}
 	for _, eje := range ver.Ejected {
 		if tgt := svc.target(eje.Target); tgt != nil {
@@ -460,11 +455,6 @@
 			tgt.percent = wei.Percent
 		}
 	}
-	for _, loa := range ver.Loads {
-		if tgt := svc.target(loa.Target); tgt != nil {
-			tgt.load = loa.Outstanding
-		}
-	}
 }
 
 // Ejected lists the targets of a service that are out of use.
--- a/core/node/flight.go
+++ b/core/node/flight.go
@@ -36,6 +36,8 @@
 	ticket        health.Ticket
 	// queued is set while the request waits in its gate.
 	queued bool
+	// waited is when the request first had to wait for room.
+	waited clock.Instant
 	// sheds counts the attempts that a target refused to run.
 	sheds int
 	// running is set while an attempt is under way.
@@ -59,7 +61,7 @@
 		mac.start(now, fli)
 		return
 	}
-	if dec, decided := mac.ledger.Admit(now, fli.organisation, uint64(req.ID)); decided {
+	if dec, decided := mac.limiter.Admit(now, fli.organisation, uint64(req.ID)); decided {
 		mac.rateDecided(now, dec)
 	}
 }
@@ -237,7 +239,7 @@
 	}
 	gat.limit.Shed(now)
 	fli.tried = slices.Clone(fli.failed)
-	mac.enqueue(fli, gat)
+	mac.enqueue(now, fli, gat)
 }
 
 func (mac *Machine) attemptEnded(now clock.Instant, evt AttemptEnded) {
--- a/core/node/gate.go
+++ b/core/node/gate.go
@@ -12,6 +12,10 @@
 // queueLength bounds the requests that wait for one service on one VM.
 const queueLength = 64
 
+// maxQueueTime bounds how long a request waits for room. A service that has
+// none for longer is overloaded, and its callers are better told so at once.
+const maxQueueTime = 250 * time.Millisecond
+
 // gate is where the requests for one service wait when its targets have no
 // room.
 type gate struct {
@@ -36,15 +40,18 @@
 		mac.dispatch(now, fli, "no target is configured")
 		return
 	}
-	mac.enqueue(fli, gat)
+	mac.enqueue(now, fli, gat)
 	mac.pump(now, gat)
 }
 
 // enqueue lets a request wait. Where the queue is full another has to go.
-func (mac *Machine) enqueue(fli *flight, gat *gate) {
+func (mac *Machine) enqueue(now clock.Instant, fli *flight, gat *gate) {
 	fli.queued = true
+	if fli.waited == (clock.Instant{}) {
+		fli.waited = now
+	}
 	dropped, full := gat.fair.Push(queue.Item{
-		ID: uint64(fli.ID), Organisation: fli.organisation, Weight: mac.weight(fli.organisation), Deadline: fli.deadline,
+		ID: uint64(fli.ID), Organisation: fli.organisation, Weight: mac.weight(fli.organisation), Deadline: fli.deadline, Since: fli.waited,
 	})
 	if full {
 		mac.refuseQueued(dropped, request.Refusal{
@@ -85,7 +92,7 @@
 func (mac *Machine) expire(now clock.Instant) {
 	for _, name := range sortedKeys(mac.gates) {
 		gat := mac.gates[name]
-		for _, itm := range gat.fair.Expired(now, minAttemptTime) {
+		for _, itm := range gat.fair.Expired(now, minAttemptTime, maxQueueTime) {
 			mac.refuseQueued(itm, request.Refusal{
 				Reason: request.Overloaded, Detail: "the service had no room in time", RetryAfter: time.Second,
 			})
--- a/core/node/machine.go
+++ b/core/node/machine.go
@@ -53,6 +53,13 @@
 	Threshold health.Threshold
 	// Alone makes the VM judge targets by its own traffic only.
 	Alone bool
+	// StaticFleet, if above 0, divides limits evenly among that many VMs.
+	StaticFleet int
+}
+
+// limiter decides on requests by the rates of organisations.
+type limiter interface {
+	Admit(now clock.Instant, organisation string, request uint64) (dec rate.Decided, decided bool)
 }
 
 // Machine is the decision logic of one VM. It is not safe for concurrent use.
@@ -61,6 +68,7 @@
 	rnd      *rand.Rand
 	prover   *fence.Prover
 	ledger   *rate.Ledger
+	limiter  limiter
 	roster   *member.Roster
 	balancer balancer
 	snapshot *config.Snapshot
@@ -98,6 +106,10 @@
 		mac.balancer = health.NewSolo(rnd)
 	}
 	mac.ledger = rate.NewLedger(set.Self.ID, set.LeaseDuration, mac.allowance)
+	mac.limiter = mac.ledger
+	if set.StaticFleet > 0 {
+		mac.limiter = rate.NewStatic(set.StaticFleet, mac.allowance)
+	}
 	return mac
 }
 
--- a/core/queue/fair.go
+++ b/core/queue/fair.go
@@ -17,6 +17,8 @@
 	// Weight is at least 1.
 	Weight   int
 	Deadline clock.Instant
+	// Since is when the request began to wait.
+	Since clock.Instant
 }
 
 // Fair is a bounded queue that serves organisations in proportion to their
@@ -125,15 +127,18 @@
 }
 
 // Expired removes and returns the requests that have less than left until
-// their deadlines.
-func (fai *Fair) Expired(now clock.Instant, left time.Duration) []Item {
+// their deadlines or have waited for longer than longest.
+func (fai *Fair) Expired(now clock.Instant, left, longest time.Duration) []Item {
 	var out []Item
 	for _, flo := range fai.flows {
-		for len(flo.items) > 0 && flo.items[0].Deadline.Mono-now.Mono < left {
-			out = append(out, flo.items[0])
-			flo.items = flo.items[1:]
-			fai.size--
-		}
+		flo.items = slices.DeleteFunc(flo.items, func(itm Item) bool {
+			expired := itm.Deadline.Mono-now.Mono < left || now.Mono-itm.Since.Mono > longest
+			if expired {
+				out = append(out, itm)
+				fai.size--
+			}
+			return expired
+		})
 	}
 	slices.SortFunc(out, func(one, two Item) int { return cmp.Compare(one.ID, two.ID) })
 	return out
--- a/core/rate/move.go
+++ b/core/rate/move.go
@@ -23,6 +23,10 @@
 	horizon = time.Second
 	// lowShare is the part of its burst below which a busy VM asks ahead.
 	lowShare = 0.25
+	// fullShare is the part of its burst above which a busy VM returns tokens,
+	// down to keptShare.
+	fullShare = 0.75
+	keptShare = 0.5
 	// idleTime is how long a VM with little demand keeps unused tokens.
 	idleTime = 500 * time.Millisecond
 )
@@ -308,5 +312,11 @@
 		gra.Burst = over
 		gra.Tokens = max(acc.bucket.tokens-(share.Burst-over), 0)
 	}
+	// Tokens that are about to overflow are worth more at a home.
+	if float64(acc.bucket.tokens-gra.Tokens) > fullShare*float64(share.Burst-gra.Burst) {
+		spare := acc.bucket.tokens - gra.Tokens - Tokens(keptShare*float64(share.Burst-gra.Burst))
+		gra.Tokens += spare
+		gra.Burst = max(gra.Burst, gra.Tokens)
+	}
 	return gra
 }
--- a/core/rate/static.go
+++ b/core/rate/static.go
@@ -9,9 +9,9 @@
 // Static divides every limit evenly among a fixed count of VMs. It is the
 // baseline against which Ledger is measured.
 type Static struct {
-	fleet   int64
-	limits  func(organisation string) (Limit, bool)
-	buckets map[string]*bucket
+	fleet      int64
+	allowances func(organisation string) (Allowance, bool)
+	buckets    map[string]*bucket
 }
 
 type bucket struct {
@@ -38,18 +38,20 @@
 }
 
 // NewStatic returns the part of one of fleet VMs.
-func NewStatic(fleet int, limits func(organisation string) (Limit, bool)) *Static {
-	return &Static{fleet: int64(max(fleet, 1)), limits: limits, buckets: make(map[string]*bucket)}
+func NewStatic(fleet int, allowances func(organisation string) (Allowance, bool)) *Static {
+	return &Static{fleet: int64(max(fleet, 1)), allowances: allowances, buckets: make(map[string]*bucket)}
 }
 
-// Admit takes the cost of one request from the share of an organisation, or
-// returns when to try again.
-func (sta *Static) Admit(now clock.Instant, organisation string) (time.Duration, bool) {
-	lim, found := sta.limits(organisation)
+// Admit decides on a request at once.
+func (sta *Static) Admit(now clock.Instant, organisation string, request uint64) (dec Decided, decided bool) {
+	alw, found := sta.allowances(organisation)
 	if !found {
-		return time.Second, false
+		return Decided{Request: request, RetryAfter: time.Second}, true
+	}
+	share := Limit{
+		Rate:  PerSecond(scale(int64(alw.Limit.Rate), 1, sta.fleet)),
+		Burst: Tokens(scale(int64(alw.Limit.Burst), 1, sta.fleet)),
 	}
-	share := Limit{Rate: PerSecond(scale(int64(lim.Rate), 1, sta.fleet)), Burst: Tokens(scale(int64(lim.Burst), 1, sta.fleet))}
 	buc := sta.buckets[organisation]
 	if buc == nil {
 		buc = &bucket{tokens: share.Burst, filled: now}
@@ -58,10 +60,10 @@
 	buc.share = share
 	buc.refill(now)
 	if buc.tokens < Request {
-		return wait(share.Rate, Request-buc.tokens), false
+		return Decided{Request: request, RetryAfter: wait(share.Rate, Request-buc.tokens)}, true
 	}
 	buc.tokens -= Request
-	return 0, true
+	return Decided{Request: request, Admitted: true}, true
 }
 
 const maxWait = time.Minute
--- a/lugbench/pkg/command/command.go
+++ b/lugbench/pkg/command/command.go
@@ -32,6 +32,7 @@
 				Usage:   "measure the decisions in virtual time and print tables",
 				Commands: []*cli.Command{
 					report(out, "detection", "time to detect each kind of fault of a target", measure.DetectionReport),
+					report(out, "rate", "wrongful refusals and overshoot of rate limits", measure.RateReport),
 					report(out, "load", "how callers fare at several loads", measure.LoadReport),
 				},
 			},
--- a/lugbench/pkg/runner/fleet.go
+++ b/lugbench/pkg/runner/fleet.go
@@ -25,6 +25,10 @@
 	Lease time.Duration
 	// TrustReads takes reads of the platform for proofs.
 	TrustReads bool
+	// StaticRates divides limits evenly among the VMs: the baseline.
+	StaticRates bool
+	// OnlyRates answers every admitted request at once, without a target.
+	OnlyRates bool
 }
 
 // Fleet is a deployment in a world.
@@ -43,6 +47,9 @@
 	flights  map[uint64]*Outcome
 	Stats    Stats
 	onDone   func(out *Outcome)
+	// onArrival and onAdmitted see each request as it arrives and as it is first
+	// sent to a target.
+	onArrival, onAdmitted func(out *Outcome)
 	// ejections counts the ejections that began, by target.
 	ejections map[string]int
 	least     map[string]int
@@ -81,7 +88,10 @@
 	// Runs counts the targets that ran the request.
 	Runs     int
 	Attempts int
-	done     bool
+	// Fits is free for observers.
+	Fits bool
+	done bool
+	vm   *simVM
 }
 
 // simPlatform holds the head and what the heads name.
@@ -103,7 +113,8 @@
 	fle := &Fleet{
 		World: NewWorld(opt.Seed), dep: dep, opt: opt,
 		targets: make(map[string]*simTarget), cut: make(map[[2]string]bool), flights: make(map[uint64]*Outcome),
-		onDone: func(*Outcome) {}, ejections: make(map[string]int), least: make(map[string]int),
+		onDone: func(*Outcome) {}, onArrival: func(*Outcome) {}, onAdmitted: func(*Outcome) {},
+		ejections: make(map[string]int), least: make(map[string]int),
 	}
 	fle.platform = simPlatform{contents: make(map[uint64]contents), delay: 2 * time.Millisecond}
 	for _, svc := range dep.content().Services {
@@ -136,12 +147,19 @@
 	}
 	vmm.mac = node.New(node.Settings{
 		Self: vmm.VM, LeaseDuration: fle.opt.Lease, TrustReads: fle.opt.TrustReads,
-		Threshold: fle.opt.Threshold, Alone: fle.opt.Alone,
+		Threshold: fle.opt.Threshold, Alone: fle.opt.Alone, StaticFleet: fle.staticFleet(),
 	}, rand.New(rand.NewPCG(fle.rnd.Uint64(), 1)))
 	fle.vms = append(fle.vms, vmm)
 	return vmm
 }
 
+func (fle *Fleet) staticFleet() int {
+	if fle.opt.StaticRates {
+		return fle.opt.VMs
+	}
+	return 0
+}
+
 func (fle *Fleet) startTicks(vmm *simVM) {
 	var tick func()
 	tick = func() {
@@ -254,6 +272,20 @@
 	})
 }
 
+// Kill ends a VM without notice.
+func (fle *Fleet) Kill(num int) {
+	vmm := fle.vms[num]
+	vmm.dead = true
+	for id, out := range fle.flights {
+		if out.vm == vmm {
+			delete(fle.flights, id)
+		}
+	}
+}
+
+// SetPlatformAway makes the platform answer nothing, or answer again.
+func (fle *Fleet) SetPlatformAway(away bool) { fle.platform.away = away }
+
 // Release puts a configuration in the platform and tells one VM, as an
 // operator's client does.
 func (fle *Fleet) Release(change func(con config.Content) config.Content) uint64 {
--- a/lugbench/pkg/runner/observe.go
+++ b/lugbench/pkg/runner/observe.go
@@ -19,6 +19,12 @@
 // OnDone calls fun with the outcome of every request.
 func (fle *Fleet) OnDone(fun func(out *Outcome)) { fle.onDone = fun }
 
+// OnArrival calls fun with every request as it arrives.
+func (fle *Fleet) OnArrival(fun func(out *Outcome)) { fle.onArrival = fun }
+
+// OnAdmitted calls fun with every request when it is first sent to a target.
+func (fle *Fleet) OnAdmitted(fun func(out *Outcome)) { fle.onAdmitted = fun }
+
 // TargetOf returns the ID of one target of a service.
 func (fle *Fleet) TargetOf(service string, num int) string {
 	var ids []string
--- a/lugbench/pkg/runner/request.go
+++ b/lugbench/pkg/runner/request.go
@@ -27,8 +27,9 @@
 func (fle *Fleet) SendThrough(vmm *simVM, organisation, service string, idempotent bool) *Outcome {
 	fle.requests++
 	fle.Stats.Requests++
-	out := &Outcome{ID: fle.requests, Organisation: organisation, Service: service, Idempotent: idempotent, Began: fle.now}
+	out := &Outcome{ID: fle.requests, Organisation: organisation, Service: service, Idempotent: idempotent, Began: fle.now, vm: vmm}
 	fle.flights[out.ID] = out
+	fle.onArrival(out)
 	path, method := "/"+service+"/read", "GET"
 	if !idempotent {
 		path, method = "/"+service+"/write", "POST"
@@ -73,8 +74,15 @@
 	tgt.dispatched[int(fle.now/windowTime)]++
 	if out := fle.flights[uint64(dis.Request)]; out != nil {
 		out.Attempts++
+		if out.Attempts == 1 {
+			fle.onAdmitted(out)
+		}
 	}
 	att := &tracked{vmm: vmm, dis: dis}
+	if fle.opt.OnlyRates {
+		fle.After(0, func() { fle.answer(att, 200, false) })
+		return
+	}
 	way := fle.distance(vmm.FailureDomain, tgt.domain)
 	fle.After(dis.Timeout, func() { fle.fail(att, health.Failure, verdict.MayHaveRun) })
 	if tgt.faulty(fle.now) && slices.Contains(tgt.fault.Cut, vmm.FailureDomain) {
--- a/lugd/pkg/peer/health.go
+++ b/lugd/pkg/peer/health.go
@@ -25,7 +25,6 @@
 		wrt.whole(int64(cnt.OK))
 		wrt.whole(int64(cnt.Bad))
 		wrt.whole(int64(cnt.Slow))
-		wrt.whole(int64(cnt.Outstanding))
 	}
 	wrt.ejections(msg.Ejected)
 }
@@ -49,11 +48,6 @@
 		wrt.text(wei.Target)
 		wrt.whole(int64(wei.Percent))
 	}
-	wrt.count(len(msg.Loads))
-	for _, loa := range msg.Loads {
-		wrt.text(loa.Target)
-		wrt.whole(int64(loa.Outstanding))
-	}
 	wrt.boolean(msg.Working)
 }
 
@@ -71,7 +65,7 @@
 	msg := health.Digest{Service: rdr.text(), Sequence: rdr.number(), Median: rdr.duration()}
 	for range rdr.count() {
 		msg.Counts = append(msg.Counts, health.Counts{
-			Target: rdr.text(), OK: int(rdr.whole()), Bad: int(rdr.whole()), Slow: int(rdr.whole()), Outstanding: int(rdr.whole()),
+			Target: rdr.text(), OK: int(rdr.whole()), Bad: int(rdr.whole()), Slow: int(rdr.whole()),
 		})
 		if rdr.err != nil {
 			break
@@ -100,12 +94,6 @@
 			break
 		}
 	}
-	for range rdr.count() {
-		msg.Loads = append(msg.Loads, health.Load{Target: rdr.text(), Outstanding: int(rdr.whole())})
-		if rdr.err != nil {
-			break
-		}
-	}
 	msg.Working = rdr.boolean()
 	return msg
 }
