Date votes by the answer they follow

Cause: a vote repeated the stamp of the answer before last, so votes were one to two seconds old when counted, and a script in which one VM is cut off one way made an uninvolved VM of its failure domain refuse.

A VM now votes right after it has an answer.

--- a/core/fence/message.go
+++ b/core/fence/message.go
@@ -10,15 +10,21 @@
 type Message interface{ fenceMessage() }
 
 // Question asks a watcher whether the sender's head is the newest. It also
-// serves as the sender's heartbeat and as its vote for other VMs' proofs.
+// serves as the sender's heartbeat.
 type Question struct {
 	// Sequence numbers the questions of the sender.
 	Sequence uint64
 	Epoch    uint64
 	// Version is the version of the head that the sender holds.
 	Version uint64
-	// Stamp repeats the stamp of the last answer that the sender had from the
-	// watcher; the zero instant before the first.
+}
+
+// Vote says what the sender holds after it has had the answer with a stamp. It
+// counts towards the proofs of others.
+type Vote struct {
+	Epoch   uint64
+	Version uint64
+	// Stamp repeats the stamp of the answer.
 	Stamp clock.Instant
 }
 
@@ -29,7 +35,7 @@
 	// Proved is set when Age is the age of a proof for Version.
 	Proved bool
 	Age    time.Duration
-	// Stamp is the watcher's own clock, which the next question repeats.
+	// Stamp is the watcher's own clock, which the sender's vote repeats.
 	Stamp clock.Instant
 	// Accepted is the newest version known to be accepted.
 	Accepted uint64
@@ -46,8 +52,6 @@
 	Epoch    uint64
 	// Version is the version held by the sender, for which holders are counted.
 	Version uint64
-	// Stamp repeats the stamp of the last answer, as in Question.
-	Stamp clock.Instant
 }
 
 // TallyAnswer lists the votes of the members of one failure domain.
@@ -70,13 +74,13 @@
 	Silent []string
 	// Accepted is the newest version known to be accepted.
 	Accepted uint64
-	Stamp    clock.Instant
 }
 
 // HeadQuestion asks a VM for the head that it holds.
 type HeadQuestion struct{}
 
 func (Question) fenceMessage()      {}
+func (Vote) fenceMessage()          {}
 func (Answer) fenceMessage()        {}
 func (News) fenceMessage()          {}
 func (TallyQuestion) fenceMessage() {}
--- a/core/fence/prover.go
+++ b/core/fence/prover.go
@@ -43,7 +43,6 @@
 	sequence uint64
 	// questions holds when each open question was sent, by receiver.
 	questions map[string]openQuestion
-	stamps    map[string]clock.Instant
 	votes     map[string]vote
 	tallies   map[string]tally
 	holders   map[string]holders
@@ -99,8 +98,8 @@
 func NewProver(self member.VM, lease time.Duration, trustReads bool) *Prover {
 	return &Prover{
 		self: self, lease: NewLease(lease), trustReads: trustReads,
-		questions: make(map[string]openQuestion), stamps: make(map[string]clock.Instant),
-		votes: make(map[string]vote), tallies: make(map[string]tally), holders: make(map[string]holders), gone: make(map[string]bool),
+		questions: make(map[string]openQuestion),
+		votes:     make(map[string]vote), tallies: make(map[string]tally), holders: make(map[string]holders), gone: make(map[string]bool),
 		read: readState{interval: readInterval},
 	}
 }
@@ -272,7 +271,7 @@
 	for _, wat := range receivers {
 		if wat.ID != prv.self.ID {
 			prv.send(wat.ID, Question{
-				Sequence: prv.question(now, wat.ID), Epoch: prv.head.Epoch, Version: prv.lease.Held(), Stamp: prv.stamps[wat.ID],
+				Sequence: prv.question(now, wat.ID), Epoch: prv.head.Epoch, Version: prv.lease.Held(),
 			})
 		}
 	}
@@ -299,6 +298,10 @@
 	switch msg := msg.(type) {
 	case Question:
 		prv.asking(now, from, msg)
+	case Vote:
+		if msg.Epoch == prv.head.Epoch {
+			prv.vote(now, from, msg.Version, msg.Stamp)
+		}
 	case Answer:
 		prv.answer(from, msg)
 	case News:
@@ -314,10 +317,11 @@
 	}
 }
 
-// asking records the vote in a question and answers it.
+// asking answers a question. By itself the question is a vote without a date,
+// since it may have been under way for long.
 func (prv *Prover) asking(now clock.Instant, from string, que Question) {
 	if que.Epoch == prv.head.Epoch {
-		prv.vote(now, from, que.Version, que.Stamp)
+		prv.vote(now, from, que.Version, clock.Instant{})
 	}
 	age, proved := prv.lease.Age(now)
 	prv.send(from, Answer{
@@ -353,7 +357,7 @@
 	if !found {
 		return
 	}
-	prv.stamps[from] = ans.Stamp
+	prv.send(from, Vote{Epoch: prv.head.Epoch, Version: prv.lease.Held(), Stamp: ans.Stamp})
 	prv.accepted = max(prv.accepted, min(ans.Accepted, prv.lease.Held()))
 	if ans.Proved {
 		prv.lease = prv.lease.WithProof(Proof{Version: ans.Version, Moment: sent.Add(-ans.Age)})
--- a/core/fence/tally.go
+++ b/core/fence/tally.go
@@ -17,7 +17,7 @@
 		}
 		wat := wts[int(prv.sequence)%len(wts)]
 		prv.send(wat.ID, TallyQuestion{
-			Sequence: prv.question(now, wat.ID), Epoch: prv.head.Epoch, Version: prv.lease.Held(), Stamp: prv.stamps[wat.ID],
+			Sequence: prv.question(now, wat.ID), Epoch: prv.head.Epoch, Version: prv.lease.Held(),
 		})
 	}
 }
@@ -34,7 +34,7 @@
 	}
 	ans := TallyAnswer{
 		Sequence: que.Sequence, Epoch: que.Epoch, Domain: prv.self.FailureDomain, Asked: que.Version,
-		Stamp: now, Accepted: prv.accepted, Version: prv.lease.Held(),
+		Accepted: prv.accepted, Version: prv.lease.Held(),
 	}
 	var moments []clock.Instant
 	moments, ans.Version = prv.domainMoments(now)
@@ -114,7 +114,6 @@
 	if !found {
 		return
 	}
-	prv.stamps[from] = ans.Stamp
 	if ans.Epoch != prv.head.Epoch {
 		return
 	}
--- a/lugbench/pkg/command/command.go
+++ b/lugbench/pkg/command/command.go
@@ -41,10 +41,10 @@
 }
 
 // report is a command that prints one report.
-func report(out io.Writer, name, usage string, print func(out io.Writer, seeds int) error) *cli.Command {
+func report(out io.Writer, name, usage string, show func(out io.Writer, seeds int) error) *cli.Command {
 	return &cli.Command{
 		Name: name, Usage: usage,
 		Flags:  []cli.Flag{&cli.IntFlag{Name: "seeds", Usage: "number of seeds for each figure", Value: 20}},
-		Action: func(_ context.Context, cmd *cli.Command) error { return print(out, cmd.Int("seeds")) },
+		Action: func(_ context.Context, cmd *cli.Command) error { return show(out, cmd.Int("seeds")) },
 	}
 }
--- a/lugbench/pkg/quickstart/quickstart_test.go
+++ b/lugbench/pkg/quickstart/quickstart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -61,7 +62,7 @@
 			t.Errorf("vm-%d: unknown key got %+v", num+1, ans)
 		}
 	}
-	withdrawn := applyNote(t, fle, []byte("release: withdraw\nbase: 4\nwithdrawn: {keys: [studio-1]}\n"))
+	withdrawn := applyNote(t, fle, fmt.Appendf(nil, "release: withdraw\nbase: %d\nwithdrawn: {keys: [studio-1]}\n", first.Version))
 	if withdrawn.Version <= first.Version {
 		t.Errorf("version went from %d to %d", first.Version, withdrawn.Version)
 	}
--- a/lugd/pkg/peer/codec.go
+++ b/lugd/pkg/peer/codec.go
@@ -22,6 +22,7 @@
 	kindTallyQuestion = 13
 	kindTallyAnswer   = 14
 	kindHeadQuestion  = 15
+	kindVote          = 16
 
 	kindAsk      = 20
 	kindTransfer = 21
@@ -109,6 +110,10 @@
 		wrt.number(msg.Sequence)
 		wrt.number(msg.Epoch)
 		wrt.number(msg.Version)
+	case fence.Vote:
+		wrt.number(kindVote)
+		wrt.number(msg.Epoch)
+		wrt.number(msg.Version)
 		wrt.instant(msg.Stamp)
 	case fence.Answer:
 		wrt.number(kindAnswer)
@@ -126,7 +131,6 @@
 		wrt.number(msg.Sequence)
 		wrt.number(msg.Epoch)
 		wrt.number(msg.Version)
-		wrt.instant(msg.Stamp)
 	case fence.TallyAnswer:
 		wrt.tallyAnswer(msg)
 	case fence.HeadQuestion:
@@ -167,7 +171,6 @@
 	wrt.texts(msg.Lagging)
 	wrt.texts(msg.Silent)
 	wrt.number(msg.Accepted)
-	wrt.instant(msg.Stamp)
 }
 
 func (wrt *writer) rate(msg any) bool {
@@ -303,7 +306,9 @@
 func (rdr *reader) fence(kind uint64) any {
 	switch kind {
 	case kindQuestion:
-		return fence.Question{Sequence: rdr.number(), Epoch: rdr.number(), Version: rdr.number(), Stamp: rdr.instant()}
+		return fence.Question{Sequence: rdr.number(), Epoch: rdr.number(), Version: rdr.number()}
+	case kindVote:
+		return fence.Vote{Epoch: rdr.number(), Version: rdr.number(), Stamp: rdr.instant()}
 	case kindAnswer:
 		return fence.Answer{
 			Sequence: rdr.number(), Version: rdr.number(), Proved: rdr.boolean(), Age: rdr.duration(),
@@ -312,7 +317,7 @@
 	case kindNews:
 		return fence.News{Head: rdr.head()}
 	case kindTallyQuestion:
-		return fence.TallyQuestion{Sequence: rdr.number(), Epoch: rdr.number(), Version: rdr.number(), Stamp: rdr.instant()}
+		return fence.TallyQuestion{Sequence: rdr.number(), Epoch: rdr.number(), Version: rdr.number()}
 	case kindTallyAnswer:
 		return rdr.tallyAnswer()
 	case kindHeadQuestion:
@@ -341,7 +346,6 @@
 	msg.Lagging = rdr.texts()
 	msg.Silent = rdr.texts()
 	msg.Accepted = rdr.number()
-	msg.Stamp = rdr.instant()
 	return msg
 }
 
