Prove the data path against resets, cuts and stray keys

Cause: at most once, whole answers and removed keys were claims without tests.

Scripted exchanges (lugd/pkg/target/testdata) reset the connection before, during and after the head and the body, fresh and reused, with and without Idempotency-Key; end-to-end tests send keys in every place, malformed requests, streams, cut answers and a stop under way.

Before: no tests.

An answer without length or chunks is refused as may-have-run, because its end cannot be told from a cut.

--- a/lugbench/pkg/quickstart/quickstart.go
+++ b/lugbench/pkg/quickstart/quickstart.go
@@ -43,6 +43,7 @@
 	wait            sync.WaitGroup
 	cancel          context.CancelFunc
 	errs            chan error
+	stop            sync.Once
 }
 
 // Start starts the fleet and waits until every VM has joined.
@@ -103,8 +104,14 @@
 	return nil
 }
 
-// Stop stops every VM gracefully, then the stand-ins.
+// Stop stops every VM gracefully, then the stand-ins. It does so once.
 func (fle *Fleet) Stop() error {
+	var err error
+	fle.stop.Do(func() { err = fle.stopAll() })
+	return err
+}
+
+func (fle *Fleet) stopAll() error {
 	fle.cancel()
 	var first error
 	for range fle.VMs {
--- a/lugbench/pkg/targetfake/target.go
+++ b/lugbench/pkg/targetfake/target.go
@@ -42,6 +42,7 @@
 	count   int
 	runs    map[string]int
 	headers []http.Header
+	uris    []string
 }
 
 // New returns a target that runs slots requests at a time and sheds more.
@@ -77,10 +78,18 @@
 	return append([]http.Header(nil), tgt.headers...)
 }
 
+// URIs returns the URI of every request received.
+func (tgt *Target) URIs() []string {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	return append([]string(nil), tgt.uris...)
+}
+
 func (tgt *Target) begin(req *http.Request) (fls Faults, number int, shed bool) {
 	tgt.mut.Lock()
 	defer tgt.mut.Unlock()
 	tgt.headers = append(tgt.headers, req.Header.Clone())
+	tgt.uris = append(tgt.uris, req.RequestURI)
 	if tgt.running >= tgt.slots {
 		return tgt.faults, 0, true
 	}
@@ -109,6 +118,7 @@
 	if err != nil {
 		return
 	}
+	tgt.addTrailer(req.Trailer)
 	if fls.Hang {
 		<-req.Context().Done()
 		return
@@ -126,6 +136,13 @@
 	tgt.answer(wrt, req, body, fls.CutBody)
 }
 
+// addTrailer keeps the trailers of a request among the headers received.
+func (tgt *Target) addTrailer(trl http.Header) {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	tgt.headers = append(tgt.headers, trl.Clone())
+}
+
 func pause(req *http.Request, dur time.Duration) bool {
 	if dur <= 0 {
 		return true
--- /dev/null
+++ b/lugd/pkg/target/pool_test.go
@@ -0,0 +1,212 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// scriptedTarget answers each request as a script says and counts the heads of
+// requests that it has read.
+type scriptedTarget struct {
+	lis net.Listener
+
+	mut     sync.Mutex
+	heads   map[string]int
+	conns   int
+	actions []string
+}
+
+func newScriptedTarget(t *testing.T) *scriptedTarget {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tgt := &scriptedTarget{lis: lis, heads: make(map[string]int)}
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			con, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			tgt.mut.Lock()
+			tgt.conns++
+			tgt.mut.Unlock()
+			go tgt.serve(con)
+		}
+	}()
+	return tgt
+}
+
+// next returns the action for the request that comes next.
+func (tgt *scriptedTarget) next() string {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	if len(tgt.actions) == 0 {
+		return "answer"
+	}
+	act := tgt.actions[0]
+	tgt.actions = tgt.actions[1:]
+	return act
+}
+
+func (tgt *scriptedTarget) serve(con net.Conn) {
+	defer func() { _ = con.Close() }()
+	src := bufio.NewReader(con)
+	for {
+		if _, err := src.Peek(1); err != nil {
+			return
+		}
+		act := tgt.next()
+		if act == "reset-before-head" {
+			reset(con)
+			return
+		}
+		req, err := http.ReadRequest(src)
+		if err != nil {
+			return
+		}
+		tgt.mut.Lock()
+		tgt.heads[req.Header.Get("Name")]++
+		tgt.mut.Unlock()
+		if act == "reset-after-head" {
+			reset(con)
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if !tgt.answer(con, act) {
+			return
+		}
+	}
+}
+
+// answer writes an answer and reports whether the connection goes on.
+func (tgt *scriptedTarget) answer(con net.Conn, act string) bool {
+	switch act {
+	case "answer":
+		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+		return true
+	case "answer-then-close":
+		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+	case "cut-length":
+		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\ndone")
+	case "cut-chunks":
+		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n")
+	case "unframed":
+		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\n\r\ndone")
+	case "two-answers":
+		_, _ = io.WriteString(con, strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", 2))
+		return true
+	case "reset-after-body":
+		reset(con)
+	case "hang":
+		time.Sleep(time.Second)
+	case "garbage":
+		_, _ = io.WriteString(con, "garbage\r\n\r\n")
+	}
+	return false
+}
+
+func reset(con net.Conn) {
+	if tcp, ok := con.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = con.Close()
+}
+
+// onlyReader hides what net/http knows of bodies, as a relayed body does.
+type onlyReader struct{ io.Reader }
+
+// TestExchanges runs the scripts in testdata. "target ACTION..." sets how the
+// target treats the next requests; "send NAME [method=M] [body=TEXT] [key]
+// [idempotent]" sends one and prints the outcome, the verdict and how often the
+// target has seen its head.
+func TestExchanges(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		tgt := newScriptedTarget(t)
+		pol := New(Settings{DialTimeout: time.Second, IdlePerTarget: 4, BodyPause: time.Second})
+		datadriven.RunTest(t, path, func(t *testing.T, dat *datadriven.TestData) string {
+			switch dat.Cmd {
+			case "target":
+				for _, arg := range dat.CmdArgs {
+					tgt.actions = append(tgt.actions, arg.Key)
+				}
+				return ""
+			case "send":
+				return tgt.send(t, pol, dat)
+			case "connections":
+				// Lets the target's close arrive first.
+				time.Sleep(20 * time.Millisecond)
+				tgt.mut.Lock()
+				defer tgt.mut.Unlock()
+				return fmt.Sprintln(tgt.conns)
+			}
+			t.Fatalf("command %q does not exist", dat.Cmd)
+			return ""
+		})
+	})
+}
+
+func (tgt *scriptedTarget) send(t *testing.T, pol *Pool, dat *datadriven.TestData) string {
+	t.Helper()
+	name := dat.CmdArgs[0].Key
+	req := &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: "target", Path: "/"}, Host: "target",
+		Header: http.Header{"Name": {name}},
+	}
+	if dat.HasArg("method") {
+		dat.ScanArgs(t, "method", &req.Method)
+	}
+	if dat.HasArg("key") {
+		req.Header.Set("Idempotency-Key", name)
+	}
+	if dat.HasArg("body") {
+		var body string
+		dat.ScanArgs(t, "body", &body)
+		req.Body = io.NopCloser(onlyReader{strings.NewReader(body)})
+		req.ContentLength = int64(len(body))
+	}
+	ans, fail := pol.Send(context.Background(), tgt.lis.Addr().String(), req, dat.HasArg("idempotent"), 300*time.Millisecond)
+	out := ""
+	if fail != nil {
+		out = "failed: " + fail.Verdict.String()
+	} else {
+		_, err := io.Copy(io.Discard, ans.Body)
+		_ = ans.Body.Close()
+		out = fmt.Sprintf("status %d", ans.StatusCode)
+		if err != nil {
+			out += ", cut short"
+		}
+	}
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	return fmt.Sprintf("%s, seen %d\n", out, tgt.heads[name])
+}
+
+// An address at which nothing listens gives a certain verdict.
+func TestNoConnectionIsNotRun(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := lis.Addr().String()
+	_ = lis.Close()
+	pol := New(Settings{DialTimeout: time.Second, IdlePerTarget: 4, BodyPause: time.Second})
+	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: "target", Path: "/"}, Header: http.Header{}}
+	_, fail := pol.Send(context.Background(), address, req, false, time.Second)
+	if fail == nil || fail.Verdict.String() != "not-run" {
+		t.Errorf("got %v", fail)
+	}
+}
