--- a/core/health/judge.go
+++ b/core/health/judge.go
@@ -14,8 +14,10 @@
 	// evidenceTime is the time constant of the counts from which the rates of
 	// a target's peers are taken.
 	evidenceTime = 5 * time.Second
-	minBadRate   = 0.002
-	minSlowRate  = 0.02
+	// momentTime is the same for what befalls all targets at the moment.
+	momentTime  = 700 * time.Millisecond
+	minBadRate  = 0.002
+	minSlowRate = 0.02
 	// badStep and slowStep are how far the rate of a failing target is taken
 	// to lie above that of its peers, besides a factor.
 	badStep     = 0.06
@@ -23,6 +25,10 @@
 	riseFactor  = 3.0
 	maxRiseRate = 0.95
 	priorCounts = 50.0
+	// standOutFactor and standOutCount are how far a target's trouble must
+	// exceed that of the median of its peers.
+	standOutFactor = 2.0
+	standOutCount  = 2.0
 	// secondShare is the part of the threshold that a second failure domain
 	// must confirm, so that a cut link is not taken for a failed target.
 	secondShare = 0.2
@@ -70,9 +76,9 @@
 
 // suspect is the evidence on one target.
 type suspect struct {
-	// ok, bad and slow are decayed counts.
-	ok, bad, slow float64
-	decayed       clock.Instant
+	// lately and moment are decayed counts.
+	lately, moment counts
+	decayed        clock.Instant
 	// domains has the evidence by failure domain of the reporting VMs.
 	domains map[string]*evidence
 	// blame is the decayed evidence by reporting VM.
@@ -85,6 +91,31 @@
 	back clock.Instant
 }
 
+// counts are decayed numbers of attempts.
+type counts struct {
+	ok, bad, slow float64
+}
+
+func (cts *counts) scale(factor float64) {
+	cts.ok *= factor
+	cts.bad *= factor
+	cts.slow *= factor
+}
+
+func (cts *counts) add(other counts) {
+	cts.ok += other.ok
+	cts.bad += other.bad
+	cts.slow += other.slow
+}
+
+// rates returns the shares of bad and slow attempts, drawn towards the least
+// rates where there are few.
+func (cts *counts) rates() (bad, slow float64) {
+	bad = (cts.bad + minBadRate*priorCounts) / (cts.ok + cts.bad + priorCounts)
+	slow = (cts.slow + minSlowRate*priorCounts) / (cts.ok + priorCounts)
+	return bad, slow
+}
+
 // evidence holds two CUSUM statistics: sums of logarithms of likelihood ratios
 // that never fall below 0.
 type evidence struct {
@@ -119,9 +150,8 @@
 		return
 	}
 	factor := math.Exp(-float64(elapsed) / float64(evidenceTime))
-	sus.ok *= factor
-	sus.bad *= factor
-	sus.slow *= factor
+	sus.lately.scale(factor)
+	sus.moment.scale(math.Exp(-float64(elapsed) / float64(momentTime)))
 	for id := range sus.blame {
 		sus.blame[id] *= factor
 	}
@@ -177,9 +207,9 @@
 	if gain := evi.bad + evi.slow - before; gain > 0 {
 		sus.blame[from] += gain
 	}
-	sus.ok += float64(cnt.OK)
-	sus.bad += float64(cnt.Bad)
-	sus.slow += float64(cnt.Slow)
+	seen := counts{ok: float64(cnt.OK), bad: float64(cnt.Bad), slow: float64(cnt.Slow)}
+	sus.lately.add(seen)
+	sus.moment.add(seen)
 }
 
 // cusum adds hits and misses to a statistic that tests a rate of hits of high
@@ -192,18 +222,18 @@
 // peerRates returns the rates of bad and slow attempts of the other targets, so
 // that what befalls all of them is not held against one.
 func (jud *judge) peerRates(now clock.Instant, self *suspect) (bad, slow float64) {
-	var oks, bads, slows float64
+	var lately, moment counts
 	for _, sus := range jud.targets {
 		if sus == self || sus.ejected {
 			continue
 		}
 		sus.decay(now)
-		oks += sus.ok
-		bads += sus.bad
-		slows += sus.slow
+		lately.add(sus.lately)
+		moment.add(sus.moment)
 	}
-	bad = (bads + minBadRate*priorCounts) / (oks + bads + priorCounts)
-	slow = (slows + minSlowRate*priorCounts) / (oks + priorCounts)
+	bad, slow = lately.rates()
+	badNow, slowNow := moment.rates()
+	bad, slow = max(bad, badNow), max(slow, slowNow)
 	return min(max(bad, minBadRate), maxRiseRate/2), min(max(slow, minSlowRate), maxRiseRate/2)
 }
 
@@ -267,6 +297,9 @@
 	if sum < need {
 		return 0
 	}
+	if !jud.standsOut(now, sus) {
+		return 0
+	}
 	domains, vms := jud.reporting(now)
 	if domains > 1 && second < secondShare*need || vms > 1 && sus.topBlame() > topShare {
 		return 0
@@ -274,6 +307,25 @@
 	return sum
 }
 
+// standsOut reports whether a target has much more trouble than the median of
+// its peers, at the moment or lately. Where all targets begin to fail at once
+// the evidence on each grows before the rates of its peers do.
+func (jud *judge) standsOut(now clock.Instant, self *suspect) bool {
+	var lately, moment []float64
+	for _, sus := range jud.targets {
+		if sus != self && !sus.ejected {
+			sus.decay(now)
+			lately = append(lately, sus.lately.trouble())
+			moment = append(moment, sus.moment.trouble())
+		}
+	}
+	self.decay(now)
+	return self.lately.trouble() > standOutFactor*median(lately)+standOutCount ||
+		self.moment.trouble() > standOutFactor*median(moment)+standOutCount
+}
+
+func (cts *counts) trouble() float64 { return cts.bad + cts.slow }
+
 // sums returns the evidence of all failure domains, and that of the second.
 func (sus *suspect) sums() (sum, second float64) {
 	var first float64
--- a/core/node/flight.go
+++ b/core/node/flight.go
@@ -276,10 +276,10 @@
 	}
 	mac.balancer.Ended(now, fli.ticket, outcome)
 	if gat := mac.gates[fli.route.Service]; gat != nil {
-		gat.limit.End()
 		if outcome == health.Success {
 			gat.limit.Succeeded()
 		}
+		gat.limit.End()
 	}
 }
 
--- a/core/queue/limit.go
+++ b/core/queue/limit.go
@@ -37,7 +37,8 @@
 // End counts a request that ends.
 func (lim *Limit) End() { lim.running = max(lim.running-1, 0) }
 
-// Succeeded raises the limit while it is in use.
+// Succeeded raises the limit while it is in use. It is called before End, so
+// that a limit of one counts the request that used it.
 func (lim *Limit) Succeeded() {
 	if float64(lim.running) >= lim.limit/2 {
 		lim.limit = min(lim.limit+1/lim.limit, maxLimit)
--- a/core/request/budget.go
+++ b/core/request/budget.go
@@ -1,11 +1,11 @@
 package request
 
-// The budget lets retries add a tenth to the load, and a few to a VM with
-// little traffic.
+// The budget lets retries add a tenth to the load. What it gathers in quiet
+// times stays small, since all VMs spend it at once when targets fail.
 const (
 	budgetShare   = 0.1
-	budgetReserve = 3.0
-	budgetMax     = 50.0
+	budgetReserve = 1.0
+	budgetMax     = 3.0
 )
 
 // Budget bounds the retries of one VM for one service by the number of its
--- a/lugbench/pkg/command/command.go
+++ b/lugbench/pkg/command/command.go
@@ -33,6 +33,10 @@
 				Commands: []*cli.Command{
 					report(out, "detection", "time to detect each kind of fault of a target", measure.DetectionReport),
 					report(out, "rate", "wrongful refusals and overshoot of rate limits", measure.RateReport),
+					report(out, "noise", "false ejections of healthy targets", measure.NoiseReport),
+					report(out, "threshold", "detection against false ejections", measure.CurveReport),
+					report(out, "fair", "one organisation at ten times its rate", measure.FairReport),
+					report(out, "brownout", "recovery after a brown-out and retries when all fails", measure.BrownOutReport),
 					report(out, "load", "how callers fare at several loads", measure.LoadReport),
 				},
 			},
--- a/lugbench/pkg/quickstart/path_test.go
+++ b/lugbench/pkg/quickstart/path_test.go
@@ -174,7 +174,7 @@
 	applyNote(t, fle, fmt.Appendf(nil, "release: drain\nbase: %d\nwithdrawn: {targets: [recipe-vault/worker-2]}\n", version))
 	before := fle.Targets[1].Count()
 	for num := range 30 {
-		if ans := request(t, fle, num%len(fle.VMs), http.MethodGet, "/recipes/a", Key); ans.Status != http.StatusOK {
+		if ans := read(t, fle, num%len(fle.VMs), "/recipes/a", Key); ans.Status != http.StatusOK {
 			t.Errorf("got %+v", ans)
 		}
 	}
--- a/lugbench/pkg/quickstart/quickstart_test.go
+++ b/lugbench/pkg/quickstart/quickstart_test.go
@@ -38,9 +38,9 @@
 	return rel
 }
 
-func request(t *testing.T, fle *Fleet, vmIndex int, method, path, key string) Answer {
+func read(t *testing.T, fle *Fleet, vmIndex int, path, key string) Answer {
 	t.Helper()
-	ans, err := fle.Request(context.Background(), vmIndex, method, path, key, t.Name())
+	ans, err := fle.Request(context.Background(), vmIndex, http.MethodGet, path, key, t.Name())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -55,10 +55,10 @@
 		t.Errorf("the same note made another release: %+v after %+v", again, first)
 	}
 	for num := range fle.VMs {
-		if ans := request(t, fle, num, http.MethodGet, "/recipes/celadon", Key); ans.Status != http.StatusOK || !strings.Contains(ans.Body, "/recipes/celadon") {
+		if ans := read(t, fle, num, "/recipes/celadon", Key); ans.Status != http.StatusOK || !strings.Contains(ans.Body, "/recipes/celadon") {
 			t.Errorf("vm-%d: got %+v", num+1, ans)
 		}
-		if ans := request(t, fle, num, http.MethodGet, "/recipes/celadon", "unknown"); ans.Status != http.StatusUnauthorized || ans.Verdict != "not-run" {
+		if ans := read(t, fle, num, "/recipes/celadon", "unknown"); ans.Status != http.StatusUnauthorized || ans.Verdict != "not-run" {
 			t.Errorf("vm-%d: unknown key got %+v", num+1, ans)
 		}
 	}
@@ -67,7 +67,7 @@
 		t.Errorf("version went from %d to %d", first.Version, withdrawn.Version)
 	}
 	for num := range fle.VMs {
-		if ans := request(t, fle, num, http.MethodGet, "/recipes/celadon", Key); ans.Status != http.StatusUnauthorized {
+		if ans := read(t, fle, num, "/recipes/celadon", Key); ans.Status != http.StatusUnauthorized {
 			t.Errorf("vm-%d: withdrawn key got %+v", num+1, ans)
 		}
 	}
--- a/lugbench/pkg/runner/deployment.go
+++ b/lugbench/pkg/runner/deployment.go
@@ -88,8 +88,8 @@
 	return ServicePlan{}
 }
 
-// capacity returns the requests a second that fill every slot of a service.
-func (dep Deployment) capacity(svc ServicePlan) float64 {
+// Capacity returns the requests a second that fill every slot of a service.
+func (dep Deployment) Capacity(svc ServicePlan) float64 {
 	return float64(svc.Workers*dep.Slots) / svc.Mean.Seconds()
 }
 
@@ -97,7 +97,7 @@
 func (dep Deployment) demand(load float64) float64 {
 	sum := 0.0
 	for _, svc := range dep.Services {
-		sum += dep.capacity(svc) * load
+		sum += dep.Capacity(svc) * load
 	}
 	return sum
 }
--- a/lugbench/pkg/runner/fleet.go
+++ b/lugbench/pkg/runner/fleet.go
@@ -50,6 +50,9 @@
 	// onArrival and onAdmitted see each request as it arrives and as it is first
 	// sent to a target.
 	onArrival, onAdmitted func(out *Outcome)
+	// onTick sees each VM at each tick, and onAttempt the target of each attempt.
+	onTick    func(vmm *simVM)
+	onAttempt func(target string)
 	// ejections counts the ejections that began, by target.
 	ejections map[string]int
 	least     map[string]int
@@ -114,6 +117,7 @@
 		World: NewWorld(opt.Seed), dep: dep, opt: opt,
 		targets: make(map[string]*simTarget), cut: make(map[[2]string]bool), flights: make(map[uint64]*Outcome),
 		onDone: func(*Outcome) {}, onArrival: func(*Outcome) {}, onAdmitted: func(*Outcome) {},
+		onTick: func(*simVM) {}, onAttempt: func(string) {},
 		ejections: make(map[string]int), least: make(map[string]int),
 	}
 	fle.platform = simPlatform{contents: make(map[uint64]contents), delay: 2 * time.Millisecond}
@@ -168,6 +172,7 @@
 		}
 		fle.step(vmm, node.Ticked{})
 		fle.observeEjections(vmm)
+		fle.onTick(vmm)
 		fle.After(node.TickInterval, tick)
 	}
 	fle.After(time.Duration(fle.rnd.Int64N(int64(node.TickInterval))), tick)
--- a/lugbench/pkg/runner/load.go
+++ b/lugbench/pkg/runner/load.go
@@ -10,7 +10,7 @@
 func (fle *Fleet) Load(load float64, until time.Duration) {
 	for _, svc := range fle.dep.Services {
 		for _, org := range fle.dep.Organisations {
-			fle.Stream(org.Name, svc.Name, fle.dep.capacity(svc)*load*org.Share, until)
+			fle.Stream(org.Name, svc.Name, fle.dep.Capacity(svc)*load*org.Share, until)
 		}
 	}
 }
--- a/lugbench/pkg/runner/request.go
+++ b/lugbench/pkg/runner/request.go
@@ -71,6 +71,7 @@
 func (fle *Fleet) dispatch(vmm *simVM, dis node.Dispatch) {
 	tgt := fle.targets[dis.Target.ID]
 	fle.Stats.Attempts++
+	fle.onAttempt(dis.Target.ID)
 	tgt.dispatched[int(fle.now/windowTime)]++
 	if out := fle.flights[uint64(dis.Request)]; out != nil {
 		out.Attempts++
@@ -121,6 +122,10 @@
 	tgt.running++
 	fle.After(fle.serviceTime(tgt), func() {
 		tgt.running--
+		if faulty && tgt.fault.Reset {
+			fle.After(way, func() { fle.fail(att, health.Failure, verdict.MayHaveRun) })
+			return
+		}
 		fle.After(way, func() { fle.answer(att, status, false) })
 	})
 }
--- a/lugbench/pkg/runner/target.go
+++ b/lugbench/pkg/runner/target.go
@@ -13,6 +13,8 @@
 	Refuse bool
 	// Hang accepts requests and never answers.
 	Hang bool
+	// Reset runs requests and breaks the connection before it answers.
+	Reset bool
 	// FailShare is the share of requests that fail.
 	FailShare float64
 	// Slowdown multiplies the service time; 0 means 1.
--- a/lugd/pkg/target/pool_test.go
+++ b/lugd/pkg/target/pool_test.go
@@ -179,7 +179,7 @@
 		req.ContentLength = int64(len(body))
 	}
 	ans, fail := pol.Send(context.Background(), tgt.lis.Addr().String(), req, dat.HasArg("idempotent"), 300*time.Millisecond)
-	out := ""
+	var out string
 	if fail != nil {
 		out = "failed: " + fail.Verdict.String()
 	} else {
