Read the platform from watchers only, and measure capacity

Cause: VMs whose proof was 2 s old read the platform themselves, and at 192 VMs many were; calls grew with the fleet. The fallback now starts at 0.7 leases.

--- a/core/fence/prover.go
+++ b/core/fence/prover.go
@@ -15,8 +15,10 @@
 	tallyInterval    = 500 * time.Millisecond
 	readInterval     = 500 * time.Millisecond
 	maxReadInterval  = 4 * time.Second
-	fallbackAge      = 2 * time.Second
 	silentAfter      = 3 * time.Second
+	// fallbackShare is the part of a lease after which a VM that its watchers
+	// leave without proof reads the platform itself.
+	fallbackShare = 0.7
 	// distrustTime is how long reads of the platform prove nothing after one
 	// that was older than the head held.
 	distrustTime = time.Minute
@@ -228,7 +230,7 @@
 		return false
 	}
 	age, proved := prv.lease.Age(now)
-	return prv.lease.Held() == 0 || prv.Watcher() || !proved || age > fallbackAge || prv.lease.Wanted() > prv.lease.Held()
+	return prv.lease.Held() == 0 || prv.Watcher() || !proved || float64(age) > fallbackShare*float64(prv.lease.Duration()) || prv.lease.Wanted() > prv.lease.Held()
 }
 
 // PlatformRead takes the head that the platform answered to a question sent
--- a/lugbench/pkg/command/command.go
+++ b/lugbench/pkg/command/command.go
@@ -7,6 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"marigoldlug.example/lugbench/pkg/load"
 	"marigoldlug.example/lugbench/pkg/measure"
 	"marigoldlug.example/lugbench/pkg/quickstart"
 )
@@ -26,6 +27,14 @@
 					return quickstart.Demo(ctx, out, log)
 				},
 			},
+			{
+				Name:    "load",
+				Aliases: []string{"l"},
+				Usage:   "send a bounded load through a small fleet on loopback and compare it with a bare relay",
+				Action: func(ctx context.Context, _ *cli.Command) error {
+					return load.Report(ctx, out, log)
+				},
+			},
 			{
 				Name:    "measure",
 				Aliases: []string{"m"},
@@ -37,6 +46,7 @@
 					report(out, "threshold", "detection against false ejections", measure.CurveReport),
 					report(out, "fair", "one organisation at ten times its rate", measure.FairReport),
 					report(out, "brownout", "recovery after a brown-out and retries when all fails", measure.BrownOutReport),
+					report(out, "capacity", "what control and configuration cost as they grow", measure.CapacityReport),
 					report(out, "load", "how callers fare at several loads", measure.LoadReport),
 				},
 			},
--- a/lugbench/pkg/quickstart/quickstart.go
+++ b/lugbench/pkg/quickstart/quickstart.go
@@ -154,20 +154,28 @@
 	return nil
 }
 
+// TargetAddress returns the address of a target.
+func (fle *Fleet) TargetAddress(num int) string { return fle.targetAddresses[num] }
+
 // Note returns the release note that configures the fleet.
-func (fle *Fleet) Note() []byte {
+func (fle *Fleet) Note() []byte { return fle.noteWithRate(300) }
+
+// LoadNote returns a release note whose rate a load does not reach.
+func (fle *Fleet) LoadNote() []byte { return fle.noteWithRate(100000) }
+
+func (fle *Fleet) noteWithRate(perSecond int) []byte {
 	var buf bytes.Buffer
 	fmt.Fprintf(&buf, `release: quickstart
 base: 0
 added:
   organisations:
-    - {name: studio, rate: 300, burst: 300}
+    - {name: studio, rate: %d, burst: %d}
   keys:
     - {id: studio-1, organisation: studio, digest: %q}
   services:
     - {name: recipe-vault, healthyFloor: 0.6}
   targets:
-`, note.ShowDigest(config.DigestOf(Key)))
+`, perSecond, perSecond, note.ShowDigest(config.DigestOf(Key)))
 	for num, address := range fle.targetAddresses {
 		fmt.Fprintf(&buf, "    - {service: recipe-vault, name: worker-%d, address: %q, failureDomain: domain-%d, slots: %d, connections: 300}\n",
 			num+1, address, num+1, targetSlots)
--- a/lugbench/pkg/runner/deployment.go
+++ b/lugbench/pkg/runner/deployment.go
@@ -93,8 +93,8 @@
 	return float64(svc.Workers*dep.Slots) / svc.Mean.Seconds()
 }
 
-// demand returns the requests a second of all services at a load.
-func (dep Deployment) demand(load float64) float64 {
+// Demand returns the requests a second of all services at a load.
+func (dep Deployment) Demand(load float64) float64 {
 	sum := 0.0
 	for _, svc := range dep.Services {
 		sum += dep.Capacity(svc) * load
@@ -115,7 +115,7 @@
 // Limit returns the limit of an organisation that uses nine tenths of its rate
 // at a load of 70%.
 func (dep Deployment) Limit(org OrganisationPlan) rate.Limit {
-	perSecond := dep.demand(0.7) * org.Share / 0.9
+	perSecond := dep.Demand(0.7) * org.Share / 0.9
 	if dep.RateFactor > 0 {
 		perSecond *= dep.RateFactor
 	}
--- a/lugd/pkg/caller/relay.go
+++ b/lugd/pkg/caller/relay.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/node"
@@ -12,6 +13,9 @@
 
 const relayBuffer = 32 << 10
 
+// relayBuffers holds buffers for reuse.
+var relayBuffers = sync.Pool{New: func() any { return new([relayBuffer]byte) }}
+
 // relay copies the answer to the caller. An answer that the target cuts short
 // aborts the caller's connection or stream, so that it is seen to be cut.
 func (ses *session) relay() {
@@ -55,7 +59,12 @@
 
 // copyBody copies the body and flushes each part, so that streams flow.
 func (ses *session) copyBody(src io.Reader) error {
-	buf := make([]byte, relayBuffer)
+	arr, ok := relayBuffers.Get().(*[relayBuffer]byte)
+	if !ok {
+		arr = new([relayBuffer]byte)
+	}
+	defer relayBuffers.Put(arr)
+	buf := arr[:]
 	for {
 		cnt, err := src.Read(buf)
 		if cnt > 0 {
--- a/lugd/pkg/target/exchange.go
+++ b/lugd/pkg/target/exchange.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"marigoldlug.example/core/health"
@@ -23,8 +24,19 @@
 	written chan error
 }
 
+// writers holds buffered writers for reuse.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferSize) }}
+
 func (exc *exchange) write(req *http.Request) {
-	wrt := bufio.NewWriterSize(exc.con, bufferSize)
+	wrt, ok := writers.Get().(*bufio.Writer)
+	if !ok {
+		wrt = bufio.NewWriterSize(nil, bufferSize)
+	}
+	wrt.Reset(exc.con)
+	defer func() {
+		wrt.Reset(nil)
+		writers.Put(wrt)
+	}()
 	err := req.Write(wrt)
 	if err == nil {
 		err = wrt.Flush()
