Eject for all only what several failure domains blame

Cause: a cut between one failure domain and three targets had them ejected for the whole fleet: a fifth of the threshold from a second domain is reached by chance sooner or later. When all targets failed 20%, those a little unlucky were ejected.

The evidence must now suffice without the domain that blames most, and a target must have three times the bad or the slow attempts of the median peer.

--- a/core/health/judge.go
+++ b/core/health/judge.go
@@ -27,11 +27,8 @@
 	priorCounts = 50.0
 	// standOutFactor and standOutCount are how far a target's trouble must
 	// exceed that of the median of its peers.
-	standOutFactor = 2.0
-	standOutCount  = 2.0
-	// secondShare is the part of the threshold that a second failure domain
-	// must confirm, so that a cut link is not taken for a failed target.
-	secondShare = 0.2
+	standOutFactor = 3.0
+	standOutCount  = 3.0
 	// topShare is the greatest part of the evidence that one VM may give.
 	topShare = 0.75
 	// memberLife is how long a VM's digest counts.
@@ -283,8 +280,8 @@
 }
 
 // guilt returns the evidence on a target in use, or 0 where it does not suffice:
-// it must reach the threshold, come from more than one VM and, where several
-// failure domains report, from more than one of them.
+// it must reach the threshold, also without the failure domain that blames the
+// target most, since the link from there may be cut, and come from several VMs.
 func (sus *suspect) guilt(now clock.Instant, jud *judge) float64 {
 	if sus.ejectedAt(now) {
 		return 0
@@ -293,7 +290,7 @@
 	if sus.times > 0 && now.Mono-sus.back.Mono < rampTime {
 		need *= retrialFactor
 	}
-	sum, second := sus.sums()
+	sum, first := sus.sums()
 	if sum < need {
 		return 0
 	}
@@ -301,7 +298,7 @@
 		return 0
 	}
 	domains, vms := jud.reporting(now)
-	if domains > 1 && second < secondShare*need || vms > 1 && sus.topBlame() > topShare {
+	if domains > 1 && sum-first < need || vms > 1 && sus.topBlame() > topShare {
 		return 0
 	}
 	return sum
@@ -311,34 +308,39 @@
 // its peers, at the moment or lately. Where all targets begin to fail at once
 // the evidence on each grows before the rates of its peers do.
 func (jud *judge) standsOut(now clock.Instant, self *suspect) bool {
-	var lately, moment []float64
+	var lately, moment []counts
 	for _, sus := range jud.targets {
 		if sus != self && !sus.ejected {
 			sus.decay(now)
-			lately = append(lately, sus.lately.trouble())
-			moment = append(moment, sus.moment.trouble())
+			lately = append(lately, sus.lately)
+			moment = append(moment, sus.moment)
 		}
 	}
 	self.decay(now)
-	return self.lately.trouble() > standOutFactor*median(lately)+standOutCount ||
-		self.moment.trouble() > standOutFactor*median(moment)+standOutCount
+	return self.lately.exceeds(lately) || self.moment.exceeds(moment)
 }
 
-func (cts *counts) trouble() float64 { return cts.bad + cts.slow }
+// exceeds reports whether there are far more bad attempts, or far more slow
+// ones, than the median of the others.
+func (cts *counts) exceeds(others []counts) bool {
+	bads := make([]float64, 0, len(others))
+	slows := make([]float64, 0, len(others))
+	for _, one := range others {
+		bads = append(bads, one.bad)
+		slows = append(slows, one.slow)
+	}
+	return cts.bad > standOutFactor*median(bads)+standOutCount || cts.slow > standOutFactor*median(slows)+standOutCount
+}
 
-// sums returns the evidence of all failure domains, and that of the second.
-func (sus *suspect) sums() (sum, second float64) {
-	var first float64
+// sums returns the evidence of all failure domains, and the most that one of
+// them gives.
+func (sus *suspect) sums() (sum, first float64) {
 	for _, evi := range sus.domains {
 		one := evi.bad + evi.slow
 		sum += one
-		if one > first {
-			first, second = one, first
-		} else if one > second {
-			second = one
-		}
+		first = max(first, one)
 	}
-	return sum, second
+	return sum, first
 }
 
 func (jud *judge) reporting(now clock.Instant) (domains, vms int) {
--- a/core/health/pick.go
+++ b/core/health/pick.go
@@ -60,7 +60,7 @@
 	switch {
 	case tgt.ejectedAt(now):
 		return rankEjected
-	case tgt.leaving:
+	case now.Before(tgt.leaving):
 		return rankLeaving
 	case avoidable && now.Before(tgt.avoided):
 		return rankAvoided
--- a/core/health/pool.go
+++ b/core/health/pool.go
@@ -36,6 +36,7 @@
 	localBad      = 1.3
 	localGood     = 0.4
 	shedTime      = 30 * time.Millisecond
+	leavingTime   = 30 * time.Second
 	choices       = 2
 	minPercentTry = 50
 )
@@ -94,7 +95,8 @@
 	avoided   clock.Instant
 	avoidance time.Duration
 	shed      clock.Instant
-	leaving   bool
+	// leaving ends the time for which the target has asked for no new work.
+	leaving clock.Instant
 }
 
 type attempt struct {
@@ -305,9 +307,9 @@
 }
 
 // Leaving notes that a target wants no new work.
-func (pol *Pool) Leaving(name, target string) {
+func (pol *Pool) Leaving(now clock.Instant, name, target string) {
 	if _, tgt := pol.find(name, target); tgt != nil {
-		tgt.leaving = true
+		tgt.leaving = now.Add(leavingTime)
 	}
 }
 
--- a/core/health/solo.go
+++ b/core/health/solo.go
@@ -85,7 +85,7 @@
 func (sol *Solo) Take() []Send { return nil }
 
 // Leaving does nothing: the baseline has no notion of it.
-func (sol *Solo) Leaving(string, string) {}
+func (sol *Solo) Leaving(clock.Instant, string, string) {}
 
 // Blind reports false: a VM alone cannot tell its own faults from others'.
 func (sol *Solo) Blind(clock.Instant) bool { return false }
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -162,6 +162,10 @@
 	Message Message
 }
 
+// AskPeers asks the VMs named in the settings for the head that they hold,
+// because the platform is away and this VM holds none.
+type AskPeers struct{}
+
 // ListVMs reads the platform's list of VMs.
 type ListVMs struct{}
 
@@ -176,5 +180,6 @@
 func (ReadHead) action()   {}
 func (Load) action()       {}
 func (Send) action()       {}
+func (AskPeers) action()   {}
 func (ListVMs) action()    {}
 func (CommitView) action() {}
--- a/core/node/flight.go
+++ b/core/node/flight.go
@@ -197,7 +197,7 @@
 	}
 	fli.spent = evt.Spent
 	if evt.Leaving {
-		mac.balancer.Leaving(fli.route.Service, fli.target.ID)
+		mac.balancer.Leaving(now, fli.route.Service, fli.target.ID)
 	}
 	if evt.Shed {
 		mac.wasShed(now, fli)
--- a/core/node/machine.go
+++ b/core/node/machine.go
@@ -32,7 +32,7 @@
 	Began(now clock.Instant, service, target string) health.Ticket
 	Answered(now clock.Instant, tic health.Ticket, outcome health.Outcome)
 	Ended(now clock.Instant, tic health.Ticket, outcome health.Outcome)
-	Leaving(service, target string)
+	Leaving(now clock.Instant, service, target string)
 	Tick(now clock.Instant)
 	Receive(now clock.Instant, from string, msg health.Message)
 	Take() []health.Send
@@ -252,6 +252,9 @@
 	switch {
 	case evt.Failed:
 		mac.prover.PlatformFailed(mac.rnd.Float64())
+		if mac.prover.Lease().Held() == 0 {
+			mac.do(AskPeers{})
+		}
 	case evt.Head.Version == 0:
 		mac.prover.PlatformFailed(mac.rnd.Float64())
 		if mac.prover.Lease().Held() == 0 {
--- a/lugd/pkg/daemon/daemon.go
+++ b/lugd/pkg/daemon/daemon.go
@@ -82,7 +82,7 @@
 		Threshold: health.Threshold(set.EjectionThreshold),
 	}, cli, dmn.committer, lgs.Logger(logflags.Machine))
 	dmn.transport = peer.New(dmn.self, dmn.listeners.peer, dmn.runtime, lgs.Logger(logflags.Peer))
-	dmn.runtime.SetTransport(dmn.transport)
+	dmn.runtime.SetTransport(dmn.transport, set.Peers)
 	dmn.pool = target.New(target.Settings{DialTimeout: set.DialTimeout, IdlePerTarget: set.IdlePerTarget, BodyPause: bodyPause})
 	var err error
 	if dmn.tracer, err = trace.New(ctx, set.TraceEndpoint, dmn.self.ID, set.TraceShare); err != nil {
--- a/lugd/pkg/daemon/fleet.go
+++ b/lugd/pkg/daemon/fleet.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"slices"
+	"strings"
 
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/fence"
 	"marigoldlug.example/core/node"
+	"marigoldlug.example/lugd/pkg/peer"
 	"marigoldlug.example/lugd/service/api"
 )
 
@@ -16,13 +18,34 @@
 }
 
 // Self returns the state of this VM.
-func (fle *fleet) Self() api.VM {
-	sta, ready := fle.dmn.runtime.Status()
-	return api.ConvertStatus(fle.dmn.self, sta, ready)
+func (fle *fleet) Self() api.VM { return api.ConvertState(fle.dmn.runtime.State()) }
+
+// members returns the IDs of the members of the view.
+func (fle *fleet) members() []string {
+	var ids []string
+	fle.dmn.runtime.Machine(func(mac *node.Machine, _ clock.Instant) {
+		for _, vmm := range mac.View().VMs() {
+			ids = append(ids, vmm.ID)
+		}
+	})
+	return ids
 }
 
-// VMs returns what is known of every VM.
-func (fle *fleet) VMs(context.Context) []api.VM { return []api.VM{fle.Self()} }
+// states asks every member for its state.
+func (fle *fleet) states(ctx context.Context, members []string) []peer.State {
+	others := slices.DeleteFunc(slices.Clone(members), func(id string) bool { return id == fle.dmn.self.ID })
+	return append(fle.dmn.transport.States(ctx, others), fle.dmn.runtime.State())
+}
+
+// VMs returns the states of the members that answer, sorted by ID.
+func (fle *fleet) VMs(ctx context.Context) []api.VM {
+	var out []api.VM
+	for _, sta := range fle.states(ctx, fle.members()) {
+		out = append(out, api.ConvertState(sta))
+	}
+	slices.SortFunc(out, func(one, two api.VM) int { return strings.Compare(one.ID, two.ID) })
+	return out
+}
 
 // Targets returns the targets as this VM sees them.
 func (fle *fleet) Targets() []api.Target {
@@ -45,13 +68,10 @@
 	return out
 }
 
-// Spread says how far a version has come, as far as this VM knows.
-func (fle *fleet) Spread(version uint64) api.Spread {
-	var spr api.Spread
-	fle.dmn.runtime.Machine(func(mac *node.Machine, now clock.Instant) {
-		spr = api.ConvertSpread(version, mac.Spread(), mac.Status(now))
-	})
-	return spr
+// Spread says how far a version has come, by what the members themselves say.
+func (fle *fleet) Spread(ctx context.Context, version uint64) api.Spread {
+	members := fle.members()
+	return api.ConvertStates(version, members, fle.states(ctx, members))
 }
 
 // Announce makes a head that this VM has just written known at once.
--- a/lugd/pkg/operator/server.go
+++ b/lugd/pkg/operator/server.go
@@ -33,7 +33,7 @@
 	Self() api.VM
 	VMs(ctx context.Context) []api.VM
 	Targets() []api.Target
-	Spread(version uint64) api.Spread
+	Spread(ctx context.Context, version uint64) api.Spread
 	Announce(hea fence.Head)
 }
 
@@ -115,7 +115,7 @@
 		srv.answer(wrt, http.StatusBadRequest, &api.Error{Code: api.CodeMalformed, Message: err.Error()})
 		return
 	}
-	srv.answer(wrt, http.StatusOK, srv.fleet.Spread(version))
+	srv.answer(wrt, http.StatusOK, srv.fleet.Spread(req.Context(), version))
 }
 
 // show answers with the configuration at a version in the form of a note.
--- a/lugd/pkg/peer/codec.go
+++ b/lugd/pkg/peer/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"marigoldlug.example/core/chunk"
 	"marigoldlug.example/core/fence"
@@ -15,6 +16,8 @@
 	kindStranger      = 2
 	kindChunkQuestion = 3
 	kindChunkAnswer   = 4
+	kindStateQuestion = 5
+	kindStateAnswer   = 6
 
 	kindQuestion      = 10
 	kindAnswer        = 11
@@ -66,6 +69,24 @@
 	Content []byte
 }
 
+// stateQuestion asks a VM for its state.
+type stateQuestion struct{}
+
+// State is what a VM says of itself to an operator's VM.
+type State struct {
+	VM       member.VM
+	Version  uint64
+	Release  string
+	Epoch    uint64
+	Members  int
+	Accepted uint64
+	Ready    bool
+	Active   bool
+	ProofAge time.Duration
+	Requests int
+	Ejected  []string
+}
+
 // encode returns the payload of the frame for a message.
 func encode(msg any) ([]byte, error) {
 	wrt := newWriter()
@@ -97,12 +118,31 @@
 		wrt.number(kindChunkAnswer)
 		wrt.raw(msg.ID[:])
 		wrt.raw(msg.Content)
+	case stateQuestion:
+		wrt.number(kindStateQuestion)
+	case State:
+		wrt.state(msg)
 	default:
 		return false
 	}
 	return true
 }
 
+func (wrt *writer) state(msg State) {
+	wrt.number(kindStateAnswer)
+	wrt.vm(msg.VM)
+	wrt.number(msg.Version)
+	wrt.text(msg.Release)
+	wrt.number(msg.Epoch)
+	wrt.whole(int64(msg.Members))
+	wrt.number(msg.Accepted)
+	wrt.boolean(msg.Ready)
+	wrt.boolean(msg.Active)
+	wrt.duration(msg.ProofAge)
+	wrt.whole(int64(msg.Requests))
+	wrt.texts(msg.Ejected)
+}
+
 func (wrt *writer) fence(msg any) bool {
 	switch msg := msg.(type) {
 	case fence.Question:
@@ -299,6 +339,14 @@
 		return chunkQuestion{ID: rdr.chunkID()}
 	case kindChunkAnswer:
 		return chunkAnswer{ID: rdr.chunkID(), Content: rdr.raw()}
+	case kindStateQuestion:
+		return stateQuestion{}
+	case kindStateAnswer:
+		return State{
+			VM: rdr.vm(), Version: rdr.number(), Release: rdr.text(), Epoch: rdr.number(), Members: int(rdr.whole()),
+			Accepted: rdr.number(), Ready: rdr.boolean(), Active: rdr.boolean(), ProofAge: rdr.duration(),
+			Requests: int(rdr.whole()), Ejected: rdr.texts(),
+		}
 	}
 	return nil
 }
--- a/lugd/pkg/peer/transport.go
+++ b/lugd/pkg/peer/transport.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldlug.example/core/chunk"
+	"marigoldlug.example/core/fence"
 	"marigoldlug.example/core/member"
 )
 
@@ -25,9 +27,13 @@
 	idleTime     = time.Minute
 	redialTime   = 250 * time.Millisecond
 	chunkTimeout = 2 * time.Second
+	stateTimeout = time.Second
 	frameHeader  = 4
 )
 
+// anyVM precedes an address in place of the ID of a VM that is not known.
+const anyVM = "any@"
+
 var errNoChunk = errors.New("the VM does not hold the chunk")
 
 // handler takes what arrives from other VMs.
@@ -38,6 +44,8 @@
 	PeerGone(id string)
 	// Chunk returns the content of a chunk that this VM holds.
 	Chunk(id chunk.ID) []byte
+	// State returns what this VM says of itself.
+	State() State
 	// Address returns where a VM is reached.
 	Address(id string) (string, bool)
 }
@@ -55,10 +63,14 @@
 	sent     atomic.Int64
 	received atomic.Int64
 
+	// asking is held by the call of States under way.
+	asking sync.Mutex
+
 	mut     sync.Mutex
 	links   map[string]*link
 	book    map[string]string
 	chunks  map[chunk.ID][]chan []byte
+	states  chan State
 	inbound map[net.Conn]bool
 	closed  bool
 	wait    sync.WaitGroup
@@ -183,7 +195,7 @@
 	trn.wait.Add(1)
 	go trn.watchStranger(con, to)
 	wrt := bufio.NewWriter(con)
-	if err := trn.write(con, wrt, hello{Version: protocolVersion, From: trn.self, To: to}); err != nil {
+	if err := trn.write(con, wrt, hello{Version: protocolVersion, From: trn.self, To: meant(to)}); err != nil {
 		return err
 	}
 	idle := time.NewTimer(idleTime)
@@ -209,6 +221,14 @@
 	}
 }
 
+// meant returns the ID that a hello names, none for whatever VM listens.
+func meant(to string) string {
+	if strings.HasPrefix(to, anyVM) {
+		return ""
+	}
+	return to
+}
+
 // watchStranger waits for the only frame that the receiver of a link sends
 // back, and closes the link when the receiver closes it.
 func (trn *Transport) watchStranger(con net.Conn, to string) {
@@ -321,6 +341,10 @@
 		trn.Send(from, chunkAnswer{ID: msg.ID, Content: trn.handler.Chunk(msg.ID)})
 	case chunkAnswer:
 		trn.chunkArrived(msg)
+	case stateQuestion:
+		trn.Send(from, trn.handler.State())
+	case State:
+		trn.stateArrived(msg)
 	case hello, stranger:
 		return errMalformed
 	default:
@@ -329,6 +353,50 @@
 	return nil
 }
 
+func (trn *Transport) stateArrived(sta State) {
+	trn.mut.Lock()
+	defer trn.mut.Unlock()
+	if trn.states == nil {
+		return
+	}
+	select {
+	case trn.states <- sta:
+	default:
+	}
+}
+
+// States asks VMs for their states and returns those that answer in time. One
+// call waits for another to end.
+func (trn *Transport) States(ctx context.Context, ids []string) []State {
+	trn.asking.Lock()
+	defer trn.asking.Unlock()
+	arrived := make(chan State, len(ids))
+	trn.mut.Lock()
+	trn.states = arrived
+	trn.mut.Unlock()
+	for _, id := range ids {
+		trn.Send(id, stateQuestion{})
+	}
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	var out []State
+	for len(out) < len(ids) {
+		select {
+		case sta := <-arrived:
+			out = append(out, sta)
+		case <-ctx.Done():
+			return out
+		}
+	}
+	return out
+}
+
+// AskHead asks whatever VM listens at an address for the head that it holds.
+func (trn *Transport) AskHead(address string) {
+	trn.Introduce(anyVM+address, address)
+	trn.Send(anyVM+address, fence.HeadQuestion{})
+}
+
 func (trn *Transport) chunkArrived(ans chunkAnswer) {
 	trn.mut.Lock()
 	waiting := trn.chunks[ans.ID]
--- a/lugd/pkg/vm/runtime.go
+++ b/lugd/pkg/vm/runtime.go
@@ -33,6 +33,8 @@
 	start     time.Time
 	// transport is set before Run.
 	transport *peer.Transport
+	// peers lists addresses of VMs to ask while the platform is away.
+	peers []string
 	// ctx ends the work that the machine asks for.
 	ctx  context.Context
 	work sync.WaitGroup
@@ -64,8 +66,21 @@
 	}
 }
 
-// SetTransport sets the transport to the other VMs, before Run.
-func (rtm *Runtime) SetTransport(trn *peer.Transport) { rtm.transport = trn }
+// SetTransport sets the transport to the other VMs, and the addresses of those
+// to ask while the platform is away, before Run.
+func (rtm *Runtime) SetTransport(trn *peer.Transport, peers []string) {
+	rtm.transport = trn
+	rtm.peers = peers
+}
+
+// State returns what the VM says of itself.
+func (rtm *Runtime) State() peer.State {
+	sta, ready := rtm.Status()
+	return peer.State{
+		VM: rtm.self, Version: sta.Version, Release: sta.Release, Epoch: sta.Epoch, Members: sta.Members,
+		Accepted: sta.Accepted, Ready: ready, Active: sta.Active, ProofAge: sta.ProofAge, Requests: sta.Flights, Ejected: sta.Ejected,
+	}
+}
 
 // Now reads both clocks of the VM.
 func (rtm *Runtime) Now() clock.Instant {
@@ -112,6 +127,10 @@
 		rtm.deliver(act.Request, act)
 	case node.Send:
 		rtm.transport.Send(act.To, act.Message)
+	case node.AskPeers:
+		for _, address := range rtm.peers {
+			rtm.transport.AskHead(address)
+		}
 	default:
 		if rtm.ctx.Err() == nil {
 			rtm.work.Go(func() { rtm.perform(act) })
--- a/lugd/service/api/conversions.go
+++ b/lugd/service/api/conversions.go
@@ -3,10 +3,8 @@
 import (
 	"errors"
 
-	"marigoldlug.example/core/fence"
-	"marigoldlug.example/core/member"
-	"marigoldlug.example/core/node"
 	"marigoldlug.example/core/note"
+	"marigoldlug.example/lugd/pkg/peer"
 	"marigoldlug.example/lugd/pkg/release"
 )
 
@@ -33,34 +31,41 @@
 	return res
 }
 
-// ConvertStatus converts the state of one VM.
-func ConvertStatus(self member.VM, sta node.Status, ready bool) VM {
+// ConvertState converts what a VM says of itself.
+func ConvertState(sta peer.State) VM {
 	return VM{
-		ID:              self.ID,
-		Address:         self.Address,
-		FailureDomain:   self.FailureDomain,
+		ID:              sta.VM.ID,
+		Address:         sta.VM.Address,
+		FailureDomain:   sta.VM.FailureDomain,
 		Version:         sta.Version,
 		Release:         sta.Release,
 		Epoch:           sta.Epoch,
 		Members:         sta.Members,
-		Ready:           ready,
+		Ready:           sta.Ready,
 		LeaseActive:     sta.Active,
 		ProofAgeSeconds: sta.ProofAge.Seconds(),
-		Requests:        sta.Flights,
+		Requests:        sta.Requests,
 		Ejected:         sta.Ejected,
 	}
 }
 
-// ConvertSpread converts what a VM knows of the spread of a version. A VM that
-// holds a later version knows that all holders of it hold the version, too.
-func ConvertSpread(version uint64, spr fence.Spread, sta node.Status) Spread {
-	out := Spread{Version: version, Members: spr.Members, Accepted: sta.Accepted >= version}
-	if spr.Version < version {
-		return out
+// ConvertStates returns the spread of a version by the states of the members
+// that answered.
+func ConvertStates(version uint64, members []string, states []peer.State) Spread {
+	out := Spread{Version: version, Members: len(members)}
+	holding := make(map[string]bool)
+	for _, sta := range states {
+		out.Accepted = out.Accepted || sta.Accepted >= version
+		holding[sta.VM.ID] = sta.Version >= version
 	}
-	out.Holding = spr.Holding
-	out.Lagging = spr.Lagging
-	out.InForce = out.Accepted && spr.Holding == spr.Members
+	for _, id := range members {
+		if holding[id] {
+			out.Holding++
+		} else {
+			out.Lagging = append(out.Lagging, id)
+		}
+	}
+	out.InForce = out.Accepted && out.Holding == out.Members
 	return out
 }
 
