Serve TLS unless plain text is asked for

Cause: callers, VMs and operators spoke plain text without anyone having said so.

Certificates are given by files, read again when they change, and name roles, since VMs change their addresses. VMs accept VMs only; the operator API accepts operators only; health and metrics need no certificate. plain-text=... must be said for what goes without.

Measured: tests only (VM, operator and stranger handshakes; a changed and a half-written file). TLS cost is not measured.

--- a/lugbench/pkg/quickstart/quickstart.go
+++ b/lugbench/pkg/quickstart/quickstart.go
@@ -91,6 +91,7 @@
 	set.OperatorAddress = "127.0.0.1:0"
 	set.PlatformURL = platformURL
 	set.BalancerLag = 0
+	set.PlainText = []string{settings.PlainCallers, settings.PlainPeers, settings.PlainOperators}
 	lgs, err := logflags.New(log, "text", "")
 	if err != nil {
 		return err
--- a/lugctl/pkg/command/command.go
+++ b/lugctl/pkg/command/command.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"marigoldlug.example/lugctl/pkg/client"
+	"marigoldlug.example/lugd/pkg/certificate"
 )
 
 const (
@@ -26,6 +27,7 @@
 	operator string
 	output   string
 	wait     time.Duration
+	files    certificate.Files
 }
 
 // New returns the command line, which writes results to out and progress to
@@ -40,14 +42,25 @@
 			&cli.StringFlag{Name: "address", Usage: "URL of the operator API of any VM", Value: "http://127.0.0.1:8082", Destination: &ses.address, Sources: cli.EnvVars("LUGCTL_ADDRESS")},
 			&cli.StringFlag{Name: "operator", Usage: "name of the operator, kept in the history", Value: os.Getenv("USER"), Destination: &ses.operator, Sources: cli.EnvVars("LUGCTL_OPERATOR")},
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Usage: "json or table", Value: "table", Destination: &ses.output, Sources: cli.EnvVars("LUGCTL_OUTPUT")},
+			&cli.StringFlag{Name: "certificate", Usage: "file of the operator's certificate", Destination: &ses.files.Certificate, Sources: cli.EnvVars("LUGCTL_CERTIFICATE")},
+			&cli.StringFlag{Name: "key", Usage: "file of the key of the certificate", Destination: &ses.files.Key, Sources: cli.EnvVars("LUGCTL_KEY")},
+			&cli.StringFlag{Name: "authority", Usage: "file of the authority that signs the certificates of VMs", Destination: &ses.files.Authority, Sources: cli.EnvVars("LUGCTL_AUTHORITY")},
 			&cli.DurationFlag{Name: "wait", Usage: "how long to wait until a release is in force", Value: 30 * time.Second, Destination: &ses.wait, Sources: cli.EnvVars("LUGCTL_WAIT")},
 		},
 		Commands: []*cli.Command{ses.releaseCommand(), ses.keyCommand(), ses.vmCommand(), ses.targetCommand()},
 	}
 }
 
-func (ses *session) client() *client.Client {
-	return client.New(ses.address, ses.operator, &http.Client{Timeout: callTimeout})
+func (ses *session) client() (*client.Client, error) {
+	doer := &http.Client{Timeout: callTimeout}
+	if ses.files.Given() {
+		kee, err := certificate.New(ses.files)
+		if err != nil {
+			return nil, &usageError{message: err.Error()}
+		}
+		doer.Transport = &http.Transport{TLSClientConfig: kee.Client()}
+	}
+	return client.New(ses.address, ses.operator, doer), nil
 }
 
 // action is a command that prints its result.
@@ -59,7 +72,11 @@
 		if err != nil {
 			return err
 		}
-		return act(ctx, cmd, ses.client(), prn)
+		cli, err := ses.client()
+		if err != nil {
+			return err
+		}
+		return act(ctx, cmd, cli, prn)
 	}
 }
 
--- /dev/null
+++ b/lugd/pkg/certificate/certificate.go
@@ -0,0 +1,160 @@
+// Package certificate keeps the TLS keys and certificates of a program and
+// reads them again when their files change.
+package certificate
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// The DNS names that certificates of the fleet carry. VMs come and go with
+// their addresses, so certificates name the role and not the VM.
+const (
+	VMName       = "marigoldlug-vm"
+	OperatorName = "marigoldlug-operator"
+)
+
+// checkInterval is how often files are looked at for changes.
+const checkInterval = 5 * time.Second
+
+// Files names the files of one identity in PEM.
+type Files struct {
+	Certificate string
+	Key         string
+	// Authority signs the certificates of the other side; it is empty where the
+	// other side shows none.
+	Authority string
+}
+
+// Given reports whether any file is named.
+func (fls Files) Given() bool { return fls != Files{} }
+
+// Keeper holds an identity and follows changes of its files. It is safe for
+// concurrent use.
+type Keeper struct {
+	files Files
+
+	mut     sync.Mutex
+	cert    *tls.Certificate
+	pool    *x509.CertPool
+	changed time.Time
+	checked time.Time
+}
+
+// New reads the files. The error names the file that is at fault.
+func New(fls Files) (*Keeper, error) {
+	kee := &Keeper{files: fls}
+	if err := kee.load(); err != nil {
+		return nil, err
+	}
+	return kee, nil
+}
+
+// load reads the files anew.
+func (kee *Keeper) load() error {
+	cert, err := tls.LoadX509KeyPair(kee.files.Certificate, kee.files.Key)
+	if err != nil {
+		return fmt.Errorf("cannot use certificate %q with key %q: %w", kee.files.Certificate, kee.files.Key, err)
+	}
+	var pool *x509.CertPool
+	if kee.files.Authority != "" {
+		raw, err := os.ReadFile(kee.files.Authority)
+		if err != nil {
+			return fmt.Errorf("cannot read authority %q: %w", kee.files.Authority, err)
+		}
+		pool = x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(raw) {
+			return fmt.Errorf("authority %q holds no certificate", kee.files.Authority)
+		}
+	}
+	kee.cert, kee.pool = &cert, pool
+	kee.changed = kee.newest()
+	return nil
+}
+
+// newest returns when any of the files last changed.
+func (kee *Keeper) newest() time.Time {
+	var out time.Time
+	for _, name := range []string{kee.files.Certificate, kee.files.Key, kee.files.Authority} {
+		if inf, err := os.Stat(name); err == nil && inf.ModTime().After(out) {
+			out = inf.ModTime()
+		}
+	}
+	return out
+}
+
+// current returns the identity, read again if its files have changed. While new
+// files are incomplete the old identity stays in use.
+func (kee *Keeper) current() (*tls.Certificate, *x509.CertPool) {
+	kee.mut.Lock()
+	defer kee.mut.Unlock()
+	if now := time.Now(); now.Sub(kee.checked) >= checkInterval {
+		kee.checked = now
+		if kee.newest().After(kee.changed) {
+			_ = kee.load() // A failure leaves the old identity and is tried again.
+		}
+	}
+	return kee.cert, kee.pool
+}
+
+// Expires returns when the present certificate ends.
+func (kee *Keeper) Expires() time.Time {
+	cert, _ := kee.current()
+	if cert.Leaf == nil {
+		return time.Time{}
+	}
+	return cert.Leaf.NotAfter
+}
+
+// Server returns the settings for a listener that shows the identity. Where
+// there is an authority, clients may show certificates that it signed, and with
+// mutual they must.
+func (kee *Keeper) Server(mutual bool) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		NextProtos: []string{"h2", "http/1.1"},
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			cert, pool := kee.current()
+			cfg := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{*cert}, NextProtos: []string{"h2", "http/1.1"}}
+			if pool != nil {
+				cfg.ClientCAs = pool
+				cfg.ClientAuth = tls.VerifyClientCertIfGiven
+			}
+			if mutual {
+				cfg.ClientAuth = tls.RequireAndVerifyClientCert
+				cfg.VerifyConnection = requireName(VMName)
+			}
+			return cfg, nil
+		},
+	}
+}
+
+var errNoCertificate = errors.New("the other side shows no certificate")
+
+// requireName accepts only certificates for a role.
+func requireName(name string) func(tls.ConnectionState) error {
+	return func(sta tls.ConnectionState) error {
+		if len(sta.PeerCertificates) == 0 {
+			return errNoCertificate
+		}
+		return sta.PeerCertificates[0].VerifyHostname(name)
+	}
+}
+
+// Client returns the settings for a connection to a VM.
+func (kee *Keeper) Client() *tls.Config {
+	cert, pool := kee.current()
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{*cert}, RootCAs: pool, ServerName: VMName,
+	}
+}
+
+// IsOperator reports whether the other side has shown an operator's certificate.
+func IsOperator(sta *tls.ConnectionState) bool {
+	return sta != nil && len(sta.VerifiedChains) > 0 && sta.PeerCertificates[0].VerifyHostname(OperatorName) == nil
+}
--- /dev/null
+++ b/lugd/pkg/certificate/certificate_test.go
@@ -0,0 +1,173 @@
+package certificate
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+	raw  []byte
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tpl := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, tpl, tpl, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &authority{key: key, cert: cert, raw: raw}
+}
+
+// issue writes the files of an identity for a name.
+func (aut *authority) issue(t *testing.T, dir, name string, serial int64) Files {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tpl := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), DNSNames: []string{name}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, tpl, aut.cert, &key.PublicKey, aut.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rawKey, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fls := Files{Certificate: filepath.Join(dir, name+".pem"), Key: filepath.Join(dir, name+".key"), Authority: filepath.Join(dir, "authority.pem")}
+	for file, block := range map[string]*pem.Block{
+		fls.Certificate: {Type: "CERTIFICATE", Bytes: raw}, fls.Key: {Type: "EC PRIVATE KEY", Bytes: rawKey},
+		fls.Authority: {Type: "CERTIFICATE", Bytes: aut.raw},
+	} {
+		if err := os.WriteFile(file, pem.EncodeToMemory(block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return fls
+}
+
+func keeper(t *testing.T, fls Files) *Keeper {
+	t.Helper()
+	kee, err := New(fls)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return kee
+}
+
+// handshake connects a client to a server and returns the server's certificate
+// as the client saw it.
+func handshake(t *testing.T, server, client *tls.Config) (*x509.Certificate, error) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	done := make(chan error, 1)
+	go func() {
+		con, err := lis.Accept()
+		if err == nil {
+			err = tls.Server(con, server).Handshake()
+		}
+		done <- err
+	}()
+	con, err := net.Dial("tcp", lis.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = con.Close() }()
+	_ = con.SetDeadline(time.Now().Add(5 * time.Second))
+	cli := tls.Client(con, client)
+	if err := cli.Handshake(); err != nil {
+		_ = con.Close()
+		_ = <-done // The client has already failed.
+		return nil, err
+	}
+	if err := <-done; err != nil {
+		return nil, err
+	}
+	return cli.ConnectionState().PeerCertificates[0], nil
+}
+
+func TestVMsTrustOneAnotherOnly(t *testing.T) {
+	aut, other := newAuthority(t), newAuthority(t)
+	vmm := keeper(t, aut.issue(t, t.TempDir(), VMName, 2))
+	operator := keeper(t, aut.issue(t, t.TempDir(), OperatorName, 3))
+	stranger := keeper(t, other.issue(t, t.TempDir(), VMName, 4))
+	if _, err := handshake(t, vmm.Server(true), vmm.Client()); err != nil {
+		t.Errorf("a VM was refused: %v", err)
+	}
+	if _, err := handshake(t, vmm.Server(true), operator.Client()); err == nil {
+		t.Error("an operator passed for a VM")
+	}
+	if _, err := handshake(t, vmm.Server(true), stranger.Client()); err == nil {
+		t.Error("a VM of another authority was accepted")
+	}
+	if _, err := handshake(t, vmm.Server(false), operator.Client()); err != nil {
+		t.Errorf("an operator was refused: %v", err)
+	}
+}
+
+func TestChangedFilesAreReadAgain(t *testing.T) {
+	aut, dir := newAuthority(t), t.TempDir()
+	fls := aut.issue(t, dir, VMName, 5)
+	kee := keeper(t, fls)
+	aut.issue(t, dir, VMName, 6)
+	later := time.Now().Add(time.Minute)
+	if err := os.Chtimes(fls.Certificate, later, later); err != nil {
+		t.Fatal(err)
+	}
+	kee.checked = time.Time{}
+	cert, err := handshake(t, kee.Server(true), kee.Client())
+	if err != nil || cert.SerialNumber.Int64() != 6 {
+		t.Errorf("got %v, %v", cert, err)
+	}
+	// An incomplete change leaves the old identity in use.
+	if err := os.WriteFile(fls.Key, []byte("half"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	later = later.Add(time.Minute)
+	if err := os.Chtimes(fls.Key, later, later); err != nil {
+		t.Fatal(err)
+	}
+	kee.checked = time.Time{}
+	if _, err := handshake(t, kee.Server(true), kee.Client()); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestFilesAtFaultAreNamed(t *testing.T) {
+	if _, err := New(Files{Certificate: "/no/such", Key: "/no/such"}); err == nil {
+		t.Error("missing files were accepted")
+	}
+}
--- a/lugd/pkg/daemon/daemon.go
+++ b/lugd/pkg/daemon/daemon.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
 	"fmt"
@@ -18,6 +19,7 @@
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/node"
 	"marigoldlug.example/lugd/pkg/caller"
+	"marigoldlug.example/lugd/pkg/certificate"
 	"marigoldlug.example/lugd/pkg/logflags"
 	"marigoldlug.example/lugd/pkg/metrics"
 	"marigoldlug.example/lugd/pkg/operator"
@@ -68,6 +70,13 @@
 	if err := dmn.listen(); err != nil {
 		return nil, err
 	}
+	var identity *certificate.Keeper
+	if set.PeerFiles.Given() {
+		var err error
+		if identity, err = certificate.New(set.PeerFiles); err != nil {
+			return nil, err
+		}
+	}
 	address := set.AdvertiseAddress
 	if address == "" {
 		address = dmn.listeners.peer.Addr().String()
@@ -82,6 +91,9 @@
 		Threshold: health.Threshold(set.EjectionThreshold),
 	}, cli, dmn.committer, lgs.Logger(logflags.Machine))
 	dmn.transport = peer.New(dmn.self, dmn.listeners.peer, dmn.runtime, lgs.Logger(logflags.Peer))
+	if !set.Plain(settings.PlainPeers) {
+		dmn.transport.Secure(identity)
+	}
 	dmn.runtime.SetTransport(dmn.transport, set.Peers)
 	dmn.pool = target.New(target.Settings{DialTimeout: set.DialTimeout, IdlePerTarget: set.IdlePerTarget, BodyPause: bodyPause})
 	var err error
@@ -89,7 +101,36 @@
 		return nil, err
 	}
 	dmn.serve(lgs)
-	return dmn, nil
+	return dmn, dmn.secure(identity)
+}
+
+// secure wraps the listeners for callers and operators in TLS, unless they are
+// set to plain text.
+func (dmn *Daemon) secure(identity *certificate.Keeper) error {
+	if !dmn.set.Plain(settings.PlainCallers) {
+		kee, err := certificate.New(dmn.set.CallerFiles)
+		if err != nil {
+			return err
+		}
+		dmn.callers.TLSConfig = kee.Server(false)
+		dmn.listeners.caller = tls.NewListener(dmn.listeners.caller, dmn.callers.TLSConfig)
+	}
+	if !dmn.set.Plain(settings.PlainOperators) {
+		dmn.operators.TLSConfig = identity.Server(false)
+		dmn.listeners.operator = tls.NewListener(dmn.listeners.operator, dmn.operators.TLSConfig)
+	}
+	return nil
+}
+
+// onlyOperators lets through only those who show an operator's certificate.
+func onlyOperators(han http.Handler) http.Handler {
+	return http.HandlerFunc(func(wrt http.ResponseWriter, req *http.Request) {
+		if !certificate.IsOperator(req.TLS) {
+			wrt.WriteHeader(http.StatusForbidden)
+			return
+		}
+		han.ServeHTTP(wrt, req)
+	})
 }
 
 // runID returns a part of a VM's ID that no other run of a process has.
@@ -132,7 +173,11 @@
 		Protocols:         &protocols,
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/v1/", operator.New(dmn.committer, &fleet{dmn: dmn}, lgs.Logger(logflags.Operator)))
+	var operators http.Handler = operator.New(dmn.committer, &fleet{dmn: dmn}, lgs.Logger(logflags.Operator))
+	if !dmn.set.Plain(settings.PlainOperators) {
+		operators = onlyOperators(operators)
+	}
+	mux.Handle("/v1/", operators)
 	mux.Handle("GET /metrics", met.Handler())
 	mux.HandleFunc("GET /livez", func(wrt http.ResponseWriter, _ *http.Request) { wrt.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", dmn.readyz)
--- a/lugd/pkg/peer/transport.go
+++ b/lugd/pkg/peer/transport.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -50,6 +51,12 @@
 	Address(id string) (string, bool)
 }
 
+// identity proves to other VMs that this one belongs to the fleet.
+type identity interface {
+	Server(mutual bool) *tls.Config
+	Client() *tls.Config
+}
+
 // Transport sends messages to other VMs and delivers theirs. Messages may be
 // lost, but those between two VMs keep their order. It is safe for concurrent
 // use.
@@ -58,6 +65,8 @@
 	handler handler
 	log     logrus.FieldLogger
 	listen  net.Listener
+	// identity is nil where VMs speak plain text.
+	identity identity
 
 	// sent and received count bytes.
 	sent     atomic.Int64
@@ -90,6 +99,21 @@
 	}
 }
 
+// Secure makes every connection use mutual TLS. It is called before Serve.
+func (trn *Transport) Secure(idt identity) {
+	trn.identity = idt
+	trn.listen = tls.NewListener(trn.listen, idt.Server(true))
+}
+
+// connect opens a connection to an address.
+func (trn *Transport) connect(address string) (net.Conn, error) {
+	dlr := &net.Dialer{Timeout: dialTimeout}
+	if trn.identity == nil {
+		return dlr.Dial("tcp", address)
+	}
+	return tls.DialWithDialer(dlr, "tcp", address, trn.identity.Client())
+}
+
 // Bytes returns the bytes sent and received so far.
 func (trn *Transport) Bytes() (sent, received int64) { return trn.sent.Load(), trn.received.Load() }
 
@@ -187,7 +211,7 @@
 }
 
 func (trn *Transport) runLink(to, address string, lnk *link) error {
-	con, err := net.DialTimeout("tcp", address, dialTimeout)
+	con, err := trn.connect(address)
 	if err != nil {
 		return err
 	}
--- a/lugd/pkg/settings/settings.go
+++ b/lugd/pkg/settings/settings.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
 	"marigoldlug.example/core/health"
+	"marigoldlug.example/lugd/pkg/certificate"
 )
 
 // Settings are the values for one VM.
@@ -28,6 +30,12 @@
 	// PlatformReads is ConsistentReads where the platform answers every read
 	// with its newest value, and LaggingReads where it may not.
 	PlatformReads string
+	// CallerFiles are the certificate and key shown to callers, PeerFiles those
+	// shown to other VMs and to operators, with the authority that signs theirs.
+	CallerFiles certificate.Files
+	PeerFiles   certificate.Files
+	// PlainText lists what is served without TLS: callers, peers, operators.
+	PlainText []string
 	// Peers lists addresses of VMs to ask while the platform is away.
 	Peers []string
 	// EjectionThreshold is the evidence at which targets are ejected.
@@ -50,6 +58,34 @@
 	TraceShare     float64
 }
 
+// What can be served without TLS.
+const (
+	PlainCallers   = "callers"
+	PlainPeers     = "peers"
+	PlainOperators = "operators"
+)
+
+// Plain reports whether something is served without TLS.
+func (set Settings) Plain(what string) bool { return slices.Contains(set.PlainText, what) }
+
+// checkTLS reports what is neither given certificates nor said to be plain.
+func (set Settings) checkTLS() []error {
+	var errs []error
+	for _, what := range set.PlainText {
+		if !slices.Contains([]string{PlainCallers, PlainPeers, PlainOperators}, what) {
+			errs = append(errs, fault("plain-text", "%q is not %s, %s or %s", what, PlainCallers, PlainPeers, PlainOperators))
+		}
+	}
+	if fls := set.CallerFiles; !set.Plain(PlainCallers) && (fls.Certificate == "" || fls.Key == "") {
+		errs = append(errs, fault("caller-certificate", "callers need a certificate and a key, or plain-text=%s", PlainCallers))
+	}
+	fls := set.PeerFiles
+	if (!set.Plain(PlainPeers) || !set.Plain(PlainOperators)) && (fls.Certificate == "" || fls.Key == "" || fls.Authority == "") {
+		errs = append(errs, fault("peer-certificate", "VMs and operators need a certificate, a key and an authority, or plain-text=%s,%s", PlainPeers, PlainOperators))
+	}
+	return errs
+}
+
 // The values of PlatformReads.
 const (
 	ConsistentReads = "consistent"
@@ -100,6 +136,7 @@
 	if set.PlatformReads != ConsistentReads && set.PlatformReads != LaggingReads {
 		errs = append(errs, fault("platform-reads", "%q must be %s or %s", set.PlatformReads, ConsistentReads, LaggingReads))
 	}
+	errs = append(errs, set.checkTLS()...)
 	errs = append(errs, set.checkDurations()...)
 	errs = append(errs, set.checkNumbers()...)
 	return errors.Join(errs...)
