--- a/lugbench/pkg/command/command.go
+++ b/lugbench/pkg/command/command.go
@@ -3,13 +3,16 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"marigoldlug.example/lugbench/pkg/load"
 	"marigoldlug.example/lugbench/pkg/measure"
 	"marigoldlug.example/lugbench/pkg/quickstart"
+	"marigoldlug.example/lugbench/pkg/standins"
 )
 
 // New returns the command line, which writes to out and logs to log.
@@ -35,6 +38,8 @@
 					return load.Report(ctx, out, log)
 				},
 			},
+			standinsCommand(),
+			driveCommand(out),
 			{
 				Name:    "measure",
 				Aliases: []string{"m"},
@@ -62,3 +67,40 @@
 		Action: func(_ context.Context, cmd *cli.Command) error { return show(out, cmd.Int("seeds")) },
 	}
 }
+
+func standinsFlags(set *standins.Settings) []cli.Flag {
+	return []cli.Flag{
+		&cli.IntFlag{Name: "base", Usage: "port of the platform; the targets follow", Value: 18000, Destination: &set.Base},
+		&cli.IntFlag{Name: "targets", Usage: "number of targets", Value: 4, Destination: &set.Targets},
+	}
+}
+
+func standinsCommand() *cli.Command {
+	var set standins.Settings
+	return &cli.Command{
+		Name: "standins", Usage: "run the platform and targets for VMs that run as processes", Flags: standinsFlags(&set),
+		Action: func(ctx context.Context, _ *cli.Command) error { return standins.Run(ctx, set) },
+	}
+}
+
+func driveCommand(out io.Writer) *cli.Command {
+	var set standins.Settings
+	return &cli.Command{
+		Name: "drive", Usage: "send orders to the VMs at the given addresses and compare answers with runs", ArgsUsage: "ADDRESS...",
+		Flags: append(standinsFlags(&set),
+			&cli.BoolFlag{Name: "note", Usage: "print the release note for the targets instead"},
+			&cli.IntFlag{Name: "per-second", Usage: "requests a second", Value: 50},
+			&cli.DurationFlag{Name: "for", Usage: "how long to send", Value: 20 * time.Second},
+		),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if cmd.Bool("note") {
+				_, err := io.WriteString(out, standins.Note(set))
+				return err
+			}
+			if cmd.Args().Len() == 0 {
+				return errors.New("no address of a VM is given")
+			}
+			return standins.Drive(ctx, set, cmd.Args().Slice(), cmd.Int("per-second"), cmd.Duration("for"), out)
+		},
+	}
+}
--- a/lugbench/pkg/targetfake/target.go
+++ b/lugbench/pkg/targetfake/target.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -64,6 +65,13 @@
 	return tgt.runs[request]
 }
 
+// AllRuns returns how often each request was run.
+func (tgt *Target) AllRuns() map[string]int {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	return maps.Clone(tgt.runs)
+}
+
 // Count returns the number of requests that were run.
 func (tgt *Target) Count() int {
 	tgt.mut.Lock()
--- a/lugd/pkg/certificate/certificate_test.go
+++ b/lugd/pkg/certificate/certificate_test.go
@@ -8,6 +8,7 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"errors"
 	"math/big"
 	"net"
 	"os"
@@ -110,8 +111,7 @@
 	cli := tls.Client(con, client)
 	if err := cli.Handshake(); err != nil {
 		_ = con.Close()
-		_ = <-done // The client has already failed.
-		return nil, err
+		return nil, errors.Join(err, <-done)
 	}
 	if err := <-done; err != nil {
 		return nil, err
