--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT_VERSION := v2.15.0
 LINT := $(TOOLS)/golangci-lint-$(LINT_VERSION)
 
-.PHONY: all build test race lint format check-core check-link fuzz-replay measure capacity quickstart ci
+.PHONY: all build build-alone test race lint format check-core check-link measure capacity processes fuzz quickstart ci
 
 all: build test
 
@@ -40,7 +40,25 @@
 check-link: build
 	bash _scripts/check-link.sh bin/lugd bin/lugctl bin/lugbench
 
+# Prints every table of docs/design; SEEDS=n for more seeds. Takes minutes.
+SEEDS ?= 3
+measure: build
+	for tab in detection noise threshold rate fair brownout load; do bin/lugbench measure $$tab --seeds $(SEEDS) || exit 1; done
+	bin/lugbench load 2>/dev/null
+
+capacity: build
+	bin/lugbench measure capacity --seeds $(SEEDS)
+
+processes:
+	bash _scripts/processes.sh
+
 quickstart:
 	go run ./lugbench/cmd/lugbench quickstart
 
+# Longer fuzzing on demand; the corpora are replayed by every test run.
+fuzz:
+	cd core && go test ./note -fuzz FuzzRead -fuzztime 30s
+	cd lugd && go test ./pkg/peer -fuzz FuzzDecode -fuzztime 30s
+	cd lugd && go test ./pkg/caller -fuzz FuzzKeys -fuzztime 30s
+
 ci: build-alone lint check-core check-link race
--- /dev/null
+++ b/core/note/fuzz_test.go
@@ -0,0 +1,40 @@
+package note
+
+import (
+	"errors"
+	"testing"
+
+	"marigoldlug.example/core/config"
+)
+
+// FuzzRead checks that every document either yields faults or a note that can
+// be applied, and that what it makes can be rendered and read again.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte("release: a\nadded: {organisations: [{name: o, rate: 1.5, burst: 2}]}"))
+	f.Add([]byte(`{"release": "a", "withdrawn": {"keys": ["k"]}}`))
+	f.Add([]byte("release: a\nadded:\n  services: [{name: s, healthyFloor: 0.5}]\n  routes: [{name: r, pathPrefix: /, service: s, idempotent: true, timeout: 1s, methods: [GET]}]"))
+	f.Add([]byte("a: &a [*a]"))
+	f.Add([]byte("release: [\n"))
+	f.Fuzz(func(t *testing.T, doc []byte) {
+		nte, err := Read(doc)
+		if err != nil {
+			var faults FaultsError
+			if !errors.As(err, &faults) || len(faults) == 0 {
+				t.Fatalf("error of type %T", err)
+			}
+			return
+		}
+		con, err := nte.Apply(config.Content{}, config.Content{}, 1)
+		if err != nil {
+			return
+		}
+		again, err := Read([]byte("release: again\n" + Render(con)))
+		if err != nil {
+			t.Fatalf("rendered note has faults: %v", err)
+		}
+		same, err := again.Apply(config.Content{}, config.Content{}, 1)
+		if err != nil || len(Diff(con, same)) > 0 {
+			t.Fatalf("rendered note differs: %v, %v", Diff(con, same), err)
+		}
+	})
+}
--- /dev/null
+++ b/core/note/note_test.go
@@ -0,0 +1,40 @@
+package note
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"marigoldlug.example/core/config"
+)
+
+// TestNotes runs the scripts in testdata. "apply" reads the note given and
+// applies it, against the base that it names, printing faults, conflicts or
+// what changes; "show" prints the configuration.
+func TestNotes(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		versions := []config.Content{{}}
+		datadriven.RunTest(t, path, func(t *testing.T, dat *datadriven.TestData) string {
+			now := versions[len(versions)-1]
+			if dat.Cmd == "show" {
+				return Render(now)
+			}
+			nte, err := Read([]byte(dat.Input))
+			if err != nil {
+				return err.Error() + "\n"
+			}
+			next, err := nte.Apply(versions[nte.Base], now, uint64(len(versions)-1))
+			if err != nil {
+				return err.Error() + "\n"
+			}
+			versions = append(versions, next)
+			var out strings.Builder
+			for _, dif := range Diff(now, next) {
+				fmt.Fprintf(&out, "%s.%s: %q -> %q\n", dif.Object, dif.Field, dif.Before, dif.After)
+			}
+			return out.String()
+		})
+	})
+}
--- a/core/note/reader.go
+++ b/core/note/reader.go
@@ -35,6 +35,9 @@
 
 // pairs returns the entries of a mapping and reports duplicate names.
 func (rdr *reader) pairs(nod *yaml.Node, path string) []pair {
+	if nod.Kind == yaml.ScalarNode && nod.Tag == "!!null" {
+		return nil
+	}
 	if nod.Kind != yaml.MappingNode {
 		rdr.fail(nod, path, "must be a mapping")
 		return nil
--- a/lugbench/pkg/measure/rate.go
+++ b/lugbench/pkg/measure/rate.go
@@ -60,6 +60,7 @@
 		{"steady 99%", 0.99, 1, quiet},
 		{"one at 10x", 0.8, 10, quiet},
 		{"VM crash 80%", 0.8, 1, func(fle *runner.Fleet) { fle.Kill(3) }},
+		{"home crash 80%", 0.8, 1, func(fle *runner.Fleet) { fle.KillHome("org-1") }},
 		{"platform away 80%", 0.8, 1, func(fle *runner.Fleet) { fle.SetPlatformAway(true); fle.Kill(3) }},
 	}
 }
--- a/lugbench/pkg/runner/change.go
+++ b/lugbench/pkg/runner/change.go
@@ -48,6 +48,17 @@
 // Size returns the number of VMs that were ever started.
 func (fle *Fleet) Size() int { return len(fle.vms) }
 
+// KillHome ends the VM that is the first home of an organisation.
+func (fle *Fleet) KillHome(organisation string) {
+	_, vie := fle.Held(0)
+	home := vie.Ranked("rate/"+organisation, 1)[0].ID
+	for num, vmm := range fle.vms {
+		if vmm.ID == home {
+			fle.Kill(num)
+		}
+	}
+}
+
 // Join starts another VM, which has to ask to be listed.
 func (fle *Fleet) Join() {
 	vmm := fle.bear(len(fle.vms))
--- a/lugd/pkg/caller/handler.go
+++ b/lugd/pkg/caller/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"marigoldlug.example/core/health"
@@ -35,6 +36,8 @@
 type observer interface {
 	Attempt(ctx context.Context, dis node.Dispatch) (context.Context, func(outcome health.Outcome))
 	Request(ctx context.Context, hdr http.Header) (context.Context, func(route, result string))
+	// Queue observes the wait until the first attempt or the refusal.
+	Queue(ctx context.Context) func()
 	Inject(ctx context.Context, hdr http.Header)
 }
 
@@ -68,6 +71,7 @@
 		done("", string(ref.Reason))
 		return
 	}
+	waited := han.observer.Queue(ctx)
 	id, actions := han.decider.Begin(request.Request{
 		Host:    plainHost(req.Host),
 		Path:    req.URL.Path,
@@ -88,6 +92,8 @@
 		ctl:  ctl,
 		req:  req,
 		body: newReplay(http.MaxBytesReader(wrt, req.Body, han.set.MaxBody)),
+
+		waited: sync.OnceFunc(waited),
 	}
 	if hasBody(req) {
 		// Without a body the deadline would end the watch for a caller that leaves.
@@ -123,6 +129,8 @@
 	ctl  *http.ResponseController
 	req  *http.Request
 	body *replay
+	// waited ends the observation of the wait for the first attempt.
+	waited func()
 	// answer is the answer that waits for the decision to relay it.
 	answer  *target.Answer
 	attempt int
@@ -138,6 +146,7 @@
 				return
 			}
 		case <-ctx.Done():
+			ses.waited()
 			ses.result = "callerLeft"
 			ses.han.decider.Step(node.CallerLeft{Request: ses.id})
 			return
@@ -147,6 +156,7 @@
 
 // act carries out an action and reports whether it was the last.
 func (ses *session) act(ctx context.Context, act node.Action) bool {
+	ses.waited()
 	switch act := act.(type) {
 	case node.Dispatch:
 		ses.dropAnswer()
--- a/lugd/pkg/daemon/daemon.go
+++ b/lugd/pkg/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/node"
@@ -34,6 +35,8 @@
 
 const (
 	sweepInterval = 10 * time.Second
+	// chunkInterval is how often the first watcher looks for unused chunks.
+	chunkInterval = time.Hour
 	bodyPause     = 60 * time.Second
 )
 
@@ -44,6 +47,7 @@
 	self      member.VM
 	runtime   *vm.Runtime
 	committer *release.Committer
+	client    *platform.Client
 	pool      *target.Pool
 	tracer    *trace.Tracer
 	transport *peer.Transport
@@ -82,14 +86,14 @@
 		address = dmn.listeners.peer.Addr().String()
 	}
 	dmn.self = member.VM{ID: set.Name + "." + runID(), Address: address, FailureDomain: set.FailureDomain}
-	cli := platform.New(set.PlatformURL, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}, set.PlatformCalls, int(4*set.PlatformCalls)+1)
-	dmn.committer = release.NewCommitter(cli, dmn.self.ID, time.Now)
+	dmn.client = platform.New(set.PlatformURL, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}, set.PlatformCalls, int(4*set.PlatformCalls)+1)
+	dmn.committer = release.NewCommitter(dmn.client, dmn.self.ID, time.Now)
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	dmn.cancel = cancel
 	dmn.runtime = vm.New(work, node.Settings{
 		Self: dmn.self, LeaseDuration: set.LeaseDuration, TrustReads: set.PlatformReads == settings.ConsistentReads,
 		Threshold: health.Threshold(set.EjectionThreshold),
-	}, cli, dmn.committer, lgs.Logger(logflags.Machine))
+	}, dmn.client, dmn.committer, lgs.Logger(logflags.Machine))
 	dmn.transport = peer.New(dmn.self, dmn.listeners.peer, dmn.runtime, lgs.Logger(logflags.Peer))
 	if !set.Plain(settings.PlainPeers) {
 		dmn.transport.Secure(identity)
@@ -199,6 +203,14 @@
 		sta, _ := dmn.runtime.Status()
 		return sta.ProofAge.Seconds()
 	})
+	met.Counter("peer_sent_bytes", "Bytes sent to other VMs.", func() float64 {
+		sent, _ := dmn.transport.Bytes()
+		return float64(sent)
+	})
+	met.Counter("peer_received_bytes", "Bytes received from other VMs.", func() float64 {
+		_, received := dmn.transport.Bytes()
+		return float64(received)
+	})
 	met.Gauge("targets_ejected", "Targets that the VM does not use.", func() float64 {
 		sta, _ := dmn.runtime.Status()
 		return float64(len(sta.Ejected))
@@ -231,6 +243,7 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	wgr.Go(func() { dmn.sweep(work) })
+	wgr.Go(func() { dmn.sweepChunks(work) })
 	failed := make(chan error, 2)
 	for srv, lis := range map[*http.Server]net.Listener{dmn.callers: dmn.listeners.caller, dmn.operators: dmn.listeners.operator} {
 		wgr.Go(func() {
@@ -266,3 +279,24 @@
 		dmn.pool.Sweep(time.Now())
 	}
 }
+
+// sweepChunks deletes unused chunks from the platform, on the first watcher.
+func (dmn *Daemon) sweepChunks(ctx context.Context) {
+	swe := release.NewSweeper(dmn.client, time.Now)
+	for {
+		sleep(ctx, chunkInterval)
+		if ctx.Err() != nil {
+			return
+		}
+		first := false
+		dmn.runtime.Machine(func(mac *node.Machine, _ clock.Instant) {
+			wts := mac.Watchers()
+			first = len(wts) > 0 && wts[0].ID == dmn.self.ID
+		})
+		if !first {
+			continue
+		}
+		cnt, err := swe.Sweep(ctx)
+		dmn.log.WithError(err).WithField("deleted", cnt).Info("unused chunks swept")
+	}
+}
--- a/lugd/pkg/daemon/observer.go
+++ b/lugd/pkg/daemon/observer.go
@@ -35,6 +35,12 @@
 	}
 }
 
+// Queue starts the observation of the wait for the first attempt.
+func (obs *observer) Queue(ctx context.Context) func() {
+	spn := obs.tracer.Queue(ctx)
+	return func() { spn.End() }
+}
+
 // Attempt starts the observation of an attempt.
 func (obs *observer) Attempt(ctx context.Context, dis node.Dispatch) (context.Context, func(outcome health.Outcome)) {
 	began := time.Now()
--- a/lugd/pkg/platform/head.go
+++ b/lugd/pkg/platform/head.go
@@ -11,8 +11,11 @@
 // HeadName is the name of the object that holds the head.
 const HeadName = "head"
 
+// ChunkPrefix starts the names of the objects that hold chunks.
+const ChunkPrefix = "chunks/"
+
 // ChunkName returns the name of the object that holds a chunk.
-func ChunkName(id chunk.ID) string { return "chunks/" + id.String() }
+func ChunkName(id chunk.ID) string { return ChunkPrefix + id.String() }
 
 // headWire is the stored form of a head.
 type headWire struct {
--- a/lugd/pkg/release/committer.go
+++ b/lugd/pkg/release/committer.go
@@ -175,6 +175,10 @@
 	if err := com.putHead(ctx, next, sta.object); err != nil {
 		return Result{}, err
 	}
+	// A sweeper may have deleted a chunk that existed before the head named it.
+	if err := com.putChunks(ctx, chunks, sta.manifest); err != nil {
+		return Result{}, err
+	}
 	return Result{ID: nte.ID, Version: next.Version, Head: next}, nil
 }
 
--- a/lugd/pkg/trace/trace.go
+++ b/lugd/pkg/trace/trace.go
@@ -66,10 +66,10 @@
 		trace.WithAttributes(attribute.String("target", target), attribute.Int("attempt", attempt)))
 }
 
-// Peer starts the span of a call to another VM.
-func (trc *Tracer) Peer(ctx context.Context, kind string) (context.Context, trace.Span) {
-	return trc.tracer.Start(ctx, "peer call", trace.WithSpanKind(trace.SpanKindClient),
-		trace.WithAttributes(attribute.String("message", kind)))
+// Queue starts the span of the wait for rate and room.
+func (trc *Tracer) Queue(ctx context.Context) trace.Span {
+	_, spn := trc.tracer.Start(ctx, "queue")
+	return spn
 }
 
 // Inject writes the context of the present span into the headers of a request.
