Bound the connections of the fleet to a target

Cause: 48 VMs with 8 idle connections each opened up to 384 to a target that takes 300, and more under load.

Each VM opens at most its part, the target's connections divided by the members of the view; a request beyond it is not run and goes on like a shed one.

After: 48 x 6 = 288; the second request at a bound of one is refused as not run (test).

With more members than connections each VM still opens one.

--- a/core/health/outcome.go
+++ b/core/health/outcome.go
@@ -37,4 +37,6 @@
 	FailureDomain string
 	// Slots is the number of requests that the target runs at a time.
 	Slots int
+	// Connections bounds the connections from the whole fleet.
+	Connections int
 }
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -130,6 +130,8 @@
 	Timeout time.Duration
 	// Idempotent is the property of the route.
 	Idempotent bool
+	// Connections bounds the connections of this VM to the target.
+	Connections int
 	// Route and Organisation label traces and metrics.
 	Route        string
 	Organisation string
--- a/core/node/flight.go
+++ b/core/node/flight.go
@@ -176,11 +176,17 @@
 		Target:       tgt,
 		Timeout:      left,
 		Idempotent:   fli.route.Idempotent,
+		Connections:  mac.connections(tgt),
 		Route:        fli.route.Name,
 		Organisation: fli.organisation,
 	})
 }
 
+// connections returns this VM's part of the connections that a target takes.
+func (mac *Machine) connections(tgt health.Target) int {
+	return max(tgt.Connections/max(mac.view.Size(), 1), 1)
+}
+
 // current returns the flight whose attempt under way is the given one.
 func (mac *Machine) current(id request.ID, attempt int) *flight {
 	fli := mac.flights[id]
@@ -254,6 +260,10 @@
 		return
 	}
 	fli.spent = evt.Spent
+	if evt.Outcome == health.Shed {
+		mac.wasShed(now, fli)
+		return
+	}
 	mac.endAttempt(now, fli, evt.Outcome)
 	reason := request.TargetFailed
 	if fli.deadline.Mono-now.Mono < minAttemptTime {
--- a/core/node/machine.go
+++ b/core/node/machine.go
@@ -314,6 +314,7 @@
 			Address:       tgt.Address,
 			FailureDomain: tgt.FailureDomain,
 			Slots:         tgt.Slots,
+			Connections:   tgt.Connections,
 		})
 	}
 	return tgs
--- a/lugd/pkg/caller/handler.go
+++ b/lugd/pkg/caller/handler.go
@@ -29,7 +29,7 @@
 
 // sender sends requests to targets.
 type sender interface {
-	Send(ctx context.Context, address string, req *http.Request, idempotent bool, timeout time.Duration) (*target.Answer, *target.Error)
+	Send(ctx context.Context, cal target.Call, req *http.Request) (*target.Answer, *target.Error)
 }
 
 // observer learns of every request and attempt.
@@ -198,7 +198,9 @@
 func (ses *session) send(ctx context.Context, dis node.Dispatch) {
 	ses.attempt = dis.Attempt
 	ctx, done := ses.han.observer.Attempt(ctx, dis)
-	ans, fail := ses.han.sender.Send(ctx, dis.Target.Address, ses.outgoing(ctx, dis), dis.Idempotent, dis.Timeout)
+	ans, fail := ses.han.sender.Send(ctx, target.Call{
+		Address: dis.Target.Address, Idempotent: dis.Idempotent, Timeout: dis.Timeout, Connections: dis.Connections,
+	}, ses.outgoing(ctx, dis))
 	if fail != nil {
 		outcome := fail.Outcome
 		if ses.req.Context().Err() != nil || ses.body.failed() != nil {
--- a/lugd/pkg/target/pool.go
+++ b/lugd/pkg/target/pool.go
@@ -103,15 +103,30 @@
 	var err error
 	con.closed.Do(func() {
 		err = con.Conn.Close()
-		con.pool.mut.Lock()
-		defer con.pool.mut.Unlock()
-		if con.pool.open[con.address]--; con.pool.open[con.address] <= 0 {
-			delete(con.pool.open, con.address)
-		}
+		con.pool.release(con.address)
 	})
 	return err
 }
 
+// reserve counts a connection that is about to be opened, if there may be one.
+func (pol *Pool) reserve(cal Call) bool {
+	pol.mut.Lock()
+	defer pol.mut.Unlock()
+	if pol.open[cal.Address] >= cal.Connections {
+		return false
+	}
+	pol.open[cal.Address]++
+	return true
+}
+
+func (pol *Pool) release(address string) {
+	pol.mut.Lock()
+	defer pol.mut.Unlock()
+	if pol.open[address]--; pol.open[address] <= 0 {
+		delete(pol.open, address)
+	}
+}
+
 // quiet reports whether the connection is open with nothing to read. A
 // connection with something to read was closed or owes an answer.
 func (con *conn) quiet() bool {
@@ -212,21 +227,36 @@
 	return out
 }
 
-func (pol *Pool) connect(ctx context.Context, address string, idempotent bool) (*conn, error) {
+// Call says how to send a request.
+type Call struct {
+	Address    string
+	Idempotent bool
+	// Timeout bounds the time until the head of the answer.
+	Timeout time.Duration
+	// Connections bounds the connections of this VM to the address.
+	Connections int
+}
+
+// errBusy is returned when every connection that the VM may open is in use.
+var errBusy = errors.New("all connections to the target are in use")
+
+func (pol *Pool) connect(ctx context.Context, cal Call) (*conn, error) {
 	age := freshIdle
-	if idempotent {
+	if cal.Idempotent {
 		age = maxIdle
 	}
+	address := cal.Address
 	if con := pol.take(address, age); con != nil {
 		return con, nil
 	}
+	if !pol.reserve(cal) {
+		return nil, errBusy
+	}
 	raw, err := pol.dial(ctx, address)
 	if err != nil {
+		pol.release(address)
 		return nil, err
 	}
-	pol.mut.Lock()
-	pol.open[address]++
-	pol.mut.Unlock()
 	return &conn{Conn: raw, pool: pol, address: address, reader: bufio.NewReaderSize(raw, bufferSize)}, nil
 }
 
@@ -235,17 +265,21 @@
 	*http.Response
 }
 
-// Send sends req to the target at address once, and returns when the head of
-// the answer has arrived or the timeout has passed. Cancelling ctx closes the
-// connection, also while the body of the answer is read.
-func (pol *Pool) Send(ctx context.Context, address string, req *http.Request, idempotent bool, timeout time.Duration) (*Answer, *Error) {
+// Send sends req once as the call says, and returns when the head of the answer
+// has arrived or the timeout has passed. Cancelling ctx closes the connection,
+// also while the body of the answer is read.
+func (pol *Pool) Send(ctx context.Context, cal Call, req *http.Request) (*Answer, *Error) {
 	ctx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(timeout, cancel)
-	con, err := pol.connect(ctx, address, idempotent)
+	timer := time.AfterFunc(cal.Timeout, cancel)
+	con, err := pol.connect(ctx, cal)
 	if err != nil {
 		timer.Stop()
 		cancel()
-		return nil, &Error{Verdict: verdict.NotRun, Outcome: health.Unreachable, Err: fmt.Errorf("cannot connect to target %s: %w", address, err)}
+		outcome := health.Unreachable
+		if errors.Is(err, errBusy) {
+			outcome = health.Shed
+		}
+		return nil, &Error{Verdict: verdict.NotRun, Outcome: outcome, Err: fmt.Errorf("cannot connect to target %s: %w", cal.Address, err)}
 	}
 	exc := &exchange{con: con, cancel: cancel, written: make(chan error, 1)}
 	exc.stop = context.AfterFunc(ctx, func() { _ = con.Close() })
--- a/lugd/pkg/target/pool_test.go
+++ b/lugd/pkg/target/pool_test.go
@@ -14,6 +14,9 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/verdict"
 )
 
 // scriptedTarget answers each request as a script says and counts the heads of
@@ -178,7 +181,9 @@
 		req.Body = io.NopCloser(onlyReader{strings.NewReader(body)})
 		req.ContentLength = int64(len(body))
 	}
-	ans, fail := pol.Send(context.Background(), tgt.lis.Addr().String(), req, dat.HasArg("idempotent"), 300*time.Millisecond)
+	ans, fail := pol.Send(context.Background(), Call{
+		Address: tgt.lis.Addr().String(), Idempotent: dat.HasArg("idempotent"), Timeout: 300 * time.Millisecond, Connections: 4,
+	}, req)
 	var out string
 	if fail != nil {
 		out = "failed: " + fail.Verdict.String()
@@ -205,8 +210,37 @@
 	_ = lis.Close()
 	pol := New(Settings{DialTimeout: time.Second, IdlePerTarget: 4, BodyPause: time.Second})
 	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: "target", Path: "/"}, Header: http.Header{}}
-	_, fail := pol.Send(context.Background(), address, req, false, time.Second)
+	_, fail := pol.Send(context.Background(), Call{Address: address, Timeout: time.Second, Connections: 1}, req)
 	if fail == nil || fail.Verdict.String() != "not-run" {
 		t.Errorf("got %v", fail)
 	}
 }
+
+// A VM opens no more connections to a target than its part, and says that a
+// request beyond them has not run.
+func TestConnectionsAreBounded(t *testing.T) {
+	tgt := newScriptedTarget(t)
+	tgt.actions = []string{"hang"}
+	pol := New(Settings{DialTimeout: time.Second, IdlePerTarget: 4, BodyPause: time.Second})
+	cal := Call{Address: tgt.lis.Addr().String(), Timeout: 500 * time.Millisecond, Connections: 1}
+	get := func() *Error {
+		req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: "target", Path: "/"}, Header: http.Header{}}
+		ans, fail := pol.Send(context.Background(), cal, req)
+		if fail == nil {
+			_ = ans.Body.Close()
+		}
+		return fail
+	}
+	first := make(chan *Error, 1)
+	go func() { first <- get() }()
+	for pol.Open()[cal.Address] == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if fail := get(); fail == nil || fail.Outcome != health.Shed || fail.Verdict != verdict.NotRun {
+		t.Errorf("a request beyond the bound got %v", fail)
+	}
+	<-first
+	if fail := get(); fail != nil {
+		t.Errorf("after the first request ended: %v", fail)
+	}
+}
