Keep the floor when targets are withdrawn, found under fire

The owner and each VM now take targets back into use, those first whose ejections end first, whenever targets or the floor change.

--- a/core/health/digest.go
+++ b/core/health/digest.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -99,9 +100,21 @@
 			tgt.until = now.Add(eje.Left)
 		}
 	}
+	svc.keepFloor(now)
 	for _, wei := range ver.Weighted {
 		if tgt := svc.target(wei.Target); tgt != nil {
 			tgt.percent = wei.Percent
 		}
 	}
 }
+
+// keepFloor takes targets back into use, those first whose ejections end first,
+// where the owner has ejected more than the floor allows. The owner may have
+// judged before targets were withdrawn or the floor was raised.
+func (svc *service) keepFloor(now clock.Instant) {
+	ejected := slices.DeleteFunc(slices.Clone(svc.targets), func(tgt *pooled) bool { return !tgt.ejectedAt(now) })
+	slices.SortStableFunc(ejected, func(one, two *pooled) int { return cmp.Compare(one.until.Mono, two.until.Mono) })
+	for _, tgt := range ejected[:max(len(ejected)-len(svc.targets)+svc.floor, 0)] {
+		tgt.percent = 100
+	}
+}
--- a/core/health/judge.go
+++ b/core/health/judge.go
@@ -90,6 +90,22 @@
 		jud.target(now, id)
 	}
 	maps.DeleteFunc(jud.targets, func(id string, _ *suspect) bool { return !slices.Contains(ids, id) })
+	jud.keepFloor(now)
+}
+
+// keepFloor ends ejections, those first that would end first, where targets
+// were withdrawn or the floor was raised.
+func (jud *judge) keepFloor(now clock.Instant) {
+	for jud.ejectedCount(now) > len(jud.targets)-jud.floor {
+		var next *suspect
+		for _, id := range slices.Sorted(maps.Keys(jud.targets)) {
+			if sus := jud.targets[id]; sus.ejectedAt(now) && (next == nil || sus.until.Before(next.until)) {
+				next = sus
+			}
+		}
+		next.ejected = false
+		next.back = now
+	}
 }
 
 // digest takes the report of a VM and returns whether an ejection began.
--- a/core/health/pool.go
+++ b/core/health/pool.go
@@ -149,6 +149,7 @@
 		svc.targets = append(svc.targets, one)
 		ids = append(ids, tgt.ID)
 	}
+	svc.keepFloor(now)
 	pol.setOwner(svc)
 	if jud := pol.judges[name]; jud != nil {
 		jud.setTargets(now, floor, ids)
--- a/lugbench/pkg/command/command.go
+++ b/lugbench/pkg/command/command.go
@@ -51,6 +51,8 @@
 					report(out, "threshold", "detection against false ejections", measure.CurveReport),
 					report(out, "fair", "one organisation at ten times its rate", measure.FairReport),
 					report(out, "brownout", "recovery after a brown-out and retries when all fails", measure.BrownOutReport),
+					report(out, "release", "how long a release takes to be in force", measure.ReleaseReport),
+					report(out, "fire", "random schedules of faults, and what did not hold", measure.FireReport),
 					report(out, "capacity", "what control and configuration cost as they grow", measure.CapacityReport),
 					report(out, "load", "how callers fare at several loads", measure.LoadReport),
 				},
--- a/lugbench/pkg/runner/fleet.go
+++ b/lugbench/pkg/runner/fleet.go
@@ -291,9 +291,16 @@
 // SetPlatformAway makes the platform answer nothing, or answer again.
 func (fle *Fleet) SetPlatformAway(away bool) { fle.platform.away = away }
 
-// Release puts a configuration in the platform and tells one VM, as an
-// operator's client does.
+// Release puts a configuration in the platform and tells the watchers through
+// one VM, as an operator's client does.
 func (fle *Fleet) Release(change func(con config.Content) config.Content) uint64 {
+	version := fle.Write(change)
+	fle.Tell()
+	return version
+}
+
+// Write puts a configuration in the platform and returns its version.
+func (fle *Fleet) Write(change func(con config.Content) config.Content) uint64 {
 	hea := fle.platform.head
 	was := fle.platform.contents[hea.Version]
 	hea.Version++
@@ -304,13 +311,28 @@
 	}
 	fle.platform.contents[hea.Version] = contents{snapshot: config.New(con), view: was.view, prior: was.prior}
 	fle.platform.head = hea
+	return hea.Version
+}
+
+// Tell makes one VM tell the watchers of the newest head.
+func (fle *Fleet) Tell() {
 	for _, vmm := range fle.vms {
-		if !vmm.dead && !vmm.paused {
-			for _, wat := range vmm.mac.Watchers() {
-				fle.post(vmm, node.Send{To: wat.ID, Message: fence.News{Head: hea}})
-			}
-			break
+		if vmm.dead || vmm.paused {
+			continue
+		}
+		for _, wat := range vmm.mac.Watchers() {
+			fle.post(vmm, node.Send{To: wat.ID, Message: fence.News{Head: fle.platform.head}})
 		}
+		return
 	}
-	return hea.Version
+}
+
+// AllHold reports whether every VM that runs holds a version.
+func (fle *Fleet) AllHold(version uint64) bool {
+	for _, vmm := range fle.vms {
+		if !vmm.dead && !vmm.paused && vmm.mac.Head().Version < version {
+			return false
+		}
+	}
+	return true
 }
