Test a VM that is born while the platform is away

A fourth VM starts with the platform away, takes head and chunks from the others, is proved by their votes, and serves a keyed request and refuses an unknown key; a release is refused meanwhile.

--- a/lugbench/pkg/quickstart/quickstart.go
+++ b/lugbench/pkg/quickstart/quickstart.go
@@ -38,6 +38,7 @@
 	Targets  []*targetfake.Target
 	VMs      []*daemon.Daemon
 
+	platformURL     string
 	targetAddresses []string
 	servers         []*http.Server
 	wait            sync.WaitGroup
@@ -49,11 +50,12 @@
 // Start starts the fleet and waits until every VM has joined.
 func Start(ctx context.Context, log io.Writer) (*Fleet, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	fle := &Fleet{Platform: platformfake.New(), cancel: cancel, errs: make(chan error, vmCount)}
-	platformAddress, err := fle.serve(fle.Platform)
+	fle := &Fleet{Platform: platformfake.New(), cancel: cancel, errs: make(chan error, 2*vmCount)}
+	address, err := fle.serve(fle.Platform)
 	if err != nil {
 		return nil, err
 	}
+	fle.platformURL = "http://" + address
 	for num := range targetCount {
 		tgt := targetfake.New(fmt.Sprintf("worker-%d", num+1), targetSlots)
 		address, err := fle.serve(tgt)
@@ -64,13 +66,25 @@
 		fle.targetAddresses = append(fle.targetAddresses, address)
 	}
 	for num := range vmCount {
-		if err := fle.startVM(ctx, num, "http://"+platformAddress, log); err != nil {
+		if err := fle.startVM(ctx, num, log); err != nil {
 			return nil, err
 		}
 	}
 	return fle, fle.awaitMembers(ctx)
 }
 
+// AddVM starts another VM, which asks the others for the configuration while
+// the platform is away, and waits until it may serve keyed routes.
+func (fle *Fleet) AddVM(ctx context.Context, log io.Writer) error {
+	run, cancel := context.WithCancel(ctx)
+	before := fle.cancel
+	fle.cancel = func() { before(); cancel() }
+	if err := fle.startVM(run, len(fle.VMs), log); err != nil {
+		return err
+	}
+	return fle.await(ctx, "the new VM is active", func(sta api.VM) bool { return sta.LeaseActive })
+}
+
 func (fle *Fleet) serve(han http.Handler) (string, error) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -82,14 +96,17 @@
 	return lis.Addr().String(), nil
 }
 
-func (fle *Fleet) startVM(ctx context.Context, num int, platformURL string, log io.Writer) error {
+func (fle *Fleet) startVM(ctx context.Context, num int, log io.Writer) error {
 	set := settings.Default()
 	set.Name = fmt.Sprintf("vm-%d", num+1)
 	set.FailureDomain = fmt.Sprintf("domain-%d", num+1)
 	set.CallerAddress = "127.0.0.1:0"
 	set.PeerAddress = "127.0.0.1:0"
 	set.OperatorAddress = "127.0.0.1:0"
-	set.PlatformURL = platformURL
+	set.PlatformURL = fle.platformURL
+	for _, dmn := range fle.VMs {
+		set.Peers = append(set.Peers, dmn.Self().Address)
+	}
 	set.BalancerLag = 0
 	set.PlainText = []string{settings.PlainCallers, settings.PlainPeers, settings.PlainOperators}
 	lgs, err := logflags.New(log, "text", "")
--- a/lugbench/pkg/quickstart/quickstart_test.go
+++ b/lugbench/pkg/quickstart/quickstart_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"marigoldlug.example/lugbench/pkg/platformfake"
 	"marigoldlug.example/lugd/service/api"
 )
 
@@ -88,3 +89,24 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// A VM that is born while the platform is away takes the configuration from
+// others, proves by them that it is the newest, and serves.
+func TestBornWhileThePlatformIsAway(t *testing.T) {
+	fle := startFleet(t)
+	applyNote(t, fle, fle.Note())
+	fle.Platform.SetFaults(platformfake.Faults{Away: true})
+	if err := fle.AddVM(context.Background(), io.Discard); err != nil {
+		t.Fatal(err)
+	}
+	if ans := read(t, fle, len(fle.VMs)-1, "/recipes/celadon", Key); ans.Status != http.StatusOK {
+		t.Errorf("got %+v", ans)
+	}
+	if ans := read(t, fle, len(fle.VMs)-1, "/recipes/celadon", "unknown"); ans.Status != http.StatusUnauthorized {
+		t.Errorf("unknown key got %+v", ans)
+	}
+	if _, err := fle.Apply(context.Background(), []byte("release: away\nbase: 1\n")); err == nil {
+		t.Error("a release was written without the platform")
+	}
+	fle.Platform.SetFaults(platformfake.Faults{})
+}
