Keep spare allowance at four homes in different failure domains

Cause: with two homes an organisation leans on two VMs that may share a rack; how many it should have was never measured.

Now 4 homes usually, fewer for small bursts, more for high rates, over failure domains.

--- a/core/member/view.go
+++ b/core/member/view.go
@@ -19,6 +19,9 @@
 	FailureDomain string
 }
 
+// spreadFactor is how many times as many VMs as wanted Spread looks at.
+const spreadFactor = 4
+
 // View is an agreed list of VMs. It is immutable.
 type View struct {
 	epoch uint64
@@ -68,6 +71,26 @@
 	return Ranked(vie.vms, duty, cnt)
 }
 
+// Spread returns cnt members as Ranked does, but takes the next of a failure
+// domain only after those of all others, so that few are lost together.
+func (vie View) Spread(duty string, cnt int) []VM {
+	if cnt <= 1 {
+		return vie.Ranked(duty, cnt)
+	}
+	ranked := vie.Ranked(duty, cnt*spreadFactor)
+	taken := make(map[string]int)
+	out := make([]VM, 0, cnt)
+	for round := 0; len(out) < min(cnt, len(ranked)); round++ {
+		for _, vmm := range ranked {
+			if len(out) < cnt && taken[vmm.FailureDomain] == round && !slices.Contains(out, vmm) {
+				taken[vmm.FailureDomain]++
+				out = append(out, vmm)
+			}
+		}
+	}
+	return out
+}
+
 // Domain returns the members in one failure domain.
 func (vie View) Domain(domain string) []VM {
 	var out []VM
--- a/core/rate/ledger.go
+++ b/core/rate/ledger.go
@@ -26,10 +26,10 @@
 	// splitBurst is the least burst of a home, so that splitting an allowance
 	// leaves each home enough for several requests.
 	splitBurst = 8 * Request
-	// homeRate is the rate above which an organisation has a further home.
-	homeRate = PerSecond(2000 * Request)
-	minHomes = 2
-	maxHomes = 8
+	// homeRate is the rate for which an organisation has a further home.
+	homeRate   = PerSecond(2000 * Request)
+	usualHomes = 4
+	maxHomes   = 8
 	// driftShare is the part of each rate that is never minted, to cover VM
 	// clocks that run fast by up to 500 millionths.
 	driftShare = 2000
@@ -187,7 +187,7 @@
 
 // homesOf returns the IDs of the homes of an organisation, the first one first.
 func (led *Ledger) homesOf(acc *account) []string {
-	vms := led.fleet.View.Ranked("rate/"+acc.organisation, HomeCount(acc.allowance.Limit))
+	vms := led.fleet.View.Spread("rate/"+acc.organisation, HomeCount(acc.allowance.Limit))
 	ids := make([]string, 0, len(vms))
 	for _, vmm := range vms {
 		ids = append(ids, vmm.ID)
@@ -196,12 +196,9 @@
 }
 
 // HomeCount returns how many VMs are homes of an organisation with a limit:
-// one where halves would be crumbs, and more the higher the rate.
+// one where parts would be crumbs, and more the higher the rate.
 func HomeCount(lim Limit) int {
-	if lim.Burst < minHomes*splitBurst {
-		return 1
-	}
-	return min(minHomes+int(lim.Rate/homeRate), maxHomes, int(lim.Burst/splitBurst))
+	return max(min(usualHomes+int(lim.Rate/homeRate), maxHomes, int(lim.Burst/splitBurst)), 1)
 }
 
 // Admit decides on a request at once, or returns false for decided when the
