Load a first configuration from a member, not from the platform

Cause: every VM that starts read all chunks from the platform, up to 466 each; 810 at once would read 376,000, at 2,000 a second for three minutes.

A VM that starts reads the head and the view and asks a member for the rest, and falls back to the platform at the first chunk that it does not get.

--- a/lugbench/pkg/platformfake/server.go
+++ b/lugbench/pkg/platformfake/server.go
@@ -38,11 +38,13 @@
 	vms     []platform.VM
 	faults  Faults
 	calls   int
+	// reads counts the reads of each object.
+	reads map[string]int
 }
 
 // New returns a server without objects.
 func New() *Server {
-	srv := &Server{mux: http.NewServeMux(), objects: make(map[string]platform.Object), before: make(map[string]platform.Object)}
+	srv := &Server{mux: http.NewServeMux(), objects: make(map[string]platform.Object), before: make(map[string]platform.Object), reads: make(map[string]int)}
 	srv.mux.HandleFunc("GET /v1/objects/{name...}", srv.get)
 	srv.mux.HandleFunc("PUT /v1/objects/{name...}", srv.put)
 	srv.mux.HandleFunc("DELETE /v1/objects/{name...}", srv.remove)
@@ -72,6 +74,32 @@
 	return srv.calls
 }
 
+// Stored returns the number of objects whose names start with prefix.
+func (srv *Server) Stored(prefix string) int {
+	srv.mut.Lock()
+	defer srv.mut.Unlock()
+	cnt := 0
+	for name := range srv.objects {
+		if strings.HasPrefix(name, prefix) {
+			cnt++
+		}
+	}
+	return cnt
+}
+
+// Reads returns how often the objects whose names start with prefix were read.
+func (srv *Server) Reads(prefix string) int {
+	srv.mut.Lock()
+	defer srv.mut.Unlock()
+	sum := 0
+	for name, cnt := range srv.reads {
+		if strings.HasPrefix(name, prefix) {
+			sum += cnt
+		}
+	}
+	return sum
+}
+
 // ServeHTTP answers one call, unless the faults prevent it.
 func (srv *Server) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
 	srv.mut.Lock()
@@ -95,6 +123,7 @@
 	name := req.PathValue("name")
 	srv.mut.Lock()
 	obj, found := srv.objects[name]
+	srv.reads[name]++
 	if old, had := srv.before[name]; had && srv.faults.StaleReads > 0 {
 		srv.faults.StaleReads--
 		obj = old
--- a/lugbench/pkg/quickstart/quickstart_test.go
+++ b/lugbench/pkg/quickstart/quickstart_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"marigoldlug.example/lugbench/pkg/platformfake"
+	"marigoldlug.example/lugd/pkg/platform"
 	"marigoldlug.example/lugd/service/api"
 )
 
@@ -110,3 +111,25 @@
 	}
 	fle.Platform.SetFaults(platformfake.Faults{})
 }
+
+// A VM that starts loads the configuration from others and reads little more
+// than the view from the platform.
+func TestConfigurationIsLoadedFromOthers(t *testing.T) {
+	fle := startFleet(t)
+	applyNote(t, fle, fle.Note())
+	stored := fle.Platform.Stored(platform.ChunkPrefix)
+	before := fle.Platform.Reads(platform.ChunkPrefix)
+	if err := fle.AddVM(context.Background(), io.Discard); err != nil {
+		t.Fatal(err)
+	}
+	// The keeper and the new VM read views to change and to find others.
+	const views = 6
+	cnt := fle.Platform.Reads(platform.ChunkPrefix) - before
+	t.Logf("%d chunks read of %d stored", cnt, stored)
+	if cnt > views {
+		t.Errorf("%d chunks were read from the platform, which holds %d", cnt, stored)
+	}
+	if ans := read(t, fle, len(fle.VMs)-1, "/recipes/celadon", Key); ans.Status != http.StatusOK {
+		t.Errorf("got %+v", ans)
+	}
+}
--- a/lugd/pkg/release/committer.go
+++ b/lugd/pkg/release/committer.go
@@ -281,7 +281,7 @@
 	if hea.Epoch != chg.Epoch {
 		return hea, ErrMoved
 	}
-	vie, err := loadView(ctx, com.chunks, hea.View)
+	vie, err := LoadView(ctx, com.chunks, hea.View)
 	if err != nil {
 		return hea, err
 	}
--- a/lugd/pkg/release/loader.go
+++ b/lugd/pkg/release/loader.go
@@ -41,10 +41,10 @@
 func (loa *Loader) Load(ctx context.Context, src chunkSource, hea fence.Head) (Contents, error) {
 	var cts Contents
 	var err error
-	if cts.View, err = loadView(ctx, src, hea.View); err != nil {
+	if cts.View, err = LoadView(ctx, src, hea.View); err != nil {
 		return cts, err
 	}
-	if cts.Prior, err = loadView(ctx, src, hea.PriorView); err != nil {
+	if cts.Prior, err = LoadView(ctx, src, hea.PriorView); err != nil {
 		return cts, err
 	}
 	man, err := loadManifest(ctx, src, hea.Manifest)
@@ -73,7 +73,8 @@
 // Manifest returns the manifest of the configuration loaded last.
 func (loa *Loader) Manifest() chunk.Manifest { return loa.manifest }
 
-func loadView(ctx context.Context, src chunkSource, id chunk.ID) (member.View, error) {
+// LoadView returns the view that a chunk holds; the zero ID names the empty one.
+func LoadView(ctx context.Context, src chunkSource, id chunk.ID) (member.View, error) {
 	if id == (chunk.ID{}) {
 		return member.View{}, nil
 	}
--- a/lugd/pkg/vm/runtime.go
+++ b/lugd/pkg/vm/runtime.go
@@ -43,6 +43,8 @@
 	// loading is held while a head is loaded.
 	loading sync.Mutex
 	loader  *release.Loader
+	// loaded is set once a head has been loaded.
+	loaded bool
 
 	mut   sync.Mutex
 	mac   *node.Machine
--- a/lugd/pkg/vm/work.go
+++ b/lugd/pkg/vm/work.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"marigoldlug.example/core/chunk"
@@ -76,18 +78,38 @@
 func (rtm *Runtime) load(act node.Load) {
 	rtm.loading.Lock()
 	defer rtm.loading.Unlock()
-	src := chunks{rtm: rtm, from: act.From, platform: release.PlatformChunks{Client: rtm.client}}
+	src := &chunks{rtm: rtm, from: act.From, platform: release.PlatformChunks{Client: rtm.client}}
+	if act.From == "" && !rtm.loaded {
+		src.from = rtm.helper(act.Head)
+	}
 	cts, err := rtm.loader.Load(rtm.ctx, src, act.Head)
 	if err != nil {
 		rtm.log.WithError(err).WithField("version", act.Head.Version).Warn("cannot load the configuration")
 		rtm.Step(node.LoadFailed{})
 		return
 	}
+	rtm.loaded = true
 	rtm.book.set(cts.View)
 	rtm.Step(node.Loaded{Head: act.Head, Snapshot: cts.Snapshot, View: cts.View, Prior: cts.Prior})
 }
 
-// chunks obtains chunks from a VM first and from the platform after it.
+// helper returns a member to load a first configuration from, so that a mass
+// restart does not read every chunk from the platform once for each VM.
+func (rtm *Runtime) helper(hea fence.Head) string {
+	vie, err := release.LoadView(rtm.ctx, release.PlatformChunks{Client: rtm.client}, hea.View)
+	if err != nil {
+		return ""
+	}
+	others := slices.DeleteFunc(slices.Clone(vie.VMs()), func(vmm member.VM) bool { return vmm.ID == rtm.self.ID })
+	if len(others) == 0 {
+		return ""
+	}
+	rtm.book.set(vie)
+	return others[rand.IntN(len(others))].ID
+}
+
+// chunks obtains chunks from a VM, and from the platform once that VM has not
+// had one.
 type chunks struct {
 	rtm      *Runtime
 	from     string
@@ -95,7 +117,7 @@
 }
 
 // Chunk returns the content of a chunk.
-func (chk chunks) Chunk(ctx context.Context, id chunk.ID) ([]byte, error) {
+func (chk *chunks) Chunk(ctx context.Context, id chunk.ID) ([]byte, error) {
 	if chk.from == "" {
 		return chk.platform.Chunk(ctx, id)
 	}
@@ -107,6 +129,7 @@
 	if perr != nil {
 		return nil, errors.Join(err, perr)
 	}
+	chk.from = ""
 	return content, nil
 }
 
