--- a/lugbench/pkg/command/command.go
+++ b/lugbench/pkg/command/command.go
@@ -51,6 +51,16 @@
 					report(out, "threshold", "detection against false ejections", measure.CurveReport),
 					report(out, "fair", "one organisation at ten times its rate", measure.FairReport),
 					report(out, "brownout", "recovery after a brown-out and retries when all fails", measure.BrownOutReport),
+					{
+						Name: "plot", Usage: "draw detection against the ejection threshold", ArgsUsage: "FILE",
+						Flags: []cli.Flag{&cli.IntFlag{Name: "seeds", Usage: "number of seeds for each point", Value: 20}},
+						Action: func(_ context.Context, cmd *cli.Command) error {
+							if cmd.Args().Len() != 1 {
+								return errors.New("plot takes one argument: the file to draw into")
+							}
+							return measure.PlotThreshold(cmd.Args().First(), cmd.Int("seeds"))
+						},
+					},
 					report(out, "release", "how long a release takes to be in force", measure.ReleaseReport),
 					report(out, "fire", "random schedules of faults, and what did not hold", measure.FireReport),
 					report(out, "capacity", "what control and configuration cost as they grow", measure.CapacityReport),
