--- a/lugbench/pkg/measure/plot.go
+++ b/lugbench/pkg/measure/plot.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	plotWidth  = 14 * vg.Centimeter
-	plotHeight = 9 * vg.Centimeter
+	plotWidth  = 6 * vg.Inch
+	plotHeight = 4 * vg.Inch
 )
 
 // PlotThreshold draws how long detection takes at each ejection threshold, for
@@ -22,6 +22,8 @@
 	plt.X.Label.Text = "ejection threshold"
 	plt.Y.Label.Text = "seconds to detect"
 	plt.Y.Min = 0
+	plt.Legend.Top = true
+	plt.Legend.Left = true
 	var lines []any
 	for _, dep := range runner.Deployments() {
 		var p50, p99 plotter.XYs
