Use the field's word for random faults, and check that lookups do not allocate

Cause: a newcomer does not know what "fire" is; and no allocation at full scale was a claim.

Before: 0 tests of lookups.

--- /dev/null
+++ b/core/config/snapshot_test.go
@@ -0,0 +1,52 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+)
+
+const routeCount = 8000
+
+func manyRoutes() *Snapshot {
+	var con Content
+	for num := range routeCount {
+		con.Routes = append(con.Routes, Route{
+			Name: fmt.Sprintf("route-%d", num), Host: fmt.Sprintf("host-%d", num%40), PathPrefix: fmt.Sprintf("/a/%d", num), Methods: []string{"GET"},
+		})
+	}
+	con.Routes = append(con.Routes, Route{Name: "any", PathPrefix: "/"})
+	con.Organisations = []Organisation{{Name: "studio"}}
+	con.Keys = []Key{{ID: "k", Organisation: "studio", Digest: DigestOf("secret")}}
+	return New(con)
+}
+
+func TestRoutesMatchWholeSegments(t *testing.T) {
+	sna := manyRoutes()
+	for _, one := range []struct{ host, path, method, want string }{
+		{"host-1", "/a/1/x", "GET", "route-1"},
+		{"host-1", "/a/1", "GET", "route-1"},
+		{"host-1", "/a/11", "GET", "any"},
+		{"host-1", "/a/1", "POST", "any"},
+		{"other", "/a/1", "GET", "any"},
+		{"host-1", "/", "GET", "any"},
+	} {
+		rou := sna.Route(one.host, one.path, one.method)
+		if rou == nil || rou.Name != one.want {
+			t.Errorf("%s %s%s: got %v, want %s", one.method, one.host, one.path, rou, one.want)
+		}
+	}
+}
+
+func TestLookupsDoNotAllocate(t *testing.T) {
+	sna := manyRoutes()
+	dig := DigestOf("secret")
+	allocs := testing.AllocsPerRun(100, func() {
+		key := sna.Key(dig)
+		if sna.Route("host-7", "/a/7/one/two", "GET") == nil || key == nil || sna.Organisation(key.Organisation) == nil {
+			t.Error("not found")
+		}
+	})
+	if allocs > 0 {
+		t.Errorf("a lookup makes %v allocations", allocs)
+	}
+}
--- a/core/rate/ledger_property_test.go
+++ b/core/rate/ledger_property_test.go
@@ -129,7 +129,7 @@
 
 func (sch *schedule) changeMembers() {
 	if rapid.Bool().Draw(sch.tst, "join") && len(sch.vms) < 12 {
-		vmm := sch.bear()
+		vmm := sch.newVM()
 		sch.adopt(vmm)
 		if rapid.Bool().Draw(sch.tst, "listed") {
 			sch.changeView([]member.VM{vmm.VM}, nil)
--- a/core/rate/world_test.go
+++ b/core/rate/world_test.go
@@ -67,7 +67,7 @@
 	}
 	var members []member.VM
 	for range vms {
-		members = append(members, wor.bear().VM)
+		members = append(members, wor.newVM().VM)
 	}
 	wor.heads = []simHead{{}, {fleet: Fleet{Version: 1, View: member.NewView(1, members), LimitsVersion: 1}, limits: alws}}
 	for _, vmm := range wor.vms {
@@ -78,7 +78,7 @@
 
 func (wor *world) instant() clock.Instant { return clock.At(wor.now) }
 
-func (wor *world) bear() *simVM {
+func (wor *world) newVM() *simVM {
 	wor.nextVM++
 	vmm := &simVM{
 		VM:    member.VM{ID: fmt.Sprintf("vm-%02d", wor.nextVM), FailureDomain: fmt.Sprint(wor.nextVM % 3)},
--- a/lugbench/pkg/command/command.go
+++ b/lugbench/pkg/command/command.go
@@ -62,7 +62,7 @@
 						},
 					},
 					report(out, "release", "how long a release takes to be in force", measure.ReleaseReport),
-					report(out, "fire", "random schedules of faults, and what did not hold", measure.FireReport),
+					report(out, "chaos", "random schedules of faults, and what did not hold", measure.ChaosReport),
 					report(out, "capacity", "what control and configuration cost as they grow", measure.CapacityReport),
 					report(out, "load", "how callers fare at several loads", measure.LoadReport),
 				},
--- a/lugbench/pkg/runner/change.go
+++ b/lugbench/pkg/runner/change.go
@@ -61,7 +61,7 @@
 
 // Join starts another VM, which has to ask to be listed.
 func (fle *Fleet) Join() {
-	vmm := fle.bear(len(fle.vms))
+	vmm := fle.newVM(len(fle.vms))
 	fle.startTicks(vmm)
 }
 
--- a/lugbench/pkg/runner/fleet.go
+++ b/lugbench/pkg/runner/fleet.go
@@ -133,7 +133,7 @@
 	}
 	var members []member.VM
 	for num := range opt.VMs {
-		members = append(members, fle.bear(num).VM)
+		members = append(members, fle.newVM(num).VM)
 	}
 	con, _ := dep.content().WithLimitVersions(config.Content{}, 1)
 	fle.platform.head = fence.Head{Version: 1, ReleaseVersion: 1, LimitsVersion: 1, Epoch: 1}
@@ -144,7 +144,7 @@
 	return fle
 }
 
-func (fle *Fleet) bear(num int) *simVM {
+func (fle *Fleet) newVM(num int) *simVM {
 	vmm := &simVM{
 		VM:      member.VM{ID: vmName(num), Address: vmName(num), FailureDomain: fle.dep.domain(num)},
 		ejected: make(map[string]bool), seen: make(map[string]bool),
