Give a request no further attempt once its caller has left

Cause: read in review. A caller that left ended its attempt as cancelled, and on an idempotent route the machine sent the next one, up to three, each failing at once and taking a retry from the budget. Attempts that were shed or answered with a failure counted as success in attempts_total.

A cancelled attempt is now the last; metrics name shed and failed answers.

--- a/core/node/flight.go
+++ b/core/node/flight.go
@@ -270,7 +270,9 @@
 		reason = request.TimedOut
 	}
 	fli.verdict = fli.verdict.Worse(evt.Verdict)
-	if (evt.Verdict == verdict.NotRun || fli.route.Idempotent) && mac.mayRetry(now, fli) {
+	// A request that its caller has given up gets no further attempt.
+	again := evt.Outcome != health.Canceled && (evt.Verdict == verdict.NotRun || fli.route.Idempotent)
+	if again && mac.mayRetry(now, fli) {
 		mac.dispatch(now, fli, evt.Detail)
 		return
 	}
--- a/lugd/pkg/caller/handler.go
+++ b/lugd/pkg/caller/handler.go
@@ -214,17 +214,29 @@
 		return
 	}
 	ses.answer = ans
-	done(health.Success)
+	shed := ans.StatusCode >= 400 && ans.Header.Get(verdict.Header) == verdict.NotRun.String()
+	done(answerOutcome(ans.StatusCode, shed))
 	ses.han.decider.Step(node.AnswerBegan{
 		Request: ses.id,
 		Attempt: dis.Attempt,
 		Status:  ans.StatusCode,
-		Shed:    ans.StatusCode >= 400 && ans.Header.Get(verdict.Header) == verdict.NotRun.String(),
+		Shed:    shed,
 		Leaving: ans.Header.Get(LeavingHeader) != "",
 		Spent:   !ses.body.again(),
 	})
 }
 
+// answerOutcome returns how metrics and spans name an attempt that was answered.
+func answerOutcome(status int, shed bool) health.Outcome {
+	switch {
+	case shed:
+		return health.Shed
+	case status >= http.StatusInternalServerError:
+		return health.Failure
+	}
+	return health.Success
+}
+
 // outgoing returns the request to a target.
 func (ses *session) outgoing(ctx context.Context, dis node.Dispatch) *http.Request {
 	in := ses.req
