Count the answers to a survey instead of looking for each

Cause: read in review. Every answer of a member walked over all members to see whether any was missing: 810 x 810 look-ups on each VM for each change of the view. Answers are taken from members only, so their number tells.

Before -> after: one walk of the view an answer -> one comparison (not timed).

--- a/core/rate/survey.go
+++ b/core/rate/survey.go
@@ -14,30 +14,21 @@
 		return
 	}
 	srv.asked = now
-	missing := false
 	for _, vmm := range led.fleet.View.VMs() {
 		switch {
 		case srv.answered[vmm.ID]:
 		case vmm.ID == led.self:
 			led.held(now, led.self, led.holdings(led.self))
 		default:
-			missing = true
 			led.send(vmm.ID, Survey{Epoch: srv.epoch, Version: srv.version})
 		}
 	}
-	if !missing {
-		led.checkComplete(now)
-	}
 }
 
+// checkComplete mints what waits for the survey once every member has answered.
 func (led *Ledger) checkComplete(now clock.Instant) {
 	srv := &led.survey
-	for _, vmm := range led.fleet.View.VMs() {
-		if !srv.answered[vmm.ID] {
-			return
-		}
-	}
-	if srv.isComplete {
+	if srv.isComplete || len(srv.answered) < led.fleet.View.Size() {
 		return
 	}
 	srv.isComplete = true
@@ -84,6 +75,7 @@
 	if _, member := led.fleet.View.VM(from); !member {
 		return
 	}
+	// Only members are counted, so that their number tells when all have answered.
 	srv.answered[from] = true
 	for _, one := range hol.List {
 		sum := srv.held[one.Organisation]
