--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := core lugd lugctl lugbench
+MODULES := core lugd lugctl lugbench platform
 TOOLS := $(CURDIR)/.tools
 LINT_VERSION := v2.15.0
 LINT := $(TOOLS)/golangci-lint-$(LINT_VERSION)
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -30,6 +30,8 @@
 	Limit rate.Limit
 	// Weight is at least 1 and sets the share of contended slots.
 	Weight int
+	// Priority takes precedence over that of the route; nil where none is set.
+	Priority *Priority
 	// Created and Changed are the versions of the head at which the
 	// organisation was created and its limit last set.
 	Created uint64
@@ -55,23 +57,41 @@
 	Digest       Digest
 }
 
+// Priority ranks requests that compete for a service; 0 is the highest.
+type Priority int
+
+// Share is the part of a route's requests that goes to one service.
+type Share struct {
+	Service string
+	// Weight is above 0 and counts relative to the other shares of the route.
+	Weight float64
+}
+
 // Route maps requests to a service.
 type Route struct {
 	Name string
 	// Host is lower case and without port; empty matches every host.
 	Host string
-	// PathPrefix starts with a slash and matches whole segments.
+	// PathPrefix starts with a slash and matches whole segments. One that ends
+	// with a slash matches only paths that go on behind it.
 	PathPrefix string
 	// Methods is sorted; empty matches every method.
 	Methods []string
 	Access  Access
 	// Organisations is sorted; empty admits every organisation.
 	Organisations []string
-	Service       string
+	// Service is empty where Split is set.
+	Service string
+	// Split divides the requests among services; empty where all go to Service.
+	Split []Share
 	// Idempotent allows a request to be sent to a target more than once.
 	Idempotent bool
 	// Timeout bounds the time from arrival to the first byte of the answer.
 	Timeout time.Duration
+	// TargetLatency is the time within which an answer is of full use; 0 where
+	// none is stated.
+	TargetLatency time.Duration
+	Priority      Priority
 	// MaxAttempts is at least 1.
 	MaxAttempts int
 }
@@ -94,8 +114,22 @@
 	// HealthyFloor is the share of targets, above 0 and at most 1, that
 	// ejection must leave in use.
 	HealthyFloor float64
-	// Targets is sorted by name.
+	// Targets is sorted by name; empty where targets register themselves.
 	Targets []Target
+	// HealthPath is the path at which targets report their health.
+	HealthPath string
+	// Connections bounds the connections from the whole fleet to one target;
+	// 0 where the targets state it.
+	Connections int
+}
+
+// Bounds limit what a caller may send and how long it may take.
+type Bounds struct {
+	// HeaderBytes and BodyBytes are 0 where the VM's own settings hold.
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Floor returns the least number of targets that must stay in use.
@@ -140,4 +174,5 @@
 	Keys          []Key
 	Routes        []Route
 	Services      []Service
+	Bounds        Bounds
 }
--- a/core/config/snapshot.go
+++ b/core/config/snapshot.go
@@ -60,13 +60,14 @@
 	keys          [KeyBuckets]map[Digest]*Key
 	routes        [RouteBuckets][]Route
 	services      [ServiceBuckets]map[string]*Service
-	// hosts indexes routes by host, then by prefix without trailing slash.
-	hosts map[string]map[string][]*Route
+	// hosts indexes routes by host, then by prefix.
+	hosts  map[string]map[string][]*Route
+	bounds Bounds
 }
 
 // New indexes con. The caller must not change con afterwards.
 func New(con Content) *Snapshot {
-	sna := new(Snapshot)
+	sna := &Snapshot{bounds: con.Bounds}
 	for _, sec := range Sections() {
 		for num, buc := range Split(con, sec) {
 			sna.put(sec, num, buc)
@@ -164,13 +165,12 @@
 		prefixes = make(map[string][]*Route)
 		sna.hosts[rou.Host] = prefixes
 	}
-	prefix := strings.TrimSuffix(rou.PathPrefix, "/")
-	prefixes[prefix] = append(prefixes[prefix], rou)
+	prefixes[rou.PathPrefix] = append(prefixes[rou.PathPrefix], rou)
 }
 
 // Content returns every object sorted by name, which must not be changed.
 func (sna *Snapshot) Content() Content {
-	var con Content
+	con := Content{Bounds: sna.bounds}
 	for _, org := range sna.organisations {
 		con.Organisations = appendValues(con.Organisations, org)
 	}
@@ -220,6 +220,9 @@
 	return out
 }
 
+// Bounds returns the limits on what callers may send.
+func (sna *Snapshot) Bounds() Bounds { return sna.bounds }
+
 // Route returns the route with the longest matching prefix on the host, or on
 // every host, or nil. The host must be lower case and without port.
 func (sna *Snapshot) Route(host, path, method string) *Route {
@@ -233,11 +236,25 @@
 	if prefixes == nil {
 		return nil
 	}
-	for end := len(path); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
-		for _, rou := range prefixes[path[:end]] {
-			if rou.allowsMethod(method) {
-				return rou
-			}
+	// A prefix matches with its trailing slash, or without at the end of a segment.
+	for end := len(path); end > 0; {
+		if rou := allowed(prefixes[path[:end]], method); rou != nil {
+			return rou
+		}
+		slash := strings.LastIndexByte(path[:end], '/')
+		if slash == end-1 {
+			end = slash
+			continue
+		}
+		end = slash + 1
+	}
+	return nil
+}
+
+func allowed(rous []*Route, method string) *Route {
+	for _, rou := range rous {
+		if rou.allowsMethod(method) {
+			return rou
 		}
 	}
 	return nil
--- /dev/null
+++ b/core/gateway/event.go
@@ -0,0 +1,228 @@
+// Package gateway joins the decisions of one VM into a single machine without
+// input or output: a driver steps it with events and carries out its actions.
+package gateway
+
+import (
+	"time"
+
+	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/config"
+	"marigoldlug.example/core/fleet"
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/registry"
+	"marigoldlug.example/core/request"
+	"marigoldlug.example/core/table"
+	"marigoldlug.example/core/verdict"
+)
+
+// Event is something that happened to the VM.
+type Event interface{ event() }
+
+// Arrived is a request from a caller.
+type Arrived struct {
+	Request request.Request
+}
+
+// Answer is what is known of a target's answer.
+type Answer struct {
+	Status int
+	// Shed is set when the target states that it has not run the request.
+	Shed bool
+	// Stranger is set when another target answered at the address.
+	Stranger bool
+	// Leaving is set when the target closes the connection because it leaves.
+	Leaving bool
+}
+
+// Answered is the whole answer of a target, or so much of it that the rest is
+// passed on as it comes.
+type Answered struct {
+	Request request.ID
+	Attempt int
+	Answer  Answer
+}
+
+// AttemptFailed is the end of an attempt that was not answered.
+type AttemptFailed struct {
+	Request request.ID
+	Attempt int
+	Outcome health.Outcome
+	// Verdict says whether the target may have run the request.
+	Verdict verdict.Verdict
+	Detail  string
+}
+
+// RelayEnded is the end of an answer that was passed on.
+type RelayEnded struct {
+	Request request.ID
+	Outcome health.Outcome
+}
+
+// CallerLeft is the end of a request that its caller gave up.
+type CallerLeft struct {
+	Request request.ID
+}
+
+// ConfigRead is the newest configuration at the platform.
+type ConfigRead struct {
+	// Asked is when the question was sent.
+	Asked clock.Instant
+	// News is nil where the configuration has not changed.
+	News *Config
+}
+
+// TargetsRead is what has changed among the registered targets.
+type TargetsRead struct {
+	Asked clock.Instant
+	News  table.Delta[registry.Entry]
+}
+
+// FleetRead is what has changed in the list of VMs.
+type FleetRead struct {
+	Asked clock.Instant
+	News  table.Delta[fleet.Row]
+}
+
+// PlatformLost says that the platform did not answer a read.
+type PlatformLost struct{}
+
+// Received is a message from another VM: one of this package, or of the
+// packages quota and health.
+type Received struct {
+	From    string
+	Message any
+}
+
+// PeerGone says that a VM is known to have ended, because another run of the
+// process answers at its address.
+type PeerGone struct {
+	ID string
+}
+
+// Ticked is the passing of time, expected every TickInterval.
+type Ticked struct{}
+
+// StopBegan is the start of a planned stop.
+type StopBegan struct{}
+
+func (Arrived) event()       {}
+func (Answered) event()      {}
+func (AttemptFailed) event() {}
+func (RelayEnded) event()    {}
+func (CallerLeft) event()    {}
+func (ConfigRead) event()    {}
+func (TargetsRead) event()   {}
+func (FleetRead) event()     {}
+func (PlatformLost) event()  {}
+func (Received) event()      {}
+func (PeerGone) event()      {}
+func (Ticked) event()        {}
+func (StopBegan) event()     {}
+
+// Action is something that the driver is to do.
+type Action interface{ action() }
+
+// Dispatch sends a request to a target, and cancels the attempt before it.
+type Dispatch struct {
+	Request request.ID
+	// Attempt numbers the attempts of the request from 1.
+	Attempt int
+	Target  health.Target
+	Service string
+	// Timeout bounds the time to the end of the answer.
+	Timeout time.Duration
+	// Idempotent is the property of the route.
+	Idempotent bool
+	// Connections bounds the connections of this VM to the target.
+	Connections int
+	// Route and Organisation label traces and metrics.
+	Route        string
+	Organisation string
+}
+
+// Relay passes the answer of an attempt to the caller.
+type Relay struct {
+	Request request.ID
+	Attempt int
+}
+
+// Refuse answers the caller without a target.
+type Refuse struct {
+	Request request.ID
+	Refusal request.Refusal
+}
+
+// SetReading switches the reading of the platform on or off.
+type SetReading struct {
+	On bool
+}
+
+// Send sends a message to another VM.
+type Send struct {
+	To      string
+	Message any
+}
+
+// Write stores an object of the fleet, which must have the given revision, 0
+// for a new one.
+type Write struct {
+	Name     string
+	Row      fleet.Row
+	Revision uint64
+}
+
+// Delete removes an object of the fleet that must have the given revision.
+type Delete struct {
+	Name     string
+	Revision uint64
+}
+
+// Note is a decision that operators may want to read in the logs.
+type Note struct {
+	Request request.ID
+	Event   string
+	Fields  []any
+}
+
+func (Dispatch) action()   {}
+func (Relay) action()      {}
+func (Refuse) action()     {}
+func (SetReading) action() {}
+func (Send) action()       {}
+func (Write) action()      {}
+func (Delete) action()     {}
+func (Note) action()       {}
+
+// Config is a configuration at a version. It is immutable.
+type Config struct {
+	Version  uint64
+	Content  config.Content
+	Snapshot *config.Snapshot
+}
+
+// NewConfig indexes the content of a configuration.
+func NewConfig(version uint64, con config.Content) *Config {
+	return &Config{Version: version, Content: con, Snapshot: config.New(con)}
+}
+
+// Ages are how old the knowledge of a VM is.
+type Ages struct {
+	Config, Targets, Fleet time.Duration
+}
+
+// News tells a follower what has changed. It answers the ask of a number, or
+// none where the number is 0.
+type News struct {
+	Number uint64
+	Ages   Ages
+	// Config is nil where the follower holds the newest.
+	Config  *Config
+	Targets table.Delta[registry.Entry]
+	Fleet   table.Delta[fleet.Row]
+}
+
+// Ping asks whether a VM is alive; Pong says so.
+type Ping struct{}
+
+// Pong answers a Ping.
+type Pong struct{}
--- /dev/null
+++ b/core/gateway/knowledge.go
@@ -0,0 +1,277 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/feed"
+	"marigoldlug.example/core/fleet"
+	"marigoldlug.example/core/registry"
+	"marigoldlug.example/core/table"
+)
+
+const (
+	// followerTime is how long a VM that has asked is told what changes.
+	followerTime = 2 * time.Second
+	// resendTime is how long a change that was sent is taken to be under way.
+	resendTime = 800 * time.Millisecond
+	// registerInterval is the least time between two attempts to be listed.
+	registerInterval = time.Second
+	// vmSilentTime is how long a listed VM may be silent before it is asked,
+	// and vmLostTime how long until it is taken off the list.
+	vmSilentTime = 2 * time.Second
+	vmLostTime   = 3500 * time.Millisecond
+	pingInterval = 400 * time.Millisecond
+)
+
+// follower is a VM that learns from this one.
+type follower struct {
+	asked clock.Instant
+	held  feed.Ask
+	sent  clock.Instant
+}
+
+// knowledge is what a VM knows of the platform's objects, and from whom.
+type knowledge struct {
+	config       *Config
+	configProven clock.Instant
+	registry     *registry.Registry
+	// targetsProven is when the registry was last known to be the newest.
+	targetsProven clock.Instant
+	fleet         *fleet.Fleet
+	follower      *feed.Follower
+	followers     map[string]*follower
+	// heard has when VMs of the failure domain were last heard, while this VM
+	// reads for them.
+	heard      map[string]clock.Instant
+	pinged     map[string]clock.Instant
+	registered clock.Instant
+	reading    bool
+	readingSet bool
+}
+
+func (mac *Machine) version() uint64 {
+	if mac.config == nil {
+		return 0
+	}
+	return mac.config.Version
+}
+
+// Held returns the revisions that the VM holds.
+func (mac *Machine) Held() feed.Ask {
+	return feed.Ask{Config: mac.version(), Targets: mac.registry.Revision(), Fleet: mac.fleet.Revision()}
+}
+
+func later(one, two clock.Instant) clock.Instant {
+	if one == (clock.Instant{}) || one.Before(two) {
+		return two
+	}
+	return one
+}
+
+// adoptConfig takes a configuration if it is newer than the one in force.
+func (mac *Machine) adoptConfig(now clock.Instant, con *Config) bool {
+	if con == nil || con.Version <= mac.version() {
+		return false
+	}
+	mac.note("configuration", "version", con.Version, "before", mac.version())
+	mac.config = con
+	mac.setServices(now)
+	return true
+}
+
+func (mac *Machine) applyTargets(now clock.Instant, del table.Delta[registry.Entry]) bool {
+	before := mac.registry.Revision()
+	changed := mac.registry.Apply(now, del)
+	if changed {
+		mac.noteTargets(del)
+		mac.setServices(now)
+	}
+	return mac.registry.Revision() != before && !del.Empty()
+}
+
+func (mac *Machine) noteTargets(del table.Delta[registry.Entry]) {
+	for _, row := range del.Rows {
+		if !del.Whole || len(del.Rows) <= maxNotedRows {
+			mac.note("target", "target", row.Name, "service", row.Value.Service, "leaving", row.Value.Leaving, "revision", row.Revision)
+		}
+	}
+	for _, name := range del.Removed {
+		mac.note("targetRemoved", "target", name, "revision", del.Revision)
+	}
+}
+
+func (mac *Machine) applyFleet(now clock.Instant, del table.Delta[fleet.Row]) bool {
+	if !mac.fleet.Apply(now, del) {
+		return false
+	}
+	vie := mac.fleet.View()
+	mac.note("fleet", "vms", vie.Size(), "revision", vie.Epoch(), "holder", mac.fleet.Holder())
+	mac.follower.SetView(vie)
+	mac.balancer.SetView(vie)
+	mac.setRetries()
+	for id := range mac.heard {
+		if _, listed := vie.VM(id); !listed {
+			delete(mac.heard, id)
+			delete(mac.pinged, id)
+		}
+	}
+	return true
+}
+
+// learned takes what was read at the platform.
+func (mac *Machine) learned(now clock.Instant, evt Event) {
+	changed := false
+	switch evt := evt.(type) {
+	case ConfigRead:
+		changed = mac.adoptConfig(now, evt.News)
+		mac.configProven = later(mac.configProven, evt.Asked)
+	case TargetsRead:
+		changed = mac.applyTargets(now, evt.News)
+		mac.proveTargets(now, evt.Asked)
+	case FleetRead:
+		changed = mac.applyFleet(now, evt.News)
+		mac.fleet.Prove(evt.Asked)
+	}
+	if changed {
+		mac.tellFollowers(now)
+	}
+}
+
+func (mac *Machine) proveTargets(now, at clock.Instant) {
+	mac.registry.Prove(now, at)
+	mac.targetsProven = later(mac.targetsProven, at)
+}
+
+// told takes news from the VM that is followed.
+func (mac *Machine) told(now clock.Instant, from string, news News) {
+	changed := mac.adoptConfig(now, news.Config)
+	changed = mac.applyTargets(now, news.Targets) || changed
+	changed = mac.applyFleet(now, news.Fleet) || changed
+	if news.Number != 0 {
+		ages := news.Ages
+		if sent, dated := mac.follower.Answered(now, from, news.Number, max(ages.Config, ages.Targets, ages.Fleet)); dated {
+			base := sent.Add(max(ages.Config, ages.Targets, ages.Fleet))
+			mac.configProven = later(mac.configProven, base.Add(-ages.Config))
+			mac.proveTargets(now, base.Add(-ages.Targets))
+			mac.fleet.Prove(base.Add(-ages.Fleet))
+		}
+	}
+	if changed {
+		mac.tellFollowers(now)
+	}
+}
+
+func (mac *Machine) ages(now clock.Instant) Ages {
+	return Ages{Config: now.Since(mac.configProven), Targets: now.Since(mac.targetsProven), Fleet: now.Since(mac.fleet.Proven())}
+}
+
+// followed answers a VM that asks what is new.
+func (mac *Machine) followed(now clock.Instant, from string, ask feed.Ask) {
+	mac.heard[from] = now
+	fol := mac.followers[from]
+	if fol == nil {
+		fol = new(follower)
+		mac.followers[from] = fol
+	}
+	fol.asked = now
+	if now.Since(fol.sent) > resendTime {
+		fol.held = ask
+	}
+	if mac.config == nil {
+		return // There is nothing to tell; the VM asks elsewhere.
+	}
+	mac.tell(now, from, fol, ask.Number)
+}
+
+func (mac *Machine) tell(now clock.Instant, to string, fol *follower, number uint64) {
+	news := News{
+		Number: number, Ages: mac.ages(now),
+		Targets: mac.registry.Since(fol.held.Targets), Fleet: mac.fleet.Since(fol.held.Fleet),
+	}
+	if mac.version() > fol.held.Config {
+		news.Config = mac.config
+	}
+	if news.Config != nil || !news.Targets.Empty() || !news.Fleet.Empty() {
+		fol.sent = now
+	}
+	fol.held = mac.Held()
+	mac.do(Send{To: to, Message: news})
+}
+
+// tellFollowers passes a change on.
+func (mac *Machine) tellFollowers(now clock.Instant) {
+	if mac.config == nil {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(mac.followers)) {
+		fol := mac.followers[id]
+		if now.Since(fol.asked) > followerTime {
+			delete(mac.followers, id)
+			continue
+		}
+		mac.tell(now, id, fol, 0)
+	}
+}
+
+// follow decides from whom this VM learns.
+func (mac *Machine) follow(now clock.Instant) {
+	for _, snd := range mac.follower.Tick(now, mac.Held()) {
+		mac.do(Send{To: snd.To, Message: snd.Ask})
+	}
+	reading := mac.follower.Reading() || mac.config == nil
+	if !mac.readingSet || reading != mac.reading {
+		mac.reading, mac.readingSet = reading, true
+		mac.note("reading", "on", reading, "follows", mac.follower.Followed())
+		mac.do(SetReading{On: reading})
+	}
+}
+
+// enlist has this VM listed, and takes silent VMs of its failure domain off.
+func (mac *Machine) enlist(now clock.Instant) {
+	if mac.fleet.Revision() == 0 {
+		return
+	}
+	listed, revision := mac.fleet.Listed()
+	if !listed && !mac.stopping && (mac.registered == (clock.Instant{}) || now.Since(mac.registered) >= registerInterval) {
+		mac.registered = now
+		mac.do(Write{Name: fleet.VMName(mac.set.Name), Row: fleet.Row{VM: mac.set.Self, Name: mac.set.Name}, Revision: revision})
+	}
+	if !mac.stopping && mac.fleet.Claims(now) {
+		mac.note("claim", "before", mac.fleet.Holder())
+		mac.do(Write{Name: fleet.DutyName, Row: fleet.Row{Holder: mac.set.Self.ID}, Revision: mac.fleet.Object(fleet.DutyName)})
+	}
+	if mac.follower.First() && mac.reading {
+		mac.sweep(now)
+	}
+}
+
+// sweep asks the VMs of the failure domain that are silent, and takes those off
+// the list that do not answer.
+func (mac *Machine) sweep(now clock.Instant) {
+	for _, vmm := range mac.sweepable() {
+		if vmm.ID == mac.set.Self.ID {
+			continue
+		}
+		heard, found := mac.heard[vmm.ID]
+		if !found {
+			mac.heard[vmm.ID] = now
+			continue
+		}
+		silent := now.Since(heard)
+		if silent >= vmLostTime && now.Since(mac.fleet.Proven()) < vmSilentTime {
+			if row, listed := mac.fleet.Row(vmm.ID); listed {
+				mac.note("vmLost", "vm", vmm.ID, "silent", silent)
+				mac.do(Delete{Name: row.Name, Revision: row.Revision})
+				mac.heard[vmm.ID] = now
+			}
+			continue
+		}
+		if silent >= vmSilentTime && now.Since(mac.pinged[vmm.ID]) >= pingInterval {
+			mac.pinged[vmm.ID] = now
+			mac.do(Send{To: vmm.ID, Message: Ping{}})
+		}
+	}
+}
--- a/core/health/outcome.go
+++ b/core/health/outcome.go
@@ -1,6 +1,13 @@
 // Package health chooses targets for requests and judges which of them fail.
 package health
 
+import (
+	"cmp"
+	"slices"
+
+	"marigoldlug.example/core/clock"
+)
+
 // Outcome classifies the end of one attempt for the judgement of its target.
 type Outcome uint8
 
@@ -39,4 +46,15 @@
 	Slots int
 	// Connections bounds the connections from the whole fleet.
 	Connections int
+	// Warm is when the target reaches its full speed.
+	Warm clock.Instant
+	// Born tells one start of the target from another, in milliseconds of the
+	// Unix epoch; 0 where it is not known.
+	Born int64
+}
+
+// Sorted sorts targets by ID and returns them.
+func Sorted(tgs []Target) []Target {
+	slices.SortFunc(tgs, func(one, two Target) int { return cmp.Compare(one.ID, two.ID) })
+	return tgs
 }
--- a/core/health/pick.go
+++ b/core/health/pick.go
@@ -13,6 +13,8 @@
 	Tried []string
 	// Avoid is a failure domain to avoid where possible.
 	Avoid string
+	// Near is the failure domain to prefer among targets that are as good.
+	Near string
 	// Careful is set for requests that cannot be repeated.
 	Careful bool
 }
--- a/core/health/pool.go
+++ b/core/health/pool.go
@@ -18,11 +18,15 @@
 	slowFactor    = 3
 	overdueFactor = 10
 	minOverdue    = 60 * time.Millisecond
-	slowMargin    = 2 * time.Millisecond
-	busyInterval  = 500 * time.Millisecond
-	quietInterval = 2 * time.Second
-	urgentSpacing = 100 * time.Millisecond
-	busyCounts    = 10
+	// patienceFactor times the median latency is how long an attempt is waited
+	// for that may be repeated elsewhere.
+	patienceFactor = 4
+	minPatience    = 100 * time.Millisecond
+	slowMargin     = 2 * time.Millisecond
+	busyInterval   = 500 * time.Millisecond
+	quietInterval  = 2 * time.Second
+	urgentSpacing  = 100 * time.Millisecond
+	busyCounts     = 10
 	// wordLife is how long an owner's verdict counts without a newer one.
 	wordLife = 5 * time.Second
 	// medianStep is the relative step of the estimate of the median.
@@ -330,6 +334,16 @@
 	return tgt.percent == 0 && now.Before(tgt.until)
 }
 
+// Patience returns how long an attempt at a service takes at most where nothing
+// is wrong, or 0 while that is not known.
+func (pol *Pool) Patience(name string) time.Duration {
+	svc := pol.services[name]
+	if svc == nil || svc.reference() == 0 {
+		return 0
+	}
+	return max(patienceFactor*svc.reference(), minPatience)
+}
+
 // Receive takes a message from another VM.
 func (pol *Pool) Receive(now clock.Instant, from string, msg Message) {
 	switch msg := msg.(type) {
--- a/core/node/gate.go
+++ b/core/node/gate.go
@@ -25,7 +25,7 @@
 }
 
 func newGate() *gate {
-	return &gate{limit: queue.NewLimit(), fair: queue.NewFair(queueLength), budget: request.NewBudget()}
+	return &gate{limit: queue.NewLimit(), fair: queue.NewFair(queueLength), budget: request.NewBudget(request.UsualRetries())}
 }
 
 // start dispatches a request that may run, or lets it wait for its turn.
--- /dev/null
+++ b/core/quota/client.go
@@ -0,0 +1,263 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/rate"
+)
+
+const (
+	// askTime is how long a request waits for the server's answer.
+	askTime = 150 * time.Millisecond
+	// tokenLife is how long granted tokens may be spent. What is spent late
+	// adds to what is granted later.
+	tokenLife = time.Second
+	// aheadTime is the demand for which a busy VM asks in advance.
+	aheadTime = 300 * time.Millisecond
+	// demandTime is the time constant of the estimate of the demand.
+	demandTime = 2 * time.Second
+	// quietTime bounds how long a VM refuses by itself after a refusal.
+	quietTime = 100 * time.Millisecond
+	// lonelyShare and lonelySpare size what the fleet may spend while VMs do
+	// not reach the server: a part of the rate, and a number of requests in
+	// lonelyWindow.
+	lonelyShare  = 0.12
+	lonelySpare  = 16.0
+	lonelyWindow = 5 * time.Second
+	// vacantShare is the part of the rate that VMs may spend when it is known
+	// that no server grants any.
+	vacantShare  = 0.9
+	idleAccount  = 30 * time.Second
+	maxWaitCount = 256
+)
+
+// Reach says what a VM knows of the server.
+type Reach struct {
+	// Server is the ID of the VM that serves; empty where none is known.
+	Server string
+	// Vacant is set when it is known that no VM grants tokens.
+	Vacant bool
+	// VMs is the number of VMs that share what is spent without the server.
+	VMs int
+}
+
+// Client spends the tokens of organisations at one VM, and asks the server for
+// more. While it does not reach the server it spends a small part of the limit
+// of its own, so that all VMs together stay within what the limit allows. It is
+// not safe for concurrent use.
+type Client struct {
+	limits   func(organisation string) (rate.Limit, bool)
+	reach    Reach
+	number   uint64
+	accounts map[string]*wallet
+	outputs  []Output
+}
+
+// wallet holds the tokens of one organisation at a VM.
+type wallet struct {
+	organisation string
+	count        int
+	expires      clock.Instant
+	// demand is the estimate of requests a second.
+	demand  float64
+	counted clock.Instant
+	waiting []waiter
+	// asked is when the ask numbered open was sent; open is 0 where none is.
+	asked clock.Instant
+	open  uint64
+	// quiet is until when requests are refused without asking.
+	quiet clock.Instant
+	// lonely holds what may be spent without the server.
+	lonely rate.Tokens
+	rest   uint64
+	filled clock.Instant
+	used   clock.Instant
+}
+
+// NewClient returns a client that holds no tokens.
+func NewClient(limits func(organisation string) (rate.Limit, bool)) *Client {
+	return &Client{limits: limits, accounts: make(map[string]*wallet)}
+}
+
+// SetReach takes what is known of the server.
+func (cli *Client) SetReach(rea Reach) { cli.reach = rea }
+
+// Take returns and forgets the outputs gathered so far.
+func (cli *Client) Take() []Output {
+	out := cli.outputs
+	cli.outputs = nil
+	return out
+}
+
+// Admit decides on a request at once, or returns false for decided when the
+// answer follows as a Decided output.
+func (cli *Client) Admit(now clock.Instant, organisation string, request uint64) (dec Decided, decided bool) {
+	lim, found := cli.limits(organisation)
+	if !found {
+		return Decided{Request: request, RetryAfter: time.Second}, true
+	}
+	if lim == (rate.Limit{}) {
+		return Decided{Request: request, Admitted: true}, true
+	}
+	wal := cli.wallet(now, organisation, lim)
+	wal.count1(now)
+	wal.expire(now)
+	if len(wal.waiting) == 0 && wal.count > 0 {
+		wal.count--
+		if wal.count == 0 && wal.ahead() > 0 {
+			cli.ask(now, wal)
+		}
+		return Decided{Request: request, Admitted: true}, true
+	}
+	if now.Before(wal.quiet) || len(wal.waiting) >= maxWaitCount {
+		return Decided{Request: request, RetryAfter: max(wal.quiet.Mono-now.Mono, time.Millisecond)}, true
+	}
+	if cli.reach.Server == "" {
+		return cli.spendLonely(now, wal, lim, request), true
+	}
+	wal.waiting = append(wal.waiting, waiter{request: request, since: now})
+	cli.ask(now, wal)
+	return Decided{}, false
+}
+
+func (cli *Client) wallet(now clock.Instant, organisation string, lim rate.Limit) *wallet {
+	wal := cli.accounts[organisation]
+	if wal == nil {
+		wal = &wallet{organisation: organisation, counted: now, filled: now}
+		wal.lonely = cli.lonelyStart(lim)
+		cli.accounts[organisation] = wal
+	}
+	wal.used = now
+	return wal
+}
+
+// lonelyRate is what this VM may spend a second without the server.
+func (cli *Client) lonelyRate(lim rate.Limit) rate.PerSecond {
+	vms := float64(max(cli.reach.VMs, 1))
+	if cli.reach.Vacant {
+		return rate.PerSecond(float64(lim.Rate) * vacantShare / vms)
+	}
+	spare := lonelySpare / lonelyWindow.Seconds() * float64(rate.Request)
+	return rate.PerSecond(min(float64(lim.Rate)*lonelyShare+spare, float64(lim.Rate)*vacantShare) / vms)
+}
+
+// lonelyStart is what a VM may spend at first, so that all together start
+// within the spare.
+func (cli *Client) lonelyStart(lim rate.Limit) rate.Tokens {
+	return rate.Tokens(min(float64(cli.lonelyRate(lim)), float64(rate.Request)))
+}
+
+// spendLonely decides without the server.
+func (cli *Client) spendLonely(now clock.Instant, wal *wallet, lim rate.Limit, request uint64) Decided {
+	rat := cli.lonelyRate(lim)
+	gain, rest := rate.Accrue(rat, now.Since(wal.filled), wal.rest)
+	wal.rest, wal.filled = rest, now
+	wal.lonely = min(wal.lonely+gain, max(rate.Tokens(rat), rate.Request))
+	if wal.lonely >= rate.Request {
+		wal.lonely -= rate.Request
+		return Decided{Request: request, Admitted: true, Alone: true}
+	}
+	return Decided{Request: request, Alone: true, RetryAfter: min(rate.Wait(rat, rate.Request-wal.lonely), maxRetryAfter)}
+}
+
+func (wal *wallet) count1(now clock.Instant) {
+	elapsed := max(now.Mono-wal.counted.Mono, 0)
+	wal.demand *= math.Exp(-float64(elapsed) / float64(demandTime))
+	wal.demand += 1 / demandTime.Seconds()
+	wal.counted = now
+}
+
+func (wal *wallet) expire(now clock.Instant) {
+	if wal.count > 0 && !now.Before(wal.expires) {
+		wal.count = 0
+	}
+}
+
+// ahead is what the VM expects to need beyond the requests that wait.
+func (wal *wallet) ahead() int { return int(wal.demand * aheadTime.Seconds()) }
+
+// ask sends an ask unless one is under way.
+func (cli *Client) ask(now clock.Instant, wal *wallet) {
+	if wal.open != 0 || cli.reach.Server == "" {
+		return
+	}
+	cli.number++
+	wal.open, wal.asked = cli.number, now
+	cli.outputs = append(cli.outputs, Send{To: cli.reach.Server, Message: Ask{
+		Organisation: wal.organisation, Number: cli.number, Need: len(wal.waiting), Ahead: wal.ahead(),
+	}})
+}
+
+// Granted takes the server's answer.
+func (cli *Client) Granted(now clock.Instant, gra Grant) {
+	wal := cli.accounts[gra.Organisation]
+	if wal == nil || wal.open != gra.Number {
+		return
+	}
+	wal.open = 0
+	wal.expire(now)
+	if now.Since(wal.asked) < tokenLife {
+		wal.count += gra.Count
+		wal.expires = wal.asked.Add(tokenLife)
+	}
+	for wal.count > 0 && len(wal.waiting) > 0 {
+		wal.count--
+		cli.decide(Decided{Request: wal.waiting[0].request, Admitted: true})
+		wal.waiting = wal.waiting[1:]
+	}
+	if gra.RetryAfter > 0 {
+		cli.refuseWaiting(wal, gra.RetryAfter)
+		wal.quiet = now.Add(min(gra.RetryAfter, quietTime))
+		return
+	}
+	if len(wal.waiting) > 0 {
+		cli.ask(now, wal)
+	}
+}
+
+func (cli *Client) decide(dec Decided) { cli.outputs = append(cli.outputs, dec) }
+
+func (cli *Client) refuseWaiting(wal *wallet, after time.Duration) {
+	for _, wai := range wal.waiting {
+		cli.decide(Decided{Request: wai.request, RetryAfter: after})
+	}
+	wal.waiting = nil
+}
+
+// Cancel forgets a request that waits.
+func (cli *Client) Cancel(organisation string, request uint64) {
+	if wal := cli.accounts[organisation]; wal != nil {
+		wal.waiting = slices.DeleteFunc(wal.waiting, func(wai waiter) bool { return wai.request == request })
+	}
+}
+
+// Tick decides on requests for which the server has not answered in time.
+func (cli *Client) Tick(now clock.Instant) {
+	for organisation, wal := range cli.accounts {
+		if wal.open != 0 && now.Since(wal.asked) >= askTime {
+			wal.open = 0
+		}
+		lim, found := cli.limits(organisation)
+		for len(wal.waiting) > 0 && (!found || now.Since(wal.waiting[0].since) >= askTime) {
+			request := wal.waiting[0].request
+			wal.waiting = wal.waiting[1:]
+			if !found {
+				cli.decide(Decided{Request: request, RetryAfter: time.Second})
+				continue
+			}
+			cli.decide(cli.spendLonely(now, wal, lim, request))
+		}
+		if len(wal.waiting) > 0 {
+			cli.ask(now, wal)
+		}
+		if len(wal.waiting) == 0 && now.Since(wal.used) > idleAccount {
+			delete(cli.accounts, organisation)
+		}
+	}
+}
+
+// Accounts returns the number of organisations of which the VM keeps state.
+func (cli *Client) Accounts() int { return len(cli.accounts) }
--- /dev/null
+++ b/core/quota/message.go
@@ -0,0 +1,63 @@
+// Package quota keeps organisations within their rates across the fleet: one
+// VM at a time serves tokens, and every VM spends those that it was granted.
+package quota
+
+import (
+	"time"
+
+	"marigoldlug.example/core/clock"
+)
+
+// Message is what VMs send to one another about tokens.
+type Message interface{ quotaMessage() }
+
+// Ask requests tokens of an organisation from the server.
+type Ask struct {
+	Organisation string
+	// Number grows with every ask of the sender.
+	Number uint64
+	// Need is the number of requests that wait, Ahead what the VM expects soon.
+	Need  int
+	Ahead int
+}
+
+// Grant answers an Ask.
+type Grant struct {
+	Organisation string
+	Number       uint64
+	// Count is the number of requests granted.
+	Count int
+	// RetryAfter is above 0 when the need was not met.
+	RetryAfter time.Duration
+}
+
+func (Ask) quotaMessage()   {}
+func (Grant) quotaMessage() {}
+
+// Output is something that a client wants done.
+type Output interface{ quotaOutput() }
+
+// Send sends a message to the VM with an ID.
+type Send struct {
+	To      string
+	Message Message
+}
+
+// Decided tells what became of a request.
+type Decided struct {
+	Request  uint64
+	Admitted bool
+	// Alone is set where the VM decided without the server.
+	Alone bool
+	// RetryAfter is when a refused request may succeed.
+	RetryAfter time.Duration
+}
+
+func (Send) quotaOutput()    {}
+func (Decided) quotaOutput() {}
+
+// waiter is a request that waits for the server's answer.
+type waiter struct {
+	request uint64
+	since   clock.Instant
+}
--- a/core/rate/ledger.go
+++ b/core/rate/ledger.go
@@ -235,8 +235,8 @@
 }
 
 func (acc *account) retryAfter(now clock.Instant) time.Duration {
-	own := wait(acc.bucket.share.Rate, Request-acc.bucket.tokens)
-	all := wait(acc.allowance.Limit.Rate, Request)
+	own := Wait(acc.bucket.share.Rate, Request-acc.bucket.tokens)
+	all := Wait(acc.allowance.Limit.Rate, Request)
 	return max(min(own, max(all, acc.ask.quietUntil.Mono-now.Mono)), time.Millisecond)
 }
 
--- a/core/rate/limit.go
+++ b/core/rate/limit.go
@@ -34,9 +34,9 @@
 // Float returns the number of requests.
 func (tok Tokens) Float() float64 { return float64(tok) / float64(Request) }
 
-// accrue returns the tokens that per yields in elapsed and the remainder, in
+// Accrue returns the tokens that per yields in elapsed and the remainder, in
 // units of 1e-9 token, to carry into the next call.
-func accrue(per PerSecond, elapsed time.Duration, rem uint64) (Tokens, uint64) {
+func Accrue(per PerSecond, elapsed time.Duration, rem uint64) (Tokens, uint64) {
 	if per <= 0 || elapsed <= 0 {
 		return 0, rem
 	}
--- a/core/rate/move.go
+++ b/core/rate/move.go
@@ -202,7 +202,7 @@
 	gra := acc.fit(acc.grantFor(now, ask))
 	var retryAfter time.Duration
 	if gra.Tokens < min(ask.Need, Request) {
-		retryAfter = min(wait(acc.bucket.share.Rate, Request-acc.bucket.tokens), time.Second)
+		retryAfter = min(Wait(acc.bucket.share.Rate, Request-acc.bucket.tokens), time.Second)
 	}
 	if !led.transfer(now, acc, from, gra, Transfer{Answer: true, RetryAfter: retryAfter}) {
 		led.send(from, Deny{Organisation: ask.Organisation, Round: ask.Round, RetryAfter: max(retryAfter, time.Millisecond)})
--- a/core/rate/static.go
+++ b/core/rate/static.go
@@ -28,7 +28,7 @@
 	if elapsed <= 0 {
 		return
 	}
-	more, rem := accrue(buc.share.Rate, elapsed, buc.rem)
+	more, rem := Accrue(buc.share.Rate, elapsed, buc.rem)
 	buc.filled = now
 	buc.rem = rem
 	buc.tokens += min(more, buc.share.Burst-buc.tokens)
@@ -60,7 +60,7 @@
 	buc.share = share
 	buc.refill(now)
 	if buc.tokens < Request {
-		return Decided{Request: request, RetryAfter: wait(share.Rate, Request-buc.tokens)}, true
+		return Decided{Request: request, RetryAfter: Wait(share.Rate, Request-buc.tokens)}, true
 	}
 	buc.tokens -= Request
 	return Decided{Request: request, Admitted: true}, true
@@ -69,7 +69,8 @@
 const maxWait = time.Minute
 
 // wait returns the time in which per yields need, at most maxWait.
-func wait(per PerSecond, need Tokens) time.Duration {
+// Wait returns how long a rate takes to yield some tokens, up to a bound.
+func Wait(per PerSecond, need Tokens) time.Duration {
 	if per <= 0 {
 		return maxWait
 	}
--- /dev/null
+++ b/core/registry/registry.go
@@ -0,0 +1,153 @@
+// Package registry keeps the targets that have registered themselves at the
+// platform, and decides which of them requests may be sent to.
+package registry
+
+import (
+	"time"
+
+	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/table"
+)
+
+// Entry is what a target says of itself.
+type Entry struct {
+	Service       string
+	Address       string
+	FailureDomain string
+	// Version is that of the software that the target runs.
+	Version string
+	// Slots is the number of requests that the target runs at a time.
+	Slots int
+	// Leaving is set once the target wants no new work.
+	Leaving bool
+	// Warming is how long the target stays slow after its start, counted from
+	// when it wrote the entry.
+	Warming time.Duration
+	// Born is when the target started, by its own wall clock. Another start
+	// under the same name is another target.
+	Born time.Time
+}
+
+// ReturnTime is how long entries that are missing after an outage of the
+// platform are given to come back.
+const ReturnTime = 1500 * time.Millisecond
+
+// outageTime is the age of the knowledge from which missing entries may have
+// lapsed for an outage.
+const outageTime = 2500 * time.Millisecond
+
+// target is one registered target.
+type target struct {
+	entry Entry
+	// warm is when the target is at full speed.
+	warm clock.Instant
+	// missing is when the entry was first missing after an outage; zero while
+	// it is there.
+	missing clock.Instant
+}
+
+// Registry follows the table of entries. It is not safe for concurrent use.
+type Registry struct {
+	entries *table.Table[Entry]
+	targets map[string]*target
+	// proven is when the table was last known to be the newest.
+	proven clock.Instant
+	// returned is when the knowledge was renewed after an outage.
+	returned clock.Instant
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{entries: table.New[Entry](), targets: make(map[string]*target)}
+}
+
+// Revision returns the revision of the entries.
+func (reg *Registry) Revision() uint64 { return reg.entries.Revision() }
+
+// Since returns what a reader at the given revision lacks.
+func (reg *Registry) Since(revision uint64) table.Delta[Entry] { return reg.entries.Since(revision) }
+
+// Len returns the number of entries.
+func (reg *Registry) Len() int { return reg.entries.Len() }
+
+// Prove notes that the entries were the newest at a time.
+func (reg *Registry) Prove(now, at clock.Instant) {
+	if reg.proven != (clock.Instant{}) && now.Since(reg.proven) > outageTime {
+		reg.returned = now
+	}
+	if reg.proven == (clock.Instant{}) || reg.proven.Before(at) {
+		reg.proven = at
+	}
+}
+
+// Apply takes a delta and reports whether any target changed.
+func (reg *Registry) Apply(now clock.Instant, del table.Delta[Entry]) bool {
+	if !reg.entries.Apply(del) || del.Empty() {
+		return false
+	}
+	changed := false
+	for _, row := range del.Rows {
+		changed = reg.put(now, row.Name, row.Value) || changed
+	}
+	for name, tgt := range reg.targets {
+		if _, found := reg.entries.Get(name); found {
+			continue
+		}
+		changed = true
+		if reg.mayReturn(now) && !tgt.entry.Leaving {
+			if tgt.missing == (clock.Instant{}) {
+				tgt.missing = now
+			}
+			continue
+		}
+		delete(reg.targets, name)
+	}
+	return changed
+}
+
+// mayReturn reports whether a missing entry may have lapsed for an outage.
+func (reg *Registry) mayReturn(now clock.Instant) bool {
+	return reg.proven != (clock.Instant{}) && now.Since(reg.proven) > outageTime ||
+		reg.returned != (clock.Instant{}) && now.Since(reg.returned) < ReturnTime
+}
+
+func (reg *Registry) put(now clock.Instant, name string, ent Entry) bool {
+	old := reg.targets[name]
+	if old != nil && old.entry == ent && old.missing == (clock.Instant{}) {
+		return false
+	}
+	tgt := &target{entry: ent, warm: now.Add(ent.Warming)}
+	reg.targets[name] = tgt
+	return true
+}
+
+// Tick drops the targets that have not come back and reports whether any was.
+func (reg *Registry) Tick(now clock.Instant) bool {
+	dropped := false
+	for name, tgt := range reg.targets {
+		if tgt.missing != (clock.Instant{}) && now.Since(tgt.missing) >= ReturnTime && !reg.away(now) {
+			delete(reg.targets, name)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// away reports whether the entries have not been known to be the newest lately.
+func (reg *Registry) away(now clock.Instant) bool { return now.Since(reg.proven) > outageTime }
+
+// Targets returns the targets of a service that may be sent new requests.
+func (reg *Registry) Targets(service string, connections int) []health.Target {
+	var out []health.Target
+	for name, tgt := range reg.targets {
+		if tgt.entry.Service != service || tgt.entry.Leaving {
+			continue
+		}
+		out = append(out, health.Target{
+			ID: name, Address: tgt.entry.Address, FailureDomain: tgt.entry.FailureDomain,
+			Slots: tgt.entry.Slots, Connections: connections, Warm: tgt.warm, Born: tgt.entry.Born.UnixMilli(),
+		})
+	}
+	return health.Sorted(out)
+}
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -15,6 +15,8 @@
 // Request is what the decisions need to know of a caller's request.
 type Request struct {
 	ID ID
+	// Label names the request in logs: the identifier that its caller gave it.
+	Label string
 	// Host is lower case and without port.
 	Host   string
 	Path   string
@@ -45,6 +47,8 @@
 	TimedOut        Reason = "timedOut"
 	Malformed       Reason = "malformed"
 	TooLarge        Reason = "tooLarge"
+	HeadTooLarge    Reason = "headTooLarge"
+	TooSlow         Reason = "tooSlow"
 )
 
 var statuses = map[Reason]int{
@@ -63,6 +67,8 @@
 	TimedOut:        504,
 	Malformed:       400,
 	TooLarge:        413,
+	HeadTooLarge:    431,
+	TooSlow:         408,
 }
 
 // Status returns the HTTP status of a refusal for the reason.
--- /dev/null
+++ b/core/table/table.go
@@ -0,0 +1,146 @@
+// Package table holds the objects of one kind that the platform stores, and
+// computes what another VM lacks of them.
+package table
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// maxRemovals bounds the removals that a table remembers; a reader that lags
+// further behind is sent the whole table.
+const maxRemovals = 1024
+
+// Row is one object of the table.
+type Row[T any] struct {
+	Name string
+	// Revision is that of the object's last change; it grows with every change.
+	Revision uint64
+	Value    T
+}
+
+// Delta takes a table from one revision to a later one.
+type Delta[T any] struct {
+	// Whole is set when Rows are all rows of the table.
+	Whole bool
+	// Since is the revision to which the delta applies, unless it is whole.
+	Since uint64
+	// Revision is that of the table once the delta is applied.
+	Revision uint64
+	Rows     []Row[T]
+	// Removed lists the names of rows that are gone.
+	Removed []string
+}
+
+// Empty reports whether the delta changes no row.
+func (del Delta[T]) Empty() bool { return !del.Whole && len(del.Rows) == 0 && len(del.Removed) == 0 }
+
+type removal struct {
+	name     string
+	revision uint64
+}
+
+// Table is a copy of the objects of one kind. Its revision never falls. It is
+// not safe for concurrent use.
+type Table[T any] struct {
+	revision uint64
+	rows     map[string]Row[T]
+	// removals is sorted by revision.
+	removals []removal
+	// remembered is the revision after which removals has every removal.
+	remembered uint64
+}
+
+// New returns an empty table at revision 0.
+func New[T any]() *Table[T] { return &Table[T]{rows: make(map[string]Row[T])} }
+
+// Revision returns the revision of the table, 0 before the first delta.
+func (tab *Table[T]) Revision() uint64 { return tab.revision }
+
+// Len returns the number of rows.
+func (tab *Table[T]) Len() int { return len(tab.rows) }
+
+// Get returns the row with the given name.
+func (tab *Table[T]) Get(name string) (Row[T], bool) {
+	row, found := tab.rows[name]
+	return row, found
+}
+
+// Rows returns every row sorted by name.
+func (tab *Table[T]) Rows() []Row[T] {
+	return slices.SortedFunc(maps.Values(tab.rows), func(one, two Row[T]) int { return cmp.Compare(one.Name, two.Name) })
+}
+
+// Apply takes a delta and reports whether it was applied. One that is older
+// than the table, or that leaves a gap, is not.
+func (tab *Table[T]) Apply(del Delta[T]) bool {
+	if del.Revision < tab.revision || !del.Whole && del.Since > tab.revision {
+		return false
+	}
+	if del.Whole {
+		tab.replace(del)
+		return true
+	}
+	for _, row := range del.Rows {
+		if row.Revision > tab.rows[row.Name].Revision {
+			tab.rows[row.Name] = row
+		}
+	}
+	for _, name := range del.Removed {
+		tab.remove(name, del.Revision)
+	}
+	tab.revision = del.Revision
+	return true
+}
+
+func (tab *Table[T]) replace(del Delta[T]) {
+	kept := make(map[string]bool, len(del.Rows))
+	for _, row := range del.Rows {
+		kept[row.Name] = true
+		tab.rows[row.Name] = row
+	}
+	for _, name := range slices.Sorted(maps.Keys(tab.rows)) {
+		if !kept[name] {
+			tab.remove(name, del.Revision)
+		}
+	}
+	if tab.revision == 0 {
+		tab.remembered = del.Revision
+	}
+	tab.revision = del.Revision
+}
+
+func (tab *Table[T]) remove(name string, revision uint64) {
+	if _, found := tab.rows[name]; !found {
+		return
+	}
+	delete(tab.rows, name)
+	tab.removals = append(tab.removals, removal{name: name, revision: revision})
+	if extra := len(tab.removals) - maxRemovals; extra > 0 {
+		tab.remembered = tab.removals[extra-1].revision
+		tab.removals = slices.Delete(tab.removals, 0, extra)
+	}
+}
+
+// Since returns what a reader at the given revision lacks.
+func (tab *Table[T]) Since(revision uint64) Delta[T] {
+	if revision >= tab.revision {
+		return Delta[T]{Since: revision, Revision: revision}
+	}
+	if revision == 0 || revision < tab.remembered {
+		return Delta[T]{Whole: true, Revision: tab.revision, Rows: tab.Rows()}
+	}
+	del := Delta[T]{Since: revision, Revision: tab.revision}
+	for _, row := range tab.Rows() {
+		if row.Revision > revision {
+			del.Rows = append(del.Rows, row)
+		}
+	}
+	for _, one := range tab.removals {
+		if _, back := tab.rows[one.name]; one.revision > revision && !back && !slices.Contains(del.Removed, one.name) {
+			del.Removed = append(del.Removed, one.name)
+		}
+	}
+	return del
+}
--- /dev/null
+++ b/core/table/table_test.go
@@ -0,0 +1,63 @@
+package table
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func row(name string, revision uint64) Row[string] {
+	return Row[string]{Name: name, Revision: revision, Value: fmt.Sprint(name, "@", revision)}
+}
+
+func TestOlderAndGappedDeltasAreNotApplied(t *testing.T) {
+	tab := New[string]()
+	if !tab.Apply(Delta[string]{Whole: true, Revision: 5, Rows: []Row[string]{row("a", 3)}}) {
+		t.Fatal("the first delta was not applied")
+	}
+	if tab.Apply(Delta[string]{Whole: true, Revision: 4}) {
+		t.Error("an older table was applied")
+	}
+	if tab.Apply(Delta[string]{Since: 6, Revision: 7}) {
+		t.Error("a delta with a gap before it was applied")
+	}
+	if _, found := tab.Get("a"); !found || tab.Revision() != 5 {
+		t.Error("a delta that was not applied changed the table")
+	}
+}
+
+// TestReadersConverge applies random changes to a table and lets readers that
+// fell behind catch up by what Since returns.
+func TestReadersConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		src, dst := New[string](), New[string]()
+		revision := uint64(1)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			del := Delta[string]{Since: revision, Revision: revision + 1}
+			name := rapid.StringMatching(`[a-d]`).Draw(t, "name")
+			switch rapid.IntRange(0, 3).Draw(t, "change") {
+			case 0:
+				del.Removed = []string{name}
+			case 1:
+				del = Delta[string]{Whole: true, Revision: revision + 1, Rows: []Row[string]{row(name, revision+1)}}
+			default:
+				del.Rows = []Row[string]{row(name, revision+1)}
+			}
+			if src.Revision() == 0 {
+				del.Whole = true
+			}
+			revision++
+			if !src.Apply(del) {
+				t.Fatalf("delta %v was not applied at revision %d", del, src.Revision())
+			}
+			if rapid.Bool().Draw(t, "catchUp") && !dst.Apply(src.Since(dst.Revision())) {
+				t.Fatal("what Since returned was not applied")
+			}
+		}
+		dst.Apply(src.Since(dst.Revision()))
+		if got, want := fmt.Sprint(dst.Rows()), fmt.Sprint(src.Rows()); got != want {
+			t.Fatalf("reader has %s, source %s", got, want)
+		}
+	})
+}
--- /dev/null
+++ b/lugd/pkg/driver/clock.go
@@ -0,0 +1,33 @@
+package driver
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"marigoldlug.example/core/clock"
+)
+
+// Clock reads the two clocks of the VM: the monotonic one, and one that also
+// counts the time for which the VM was suspended.
+type Clock struct {
+	start     time.Time
+	startBoot time.Duration
+}
+
+// NewClock returns a clock that begins at zero.
+func NewClock() *Clock { return &Clock{start: time.Now(), startBoot: bootTime()} }
+
+// bootTime returns the time since the machine started, suspensions included.
+func bootTime() time.Duration {
+	var spec unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &spec); err != nil {
+		return 0 // Without the clock, the monotonic one decides.
+	}
+	return time.Duration(spec.Nano())
+}
+
+// Now reads both clocks.
+func (clk *Clock) Now() clock.Instant {
+	return clock.Instant{Mono: time.Since(clk.start), Wall: bootTime() - clk.startBoot}
+}
--- /dev/null
+++ b/lugd/pkg/driver/driver.go
@@ -0,0 +1,237 @@
+// Package driver runs the decision machine of one VM: it delivers events to the
+// machine and carries out its actions.
+package driver
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldlug.example/core/chunk"
+	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/gateway"
+	"marigoldlug.example/core/member"
+	"marigoldlug.example/core/request"
+	"marigoldlug.example/lugd/pkg/peer"
+)
+
+// actionBuffer holds the actions of one request; an attempt yields one action
+// at a time.
+const actionBuffer = 8
+
+// transport sends messages to other VMs.
+type transport interface {
+	Send(to string, msg any)
+}
+
+// Driver owns the machine of one VM. It is safe for concurrent use.
+type Driver struct {
+	log      logrus.FieldLogger
+	platform Platform
+	clock    *Clock
+	// transport is set before Run.
+	transport transport
+	// ctx ends the work that the machine asks for.
+	ctx  context.Context
+	work sync.WaitGroup
+	// stopReading ends the reading of the platform; nil where none is read.
+	stopReading context.CancelFunc
+
+	// view is a copy of the machine's, which can be read without mut.
+	view atomic.Pointer[member.View]
+
+	mut    sync.Mutex
+	mac    *gateway.Machine
+	next   request.ID
+	waits  map[request.ID]wait
+	config uint64
+}
+
+// wait is a request whose actions are awaited.
+type wait struct {
+	label   string
+	actions chan gateway.Action
+}
+
+// New returns a driver whose machine has the given settings. ctx ends the work
+// that the machine asks for.
+func New(ctx context.Context, set gateway.Settings, pla Platform, clk *Clock, log logrus.FieldLogger) *Driver {
+	dri := &Driver{
+		log: log, platform: pla, clock: clk, ctx: ctx,
+		mac:   gateway.New(set, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		waits: make(map[request.ID]wait),
+	}
+	dri.view.Store(&member.View{})
+	return dri
+}
+
+// SetTransport sets the transport to the other VMs, before Run.
+func (dri *Driver) SetTransport(trn transport) { dri.transport = trn }
+
+// Run drives the machine until its context ends.
+func (dri *Driver) Run() {
+	tck := time.NewTicker(gateway.TickInterval)
+	defer tck.Stop()
+	for {
+		dri.Step(gateway.Ticked{})
+		select {
+		case <-tck.C:
+		case <-dri.ctx.Done():
+			dri.work.Wait()
+			return
+		}
+	}
+}
+
+// Step delivers one event.
+func (dri *Driver) Step(evt gateway.Event) {
+	dri.mut.Lock()
+	defer dri.mut.Unlock()
+	dri.step(evt)
+}
+
+// step delivers an event while mut is held, so that actions keep their order.
+func (dri *Driver) step(evt gateway.Event) {
+	acts := dri.mac.Step(dri.clock.Now(), evt)
+	if vie := dri.mac.View(); vie.Epoch() != dri.view.Load().Epoch() {
+		dri.view.Store(&vie)
+	}
+	for _, act := range acts {
+		dri.carryOut(act)
+	}
+}
+
+func (dri *Driver) carryOut(act gateway.Action) {
+	switch act := act.(type) {
+	case gateway.Dispatch:
+		dri.deliver(act.Request, act)
+	case gateway.Relay:
+		dri.deliver(act.Request, act)
+	case gateway.Refuse:
+		dri.deliver(act.Request, act)
+	case gateway.Send:
+		dri.transport.Send(act.To, act.Message)
+	case gateway.Note:
+		dri.logNote(act)
+	case gateway.SetReading:
+		dri.setReading(act.On)
+	case gateway.Write:
+		dri.perform(func(ctx context.Context) error { return dri.platform.Write(ctx, act.Name, act.Row, act.Revision) }, act.Name)
+	case gateway.Delete:
+		dri.perform(func(ctx context.Context) error { return dri.platform.Delete(ctx, act.Name, act.Revision) }, act.Name)
+	}
+}
+
+func (dri *Driver) deliver(id request.ID, act gateway.Action) {
+	if wai, found := dri.waits[id]; found {
+		wai.actions <- act
+	}
+}
+
+// callTime bounds a write to the platform.
+const callTime = 2 * time.Second
+
+// perform makes a call to the platform in the background.
+func (dri *Driver) perform(call func(ctx context.Context) error, name string) {
+	if dri.ctx.Err() != nil {
+		return
+	}
+	dri.work.Go(func() {
+		ctx, cancel := context.WithTimeout(dri.ctx, callTime)
+		defer cancel()
+		err := call(ctx)
+		log := dri.log.WithField("object", name)
+		if err != nil {
+			log.WithError(err).Warn("cannot write to the platform")
+			return
+		}
+		log.Info("written to the platform")
+	})
+}
+
+// logNote writes a decision to the logs.
+func (dri *Driver) logNote(nte gateway.Note) {
+	fields := make(logrus.Fields, len(nte.Fields)/2+2)
+	for at := 0; at+1 < len(nte.Fields); at += 2 {
+		name, ok := nte.Fields[at].(string)
+		if ok {
+			fields[name] = plain(nte.Fields[at+1])
+		}
+	}
+	if nte.Request != 0 {
+		fields["request"] = dri.waits[nte.Request].label
+		fields["number"] = uint64(nte.Request)
+	}
+	dri.log.WithFields(fields).Info(nte.Event)
+}
+
+// plain returns a value as it is to be read in the logs.
+func plain(val any) any {
+	switch val := val.(type) {
+	case time.Duration:
+		return val.Round(100 * time.Microsecond).String()
+	case interface{ String() string }:
+		return val.String()
+	}
+	return val
+}
+
+// Begin registers a request and returns its ID and the channel on which its
+// actions arrive.
+func (dri *Driver) Begin(req request.Request) (request.ID, <-chan gateway.Action) {
+	dri.mut.Lock()
+	defer dri.mut.Unlock()
+	dri.next++
+	req.ID = dri.next
+	actions := make(chan gateway.Action, actionBuffer)
+	dri.waits[req.ID] = wait{label: req.Label, actions: actions}
+	dri.step(gateway.Arrived{Request: req})
+	return req.ID, actions
+}
+
+// End forgets a request.
+func (dri *Driver) End(id request.ID) {
+	dri.mut.Lock()
+	defer dri.mut.Unlock()
+	delete(dri.waits, id)
+}
+
+// Machine calls use with the machine while no event is delivered.
+func (dri *Driver) Machine(use func(mac *gateway.Machine, now clock.Instant)) {
+	dri.mut.Lock()
+	defer dri.mut.Unlock()
+	use(dri.mac, dri.clock.Now())
+}
+
+// Status returns the state of the VM and whether it is ready.
+func (dri *Driver) Status() (sta gateway.Status, ready bool) {
+	dri.Machine(func(mac *gateway.Machine, now clock.Instant) {
+		sta, ready = mac.Status(now), mac.Ready()
+	})
+	return sta, ready
+}
+
+// Received takes a message from another VM.
+func (dri *Driver) Received(from string, msg any) { dri.Step(gateway.Received{From: from, Message: msg}) }
+
+// PeerGone notes that a VM has ended.
+func (dri *Driver) PeerGone(id string) { dri.Step(gateway.PeerGone{ID: id}) }
+
+// Chunk returns nothing: configurations travel whole.
+func (dri *Driver) Chunk(chunk.ID) []byte { return nil }
+
+// State returns what this VM says of itself to others.
+func (dri *Driver) State() peer.State {
+	sta, ready := dri.Status()
+	return peer.State{Version: sta.Version, Members: sta.VMs, Ready: ready, ProofAge: sta.Ages.Config, Requests: sta.Flights, Ejected: sta.Ejected}
+}
+
+// Address returns where a VM is reached.
+func (dri *Driver) Address(id string) (string, bool) {
+	vmm, found := dri.view.Load().VM(id)
+	return vmm.Address, found
+}
--- /dev/null
+++ b/lugd/pkg/edge/daemon.go
@@ -0,0 +1,299 @@
+package edge
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/config"
+	"marigoldlug.example/core/gateway"
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/member"
+	"marigoldlug.example/lugd/pkg/driver"
+	"marigoldlug.example/lugd/pkg/header"
+	"marigoldlug.example/lugd/pkg/http1"
+	"marigoldlug.example/lugd/pkg/logflags"
+	"marigoldlug.example/lugd/pkg/metrics"
+	"marigoldlug.example/lugd/pkg/peer"
+	"marigoldlug.example/lugd/pkg/socket"
+	"marigoldlug.example/lugd/pkg/target"
+)
+
+const (
+	// sweepInterval is how often idle connections to targets are looked over.
+	sweepInterval = 2 * time.Second
+	// reloadInterval is how often the bounds of the configuration are taken
+	// over, and the settings file is looked at.
+	reloadInterval = 500 * time.Millisecond
+	bodyPause      = 20 * time.Second
+	// holdBytes is the length up to which answers are read whole before they
+	// are passed on.
+	holdBytes     = 64 << 10
+	idlePerTarget = 4
+	// killMargin is how long before the end of the stop time the last requests
+	// are answered, so that their answers are delivered.
+	killMargin = 300 * time.Millisecond
+	// bodyShare is the part of the memory that may hold bodies.
+	bodyShare = 4
+	mib       = 1 << 20
+)
+
+// Wiring is what the platform adds to a VM: where the configuration, targets
+// and the fleet are stored, and how callers and targets name their headers.
+type Wiring struct {
+	Names   header.Names
+	Connect func(address string, log logrus.FieldLogger) driver.Platform
+}
+
+// Daemon is one VM of the fleet.
+type Daemon struct {
+	log       logrus.FieldLogger
+	self      member.VM
+	driver    *driver.Driver
+	transport *peer.Transport
+	pool      *target.Pool
+	callers   *http1.Server
+	ready     *http.Server
+	metrics   *http.Server
+	listeners listeners
+	// cancel ends the work of the driver.
+	cancel context.CancelFunc
+
+	mut sync.Mutex
+	set Settings
+}
+
+type listeners struct {
+	callers, ready, peers, metrics net.Listener
+}
+
+// New binds the addresses and returns a VM that does not run yet.
+func New(ctx context.Context, set Settings, wir Wiring, lgs *logflags.Logs) (*Daemon, error) {
+	if err := set.Check(); err != nil {
+		return nil, err
+	}
+	// The collector works harder before the limit rather than later than it.
+	debug.SetMemoryLimit(int64(set.MemoryMiB) * mib * 3 / 4)
+	dmn := &Daemon{set: set, log: lgs.Logger(logflags.Daemon)}
+	if err := dmn.listen(); err != nil {
+		return nil, err
+	}
+	dmn.self = member.VM{ID: set.Name + "." + runID(), Address: set.PeerAddress, FailureDomain: set.FailureDomain}
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	dmn.cancel = cancel
+	dmn.driver = driver.New(work, gateway.Settings{
+		Name: set.Name, Self: dmn.self, Terms: terms(set), Threshold: health.Threshold(set.EjectionThreshold),
+	}, wir.Connect(set.PlatformAddress, lgs.Logger(logflags.Platform)), driver.NewClock(), lgs.Logger(logflags.Machine))
+	dmn.transport = peer.New(dmn.self, dmn.listeners.peers, dmn.driver, lgs.Logger(logflags.Peer))
+	dmn.driver.SetTransport(dmn.transport)
+	dmn.pool = target.New(target.Settings{
+		DialTimeout: set.DialTimeout, IdlePerTarget: idlePerTarget, BodyPause: bodyPause,
+		Names: wir.Names, Hold: holdBytes, Unframed: true,
+	})
+	met := metrics.New()
+	dmn.register(met)
+	dmn.callers = http1.New(callerBounds(set, config.Bounds{}), wir.Names, dmn.driver, dmn.pool, &counter{set: met}, lgs.Logger(logflags.Caller))
+	dmn.serveOthers(met)
+	return dmn, nil
+}
+
+func terms(set Settings) gateway.Terms {
+	return gateway.Terms{
+		RevokeTime: set.RevokeTime, RetryShare: set.RetryShare, RetryExtra: set.RetryExtra, RetryWindow: set.RetryWindow, FloorShare: set.FloorShare,
+	}
+}
+
+// callerBounds joins the settings of the VM with those of the configuration.
+func callerBounds(set Settings, bnd config.Bounds) http1.Settings {
+	out := http1.Settings{
+		HeaderBytes: set.HeaderBytes, BodyBytes: set.BodyBytes, HeaderTimeout: set.HeaderTimeout, IdleTimeout: set.IdleTimeout,
+		BodyTimeout: set.BodyTimeout, Memory: int64(set.MemoryMiB) * mib / bodyShare,
+	}
+	if bnd.HeaderBytes > 0 {
+		out.HeaderBytes = bnd.HeaderBytes
+	}
+	if bnd.BodyBytes > 0 {
+		out.BodyBytes = bnd.BodyBytes
+	}
+	if bnd.HeaderTimeout > 0 {
+		out.HeaderTimeout = bnd.HeaderTimeout
+	}
+	if bnd.IdleTimeout > 0 {
+		out.IdleTimeout = bnd.IdleTimeout
+	}
+	return out
+}
+
+// runID returns a part of a VM's ID that no other run of a process has.
+func runID() string {
+	var raw [6]byte
+	_, _ = rand.Read(raw[:]) // Read never fails; see crypto/rand.
+	return hex.EncodeToString(raw[:])
+}
+
+// unacknowledgedTime is how long bytes sent to callers and VMs may stay
+// unacknowledged before the connection counts as dead.
+const unacknowledgedTime = 5 * time.Second
+
+func (dmn *Daemon) listen() error {
+	for _, one := range []struct {
+		what, address string
+		lis           *net.Listener
+	}{
+		{"callers", dmn.set.CallerAddress, &dmn.listeners.callers},
+		{"the balancer", dmn.set.ReadyAddress, &dmn.listeners.ready},
+		{"other VMs", dmn.set.PeerAddress, &dmn.listeners.peers},
+		{"metrics", dmn.set.MetricsAddress, &dmn.listeners.metrics},
+	} {
+		if one.address == "" {
+			continue
+		}
+		lic := net.ListenConfig{Control: socket.Unacknowledged(unacknowledgedTime)}
+		lis, err := lic.Listen(context.Background(), "tcp", one.address)
+		if err != nil {
+			return fmt.Errorf("cannot listen for %s: %w", one.what, err)
+		}
+		*one.lis = lis
+	}
+	return nil
+}
+
+func (dmn *Daemon) serveOthers(met *metrics.Set) {
+	dmn.ready = &http.Server{Handler: http.HandlerFunc(dmn.answerReady), ReadHeaderTimeout: dmn.set.HeaderTimeout}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", met.Handler())
+	dmn.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: dmn.set.HeaderTimeout}
+}
+
+// answerReady tells the balancer whether the VM may be sent callers.
+func (dmn *Daemon) answerReady(wrt http.ResponseWriter, _ *http.Request) {
+	ready := false
+	dmn.driver.Machine(func(mac *gateway.Machine, _ clock.Instant) { ready = mac.Ready() })
+	if !ready {
+		wrt.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	wrt.WriteHeader(http.StatusOK)
+}
+
+// Run serves until ctx ends, then stops gracefully. A value on reload makes it
+// take over settings that may change while it runs.
+func (dmn *Daemon) Run(ctx context.Context, reload <-chan Settings) error {
+	defer dmn.cancel()
+	var wgr sync.WaitGroup
+	wgr.Go(dmn.transport.Serve)
+	wgr.Go(dmn.driver.Run)
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	wgr.Go(func() { dmn.maintain(work) })
+	failed := make(chan error, 3)
+	go func() { failed <- dmn.callers.Serve(dmn.listeners.callers) }()
+	go func() { failed <- dmn.ready.Serve(dmn.listeners.ready) }()
+	if dmn.listeners.metrics != nil {
+		go func() { failed <- dmn.metrics.Serve(dmn.listeners.metrics) }()
+	}
+	dmn.log.WithFields(logrus.Fields{"vm": dmn.self.ID, "callers": dmn.set.CallerAddress, "peers": dmn.set.PeerAddress}).Info("start")
+	err := dmn.serve(ctx, reload, failed)
+	dmn.stop(work)
+	cancel()
+	dmn.cancel()
+	dmn.transport.Close()
+	dmn.log.WithField("vm", dmn.self.ID).Info("stopped")
+	return err
+}
+
+// serve waits for the end of ctx, or of a listener, and takes over settings.
+func (dmn *Daemon) serve(ctx context.Context, reload <-chan Settings, failed <-chan error) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-failed:
+			if err == nil || errors.Is(err, http.ErrServerClosed) {
+				return errors.New("a listener was closed")
+			}
+			return err
+		case set := <-reload:
+			dmn.reload(set)
+		}
+	}
+}
+
+// reload takes over the settings that may change while the VM runs.
+func (dmn *Daemon) reload(set Settings) {
+	if err := set.Check(); err != nil {
+		dmn.log.WithError(err).Error("the new settings are wrong; the old ones stay in force")
+		return
+	}
+	dmn.mut.Lock()
+	old := dmn.set
+	dmn.set = set
+	dmn.mut.Unlock()
+	dmn.driver.Machine(func(mac *gateway.Machine, _ clock.Instant) { mac.SetTerms(terms(set)) })
+	moved := old.CallerAddress != set.CallerAddress || old.ReadyAddress != set.ReadyAddress || old.PeerAddress != set.PeerAddress || old.Name != set.Name
+	dmn.log.WithField("needsRestart", moved).Info("reload")
+}
+
+func (dmn *Daemon) settings() Settings {
+	dmn.mut.Lock()
+	defer dmn.mut.Unlock()
+	return dmn.set
+}
+
+// maintain takes over the bounds of the configuration and closes connections
+// that have been idle for too long.
+func (dmn *Daemon) maintain(ctx context.Context) {
+	var swept time.Time
+	for ctx.Err() == nil {
+		sleep(ctx, reloadInterval)
+		var bnd config.Bounds
+		dmn.driver.Machine(func(mac *gateway.Machine, _ clock.Instant) {
+			if con := mac.Config(); con != nil {
+				bnd = con.Content.Bounds
+			}
+		})
+		dmn.callers.SetSettings(callerBounds(dmn.settings(), bnd))
+		if now := time.Now(); now.Sub(swept) >= sweepInterval {
+			swept = now
+			dmn.pool.Sweep(now)
+		}
+	}
+}
+
+func sleep(ctx context.Context, dur time.Duration) {
+	tmr := time.NewTimer(dur)
+	defer tmr.Stop()
+	select {
+	case <-ctx.Done():
+	case <-tmr.C:
+	}
+}
+
+// stop ends the service without cutting a request: the VM says that it is not
+// ready, serves on until the balancer has noticed, lets every request finish
+// and closes.
+func (dmn *Daemon) stop(ctx context.Context) {
+	set := dmn.settings()
+	ctx, cancel := context.WithTimeout(ctx, set.StopTime-killMargin)
+	defer cancel()
+	dmn.log.WithFields(logrus.Fields{"connections": dmn.callers.Connections(), "stopTime": set.StopTime.String()}).Info("stop")
+	dmn.driver.Step(gateway.StopBegan{})
+	dmn.callers.Stop()
+	sleep(ctx, set.BalancerLag)
+	_ = dmn.listeners.callers.Close()
+	if !dmn.callers.Drain(ctx) {
+		dmn.log.WithField("connections", dmn.callers.Connections()).Warn("requests are cut after the stop time")
+	}
+	_ = dmn.ready.Close()
+	_ = dmn.metrics.Close()
+}
--- /dev/null
+++ b/lugd/pkg/http1/conn.go
@@ -0,0 +1,421 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"marigoldlug.example/core/request"
+)
+
+const (
+	// maxPipelined bounds the requests of one connection that are answered at
+	// a time.
+	maxPipelined = 16
+	// readBuffer is what is read of a head beyond its greatest size, in bytes.
+	readBuffer   = 1 << 10
+	writeBuffer  = 4 << 10
+	writeTimeout = 20 * time.Second
+	// idleSlack is how much longer than stated idle connections are kept.
+	idleSlack = 500 * time.Millisecond
+)
+
+var (
+	errHeadTooLarge = errors.New("the head of the request is longer than this fleet takes")
+	errTwoFramings  = errors.New("the request states both a length and chunks")
+	errBodyTooLarge = errors.New("the body is longer than this fleet takes")
+	errNoMemory     = errors.New("the VM holds too many bodies")
+)
+
+// conn is the connection of one caller.
+type conn struct {
+	srv    *Server
+	raw    net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// ctx ends when the caller has left.
+	ctx  context.Context
+	left context.CancelFunc
+	// slots holds a token for each request that is not answered.
+	slots chan struct{}
+	wait  sync.WaitGroup
+
+	mut sync.Mutex
+	// open counts the requests that are not answered.
+	open int
+	// reading is set once a byte of the next request has arrived.
+	reading bool
+	// closing is set when no further request is to be read.
+	closing bool
+}
+
+func newConn(srv *Server, raw net.Conn) *conn {
+	ctx, left := context.WithCancel(context.Background())
+	set := srv.Settings()
+	return &conn{
+		srv: srv, raw: raw, ctx: ctx, left: left,
+		reader: bufio.NewReaderSize(raw, set.HeaderBytes+readBuffer),
+		writer: bufio.NewWriterSize(raw, writeBuffer),
+		slots:  make(chan struct{}, maxPipelined),
+	}
+}
+
+// serve reads requests until the caller leaves or the connection is to close.
+func (con *conn) serve() {
+	turn := make(chan struct{})
+	close(turn)
+	for {
+		con.slots <- struct{}{}
+		req, err := con.next()
+		if err != nil {
+			con.refuse(turn, err)
+			break
+		}
+		next := make(chan struct{})
+		last := con.begin(req)
+		con.wait.Add(1)
+		go func(turn, next chan struct{}) {
+			defer con.wait.Done()
+			newSession(con, req, turn, next, last).run()
+			con.end()
+			<-con.slots
+		}(turn, next)
+		turn = next
+		if last {
+			// The caller sends nothing more that counts; only its leaving matters.
+			con.watch()
+			break
+		}
+	}
+	con.wait.Wait()
+	con.left()
+	_ = con.raw.Close()
+}
+
+// begin counts a request and reports whether it is the last of the connection.
+func (con *conn) begin(req *http.Request) bool {
+	con.mut.Lock()
+	defer con.mut.Unlock()
+	con.open++
+	con.reading = false
+	return req.Close || req.ProtoMajor == 1 && req.ProtoMinor == 0
+}
+
+func (con *conn) end() {
+	con.mut.Lock()
+	defer con.mut.Unlock()
+	con.open--
+	if con.open == 0 {
+		if con.closing && !con.reading {
+			_ = con.raw.SetReadDeadline(time.Now())
+			return
+		}
+		if !con.reading {
+			con.setIdleDeadline()
+		}
+	}
+}
+
+// closeIdle closes the connection now if it is idle, or else when it is.
+func (con *conn) closeIdle() {
+	con.mut.Lock()
+	defer con.mut.Unlock()
+	con.closing = true
+	if con.open == 0 && !con.reading {
+		_ = con.raw.SetReadDeadline(time.Now())
+	}
+}
+
+func (con *conn) setIdleDeadline() {
+	_ = con.raw.SetReadDeadline(time.Now().Add(con.srv.Settings().IdleTimeout + idleSlack))
+}
+
+// watch waits until the caller leaves or every request is answered.
+func (con *conn) watch() {
+	done := make(chan struct{})
+	go func() {
+		con.wait.Wait()
+		_ = con.raw.SetReadDeadline(time.Now())
+		close(done)
+	}()
+	con.mut.Lock()
+	if con.open > 0 {
+		_ = con.raw.SetReadDeadline(time.Time{})
+	}
+	con.mut.Unlock()
+	var sink [512]byte
+	for {
+		if _, err := con.reader.Read(sink[:]); err != nil {
+			if !isTimeout(err) {
+				con.left()
+			}
+			break
+		}
+	}
+	<-done
+}
+
+func isTimeout(err error) bool {
+	var net net.Error
+	return errors.As(err, &net) && net.Timeout()
+}
+
+// errIdle ends a connection on which nothing more is to come.
+var errIdle = errors.New("the connection is idle")
+
+// next reads the next request whole. Once it returns an error other than
+// errIdle the caller has left or sent something that is no request.
+func (con *conn) next() (*http.Request, error) {
+	if err := con.awaitFirst(); err != nil {
+		return nil, err
+	}
+	set := con.srv.Settings()
+	if err := con.raw.SetReadDeadline(time.Now().Add(set.HeaderTimeout)); err != nil {
+		return nil, err
+	}
+	if err := con.checkHead(set.HeaderBytes); err != nil {
+		return nil, err
+	}
+	req, err := http.ReadRequest(con.reader)
+	if err != nil {
+		return nil, &malformedError{err: err}
+	}
+	if err := con.readBody(req, set); err != nil {
+		return nil, err
+	}
+	return req, con.raw.SetReadDeadline(time.Time{})
+}
+
+// awaitFirst waits for the first byte of a request.
+func (con *conn) awaitFirst() error {
+	con.mut.Lock()
+	if con.closing {
+		con.mut.Unlock()
+		return con.awaitLeaving()
+	}
+	if con.open == 0 {
+		con.setIdleDeadline()
+	} else {
+		_ = con.raw.SetReadDeadline(time.Time{})
+	}
+	con.mut.Unlock()
+	_, err := con.reader.Peek(1)
+	if err != nil {
+		if isTimeout(err) {
+			return errIdle
+		}
+		con.left()
+		return err
+	}
+	con.mut.Lock()
+	defer con.mut.Unlock()
+	if con.closing {
+		return errIdle // The caller has been told that nothing more is read.
+	}
+	con.reading = true
+	return nil
+}
+
+// mayClose reports whether the answer to be written now is the last of the
+// connection, and if so makes it read no further request. A request that was
+// read already is always answered.
+func (con *conn) mayClose(wanted bool) bool {
+	con.mut.Lock()
+	defer con.mut.Unlock()
+	if con.open != 1 || con.reading || !wanted && !con.closing {
+		return false
+	}
+	con.closing = true
+	return true
+}
+
+// awaitLeaving waits on a connection that closes until its answers are sent.
+func (con *conn) awaitLeaving() error {
+	con.watch()
+	return errIdle
+}
+
+// checkHead reads the head into the buffer, without consuming it.
+func (con *conn) checkHead(limit int) error {
+	for size := 1; ; size = con.reader.Buffered() + 1 {
+		if size > limit {
+			return errHeadTooLarge
+		}
+		if _, err := con.reader.Peek(size); err != nil {
+			if errors.Is(err, bufio.ErrBufferFull) {
+				return errHeadTooLarge
+			}
+			if !isTimeout(err) {
+				con.left()
+			}
+			return err
+		}
+		buf, err := con.reader.Peek(con.reader.Buffered())
+		if err != nil {
+			return err
+		}
+		end := headEnd(buf)
+		if end < 0 {
+			continue
+		}
+		if end > limit {
+			return errHeadTooLarge
+		}
+		return checkFraming(buf[:end])
+	}
+}
+
+// headEnd returns the length of a head with its empty line, or -1.
+func headEnd(buf []byte) int {
+	if at := bytes.Index(buf, []byte("\r\n\r\n")); at >= 0 {
+		return at + len("\r\n\r\n")
+	}
+	if at := bytes.Index(buf, []byte("\n\n")); at >= 0 {
+		return at + len("\n\n")
+	}
+	return -1
+}
+
+// checkFraming refuses heads that targets might frame in another way.
+func checkFraming(head []byte) error {
+	length, chunked := false, false
+	for line := range bytes.SplitSeq(head, []byte("\n")) {
+		name, _, found := bytes.Cut(line, []byte(":"))
+		if !found {
+			continue
+		}
+		length = length || bytes.EqualFold(name, []byte("Content-Length"))
+		chunked = chunked || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	}
+	if length && chunked {
+		return errTwoFramings
+	}
+	return nil
+}
+
+// readBody reads the body into memory, so that attempts can be repeated and no
+// target waits for a slow caller.
+func (con *conn) readBody(req *http.Request, set Settings) error {
+	if req.ContentLength == 0 {
+		return nil
+	}
+	if req.ContentLength > set.BodyBytes {
+		return errBodyTooLarge
+	}
+	if err := con.raw.SetReadDeadline(time.Now().Add(set.BodyTimeout)); err != nil {
+		return err
+	}
+	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
+		con.wait.Wait() // Earlier answers go first.
+		if _, err := io.WriteString(con.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			con.left()
+			return err
+		}
+	}
+	var buf bytes.Buffer
+	if _, err := io.Copy(&buf, &meter{src: io.LimitReader(req.Body, set.BodyBytes+1), srv: con.srv, limit: set.Memory}); err != nil {
+		con.srv.held.Add(-int64(buf.Len()))
+		if errors.Is(err, errNoMemory) {
+			return err
+		}
+		if !isTimeout(err) && !errors.Is(err, http.ErrBodyReadAfterClose) {
+			con.left()
+		}
+		return &malformedError{err: err}
+	}
+	if int64(buf.Len()) > set.BodyBytes {
+		con.srv.held.Add(-int64(buf.Len()))
+		return errBodyTooLarge
+	}
+	req.Body = &heldBody{Reader: bytes.NewReader(buf.Bytes()), content: buf.Bytes()}
+	return nil
+}
+
+// meter counts the bytes of bodies against what the VM may hold.
+type meter struct {
+	src   io.Reader
+	srv   *Server
+	limit int64
+}
+
+// Read fails when the VM holds too much.
+func (mtr *meter) Read(buf []byte) (int, error) {
+	cnt, err := mtr.src.Read(buf)
+	if mtr.srv.held.Add(int64(cnt)) > mtr.limit && mtr.limit > 0 {
+		mtr.srv.held.Add(-int64(cnt))
+		return 0, errNoMemory
+	}
+	return cnt, err
+}
+
+// heldBody is a body in memory.
+type heldBody struct {
+	*bytes.Reader
+	content []byte
+}
+
+// Close does nothing.
+func (*heldBody) Close() error { return nil }
+
+// malformedError is a request that cannot be read.
+type malformedError struct{ err error }
+
+// Error returns the cause.
+func (err *malformedError) Error() string { return "the request cannot be read: " + err.err.Error() }
+
+// Unwrap returns the cause.
+func (err *malformedError) Unwrap() error { return err.err }
+
+// refuse answers what is no request, in its turn, if the caller is still there.
+func (con *conn) refuse(turn <-chan struct{}, err error) {
+	ref := request.Refusal{Detail: err.Error()}
+	var bad *malformedError
+	switch {
+	case errors.Is(err, errHeadTooLarge):
+		ref.Reason = request.HeadTooLarge
+	case errors.Is(err, errBodyTooLarge):
+		ref.Reason = request.TooLarge
+	case errors.Is(err, errNoMemory):
+		ref.Reason, ref.RetryAfter = request.Overloaded, time.Second
+	case isTimeout(err):
+		ref.Reason = request.TooSlow
+	case errors.Is(err, errTwoFramings), errors.As(err, &bad):
+		ref.Reason = request.Malformed
+	default:
+		return
+	}
+	con.srv.log.WithError(err).WithField("caller", con.raw.RemoteAddr().String()).Info("request refused unread")
+	<-turn
+	if con.ctx.Err() != nil {
+		return
+	}
+	_ = con.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	ans := refusalAnswer(con.srv.names, ref, "")
+	ans.close = true
+	if ans.write(con.writer) == nil {
+		_ = con.writer.Flush()
+	}
+	con.lingerClose()
+}
+
+// lingerClose lets the caller read the last answer before its unread bytes
+// reset the connection.
+func (con *conn) lingerClose() {
+	if tcp, ok := con.raw.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_ = con.raw.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, io.LimitReader(con.raw, lingerBytes))
+}
+
+const (
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 1 << 20
+)
--- /dev/null
+++ b/lugd/pkg/http1/server.go
@@ -0,0 +1,171 @@
+// Package http1 speaks HTTP/1.1 to callers: it takes their requests, also
+// several at a time on one connection, has them decided and passes answers on
+// in the order of the requests.
+package http1
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldlug.example/core/gateway"
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/request"
+	"marigoldlug.example/lugd/pkg/header"
+	"marigoldlug.example/lugd/pkg/target"
+)
+
+// decider steps the decisions of the VM.
+type decider interface {
+	// Begin registers a request and returns its ID and the channel on which
+	// its actions arrive.
+	Begin(req request.Request) (request.ID, <-chan gateway.Action)
+	Step(evt gateway.Event)
+	// End forgets a request.
+	End(id request.ID)
+}
+
+// sender sends requests to targets.
+type sender interface {
+	Send(ctx context.Context, cal target.Call, req *http.Request) (*target.Answer, *target.Error)
+}
+
+// observer counts requests and attempts.
+type observer interface {
+	Request(route, result string, elapsed, waited time.Duration)
+	Attempt(service string, outcome health.Outcome)
+}
+
+// Settings bound what a caller may send.
+type Settings struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+	// BodyTimeout bounds the time in which a request body must arrive.
+	BodyTimeout time.Duration
+	// Memory bounds the bodies held at a time, in bytes.
+	Memory int64
+}
+
+// Server serves callers.
+type Server struct {
+	names    header.Names
+	decider  decider
+	sender   sender
+	observer observer
+	log      logrus.FieldLogger
+	settings atomic.Pointer[Settings]
+	// held counts the bytes of the bodies held.
+	held atomic.Int64
+
+	mut      sync.Mutex
+	conns    map[*conn]struct{}
+	stopping bool
+	closing  bool
+	wait     sync.WaitGroup
+}
+
+// New returns a server that has its requests decided by dec and sent by sen.
+func New(set Settings, nms header.Names, dec decider, sen sender, obs observer, log logrus.FieldLogger) *Server {
+	srv := &Server{names: nms, decider: dec, sender: sen, observer: obs, log: log, conns: make(map[*conn]struct{})}
+	srv.settings.Store(&set)
+	return srv
+}
+
+// SetSettings replaces the bounds for requests that come later.
+func (srv *Server) SetSettings(set Settings) { srv.settings.Store(&set) }
+
+// Settings returns the bounds in force.
+func (srv *Server) Settings() Settings { return *srv.settings.Load() }
+
+// Serve accepts connections until lis is closed.
+func (srv *Server) Serve(lis net.Listener) error {
+	for {
+		raw, err := lis.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// The VM may be out of descriptors for a moment.
+			srv.log.WithError(err).Warn("cannot accept a caller")
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		con := newConn(srv, raw)
+		if !srv.add(con) {
+			_ = raw.Close()
+			continue
+		}
+		go func() {
+			defer srv.wait.Done()
+			con.serve()
+			srv.remove(con)
+		}()
+	}
+}
+
+func (srv *Server) add(con *conn) bool {
+	srv.mut.Lock()
+	defer srv.mut.Unlock()
+	if srv.closing {
+		return false
+	}
+	srv.conns[con] = struct{}{}
+	srv.wait.Add(1)
+	return true
+}
+
+func (srv *Server) remove(con *conn) {
+	srv.mut.Lock()
+	defer srv.mut.Unlock()
+	delete(srv.conns, con)
+}
+
+// Stop begins a planned stop: answers close their connections from now on.
+func (srv *Server) Stop() {
+	srv.mut.Lock()
+	defer srv.mut.Unlock()
+	srv.stopping = true
+}
+
+func (srv *Server) isStopping() bool {
+	srv.mut.Lock()
+	defer srv.mut.Unlock()
+	return srv.stopping
+}
+
+// Drain closes idle connections, now and as others become idle, and waits until
+// all are closed or ctx ends. It reports whether all were.
+func (srv *Server) Drain(ctx context.Context) bool {
+	srv.mut.Lock()
+	srv.stopping, srv.closing = true, true
+	for con := range srv.conns {
+		con.closeIdle()
+	}
+	srv.mut.Unlock()
+	done := make(chan struct{})
+	go func() {
+		srv.wait.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Connections returns the number of open connections.
+func (srv *Server) Connections() int {
+	srv.mut.Lock()
+	defer srv.mut.Unlock()
+	return len(srv.conns)
+}
--- /dev/null
+++ b/lugd/pkg/http1/session.go
@@ -0,0 +1,364 @@
+package http1
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"marigoldlug.example/core/config"
+	"marigoldlug.example/core/gateway"
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/request"
+	"marigoldlug.example/lugd/pkg/header"
+	"marigoldlug.example/lugd/pkg/target"
+)
+
+const (
+	authorizationHeader = "Authorization"
+	bearerScheme        = "bearer "
+)
+
+// session answers one request.
+type session struct {
+	con *conn
+	req *http.Request
+	// turn is closed when the answers before this one are sent; next is closed
+	// when this one is.
+	turn <-chan struct{}
+	next chan struct{}
+	// last is set when no request follows on the connection.
+	last  bool
+	label string
+	id    request.ID
+	began time.Time
+	// waited is the time spent on attempts.
+	waited  time.Duration
+	results chan result
+	// cancel ends the attempt under way.
+	cancel context.CancelFunc
+	// answer is that of the attempt with the number attempt.
+	answer  *target.Answer
+	attempt int
+	route   string
+}
+
+// result is the end of an attempt.
+type result struct {
+	attempt int
+	service string
+	answer  *target.Answer
+	failure *target.Error
+	began   time.Time
+}
+
+func newSession(con *conn, req *http.Request, turn <-chan struct{}, next chan struct{}, last bool) *session {
+	return &session{
+		con: con, req: req, turn: turn, next: next, last: last, began: time.Now(), results: make(chan result, 1),
+		label: req.Header.Get(con.srv.names.Request),
+	}
+}
+
+// run has the request decided and answers it.
+func (ses *session) run() {
+	defer close(ses.next)
+	defer ses.releaseBody()
+	srv := ses.con.srv
+	keys := extractKeys(ses.req.Header)
+	timeout, valid := srv.names.ReadTimeout(ses.req.Header)
+	if ref := ses.malformed(valid); ref != nil {
+		ses.refuse(*ref)
+		return
+	}
+	id, actions := srv.decider.Begin(request.Request{
+		Label: ses.label, Host: plainHost(ses.req.Host), Path: ses.req.URL.Path, Method: ses.req.Method, Keys: keys, Timeout: timeout,
+	})
+	ses.id = id
+	defer srv.decider.End(id)
+	ctx, cancel := context.WithCancel(ses.con.ctx)
+	defer cancel()
+	ses.cancel = func() {}
+	for {
+		select {
+		case act := <-actions:
+			if ses.act(ctx, act) {
+				ses.cancel()
+				return
+			}
+		case res := <-ses.results:
+			ses.ended(res)
+		case <-ctx.Done():
+			ses.cancel()
+			ses.dropAnswer()
+			srv.decider.Step(gateway.CallerLeft{Request: id})
+			ses.observe("callerLeft")
+			return
+		}
+	}
+}
+
+func (ses *session) releaseBody() {
+	if bod, held := ses.req.Body.(*heldBody); held {
+		ses.con.srv.held.Add(-int64(len(bod.content)))
+	}
+}
+
+func (ses *session) observe(outcome string) {
+	elapsed := time.Since(ses.began)
+	ses.con.srv.observer.Request(ses.route, outcome, elapsed, ses.waited)
+}
+
+func (ses *session) malformed(timeoutValid bool) *request.Refusal {
+	switch {
+	case !timeoutValid:
+		return &request.Refusal{Reason: request.Malformed, Detail: "the header " + ses.con.srv.names.Timeout + " must be a number above 0"}
+	case ses.req.Method == http.MethodConnect:
+		return &request.Refusal{Reason: request.Malformed, Detail: "tunnels are not offered"}
+	case !plainPath(ses.req.URL.Path, ses.req.URL.EscapedPath()):
+		return &request.Refusal{Reason: request.Malformed, Detail: "the path has dot segments, empty segments or encoded separators"}
+	}
+	return nil
+}
+
+// act carries out an action and reports whether it was the last.
+func (ses *session) act(ctx context.Context, act gateway.Action) bool {
+	switch act := act.(type) {
+	case gateway.Dispatch:
+		ses.dropAnswer()
+		ses.cancel()
+		ses.route = act.Route
+		ses.send(ctx, act)
+		return false
+	case gateway.Relay:
+		ses.relay()
+	case gateway.Refuse:
+		ses.cancel()
+		ses.dropAnswer()
+		ses.refuse(act.Refusal)
+	}
+	return true
+}
+
+// send starts an attempt.
+func (ses *session) send(ctx context.Context, dis gateway.Dispatch) {
+	ctx, cancel := context.WithCancel(ctx)
+	ses.cancel = cancel
+	ses.attempt = dis.Attempt
+	began := time.Now()
+	cal := target.Call{
+		Address: dis.Target.Address, Idempotent: dis.Idempotent, Timeout: dis.Timeout, Connections: dis.Connections,
+		Label: ses.label, Target: dis.Target.ID,
+	}
+	out := ses.outgoing(dis)
+	results := ses.results
+	go func() {
+		ans, fail := ses.con.srv.sender.Send(ctx, cal, out)
+		res := result{attempt: dis.Attempt, service: dis.Service, answer: ans, failure: fail, began: began}
+		select {
+		case results <- res:
+		case <-ctx.Done():
+			if ans != nil {
+				_ = ans.Body.Close()
+			}
+		}
+	}()
+}
+
+// ended reports the end of an attempt to the decisions.
+func (ses *session) ended(res result) {
+	if res.attempt != ses.attempt {
+		if res.answer != nil {
+			_ = res.answer.Body.Close()
+		}
+		return
+	}
+	srv := ses.con.srv
+	ses.waited += time.Since(res.began)
+	if res.failure != nil {
+		srv.observer.Attempt(res.service, res.failure.Outcome)
+		srv.decider.Step(gateway.AttemptFailed{
+			Request: ses.id, Attempt: res.attempt, Outcome: res.failure.Outcome, Verdict: res.failure.Verdict, Detail: res.failure.Error(),
+		})
+		return
+	}
+	ses.answer = res.answer
+	ans := gateway.Answer{
+		Status:   res.answer.StatusCode,
+		Shed:     res.answer.StatusCode >= 400 && res.answer.Header.Get(srv.names.NotRun) != "",
+		Stranger: res.answer.StatusCode == http.StatusMisdirectedRequest,
+		Leaving:  false,
+	}
+	srv.observer.Attempt(res.service, answerOutcome(ans))
+	srv.decider.Step(gateway.Answered{Request: ses.id, Attempt: res.attempt, Answer: ans})
+}
+
+// answerOutcome returns how metrics name an attempt that was answered.
+func answerOutcome(ans gateway.Answer) health.Outcome {
+	switch {
+	case ans.Shed || ans.Stranger:
+		return health.Shed
+	case ans.Status >= http.StatusInternalServerError:
+		return health.Failure
+	}
+	return health.Success
+}
+
+func (ses *session) dropAnswer() {
+	if ses.answer != nil {
+		_ = ses.answer.Body.Close()
+		ses.answer = nil
+	}
+}
+
+// relay passes the answer on. One that the target cuts short ends the caller's
+// connection, so that it is seen to be cut.
+func (ses *session) relay() {
+	defer ses.dropAnswer()
+	src := ses.answer
+	hdr := src.Header.Clone()
+	header.RemoveHop(hdr)
+	hdr.Del("Trailer")
+	ans := &answer{
+		status: src.StatusCode, header: hdr, body: src.Held, rest: src.Rest(), length: src.Length(),
+		bodiless: ses.req.Method == http.MethodHead || src.StatusCode == http.StatusNoContent || src.StatusCode == http.StatusNotModified,
+		plain:    ses.req.ProtoMajor == 1 && ses.req.ProtoMinor == 0,
+	}
+	err := ses.write(ans)
+	outcome := health.Success
+	switch {
+	case src.Failed() != nil:
+		outcome = health.Failure
+	case err != nil:
+		outcome = health.Canceled
+	}
+	ses.con.srv.decider.Step(gateway.RelayEnded{Request: ses.id, Outcome: outcome})
+	if err != nil {
+		ses.con.srv.log.WithError(err).WithField("request", ses.label).Info("the answer was cut")
+		ses.observe("cut")
+		return
+	}
+	ses.observe("answered")
+}
+
+func (ses *session) refuse(ref request.Refusal) {
+	ans := refusalAnswer(ses.con.srv.names, ref, ses.label)
+	if ses.req.Method == http.MethodHead {
+		ans.bodiless = true
+	}
+	if err := ses.write(ans); err != nil {
+		ses.con.srv.log.WithError(err).WithField("request", ses.label).Info("the refusal was not delivered")
+	}
+	ses.observe(string(ref.Reason))
+}
+
+// write sends an answer in its turn.
+func (ses *session) write(ans *answer) error {
+	con := ses.con
+	<-ses.turn
+	if err := con.ctx.Err(); err != nil {
+		return err
+	}
+	ans.close = con.mayClose(ses.last || con.srv.isStopping())
+	if err := con.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		con.left()
+		return err
+	}
+	err := ans.write(con.writer)
+	if err == nil {
+		err = con.writer.Flush()
+	}
+	if err != nil {
+		// Nothing that follows can be told from the rest of this answer.
+		con.abort()
+	}
+	return err
+}
+
+// abort resets the connection, so that what was sent is seen to be cut.
+func (con *conn) abort() {
+	con.left()
+	if tcp, ok := con.raw.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = con.raw.Close()
+}
+
+// outgoing returns the request to a target.
+func (ses *session) outgoing(dis gateway.Dispatch) *http.Request {
+	in := ses.req
+	nms := ses.con.srv.names
+	hdr := in.Header.Clone()
+	header.RemoveHop(hdr)
+	for _, name := range []string{"Trailer", "Expect", nms.Organisation, nms.ExpectTarget} {
+		if name != "" {
+			hdr.Del(name)
+		}
+	}
+	if dis.Organisation != "" && nms.Organisation != "" {
+		hdr.Set(nms.Organisation, dis.Organisation)
+	}
+	if nms.ExpectTarget != "" {
+		hdr.Set(nms.ExpectTarget, dis.Target.ID)
+	}
+	hdr.Set(nms.Timeout, nms.ShowTimeout(dis.Timeout))
+	if _, found := hdr["User-Agent"]; !found {
+		hdr.Set("User-Agent", "") // Keeps net/http from adding its own.
+	}
+	out := &http.Request{
+		Method: in.Method, Host: in.Host, Header: hdr,
+		URL: &url.URL{Scheme: "http", Host: dis.Target.Address, Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery, ForceQuery: in.URL.ForceQuery},
+	}
+	if bod, held := in.Body.(*heldBody); held {
+		out.ContentLength = in.ContentLength
+		out.Body = io.NopCloser(bytes.NewReader(bod.content))
+		if in.ContentLength < 0 && len(bod.content) > 0 {
+			out.TransferEncoding = []string{"chunked"}
+		}
+	}
+	return out
+}
+
+// extractKeys removes the key from the headers of a request and returns the
+// digests of the distinct ones found.
+func extractKeys(hdr http.Header) []config.Digest {
+	var digests []config.Digest
+	seen := make(map[string]bool)
+	for _, val := range hdr.Values(authorizationHeader) {
+		if len(val) <= len(bearerScheme) || !strings.EqualFold(val[:len(bearerScheme)], bearerScheme) {
+			continue
+		}
+		key := strings.TrimSpace(val[len(bearerScheme):])
+		if !seen[key] {
+			seen[key] = true
+			digests = append(digests, config.DigestOf(key))
+		}
+	}
+	hdr.Del(authorizationHeader)
+	return digests
+}
+
+// plainPath reports whether a path has no dot or empty segments and no encoded
+// separators, which targets might read as another path than the routes do.
+func plainPath(path, rawPath string) bool {
+	if !strings.HasPrefix(path, "/") || strings.Contains(path, "//") || strings.ContainsAny(path, "\\\x00") {
+		return false
+	}
+	if strings.Contains(path+"/", "/../") || strings.Contains(path+"/", "/./") {
+		return false
+	}
+	low := strings.ToLower(rawPath)
+	return !strings.Contains(low, "%2f") && !strings.Contains(low, "%5c")
+}
+
+// plainHost returns the host in lower case without port.
+func plainHost(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
+
--- a/lugd/pkg/peer/codec.go
+++ b/lugd/pkg/peer/codec.go
@@ -39,6 +39,13 @@
 
 	kindDigest  = 40
 	kindVerdict = 41
+
+	kindFeedAsk    = 50
+	kindFeedNews   = 51
+	kindVMPing     = 52
+	kindVMPong     = 53
+	kindTokenAsk   = 54
+	kindTokenGrant = 55
 )
 
 // protocolVersion is raised when frames change in a way that older programs
@@ -88,7 +95,7 @@
 // encode returns the payload of the frame for a message.
 func encode(msg any) ([]byte, error) {
 	wrt := newWriter()
-	if !wrt.own(msg) && !wrt.fence(msg) && !wrt.rate(msg) && !wrt.member(msg) && !wrt.health(msg) {
+	if !wrt.own(msg) && !wrt.fence(msg) && !wrt.rate(msg) && !wrt.member(msg) && !wrt.health(msg) && !wrt.gateway(msg) {
 		return nil, fmt.Errorf("message of type %T has no frame", msg)
 	}
 	return wrt.buf.Bytes(), wrt.err
@@ -149,8 +156,10 @@
 		msg = rdr.rate(kind)
 	case kind < kindDigest:
 		msg = rdr.member(kind)
-	default:
+	case kind < kindFeedAsk:
 		msg = rdr.health(kind)
+	default:
+		msg = rdr.gateway(kind)
 	}
 	if rdr.err != nil {
 		return nil, rdr.err
--- /dev/null
+++ b/lugd/pkg/peer/content.go
@@ -0,0 +1,118 @@
+package peer
+
+import (
+	"math"
+
+	"marigoldlug.example/core/config"
+	"marigoldlug.example/core/rate"
+)
+
+// content encodes a configuration.
+func (wrt *writer) content(con config.Content) {
+	wrt.count(len(con.Organisations))
+	for _, org := range con.Organisations {
+		wrt.organisation(org)
+	}
+	wrt.count(len(con.Keys))
+	for _, key := range con.Keys {
+		wrt.text(key.ID)
+		wrt.text(key.Organisation)
+		wrt.raw(key.Digest[:])
+	}
+	wrt.count(len(con.Routes))
+	for _, rou := range con.Routes {
+		wrt.route(rou)
+	}
+	wrt.count(len(con.Services))
+	for _, svc := range con.Services {
+		wrt.text(svc.Name)
+		wrt.text(svc.HealthPath)
+		wrt.whole(int64(svc.Connections))
+	}
+	wrt.whole(int64(con.Bounds.HeaderBytes))
+	wrt.whole(con.Bounds.BodyBytes)
+	wrt.duration(con.Bounds.HeaderTimeout)
+	wrt.duration(con.Bounds.IdleTimeout)
+}
+
+func (rdr *reader) content() config.Content {
+	var con config.Content
+	for cnt := rdr.count(); cnt > 0 && rdr.err == nil; cnt-- {
+		con.Organisations = append(con.Organisations, rdr.organisation())
+	}
+	for cnt := rdr.count(); cnt > 0 && rdr.err == nil; cnt-- {
+		key := config.Key{ID: rdr.text(), Organisation: rdr.text()}
+		if raw := rdr.raw(); rdr.err == nil && len(raw) != len(key.Digest) {
+			rdr.err = errMalformed
+		} else {
+			copy(key.Digest[:], raw)
+		}
+		con.Keys = append(con.Keys, key)
+	}
+	for cnt := rdr.count(); cnt > 0 && rdr.err == nil; cnt-- {
+		con.Routes = append(con.Routes, rdr.route())
+	}
+	for cnt := rdr.count(); cnt > 0 && rdr.err == nil; cnt-- {
+		con.Services = append(con.Services, config.Service{Name: rdr.text(), HealthPath: rdr.text(), Connections: int(rdr.whole())})
+	}
+	con.Bounds = config.Bounds{
+		HeaderBytes: int(rdr.whole()), BodyBytes: rdr.whole(), HeaderTimeout: rdr.duration(), IdleTimeout: rdr.duration(),
+	}
+	return con
+}
+
+func (wrt *writer) organisation(org config.Organisation) {
+	wrt.text(org.Name)
+	wrt.whole(int64(org.Limit.Rate))
+	wrt.whole(int64(org.Limit.Burst))
+	wrt.whole(int64(org.Weight))
+	wrt.boolean(org.Priority != nil)
+	if org.Priority != nil {
+		wrt.whole(int64(*org.Priority))
+	}
+}
+
+func (rdr *reader) organisation() config.Organisation {
+	org := config.Organisation{
+		Name: rdr.text(), Limit: rate.Limit{Rate: rate.PerSecond(rdr.whole()), Burst: rate.Tokens(rdr.whole())}, Weight: int(rdr.whole()),
+	}
+	if rdr.boolean() {
+		pri := config.Priority(rdr.whole())
+		org.Priority = &pri
+	}
+	return org
+}
+
+func (wrt *writer) route(rou config.Route) {
+	wrt.text(rou.Name)
+	wrt.text(rou.Host)
+	wrt.text(rou.PathPrefix)
+	wrt.text(string(rou.Access))
+	wrt.text(rou.Service)
+	wrt.texts(rou.Methods)
+	wrt.texts(rou.Organisations)
+	wrt.count(len(rou.Split))
+	for _, sha := range rou.Split {
+		wrt.text(sha.Service)
+		wrt.number(math.Float64bits(sha.Weight))
+	}
+	wrt.boolean(rou.Idempotent)
+	wrt.duration(rou.Timeout)
+	wrt.duration(rou.TargetLatency)
+	wrt.whole(int64(rou.Priority))
+	wrt.whole(int64(rou.MaxAttempts))
+}
+
+func (rdr *reader) route() config.Route {
+	rou := config.Route{
+		Name: rdr.text(), Host: rdr.text(), PathPrefix: rdr.text(), Access: config.Access(rdr.text()), Service: rdr.text(),
+		Methods: rdr.texts(), Organisations: rdr.texts(),
+	}
+	for cnt := rdr.count(); cnt > 0 && rdr.err == nil; cnt-- {
+		rou.Split = append(rou.Split, config.Share{Service: rdr.text(), Weight: math.Float64frombits(rdr.number())})
+	}
+	rou.Idempotent = rdr.boolean()
+	rou.Timeout, rou.TargetLatency = rdr.duration(), rdr.duration()
+	rou.Priority, rou.MaxAttempts = config.Priority(rdr.whole()), int(rdr.whole())
+	return rou
+}
--- a/lugd/pkg/target/exchange.go
+++ b/lugd/pkg/target/exchange.go
@@ -18,6 +18,8 @@
 type exchange struct {
 	con    *conn
 	cancel context.CancelFunc
+	// label is repeated in the answer; empty where none was sent.
+	label string
 	// stop cancels the closing of the connection by the context.
 	stop func() bool
 	// written receives the result of writing the request.
@@ -58,14 +60,37 @@
 			return nil, errSwitching
 		case rsp.StatusCode < http.StatusOK:
 			continue
-		case unframed(rsp, req.Method):
+		case unframed(rsp, req.Method) && !exc.con.pool.set.Unframed:
 			return nil, errUnframed
+		case exc.foreign(rsp):
+			// The late answer to an earlier request comes before this one's.
+			if _, err := io.Copy(io.Discard, io.LimitReader(rsp.Body, maxForeign)); err != nil {
+				return nil, errForeign
+			}
+			continue
 		}
 		return rsp, nil
 	}
 	return nil, errInterim
 }
 
+// foreign reports whether an answer belongs to another request. Only a refusal
+// to run may come without the label.
+func (exc *exchange) foreign(rsp *http.Response) bool {
+	nms := exc.con.pool.set.Names
+	if nms.Request == "" || exc.label == "" {
+		return false
+	}
+	label := rsp.Header.Get(nms.Request)
+	if label == "" {
+		return rsp.Header.Get(nms.NotRun) == "" && rsp.StatusCode != http.StatusMisdirectedRequest
+	}
+	return label != exc.label
+}
+
+// maxForeign bounds the length in bytes of an answer that is skipped.
+const maxForeign = 1 << 20
+
 // unframed reports whether the end of the answer is marked only by the end of
 // the connection, so that an answer cut short would look whole.
 func unframed(rsp *http.Response, method string) bool {
--- a/lugd/pkg/target/pool.go
+++ b/lugd/pkg/target/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -15,6 +16,8 @@
 
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/verdict"
+	"marigoldlug.example/lugd/pkg/header"
+	"marigoldlug.example/lugd/pkg/socket"
 )
 
 const (
@@ -24,6 +27,9 @@
 	maxIdle        = 30 * time.Second
 	bufferSize     = 8 << 10
 	maxAnswerHeads = 5
+	// unacknowledgedTime is how long bytes sent may stay unacknowledged before
+	// the connection counts as dead.
+	unacknowledgedTime = 4 * time.Second
 )
 
 // Error is the failure of an attempt.
@@ -43,6 +49,7 @@
 var (
 	errUnframed  = errors.New("the target's answer states neither length nor chunks")
 	errInterim   = errors.New("the target sent too many interim answers")
+	errForeign   = errors.New("the target answered another request")
 	errSwitching = errors.New("the target switched protocols unasked")
 )
 
@@ -53,6 +60,13 @@
 	IdlePerTarget int
 	// BodyPause bounds the time between two parts of an answer's body.
 	BodyPause time.Duration
+	// Names are the headers by which answers are matched to requests.
+	Names header.Names
+	// Hold is the length in bytes up to which an answer is read whole before
+	// it is returned, so that one that is cut short fails.
+	Hold int
+	// Unframed allows answers whose end is that of their connection.
+	Unframed bool
 }
 
 // Pool keeps idle connections to targets. It is safe for concurrent use.
@@ -68,7 +82,7 @@
 
 // New returns a pool without connections.
 func New(set Settings) *Pool {
-	dlr := &net.Dialer{Timeout: set.DialTimeout}
+	dlr := &net.Dialer{Timeout: set.DialTimeout, Control: socket.Unacknowledged(unacknowledgedTime)}
 	return &Pool{
 		set: set,
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
@@ -235,6 +249,11 @@
 	Timeout time.Duration
 	// Connections bounds the connections of this VM to the address.
 	Connections int
+	// Label identifies the request; the answer must repeat it. Empty where the
+	// caller gave none.
+	Label string
+	// Target is the ID of the target that is meant.
+	Target string
 }
 
 // errBusy is returned when every connection that the VM may open is in use.
@@ -263,6 +282,47 @@
 // Answer is the head of an answer and its body, which must be closed.
 type Answer struct {
 	*http.Response
+	// Held is the first part of the body, if the pool holds answers.
+	Held []byte
+	// whole is set when Held is the whole body.
+	whole  bool
+	failed error
+}
+
+// Rest returns the body behind the part that is held, or nil if nothing is left.
+func (ans *Answer) Rest() io.Reader {
+	if ans.whole {
+		return nil
+	}
+	return ans
+}
+
+// Read reads the body behind the part that is held.
+func (ans *Answer) Read(buf []byte) (int, error) {
+	cnt, err := ans.Body.Read(buf)
+	if err != nil && !errors.Is(err, io.EOF) {
+		ans.failed = err
+	}
+	return cnt, err
+}
+
+// Failed returns the error that cut the answer short, or nil.
+func (ans *Answer) Failed() error { return ans.failed }
+
+// Length returns the length of the whole body, or -1 where it is not known.
+func (ans *Answer) Length() int64 {
+	if ans.whole {
+		return int64(len(ans.Held))
+	}
+	return ans.ContentLength
+}
+
+// hold reads the body up to a length.
+func (ans *Answer) hold(limit int) error {
+	var err error
+	ans.Held, err = io.ReadAll(io.LimitReader(ans.Body, int64(limit)))
+	ans.whole = err == nil && len(ans.Held) < limit
+	return err
 }
 
 // Send sends req once as the call says, and returns when the head of the answer
@@ -281,13 +341,23 @@
 		}
 		return nil, &Error{Verdict: verdict.NotRun, Outcome: outcome, Err: fmt.Errorf("cannot connect to target %s: %w", cal.Address, err)}
 	}
-	exc := &exchange{con: con, cancel: cancel, written: make(chan error, 1)}
+	exc := &exchange{con: con, cancel: cancel, label: cal.Label, written: make(chan error, 1)}
 	exc.stop = context.AfterFunc(ctx, func() { _ = con.Close() })
 	go exc.write(req)
 	rsp, err := exc.readHead(req) //nolint:bodyclose // the caller of Send closes it
-	if err != nil || !timer.Stop() {
+	if err != nil {
 		return nil, exc.fail(err)
 	}
 	rsp.Body = &body{ReadCloser: rsp.Body, exchange: exc, reusable: !rsp.Close}
-	return &Answer{Response: rsp}, nil
+	ans := &Answer{Response: rsp}
+	if pol.set.Hold > 0 {
+		err = ans.hold(pol.set.Hold)
+	}
+	if err != nil || !timer.Stop() {
+		return nil, exc.fail(err)
+	}
+	if ans.whole {
+		_ = ans.Body.Close()
+	}
+	return ans, nil
 }
