--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -12,16 +12,21 @@
 
 const (
 	// askInterval is how often a follower asks what is new and how fresh it is.
-	askInterval = 400 * time.Millisecond
+	askInterval = 300 * time.Millisecond
 	// silentTime is how long the VM that is followed may be silent.
 	silentTime = 700 * time.Millisecond
-	// staleTime is the age of the knowledge of the VM that is followed from
-	// which a follower reads the platform itself.
-	staleTime = 1400 * time.Millisecond
-	// freshTime is the age at which a VM that reads for itself follows again.
-	freshTime = 1200 * time.Millisecond
+	// WatchTime is how long a reading VM lets the platform wait for a change.
+	WatchTime = 700 * time.Millisecond
+	// lostTime is how long a reading VM may have had no answer of the platform
+	// until its followers read it themselves.
+	lostTime = WatchTime + 350*time.Millisecond
+	// regainedTime is the same until a VM that reads for itself follows again.
+	regainedTime = WatchTime + 200*time.Millisecond
 	// spreadTime spreads the VMs that begin to read at once.
-	spreadTime = 300 * time.Millisecond
+	spreadTime = 200 * time.Millisecond
+	// helpInterval is how often a VM that is cut off from the platform asks
+	// others.
+	helpInterval = 500 * time.Millisecond
 	// failedTime is how long a VM that failed is not followed.
 	failedTime = 3 * time.Second
 	// candidates is the number of VMs of a failure domain that others follow.
@@ -102,8 +107,9 @@
 	return ""
 }
 
-// Tick returns the asks that are due. held are the revisions that the VM holds.
-func (fol *Follower) Tick(now clock.Instant, held Ask) []Send {
+// Tick returns the asks that are due. held are the revisions that the VM holds,
+// and contact is how long ago the platform last answered it, if it reads.
+func (fol *Follower) Tick(now clock.Instant, held Ask, contact time.Duration) []Send {
 	if fol.followed != "" && now.Since(fol.answered) > silentTime+fol.spread {
 		fol.fail(now, fol.followed)
 	}
@@ -112,25 +118,42 @@
 		fol.followed = "" // The ranking has changed; read until the new one answers.
 	}
 	if to == "" {
-		fol.followed = ""
-		return nil
-	}
-	if now.Since(fol.asked) < askInterval && fol.tried == to {
-		return nil
+		fol.followed, fol.tried = "", ""
+		return fol.seekHelp(now, held, contact)
 	}
 	if fol.tried != to {
 		fol.answered = now
+	} else if now.Since(fol.asked) < askInterval {
+		return nil
 	}
 	if fol.followed == "" && fol.tried == to && now.Since(fol.answered) > silentTime+fol.spread {
 		fol.fail(now, to)
 		return nil
 	}
-	fol.tried, fol.asked = to, now
+	fol.tried = to
+	return []Send{fol.ask(now, to, held)}
+}
+
+// seekHelp asks another VM where this one has no answer of the platform.
+func (fol *Follower) seekHelp(now clock.Instant, held Ask, contact time.Duration) []Send {
+	others := fol.view.VMs()
+	if contact <= lostTime || len(others) < 2 || now.Since(fol.asked) < helpInterval {
+		return nil
+	}
+	to := others[fol.rnd.IntN(len(others))].ID
+	if to == fol.self.ID {
+		return nil
+	}
+	return []Send{fol.ask(now, to, held)}
+}
+
+func (fol *Follower) ask(now clock.Instant, to string, held Ask) Send {
+	fol.asked = now
 	fol.number++
 	fol.forget(now)
 	fol.sent[fol.number] = now
 	held.Number = fol.number
-	return []Send{{To: to, Ask: held}}
+	return Send{To: to, Ask: held}
 }
 
 // forget drops asks whose answers would prove nothing any more.
@@ -148,26 +171,26 @@
 	fol.tried = ""
 }
 
-// Answered takes the answer to the ask of a number: the age of what the other
-// VM knows. It returns when that was sure to be the newest, by this VM's clock.
-func (fol *Follower) Answered(now clock.Instant, from string, number uint64, age time.Duration) (proven clock.Instant, dated bool) {
+// Answered takes the answer to the ask of a number: how long ago the platform
+// last answered the other VM. It returns when the ask was sent, from which what
+// the other VM says of ages is counted.
+func (fol *Follower) Answered(now clock.Instant, from string, number uint64, contact time.Duration) (sent clock.Instant, known bool) {
 	sent, found := fol.sent[number]
 	if !found {
 		return clock.Instant{}, false
 	}
 	delete(fol.sent, number)
-	proven = sent.Add(-age)
 	if from != fol.tried {
-		return proven, true
+		return sent, true
 	}
 	switch {
-	case now.Since(proven) > staleTime+fol.spread:
+	case contact > lostTime+fol.spread:
 		fol.fail(now, from)
 	case fol.followed == from:
 		fol.answered = now
-	case now.Since(proven) <= freshTime:
+	case contact <= regainedTime:
 		fol.followed = from
 		fol.answered = now
 	}
-	return proven, true
+	return sent, true
 }
--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -208,6 +208,9 @@
 // Ages are how old the knowledge of a VM is.
 type Ages struct {
 	Config, Targets, Fleet time.Duration
+	// Contact is how long ago the platform last answered the VM; it is long
+	// where the VM does not read the platform.
+	Contact time.Duration
 }
 
 // News tells a follower what has changed. It answers the ask of a number, or
--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -7,6 +7,7 @@
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/placement"
 	"marigoldlug.example/core/quota"
 	"marigoldlug.example/core/request"
 	"marigoldlug.example/core/verdict"
@@ -15,8 +16,11 @@
 const (
 	// minAttemptTime is the least time to the deadline that is worth an attempt.
 	minAttemptTime = 10 * time.Millisecond
-	// maxSheds bounds the targets that may refuse to run one request.
-	maxSheds = 3
+	// maxAttempts bounds the targets that one request is sent to.
+	maxAttempts = 6
+	// hurryPause is how long a request waits for its target where it could not
+	// be sent to another.
+	hurryPause = 200 * time.Millisecond
 	// proofSlack covers clocks that run at different rates.
 	proofSlack = 50 * time.Millisecond
 	// usualReturn is when a refused caller is told to come back where nothing
@@ -31,20 +35,39 @@
 	service string
 	// organisation is empty on open routes.
 	organisation string
+	priority     config.Priority
 	arrived      clock.Instant
-	deadline     clock.Instant
-	attempt      int
+	// aim is until when an answer is of full use.
+	aim      clock.Instant
+	deadline clock.Instant
+	attempt  int
+	// placing is set while a target is asked for: by the ask with a number, sent
+	// at asked for a target of askedPart.
+	placing   bool
+	ask       uint64
+	asked     clock.Instant
+	askedPart *part
 	// tried lists the targets not to try again.
 	tried  []string
 	target health.Target
-	ticket health.Ticket
+	// part is that of the target, ticket the number of the attempt there, and
+	// placer the VM that chose it, or empty.
+	part   *part
+	ticket uint64
+	placer string
 	began  clock.Instant
-	// sheds counts the attempts that a target refused to run.
-	sheds int
+	// patient is until when the attempt under way is waited for, if the request
+	// may be repeated.
+	patient clock.Instant
+	// sent counts the attempts that reached a target, and runs those of them
+	// that the target may have run.
+	sent, runs int
 	// running is set while an attempt is under way.
 	running bool
-	// answering is set once an answer is passed to the caller.
+	// answering is set once an answer is passed to the caller, and outcome is
+	// what that says of the target.
 	answering bool
+	outcome   health.Outcome
 	// verdict is the worst of the attempts that ended.
 	verdict verdict.Verdict
 }
@@ -98,7 +121,7 @@
 	if rou == nil {
 		return nil, &request.Refusal{Reason: request.NoRoute, Detail: "no route matches the host, path and method"}
 	}
-	fli := &flight{Request: req, route: rou, arrived: now, deadline: now.Add(rou.Timeout)}
+	fli := &flight{Request: req, route: rou, priority: rou.Priority, arrived: now, deadline: now.Add(rou.Timeout), aim: now.Add(rou.TargetLatency)}
 	if req.Timeout > 0 && (req.Timeout < rou.Timeout || rou.Timeout <= 0) {
 		fli.deadline = now.Add(req.Timeout)
 	}
@@ -151,6 +174,9 @@
 		return &request.Refusal{Reason: request.NotAdmitted, Detail: "the route does not admit the organisation"}
 	}
 	fli.organisation = key.Organisation
+	if org := mac.config.Snapshot.Organisation(key.Organisation); org != nil && org.Priority != nil {
+		fli.priority = *org.Priority
+	}
 	return nil
 }
 
@@ -171,59 +197,51 @@
 	if ref.Verdict == verdict.NotRun && ref.Reason == request.Overloaded && ref.RetryAfter == 0 {
 		ref.RetryAfter = usualReturn
 	}
-	mac.tokens.Cancel(fli.organisation, uint64(fli.ID))
-	delete(mac.flights, fli.ID)
+	mac.forget(fli)
 	mac.noteRefusal(fli.ID, ref)
 	mac.do(Refuse{Request: fli.ID, Refusal: ref})
 }
 
-// start sends a request that may run to its first target.
-func (mac *Machine) start(now clock.Instant, fli *flight) {
-	bud := mac.budgets[fli.service]
-	if bud == nil {
-		mac.refuse(fli, request.Refusal{Reason: request.NoTarget, Detail: "the service is withdrawn", RetryAfter: usualReturn})
-		return
+// start has a request placed that may run.
+func (mac *Machine) start(now clock.Instant, fli *flight) { mac.next(now, fli, "") }
+
+// next has the next attempt of a request placed, or refuses the request with
+// detail where there can be none.
+func (mac *Machine) next(now clock.Instant, fli *flight, detail string) {
+	var ref *request.Refusal
+	if fli.deadline.Mono-now.Mono < minAttemptTime {
+		ref = &request.Refusal{Reason: request.TimedOut, Detail: detail}
+	} else if fli.route.Access == config.AccessKeyed && fli.attempt > 0 {
+		ref = mac.authenticate(now, fli)
+	}
+	switch {
+	case ref == nil:
+		mac.place(now, fli)
+	case fli.running:
+		fli.patient = now.Add(hurryPause) // The attempt under way goes on.
+	default:
+		mac.refuse(fli, *ref)
 	}
-	bud.Deposit()
-	mac.dispatch(now, fli, "no target is registered")
 }
 
-// dispatch starts the next attempt of a request, or refuses it with detail
-// when no target is left.
-func (mac *Machine) dispatch(now clock.Instant, fli *flight, detail string) {
-	left := fli.deadline.Mono - now.Mono
-	if left < minAttemptTime {
-		mac.refuse(fli, request.Refusal{Reason: request.TimedOut, Detail: detail})
-		return
-	}
-	if fli.route.Access == config.AccessKeyed && fli.attempt > 0 {
-		if ref := mac.authenticate(now, fli); ref != nil {
-			mac.refuse(fli, *ref)
-			return
-		}
-	}
-	tgt, found := mac.balancer.Pick(now, health.Wish{
-		Service: fli.service, Tried: fli.tried, Near: mac.set.Self.FailureDomain, Careful: !fli.route.Idempotent,
-	})
-	if !found {
-		reason := request.TargetFailed
-		switch fli.attempt {
-		case 0:
-			reason = request.NoTarget
-		case fli.sheds:
-			reason = request.Overloaded
-		}
-		mac.refuse(fli, request.Refusal{Reason: reason, Detail: detail, RetryAfter: usualReturn})
-		return
+// dispatch sends a request to the target that was chosen, in place of the
+// attempt under way, if any.
+func (mac *Machine) dispatch(now clock.Instant, fli *flight, tgt health.Target, ans placement.Answer, placer string) {
+	if fli.running {
+		mac.endAttempt(now, fli, health.Failure)
+		fli.verdict = fli.verdict.Worse(verdict.MayHaveRun)
+		fli.runs++
 	}
+	left := fli.deadline.Mono - now.Mono
 	fli.attempt++
-	fli.target = tgt
+	fli.target, fli.part, fli.ticket, fli.placer = tgt, fli.askedPart, fli.ask, placer
 	fli.running = true
 	fli.began = now
+	fli.patient = now.Add(ans.Patience)
+	fli.sent++
 	fli.tried = append(fli.tried, tgt.ID)
-	fli.ticket = mac.balancer.Began(now, fli.service, tgt.ID)
 	mac.do(Note{Request: fli.ID, Event: "dispatched", Fields: []any{
-		"attempt", fli.attempt, "target", tgt.ID, "route", fli.route.Name, "left", left, "version", mac.version(),
+		"attempt", fli.attempt, "target", tgt.ID, "route", fli.route.Name, "left", left, "placer", placer, "version", mac.version(),
 	}})
 	mac.do(Dispatch{
 		Request: fli.ID, Attempt: fli.attempt, Target: tgt, Service: fli.service, Timeout: left, Idempotent: fli.route.Idempotent,
@@ -251,8 +269,8 @@
 		return
 	}
 	ans := evt.Answer
-	if ans.Leaving || ans.Stranger {
-		mac.balancer.Leaving(now, fli.service, fli.target.ID)
+	if ans.Stranger {
+		mac.stranger(fli)
 	}
 	if ans.Shed || ans.Stranger {
 		outcome := health.Shed
@@ -263,10 +281,11 @@
 		return
 	}
 	failed := ans.Status >= 500
-	if failed && fli.route.Idempotent && mac.mayRetry(now, fli) {
+	if failed && fli.route.Idempotent && mac.mayRepeat(now, fli, verdict.MayHaveRun) {
 		mac.endAttempt(now, fli, health.Failure)
 		fli.verdict = fli.verdict.Worse(verdict.MayHaveRun)
-		mac.dispatch(now, fli, "the target failed")
+		fli.runs++
+		mac.next(now, fli, "the target failed")
 		return
 	}
 	fli.answering = true
@@ -275,19 +294,28 @@
 	if failed {
 		outcome = health.Failure
 	}
-	mac.balancer.Answered(now, fli.ticket, outcome)
+	fli.outcome = outcome
 	mac.do(Note{Request: fli.ID, Event: "answered", Fields: []any{
 		"attempt", fli.attempt, "target", fli.target.ID, "status", ans.Status, "after", now.Since(fli.arrived),
 	}})
 	mac.do(Relay{Request: fli.ID, Attempt: fli.attempt})
 }
 
+// stranger notes that the target is no longer at its address.
+func (mac *Machine) stranger(fli *flight) {
+	mac.note("stranger", "target", fli.target.ID, "address", fli.target.Address)
+	fli.part.local.Stranger(fli.target.ID)
+	if fli.part.central != nil {
+		fli.part.central.Stranger(fli.target.ID)
+	}
+}
+
 // wasShed sends a request that its target refused to run to another target.
 func (mac *Machine) wasShed(now clock.Instant, fli *flight, outcome health.Outcome) {
 	mac.endAttempt(now, fli, outcome)
-	fli.sheds++
-	if fli.sheds < maxSheds && mac.takeRetry(now, fli) {
-		mac.dispatch(now, fli, "the targets are overloaded")
+	mac.do(Note{Request: fli.ID, Event: "shed", Fields: []any{"attempt", fli.attempt, "target", fli.target.ID}})
+	if mac.mayRepeat(now, fli, verdict.NotRun) {
+		mac.next(now, fli, "the targets are overloaded")
 		return
 	}
 	mac.refuse(fli, request.Refusal{Reason: request.Overloaded, Detail: "the targets are overloaded", RetryAfter: usualReturn})
@@ -298,9 +326,8 @@
 	if fli == nil {
 		return
 	}
-	if evt.Outcome == health.Shed {
-		mac.wasShed(now, fli, evt.Outcome)
-		return
+	if evt.Verdict == verdict.NotRun {
+		fli.sent-- // Nothing reached the target.
 	}
 	mac.endAttempt(now, fli, evt.Outcome)
 	mac.do(Note{Request: fli.ID, Event: "attemptFailed", Fields: []any{
@@ -310,11 +337,14 @@
 	if fli.deadline.Mono-now.Mono < minAttemptTime {
 		reason = request.TimedOut
 	}
-	fli.verdict = fli.verdict.Worse(evt.Verdict)
 	// A request that its caller has given up gets no further attempt.
-	again := evt.Outcome != health.Canceled && (evt.Verdict == verdict.NotRun || fli.route.Idempotent)
-	if again && mac.mayRetry(now, fli) {
-		mac.dispatch(now, fli, evt.Detail)
+	again := evt.Outcome != health.Canceled && (evt.Verdict == verdict.NotRun || fli.route.Idempotent) && mac.mayRepeat(now, fli, evt.Verdict)
+	fli.verdict = fli.verdict.Worse(evt.Verdict)
+	if evt.Verdict != verdict.NotRun {
+		fli.runs++
+	}
+	if again {
+		mac.next(now, fli, evt.Detail)
 		return
 	}
 	mac.refuse(fli, request.Refusal{Reason: reason, Detail: evt.Detail})
@@ -323,21 +353,21 @@
 // endAttempt closes the attempt under way.
 func (mac *Machine) endAttempt(now clock.Instant, fli *flight, outcome health.Outcome) {
 	fli.running = false
-	mac.balancer.Ended(now, fli.ticket, outcome)
+	mac.reportEnd(now, fli.part, fli.ticket, fli.placer, outcome)
 }
 
-// mayRetry takes a retry from the budget when the route allows another attempt.
-func (mac *Machine) mayRetry(now clock.Instant, fli *flight) bool {
-	return fli.attempt-fli.sheds < fli.route.MaxAttempts && mac.takeRetry(now, fli)
+// mayRepeat reports whether a request may be sent to another target after an
+// attempt with a verdict.
+func (mac *Machine) mayRepeat(now clock.Instant, fli *flight, ver verdict.Verdict) bool {
+	runs := fli.runs
+	if ver != verdict.NotRun {
+		runs++
+	}
+	return runs < fli.route.MaxAttempts && fli.attempt < maxAttempts && fli.deadline.Mono-now.Mono >= minAttemptTime
 }
 
-// takeRetry takes a retry from the budget when there is time for it.
-func (mac *Machine) takeRetry(now clock.Instant, fli *flight) bool {
-	bud := mac.budgets[fli.service]
-	return bud != nil && fli.deadline.Mono-now.Mono >= minAttemptTime && bud.Withdraw()
-}
-
-// hurry sends idempotent requests whose targets take far too long to others.
+// hurry sends idempotent requests whose targets take far too long to others,
+// and ends those whose time is over.
 func (mac *Machine) hurry(now clock.Instant) {
 	for _, id := range sortedFlights(mac.flights) {
 		fli := mac.flights[id]
@@ -350,13 +380,9 @@
 			mac.refuse(fli, request.Refusal{Reason: request.TimedOut, Detail: "the target did not answer in time"})
 			continue
 		}
-		patience := mac.balancer.Patience(fli.service)
-		if !fli.route.Idempotent || patience <= 0 || now.Since(fli.began) < patience || !mac.mayRetry(now, fli) {
-			continue
+		if fli.route.Idempotent && !fli.placing && !now.Before(fli.patient) && mac.mayRepeat(now, fli, verdict.MayHaveRun) {
+			mac.next(now, fli, "the target did not answer in time")
 		}
-		mac.endAttempt(now, fli, health.Failure)
-		fli.verdict = fli.verdict.Worse(verdict.MayHaveRun)
-		mac.dispatch(now, fli, "the target did not answer in time")
 	}
 }
 
@@ -374,7 +400,11 @@
 	if fli == nil || !fli.answering {
 		return
 	}
-	mac.endAttempt(now, fli, evt.Outcome)
+	outcome := evt.Outcome
+	if outcome == health.Success {
+		outcome = fli.outcome
+	}
+	mac.endAttempt(now, fli, outcome)
 	delete(mac.flights, fli.ID)
 }
 
@@ -383,10 +413,16 @@
 	if fli == nil {
 		return
 	}
-	mac.tokens.Cancel(fli.organisation, uint64(id))
 	if fli.running {
 		mac.endAttempt(now, fli, health.Canceled)
 	}
 	mac.do(Note{Request: id, Event: "callerLeft", Fields: []any{"attempt", fli.attempt, "after", now.Since(fli.arrived)}})
-	delete(mac.flights, id)
+	mac.forget(fli)
+}
+
+// forget drops a request and what is awaited for it.
+func (mac *Machine) forget(fli *flight) {
+	mac.tokens.Cancel(fli.organisation, uint64(fli.ID))
+	delete(mac.asks, fli.ask)
+	delete(mac.flights, fli.ID)
 }
--- a/core/gateway/knowledge.go
+++ b/core/gateway/knowledge.go
@@ -8,6 +8,7 @@
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
+	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/registry"
 	"marigoldlug.example/core/table"
 )
@@ -37,7 +38,9 @@
 type knowledge struct {
 	config       *Config
 	configProven clock.Instant
-	registry     *registry.Registry
+	// contact is when the platform last answered a read of this VM.
+	contact  clock.Instant
+	registry *registry.Registry
 	// targetsProven is when the registry was last known to be the newest.
 	targetsProven clock.Instant
 	fleet         *fleet.Fleet
@@ -104,14 +107,19 @@
 }
 
 func (mac *Machine) applyFleet(now clock.Instant, del table.Delta[fleet.Row]) bool {
+	before := mac.fleet.View()
 	if !mac.fleet.Apply(now, del) {
 		return false
 	}
 	vie := mac.fleet.View()
 	mac.note("fleet", "vms", vie.Size(), "revision", vie.Epoch(), "holder", mac.fleet.Holder())
 	mac.follower.SetView(vie)
-	mac.balancer.SetView(vie)
-	mac.setRetries()
+	for _, name := range sortedNames(mac.services) {
+		for _, par := range mac.services[name].parts {
+			mac.setOwner(now, par)
+		}
+	}
+	mac.forgetVMs(before, vie)
 	for id := range mac.heard {
 		if _, listed := vie.VM(id); !listed {
 			delete(mac.heard, id)
@@ -121,6 +129,22 @@
 	return true
 }
 
+// forgetVMs frees what VMs that are no longer listed held at targets.
+func (mac *Machine) forgetVMs(before, after member.View) {
+	for _, vmm := range before.VMs() {
+		if _, listed := after.VM(vmm.ID); listed {
+			continue
+		}
+		for _, svc := range mac.services {
+			for _, par := range svc.parts {
+				if par.central != nil {
+					par.central.Forget(vmm.ID)
+				}
+			}
+		}
+	}
+}
+
 // learned takes what was read at the platform.
 func (mac *Machine) learned(now clock.Instant, evt Event) {
 	changed := false
@@ -128,6 +152,7 @@
 	case ConfigRead:
 		changed = mac.adoptConfig(now, evt.News)
 		mac.configProven = later(mac.configProven, evt.Asked)
+		mac.contact = now
 	case TargetsRead:
 		changed = mac.applyTargets(now, evt.News)
 		mac.proveTargets(now, evt.Asked)
@@ -150,14 +175,10 @@
 	changed := mac.adoptConfig(now, news.Config)
 	changed = mac.applyTargets(now, news.Targets) || changed
 	changed = mac.applyFleet(now, news.Fleet) || changed
-	if news.Number != 0 {
-		ages := news.Ages
-		if sent, dated := mac.follower.Answered(now, from, news.Number, max(ages.Config, ages.Targets, ages.Fleet)); dated {
-			base := sent.Add(max(ages.Config, ages.Targets, ages.Fleet))
-			mac.configProven = later(mac.configProven, base.Add(-ages.Config))
-			mac.proveTargets(now, base.Add(-ages.Targets))
-			mac.fleet.Prove(base.Add(-ages.Fleet))
-		}
+	if sent, known := mac.follower.Answered(now, from, news.Number, news.Ages.Contact); known {
+		mac.configProven = later(mac.configProven, sent.Add(-news.Ages.Config))
+		mac.proveTargets(now, sent.Add(-news.Ages.Targets))
+		mac.fleet.Prove(sent.Add(-news.Ages.Fleet))
 	}
 	if changed {
 		mac.tellFollowers(now)
@@ -165,7 +186,7 @@
 }
 
 func (mac *Machine) ages(now clock.Instant) Ages {
-	return Ages{Config: now.Since(mac.configProven), Targets: now.Since(mac.targetsProven), Fleet: now.Since(mac.fleet.Proven())}
+	return Ages{Config: now.Since(mac.configProven), Targets: now.Since(mac.targetsProven), Fleet: now.Since(mac.fleet.Proven()), Contact: now.Since(mac.contact)}
 }
 
 // followed answers a VM that asks what is new.
@@ -218,7 +239,7 @@
 
 // follow decides from whom this VM learns.
 func (mac *Machine) follow(now clock.Instant) {
-	for _, snd := range mac.follower.Tick(now, mac.Held()) {
+	for _, snd := range mac.follower.Tick(now, mac.Held(), now.Since(mac.contact)) {
 		mac.do(Send{To: snd.To, Message: snd.Ask})
 	}
 	reading := mac.follower.Reading() || mac.config == nil
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -8,8 +8,8 @@
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
-	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/member"
+	"marigoldlug.example/core/placement"
 	"marigoldlug.example/core/quota"
 	"marigoldlug.example/core/rate"
 	"marigoldlug.example/core/registry"
@@ -22,23 +22,6 @@
 // maxNotedRows bounds the rows of a whole table that are noted one by one.
 const maxNotedRows = 64
 
-// balancer chooses targets and learns how they fare.
-type balancer interface {
-	SetView(vie member.View)
-	SetService(now clock.Instant, service string, floor int, tgs []health.Target)
-	DropService(service string)
-	Pick(now clock.Instant, wis health.Wish) (health.Target, bool)
-	Began(now clock.Instant, service, target string) health.Ticket
-	Answered(now clock.Instant, tic health.Ticket, outcome health.Outcome)
-	Ended(now clock.Instant, tic health.Ticket, outcome health.Outcome)
-	Leaving(now clock.Instant, service, target string)
-	Patience(service string) time.Duration
-	Tick(now clock.Instant)
-	Receive(now clock.Instant, from string, msg health.Message)
-	Take() []health.Send
-	Ejected(now clock.Instant, service string) []string
-}
-
 // Terms are the promises that the fleet is to keep.
 type Terms struct {
 	// RevokeTime is how long after its withdrawal a key may still work.
@@ -48,8 +31,9 @@
 	RetryShare  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
-	// FloorShare is the part of a service's targets that must stay in use.
-	FloorShare float64
+	// QuotaWindow is the time over which the rate and burst of organisations
+	// are counted.
+	QuotaWindow time.Duration
 }
 
 // Settings are the values that an operator may choose for a VM.
@@ -58,8 +42,6 @@
 	Name  string
 	Self  member.VM
 	Terms Terms
-	// Threshold is the evidence at which targets are ejected.
-	Threshold health.Threshold
 }
 
 // Machine is the decision logic of one VM. It is not safe for concurrent use.
@@ -69,8 +51,11 @@
 	rnd      *rand.Rand
 	tokens   *quota.Client
 	server   *quota.Server
-	balancer balancer
-	budgets  map[string]*request.Budget
+	services map[string]*service
+	// number is that of the last ask for a placement, and asks has the requests
+	// for which an answer is awaited.
+	number   uint64
+	asks     map[uint64]request.ID
 	flights  map[request.ID]*flight
 	stopping bool
 	actions  []Action
@@ -85,8 +70,8 @@
 			registry: registry.New(), fleet: fleet.New(set.Self, set.Name), follower: feed.New(set.Self, rnd),
 			followers: make(map[string]*follower), heard: make(map[string]clock.Instant), pinged: make(map[string]clock.Instant),
 		},
-		balancer: health.NewPool(set.Self, set.Threshold, rnd),
-		budgets:  make(map[string]*request.Budget),
+		services: make(map[string]*service),
+		asks:     make(map[uint64]request.ID),
 		flights:  make(map[request.ID]*flight),
 	}
 	mac.tokens = quota.NewClient(mac.limit)
@@ -143,21 +128,17 @@
 		mac.serveTokens(now, evt.From, msg)
 	case quota.Grant:
 		mac.tokens.Granted(now, msg)
-	case health.Message:
-		mac.balancer.Receive(now, evt.From, msg)
+	case placement.Message:
+		mac.placementReceived(now, evt.From, msg)
 	}
 }
 
 // serveTokens answers an ask if this VM holds the duty; otherwise the asking VM
 // decides by itself.
 func (mac *Machine) serveTokens(now clock.Instant, from string, ask quota.Ask) {
-	if !mac.fleet.Acts(now) || mac.config == nil {
+	if mac.server == nil || !mac.fleet.Acts(now) {
 		return
 	}
-	if mac.server == nil {
-		mac.note("serveTokens", "proofAge", now.Since(mac.fleet.Proven()))
-		mac.server = quota.NewServer(now, mac.limit)
-	}
 	gra := mac.server.Answer(now, ask)
 	if from == mac.set.Self.ID {
 		mac.tokens.Granted(now, gra)
@@ -166,6 +147,18 @@
 	mac.do(Send{To: from, Message: gra})
 }
 
+// takeDuty begins or ceases to serve tokens as the list of VMs says.
+func (mac *Machine) takeDuty(now clock.Instant) {
+	switch {
+	case mac.server != nil && mac.fleet.Holder() != mac.set.Self.ID:
+		mac.note("ceaseTokens", "holder", mac.fleet.Holder())
+		mac.server = nil
+	case mac.server == nil && mac.config != nil && !mac.stopping && mac.fleet.Acts(now):
+		mac.note("serveTokens", "proofAge", now.Since(mac.fleet.Proven()))
+		mac.server = quota.NewServer(now, mac.set.Terms.QuotaWindow, mac.limit)
+	}
+}
+
 // limit returns the limit of an organisation; the zero limit is none.
 func (mac *Machine) limit(organisation string) (rate.Limit, bool) {
 	if mac.config == nil {
@@ -186,23 +179,17 @@
 		mac.note("targetsGone", "left", mac.registry.Len())
 		mac.setServices(now)
 	}
-	if mac.server != nil && mac.fleet.Holder() != mac.set.Self.ID {
-		mac.note("ceaseTokens", "holder", mac.fleet.Holder())
-		mac.server = nil
-	}
+	mac.takeDuty(now)
 	mac.tokens.SetReach(quota.Reach{Server: mac.fleet.Holder(), Vacant: mac.fleet.Vacant(), VMs: mac.fleet.View().Size()})
 	mac.follow(now)
 	mac.enlist(now)
-	mac.balancer.Tick(now)
+	mac.tickPlaces(now)
 	mac.tokens.Tick(now)
 	mac.hurry(now)
 }
 
 // gather turns the outputs of the parts into actions until none is left.
 func (mac *Machine) gather(now clock.Instant) {
-	for _, out := range mac.balancer.Take() {
-		mac.do(Send{To: out.To, Message: out.Message})
-	}
 	for outs := mac.tokens.Take(); len(outs) > 0; outs = mac.tokens.Take() {
 		for _, out := range outs {
 			switch out := out.(type) {
@@ -232,50 +219,15 @@
 	kept := make(map[string]bool)
 	for _, svc := range mac.config.Snapshot.Services() {
 		kept[svc.Name] = true
-		tgs := mac.registry.Targets(svc.Name, svc.Connections)
-		if mac.budgets[svc.Name] == nil {
-			mac.budgets[svc.Name] = request.NewBudget(mac.retries())
-		}
-		mac.balancer.SetService(now, svc.Name, mac.floor(len(tgs)), tgs)
+		mac.setService(now, svc.Name, mac.registry.Targets(svc.Name, svc.Connections))
 	}
-	for name := range mac.budgets {
+	for name := range mac.services {
 		if !kept[name] {
-			delete(mac.budgets, name)
-			mac.balancer.DropService(name)
+			delete(mac.services, name)
 		}
 	}
 }
 
-// floor returns the least number of targets that ejection leaves in use.
-func (mac *Machine) floor(targets int) int {
-	cnt := int(mac.set.Terms.FloorShare * float64(targets))
-	if float64(cnt) < mac.set.Terms.FloorShare*float64(targets) {
-		cnt++
-	}
-	return min(max(cnt, 1), targets)
-}
-
-// retries returns this VM's part of the retries of the fleet.
-func (mac *Machine) retries() request.Retries {
-	own := mac.set.Terms.RetryExtra * extraPart / float64(max(mac.fleet.View().Size(), minFleet))
-	return request.Retries{Share: mac.set.Terms.RetryShare * sharePart, Reserve: own, Max: max(own, 1)}
-}
-
-const (
-	// extraPart and sharePart are the parts of the allowed retries that VMs
-	// spend, since windows of the fleet's requests slide.
-	extraPart = 0.8
-	sharePart = 0.8
-	// minFleet is taken for the number of VMs while fewer are known.
-	minFleet = 8
-)
-
-func (mac *Machine) setRetries() {
-	for _, bud := range mac.budgets {
-		bud.SetRetries(mac.retries())
-	}
-}
-
 // stop begins a planned stop: the duty is given up and the VM is delisted.
 func (mac *Machine) stop() {
 	mac.stopping = true
@@ -305,16 +257,17 @@
 
 // Status is a summary of a VM for operators.
 type Status struct {
-	Version  uint64
-	VMs      int
-	Reading  bool
-	Follows  string
-	Holder   string
-	Ages     Ages
-	Flights  int
-	Targets  int
-	Ejected  []string
-	Stopping bool
+	Version uint64
+	VMs     int
+	Reading bool
+	Follows string
+	Holder  string
+	Ages    Ages
+	Flights int
+	Targets int
+	// Suspected lists the targets that this VM, as a placer, takes to be sick.
+	Suspected []string
+	Stopping  bool
 }
 
 // Status returns the state of the VM at now.
@@ -323,11 +276,14 @@
 		Version: mac.version(), VMs: mac.fleet.View().Size(), Reading: mac.reading, Follows: mac.follower.Followed(),
 		Holder: mac.fleet.Holder(), Ages: mac.ages(now), Flights: len(mac.flights), Targets: mac.registry.Len(), Stopping: mac.stopping,
 	}
-	if mac.config != nil {
-		for _, svc := range mac.config.Snapshot.Services() {
-			sta.Ejected = append(sta.Ejected, mac.balancer.Ejected(now, svc.Name)...)
+	for _, svc := range mac.services {
+		for _, par := range svc.parts {
+			if par.central != nil {
+				sta.Suspected = append(sta.Suspected, par.central.Suspected(now)...)
+			}
 		}
 	}
+	slices.Sort(sta.Suspected)
 	return sta
 }
 
@@ -350,8 +306,5 @@
 // View returns the VMs of the fleet.
 func (mac *Machine) View() member.View { return mac.fleet.View() }
 
-// SetTerms replaces the terms.
-func (mac *Machine) SetTerms(trm Terms) {
-	mac.set.Terms = trm
-	mac.setRetries()
-}
+// SetTerms replaces the terms. Budgets that are open keep theirs.
+func (mac *Machine) SetTerms(trm Terms) { mac.set.Terms = trm }
--- /dev/null
+++ b/core/gateway/place.go
@@ -0,0 +1,369 @@
+package gateway
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/placement"
+	"marigoldlug.example/core/request"
+)
+
+const (
+	// partTargets is the number of targets that one placer cares for.
+	partTargets = 32
+	// placeTime is how long a VM waits for a placer before it places a request
+	// by what it knows itself.
+	placeTime = 60 * time.Millisecond
+	// muteTime is how long a placer that did not answer is not asked.
+	muteTime = 400 * time.Millisecond
+	// ownShare is the part of the allowed retries that VMs spend by themselves
+	// where they do not reach the placer; the placers spend up to placerShare.
+	ownShare    = 0.15
+	placerShare = 0.75
+)
+
+// service is what a VM knows of the placement of one service.
+type service struct {
+	name  string
+	parts []*part
+}
+
+// part is a part of a service's targets, cared for by one placer.
+type part struct {
+	service string
+	number  int
+	targets []health.Target
+	// owner is the ID of the VM that places the part's requests.
+	owner string
+	// muted is until when the owner is not asked.
+	muted clock.Instant
+	// central places the requests of the fleet; nil until it is asked to.
+	central *placement.Placer
+	// local places requests by what this VM alone has seen.
+	local *placement.Placer
+}
+
+// duty names the placing of a part among the duties of the fleet.
+func (par *part) duty() string { return "place/" + par.service + "/" + strconv.Itoa(par.number) }
+
+// partOf returns the part to which a target belongs, of cnt, a power of two.
+func partOf(target string, cnt int) int { return int(xxhash.Sum64String(target) % uint64(cnt)) }
+
+// partCount returns the number of parts for some targets, a power of two, so
+// that it seldom changes.
+func partCount(targets int) int {
+	if targets <= partTargets {
+		return 1
+	}
+	return 1 << bits.Len(uint((targets-1)/partTargets))
+}
+
+// setService takes the targets of a service.
+func (mac *Machine) setService(now clock.Instant, name string, tgs []health.Target) {
+	svc := mac.services[name]
+	cnt := partCount(len(tgs))
+	if svc == nil || len(svc.parts) != cnt {
+		svc = &service{name: name}
+		for num := range cnt {
+			svc.parts = append(svc.parts, &part{service: name, number: num, local: placement.New(mac.source(), mac.ownRetries())})
+		}
+		mac.services[name] = svc
+	}
+	byPart := make([][]health.Target, cnt)
+	for _, tgt := range tgs {
+		num := partOf(tgt.ID, cnt)
+		byPart[num] = append(byPart[num], tgt)
+	}
+	for num, par := range svc.parts {
+		par.targets = byPart[num]
+		par.local.SetTargets(now, par.targets)
+		if par.central != nil {
+			par.central.SetTargets(now, par.targets)
+		}
+		mac.setOwner(now, par)
+	}
+}
+
+// source returns a source of random numbers of its own.
+func (mac *Machine) source() *rand.Rand {
+	return rand.New(rand.NewPCG(mac.rnd.Uint64(), mac.rnd.Uint64()))
+}
+
+// ownRetries returns the retries that this VM may spend by itself.
+func (mac *Machine) ownRetries() *request.Window {
+	trm := mac.set.Terms
+	vms := float64(max(mac.fleet.View().Size(), minFleet))
+	return request.NewWindow(trm.RetryWindow, trm.RetryShare*ownShare, trm.RetryExtra*ownShare/vms)
+}
+
+// minFleet is taken for the number of VMs while fewer are known.
+const minFleet = 8
+
+func (mac *Machine) placerRetries() *request.Window {
+	trm := mac.set.Terms
+	return request.NewWindow(trm.RetryWindow, trm.RetryShare*placerShare, trm.RetryExtra*placerShare)
+}
+
+// setOwner finds the placer of a part. A new one is told what runs there.
+func (mac *Machine) setOwner(now clock.Instant, par *part) {
+	owner := ""
+	if first := mac.fleet.View().Ranked(par.duty(), 1); len(first) > 0 {
+		owner = first[0].ID
+	}
+	if owner == par.owner {
+		return
+	}
+	par.owner = owner
+	par.muted = clock.Instant{}
+	mac.note("placer", "service", par.service, "part", par.number, "vm", owner)
+	if owner == mac.set.Self.ID {
+		mac.centralOf(now, par)
+	}
+	mac.tellOpen(now, par)
+}
+
+// tellOpen tells the placer of a part which attempts of this VM run there.
+func (mac *Machine) tellOpen(now clock.Instant, par *part) {
+	var list []placement.Running
+	for _, id := range sortedFlights(mac.flights) {
+		fli := mac.flights[id]
+		if !fli.running || fli.part != par {
+			continue
+		}
+		fli.placer = par.owner
+		list = append(list, placement.Running{
+			Service: par.service, Part: par.number, Number: fli.ticket, Target: fli.target.ID, Route: fli.route.Name,
+			Age: now.Since(fli.began), Left: max(fli.deadline.Mono-now.Mono, 0),
+		})
+	}
+	if len(list) > 0 && par.owner != "" {
+		mac.send(now, par.owner, placement.Open{List: list})
+	}
+}
+
+// centralOf returns the placer that this VM keeps for the fleet.
+func (mac *Machine) centralOf(now clock.Instant, par *part) *placement.Placer {
+	if par.central == nil {
+		par.central = placement.New(mac.source(), mac.placerRetries())
+		par.central.SetTargets(now, par.targets)
+	}
+	return par.central
+}
+
+func (mac *Machine) partAt(service string, number int) *part {
+	svc := mac.services[service]
+	if svc == nil || number < 0 || number >= len(svc.parts) {
+		return nil
+	}
+	return svc.parts[number]
+}
+
+// send delivers a message to a VM, which may be this one.
+func (mac *Machine) send(now clock.Instant, to string, msg placement.Message) {
+	if to == mac.set.Self.ID {
+		mac.placementReceived(now, to, msg)
+		return
+	}
+	mac.do(Send{To: to, Message: msg})
+}
+
+// placementReceived takes a message about placements.
+func (mac *Machine) placementReceived(now clock.Instant, from string, msg placement.Message) {
+	switch msg := msg.(type) {
+	case placement.Ask:
+		ans := placement.Answer{Number: msg.Number, Reason: placement.NoTarget}
+		if par := mac.partAt(msg.Service, msg.Part); par != nil {
+			ans = mac.centralOf(now, par).Place(now, placement.Ticket{VM: from, Number: msg.Number}, msg.Wish)
+		}
+		mac.send(now, from, ans)
+	case placement.Answer:
+		mac.placed(now, from, msg)
+	case placement.Ended:
+		for _, end := range msg.Ends {
+			if par := mac.partAt(end.Service, end.Part); par != nil && par.central != nil {
+				par.central.Ended(now, placement.Ticket{VM: from, Number: end.Number}, end.Outcome)
+			}
+		}
+	case placement.Open:
+		for _, run := range msg.List {
+			if par := mac.partAt(run.Service, run.Part); par != nil {
+				mac.centralOf(now, par).Open(now, from, run)
+			}
+		}
+	}
+}
+
+// place asks for a target for the next attempt of a request.
+func (mac *Machine) place(now clock.Instant, fli *flight) {
+	svc := mac.services[fli.service]
+	if svc == nil {
+		mac.unplaced(now, fli, placement.Answer{Reason: placement.NoTarget})
+		return
+	}
+	par := mac.choosePart(svc)
+	mac.number++
+	fli.placing, fli.ask, fli.asked, fli.askedPart = true, mac.number, now, par
+	if par.owner == "" || now.Before(par.muted) {
+		mac.placeAlone(now, fli)
+		return
+	}
+	mac.asks[mac.number] = fli.ID
+	mac.send(now, par.owner, placement.Ask{Service: par.service, Part: par.number, Number: mac.number, Wish: mac.wish(now, fli)})
+}
+
+// choosePart picks a part in proportion to its targets.
+func (mac *Machine) choosePart(svc *service) *part {
+	all := 0
+	for _, par := range svc.parts {
+		all += len(par.targets)
+	}
+	if all == 0 {
+		return svc.parts[0]
+	}
+	at := mac.rnd.IntN(all)
+	for _, par := range svc.parts {
+		if at -= len(par.targets); at < 0 {
+			return par
+		}
+	}
+	return svc.parts[0]
+}
+
+func (mac *Machine) wish(now clock.Instant, fli *flight) placement.Wish {
+	return placement.Wish{
+		Route: fli.route.Name, Domain: mac.set.Self.FailureDomain, Idempotent: fli.route.Idempotent, Again: fli.sent > 0,
+		Aim: max(fli.aim.Mono-now.Mono, 0), Left: max(fli.deadline.Mono-now.Mono, 0), Tried: slices.Clone(fli.tried),
+		Rank: int(fli.priority),
+	}
+}
+
+// placeAlone places a request without the placer.
+func (mac *Machine) placeAlone(now clock.Instant, fli *flight) {
+	ans := fli.askedPart.local.Place(now, placement.Ticket{VM: mac.set.Self.ID, Number: fli.ask}, mac.wish(now, fli))
+	mac.settle(now, fli, ans, "")
+}
+
+// placed takes the answer of a placer.
+func (mac *Machine) placed(now clock.Instant, from string, ans placement.Answer) {
+	id, asked := mac.asks[ans.Number]
+	delete(mac.asks, ans.Number)
+	fli := mac.flights[id]
+	if !asked || fli == nil || !fli.placing || fli.ask != ans.Number {
+		// The request has gone another way; the place is free again.
+		if ans.Target != "" {
+			mac.cancelPlace(now, from, ans)
+		}
+		return
+	}
+	if ans.Target != "" {
+		fli.askedPart.local.Open(now, mac.set.Self.ID, placement.Running{
+			Number: ans.Number, Target: ans.Target, Route: fli.route.Name, Left: max(fli.deadline.Mono-now.Mono, 0),
+		})
+	}
+	mac.settle(now, fli, ans, from)
+}
+
+func (mac *Machine) cancelPlace(now clock.Instant, from string, ans placement.Answer) {
+	for _, svc := range mac.services {
+		for _, par := range svc.parts {
+			if _, found := par.local.Target(ans.Target); found {
+				mac.send(now, from, placement.Ended{Ends: []placement.End{{Service: par.service, Part: par.number, Number: ans.Number, Outcome: health.Canceled}}})
+				return
+			}
+		}
+	}
+}
+
+// settle dispatches a request that was placed, or decides what else becomes of
+// it. placer is empty where the VM placed the request itself.
+func (mac *Machine) settle(now clock.Instant, fli *flight, ans placement.Answer, placer string) {
+	fli.placing = false
+	if ans.Target == "" {
+		mac.unplaced(now, fli, ans)
+		return
+	}
+	tgt, found := fli.askedPart.local.Target(ans.Target)
+	if !found {
+		// The placer knows a target of which this VM has not heard yet.
+		mac.reportEnd(now, fli.askedPart, fli.ask, placer, health.Canceled)
+		mac.placeAlone(now, fli)
+		return
+	}
+	mac.dispatch(now, fli, tgt, ans, placer)
+}
+
+// unplaced decides on a request for which there is no target now.
+func (mac *Machine) unplaced(now clock.Instant, fli *flight, ans placement.Answer) {
+	if fli.running {
+		fli.patient = now.Add(hurryPause) // The attempt under way goes on.
+		return
+	}
+	ref := request.Refusal{Reason: request.Overloaded, RetryAfter: ans.RetryAfter, Detail: "the targets have no room in time"}
+	switch ans.Reason {
+	case placement.NoTarget:
+		ref.Reason, ref.Detail = request.NoTarget, "no target is registered"
+	case placement.NoRetry:
+		ref.Detail = "the budget of retries is spent"
+	case placement.NoRoom:
+	}
+	mac.refuse(fli, ref)
+}
+
+// reportEnd tells the placers what became of an attempt.
+func (mac *Machine) reportEnd(now clock.Instant, par *part, number uint64, placer string, outcome health.Outcome) {
+	par.local.Ended(now, placement.Ticket{VM: mac.set.Self.ID, Number: number}, outcome)
+	if placer != "" {
+		mac.send(now, placer, placement.Ended{Ends: []placement.End{{Service: par.service, Part: par.number, Number: number, Outcome: outcome}}})
+	}
+}
+
+// tickPlaces gives up placers that do not answer, and notes what the placers of
+// this VM have come to believe.
+func (mac *Machine) tickPlaces(now clock.Instant) {
+	for _, id := range sortedFlights(mac.flights) {
+		fli := mac.flights[id]
+		if !fli.placing || now.Since(fli.asked) < placeTime {
+			continue
+		}
+		par := fli.askedPart
+		if !now.Before(par.muted) {
+			mac.note("placerSilent", "service", par.service, "part", par.number, "vm", par.owner)
+		}
+		par.muted = now.Add(muteTime)
+		delete(mac.asks, fli.ask)
+		mac.placeAlone(now, fli)
+	}
+	for _, name := range sortedNames(mac.services) {
+		for _, par := range mac.services[name].parts {
+			par.local.Tick(now)
+			par.local.Changes()
+			if par.central == nil {
+				continue
+			}
+			par.central.Tick(now)
+			for _, chg := range par.central.Changes() {
+				event := "targetTrusted"
+				if chg.Suspected {
+					event = "targetSuspected"
+				}
+				mac.note(event, "target", chg.Target, "service", par.service, "sick", chg.Sick, "cause", chg.Cause, "vm", chg.VM)
+			}
+		}
+	}
+}
+
+func sortedNames[T any](objs map[string]T) []string {
+	names := make([]string, 0, len(objs))
+	for name := range objs {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/core/placement/latency.go
@@ -0,0 +1,79 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// latencyWeight is the weight of one answer in the estimates.
+	latencyWeight = 0.05
+	// firstWeights is the number of answers after which an estimate no longer
+	// leans on its first value.
+	minDeviation = 0.22
+	maxDeviation = 0.9
+	// firstDeviation is assumed of a route of which nothing is known.
+	firstDeviation = 0.7
+	// tailShare of the answers take tailFactor times as long as others.
+	tailShare  = 0.015
+	tailFactor = 3.0
+	// lostShare is the part of requests of sound targets that are never
+	// answered.
+	lostShare = 0.001
+	// aimPart is the part of its aim that a request of an unknown route is
+	// taken to last.
+	aimPart = 0.35
+)
+
+// latency estimates how long the requests of one route take at a usual target:
+// their logarithms are taken to be distributed normally, with a few far slower.
+type latency struct {
+	// mean and deviation are those of the logarithm of seconds.
+	mean, deviation float64
+	count           int
+}
+
+// newLatency returns the estimate for a route whose answers are wanted within
+// aim.
+func newLatency(aim time.Duration) *latency {
+	return &latency{mean: math.Log(max(aim.Seconds(), 0.01) * aimPart), deviation: firstDeviation}
+}
+
+// learn takes the time that a request took at a target of usual speed.
+func (lat *latency) learn(took time.Duration) {
+	lat.count++
+	weight := max(latencyWeight, 1/float64(lat.count+1))
+	diff := math.Log(max(took.Seconds(), 1e-4)) - lat.mean
+	// What lies far off says little of the usual time.
+	diff = min(max(diff, -3*lat.deviation), 3*lat.deviation)
+	lat.mean += weight * diff
+	variance := lat.deviation * lat.deviation
+	variance += weight * (diff*diff - variance)
+	lat.deviation = min(max(math.Sqrt(variance), minDeviation), maxDeviation)
+}
+
+// usual returns the time that half of the requests exceed.
+func (lat *latency) usual() time.Duration {
+	return time.Duration(math.Exp(lat.mean) * float64(time.Second))
+}
+
+// outlasts returns the part of requests that take longer than dur at a target
+// that is slower than usual by a factor.
+func (lat *latency) outlasts(dur time.Duration, slower float64) float64 {
+	sec := dur.Seconds() / slower
+	if sec <= 1e-4 {
+		return 1
+	}
+	most := tailOf((math.Log(sec) - lat.mean) / lat.deviation)
+	few := tailOf((math.Log(sec/tailFactor) - lat.mean) / lat.deviation)
+	return lostShare + (1-lostShare)*((1-tailShare)*most+tailShare*few)
+}
+
+// tailOf returns the part of a normal distribution above a number of deviations.
+func tailOf(devs float64) float64 { return 0.5 * math.Erfc(devs/math.Sqrt2) }
+
+// patience returns the time that few requests of sound targets exceed.
+func (lat *latency) patience(slower float64) time.Duration {
+	const devs = 2.3
+	return time.Duration(math.Exp(lat.mean+devs*lat.deviation) * slower * float64(time.Second))
+}
--- /dev/null
+++ b/core/placement/message.go
@@ -0,0 +1,98 @@
+// Package placement sends each request to the target that is likeliest to
+// answer it in time. One VM, the placer of a service, places the requests of
+// the whole fleet, so that it sees how every target fares: what runs where, for
+// how long, and what came of it.
+package placement
+
+import (
+	"time"
+
+	"marigoldlug.example/core/health"
+)
+
+// Message is what VMs and placers send to one another.
+type Message interface{ placementMessage() }
+
+// Wish says what a request needs of its target.
+type Wish struct {
+	// Route groups requests that take about equally long.
+	Route string
+	// Domain is the failure domain from which the request is sent.
+	Domain     string
+	Idempotent bool
+	// Again is set where the request was sent to a target before.
+	Again bool
+	// Aim is the time left in which an answer is of full use, and Left that in
+	// which it is of any.
+	Aim, Left time.Duration
+	// Tried lists the targets not to send the request to.
+	Tried []string
+	// Rank orders requests that compete; 0 goes first.
+	Rank int
+}
+
+// Ask asks the placer of a part of a service for a target.
+type Ask struct {
+	Service string
+	Part    int
+	// Number grows with every ask of the sender.
+	Number uint64
+	Wish   Wish
+}
+
+// Answer answers the Ask of a number.
+type Answer struct {
+	Number uint64
+	// Target is empty where the request is refused.
+	Target string
+	// Patience is how long the target takes at most where nothing is wrong.
+	Patience time.Duration
+	// RetryAfter is when a refused request may come back.
+	RetryAfter time.Duration
+	// Reason says why a request is refused.
+	Reason Reason
+}
+
+// End is the end of an attempt.
+type End struct {
+	Service string
+	Part    int
+	Number  uint64
+	Outcome health.Outcome
+}
+
+// Ended reports ends of attempts.
+type Ended struct {
+	Ends []End
+}
+
+// Running is an attempt under way.
+type Running struct {
+	Service string
+	Part    int
+	Number  uint64
+	Target  string
+	Route   string
+	Age     time.Duration
+	Left    time.Duration
+}
+
+// Open reports attempts under way to a placer that does not know of them.
+type Open struct {
+	List []Running
+}
+
+func (Ask) placementMessage()    {}
+func (Answer) placementMessage() {}
+func (Ended) placementMessage()  {}
+func (Open) placementMessage()   {}
+
+// Reason says why a request was not placed.
+type Reason string
+
+// The reasons for which a request is not placed.
+const (
+	NoTarget Reason = "noTarget"
+	NoRoom   Reason = "noRoom"
+	NoRetry  Reason = "noRetry"
+)
--- /dev/null
+++ b/core/placement/placer.go
@@ -0,0 +1,428 @@
+package placement
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/request"
+)
+
+const (
+	// overdueFactor is the evidence at which a request without answer counts
+	// as failed.
+	overdueFactor = 30
+	// pathTime is how long a target is avoided from a VM that failed there.
+	pathTime = 4 * time.Second
+	// pathRepeat is how long further failures of the same VM at the same target
+	// count against the path only.
+	pathRepeat = 3 * time.Second
+	// speedWeight is the weight of one answer in the estimate of a target's
+	// speed.
+	speedWeight = 0.2
+	minSlower   = 0.5
+	maxSlower   = 20.0
+	// coldSlower is how much slower a target is taken to be until it is warm.
+	coldSlower = 2.0
+	// depth is how many times its slots a target is given at a time.
+	depth = 3
+	// lostTime is how long after its deadline an attempt is forgotten whose end
+	// was not reported.
+	lostTime = time.Second
+	// idleTime is how long a target stays without requests until one is sent to
+	// see how it fares, and carefulIdleTime the same for requests that cannot be
+	// repeated.
+	idleTime        = 2 * time.Second
+	carefulIdleTime = 3500 * time.Millisecond
+	// triedBelief is the belief above which no target is tried.
+	triedBelief = 0.6
+)
+
+// The costs of a placement, in parts of what a request is worth.
+const (
+	failCost      = 1.0
+	failAgainCost = 0.4
+	lateCost      = 0.7
+	pathCost      = 0.5
+	crossCost     = 0.03
+	loadCost      = 0.06
+)
+
+// Ticket names an attempt: the number that its VM gave it.
+type Ticket struct {
+	VM     string
+	Number uint64
+}
+
+// attempt is a request at a target.
+type attempt struct {
+	ticket     Ticket
+	target     *target
+	route      string
+	idempotent bool
+	began      clock.Instant
+	deadline   clock.Instant
+	// wait is how long the request was expected to wait for a slot.
+	wait time.Duration
+	// overdue is set once the missing answer has been counted.
+	overdue bool
+}
+
+// target is what the placer knows of one target.
+type target struct {
+	health.Target
+	belief   belief
+	running  []*attempt
+	slower   float64
+	answers  int
+	lastUsed clock.Instant
+	// paths has when VMs last failed at the target.
+	paths map[string]clock.Instant
+	// suspected is set while the target is believed to be sick.
+	suspected bool
+	// gone is set once another target answered at the address.
+	gone bool
+}
+
+// Change is a change of belief about a target.
+type Change struct {
+	Target string
+	// Sick is the probability that the target is sick.
+	Sick      float64
+	Suspected bool
+	// Cause is what was observed, by VM.
+	Cause string
+	VM    string
+}
+
+// Placer places the requests of a part of one service. It is not safe for
+// concurrent use.
+type Placer struct {
+	rnd       *rand.Rand
+	targets   []*target
+	attempts  map[Ticket]*attempt
+	latencies map[string]*latency
+	budget    *request.Window
+	changes   []Change
+}
+
+// New returns a placer without targets, whose retries are bounded by a budget.
+func New(rnd *rand.Rand, bud *request.Window) *Placer {
+	return &Placer{rnd: rnd, budget: bud, attempts: make(map[Ticket]*attempt), latencies: make(map[string]*latency)}
+}
+
+// Changes returns and forgets the changes of belief.
+func (pla *Placer) Changes() []Change {
+	out := pla.changes
+	pla.changes = nil
+	return out
+}
+
+// SetTargets replaces the targets and keeps what is known of those that stay.
+func (pla *Placer) SetTargets(now clock.Instant, tgs []health.Target) {
+	old := pla.targets
+	pla.targets = nil
+	for _, tgt := range tgs {
+		idx := slices.IndexFunc(old, func(was *target) bool { return was.ID == tgt.ID && was.Born == tgt.Born && was.Address == tgt.Address })
+		if idx >= 0 {
+			old[idx].Target = tgt
+			pla.targets = append(pla.targets, old[idx])
+			continue
+		}
+		pla.targets = append(pla.targets, &target{
+			Target: tgt, belief: belief{sick: restBelief / 2, at: now}, slower: 1, lastUsed: now.Add(-idleTime), paths: make(map[string]clock.Instant),
+		})
+	}
+}
+
+func (pla *Placer) target(id string) *target {
+	idx := slices.IndexFunc(pla.targets, func(tgt *target) bool { return tgt.ID == id })
+	if idx < 0 {
+		return nil
+	}
+	return pla.targets[idx]
+}
+
+// Target returns the target with an ID.
+func (pla *Placer) Target(id string) (health.Target, bool) {
+	tgt := pla.target(id)
+	if tgt == nil {
+		return health.Target{}, false
+	}
+	return tgt.Target, true
+}
+
+// latency returns the estimate for a route.
+func (pla *Placer) latency(route string, aim time.Duration) *latency {
+	lat := pla.latencies[route]
+	if lat == nil {
+		lat = newLatency(aim)
+		pla.latencies[route] = lat
+	}
+	return lat
+}
+
+// option is a target that a request may be sent to, and what that costs.
+type option struct {
+	target *target
+	cost   float64
+	wait   time.Duration
+}
+
+// Place chooses a target and counts the attempt, or says why there is none.
+func (pla *Placer) Place(now clock.Instant, tic Ticket, wis Wish) Answer {
+	if wis.Again {
+		if !pla.budget.Withdraw(now) {
+			return Answer{Number: tic.Number, Reason: NoRetry}
+		}
+	} else {
+		pla.budget.Deposit(now)
+	}
+	lat := pla.latency(wis.Route, wis.Aim)
+	best, shortest := pla.choose(now, tic.VM, wis, lat)
+	switch {
+	case best.target == nil && shortest < 0:
+		return Answer{Number: tic.Number, Reason: NoTarget}
+	case best.target == nil:
+		return Answer{Number: tic.Number, Reason: NoRoom, RetryAfter: max(shortest, time.Millisecond)}
+	}
+	tgt := best.target
+	pla.begin(now, &attempt{
+		ticket: tic, target: tgt, route: wis.Route, idempotent: wis.Idempotent, began: now, deadline: now.Add(wis.Left), wait: best.wait,
+	})
+	return Answer{Number: tic.Number, Target: tgt.ID, Patience: best.wait + lat.patience(tgt.pace(now))}
+}
+
+func (pla *Placer) begin(now clock.Instant, att *attempt) {
+	att.target.running = append(att.target.running, att)
+	att.target.lastUsed = now
+	pla.attempts[att.ticket] = att
+}
+
+// choose returns the option of least cost, or the shortest wait for one.
+// shortest is negative where there is no target at all.
+func (pla *Placer) choose(now clock.Instant, vmm string, wis Wish, lat *latency) (best option, shortest time.Duration) {
+	shortest = -1
+	for _, at := range pla.rnd.Perm(len(pla.targets)) {
+		tgt := pla.targets[at]
+		if tgt.gone || slices.Contains(wis.Tried, tgt.ID) {
+			continue
+		}
+		wait := tgt.wait(now, lat)
+		usual := time.Duration(float64(lat.usual()) * tgt.pace(now))
+		if len(tgt.running) >= depth*tgt.Slots || wait+usual > wis.Left {
+			if over := max(wait+usual-wis.Left, usual/time.Duration(max(tgt.Slots, 1))); shortest < 0 || over < shortest {
+				shortest = over
+			}
+			continue
+		}
+		one := option{target: tgt, wait: wait, cost: pla.cost(now, vmm, wis, lat, tgt, wait)}
+		if best.target == nil || one.cost < best.cost {
+			best = one
+		}
+	}
+	return best, shortest
+}
+
+// cost returns what a placement costs, in parts of what the request is worth.
+func (pla *Placer) cost(now clock.Instant, vmm string, wis Wish, lat *latency, tgt *target, wait time.Duration) float64 {
+	sick := pla.sick(now, tgt)
+	fail := failCost
+	if wis.Idempotent && !wis.Again {
+		fail = failAgainCost
+	}
+	cost := sickFails * sick * fail
+	cost += lateCost * lat.outlasts(max(wis.Aim-wait, 0), tgt.pace(now))
+	cost += loadCost * float64(len(tgt.running)) / float64(max(tgt.Slots, 1))
+	if tgt.FailureDomain != wis.Domain {
+		cost += crossCost
+	}
+	if at, failed := tgt.paths[vmm]; failed && now.Since(at) < pathTime {
+		cost += pathCost
+	}
+	if tgt.due(now, wis.Idempotent) && sick < triedBelief {
+		cost -= failCost // Nobody knows how it fares; this request tells.
+	}
+	return cost
+}
+
+// due reports whether a target has had no request for so long that one is sent
+// to see how it fares.
+func (tgt *target) due(now clock.Instant, idempotent bool) bool {
+	idle := carefulIdleTime
+	if idempotent {
+		idle = idleTime
+	}
+	return len(tgt.running) == 0 && now.Since(tgt.lastUsed) >= idle
+}
+
+// pace returns by how much a target is slower than usual.
+func (tgt *target) pace(now clock.Instant) float64 {
+	if now.Before(tgt.Warm) && tgt.slower < coldSlower {
+		return coldSlower
+	}
+	return tgt.slower
+}
+
+// wait returns how long a further request waits for a slot.
+func (tgt *target) wait(now clock.Instant, lat *latency) time.Duration {
+	slots := max(tgt.Slots, 1)
+	over := len(tgt.running) + 1 - slots
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(float64(lat.usual()) * tgt.pace(now) * float64(over) / float64(slots))
+}
+
+// sick returns the probability that a target is sick, in view of what runs
+// there without answer.
+func (pla *Placer) sick(now clock.Instant, tgt *target) float64 {
+	sick := tgt.belief.now(now)
+	for _, att := range tgt.running {
+		if !att.overdue {
+			sick = update(sick, pla.waiting(now, att))
+		}
+	}
+	return clamp(sick)
+}
+
+// waiting returns the evidence of a request without answer.
+func (pla *Placer) waiting(now clock.Instant, att *attempt) float64 {
+	lat := pla.latencies[att.route]
+	return waitingFactor(lat.outlasts(now.Mono-att.began.Mono-att.wait, att.target.pace(now)))
+}
+
+// Ended takes what became of an attempt.
+func (pla *Placer) Ended(now clock.Instant, tic Ticket, outcome health.Outcome) {
+	att := pla.attempts[tic]
+	if att == nil {
+		return
+	}
+	pla.remove(att)
+	tgt := att.target
+	took := now.Mono - att.began.Mono
+	switch outcome {
+	case health.Success:
+		pla.succeeded(now, att, took)
+	case health.Failure:
+		if !att.overdue {
+			pla.blame(now, att, failedFactor, took, "failed")
+		}
+	case health.Unreachable:
+		pla.blame(now, att, unreachableFactor, 0, "unreachable")
+	case health.Shed, health.Canceled:
+	}
+	pla.tell(now, tgt, outcome.String(), tic.VM)
+}
+
+func (pla *Placer) succeeded(now clock.Instant, att *attempt, took time.Duration) {
+	tgt := att.target
+	factor := successFactor
+	if att.overdue {
+		// The answer has come after all; take back what its absence added.
+		factor /= overdueFactor
+	}
+	tgt.belief.weigh(now, factor, took)
+	delete(tgt.paths, att.ticket.VM)
+	lat := pla.latencies[att.route]
+	served := max(took-att.wait, took/4)
+	lat.learn(time.Duration(float64(served) / tgt.pace(now)))
+	if !now.Before(tgt.Warm) {
+		tgt.answers++
+		ratio := served.Seconds() / max(lat.usual().Seconds(), 1e-4)
+		tgt.slower += speedWeight * (min(max(ratio, minSlower), maxSlower) - tgt.slower)
+		tgt.slower = min(max(tgt.slower, minSlower), maxSlower)
+	}
+}
+
+// blame takes evidence against a target. Further failures of a VM at the same
+// target count against the path between them only.
+func (pla *Placer) blame(now clock.Instant, att *attempt, factor float64, past time.Duration, cause string) {
+	tgt := att.target
+	at, before := tgt.paths[att.ticket.VM]
+	if !before || now.Since(at) > pathRepeat {
+		tgt.belief.weigh(now, factor, past)
+	}
+	tgt.paths[att.ticket.VM] = now
+	pla.tell(now, tgt, cause, att.ticket.VM)
+}
+
+// tell notes a change of belief about a target.
+func (pla *Placer) tell(now clock.Instant, tgt *target, cause, vmm string) {
+	sick := pla.sick(now, tgt)
+	switch {
+	case !tgt.suspected && sick > 0.5:
+		tgt.suspected = true
+	case tgt.suspected && sick < 0.25:
+		tgt.suspected = false
+	default:
+		return
+	}
+	pla.changes = append(pla.changes, Change{Target: tgt.ID, Sick: sick, Suspected: tgt.suspected, Cause: cause, VM: vmm})
+}
+
+func (pla *Placer) remove(att *attempt) {
+	delete(pla.attempts, att.ticket)
+	att.target.running = slices.DeleteFunc(att.target.running, func(one *attempt) bool { return one == att })
+}
+
+// Stranger notes that another target answered at the address of one.
+func (pla *Placer) Stranger(id string) {
+	if tgt := pla.target(id); tgt != nil {
+		tgt.gone = true
+	}
+}
+
+// Open takes attempts under way that another placer began.
+func (pla *Placer) Open(now clock.Instant, vmm string, run Running) {
+	tic := Ticket{VM: vmm, Number: run.Number}
+	tgt := pla.target(run.Target)
+	if tgt == nil || pla.attempts[tic] != nil {
+		return
+	}
+	pla.latency(run.Route, run.Left)
+	pla.begin(now, &attempt{ticket: tic, target: tgt, route: run.Route, began: now.Add(-run.Age), deadline: now.Add(run.Left)})
+}
+
+// Tick counts overdue requests and forgets those whose end was not reported.
+func (pla *Placer) Tick(now clock.Instant) {
+	var lost []*attempt
+	for _, tgt := range pla.targets {
+		for _, att := range tgt.running {
+			if !att.overdue && pla.waiting(now, att) >= overdueFactor {
+				att.overdue = true
+				pla.blame(now, att, overdueFactor, now.Mono-att.began.Mono-att.wait, "overdue")
+			}
+			if now.Since(att.deadline) > lostTime {
+				lost = append(lost, att)
+			}
+		}
+	}
+	for _, att := range lost {
+		pla.remove(att)
+	}
+}
+
+// Forget drops the attempts of a VM that has ended.
+func (pla *Placer) Forget(vmm string) {
+	for tic, att := range pla.attempts {
+		if tic.VM == vmm {
+			pla.remove(att)
+		}
+	}
+}
+
+// Suspected lists the targets that are believed to be sick.
+func (pla *Placer) Suspected(now clock.Instant) []string {
+	var out []string
+	for _, tgt := range pla.targets {
+		if pla.sick(now, tgt) > 0.5 {
+			out = append(out, tgt.ID)
+		}
+	}
+	slices.SortFunc(out, func(one, two string) int { return cmp.Compare(one, two) })
+	return out
+}
--- a/core/quota/server.go
+++ b/core/quota/server.go
@@ -8,37 +8,42 @@
 )
 
 const (
-	// burstShare is the part of an organisation's burst that the server grants
-	// at once. The rest covers what VMs spend while they do not reach it.
-	burstShare = 0.5
+	// slotCount is the number of slots in which a window is counted.
+	slotCount = 20
+	// startShare is the part of the rate that a server grants in its first
+	// window, in which it does not know what its predecessor has granted.
+	startShare = 0.9
 	// maxRetryAfter bounds the time after which a refused caller is told to
 	// come back.
 	maxRetryAfter = 5 * time.Second
 )
 
-// Server grants the tokens of organisations. Only one VM at a time may serve,
-// which a lease on the platform ensures. A server that begins holds no tokens,
-// so that those of its predecessor are not granted twice. It is not safe for
-// concurrent use.
+// Server grants the tokens of organisations: in any window no more than the
+// rate yields in it and the burst. Only one VM at a time may serve, which a
+// lease on the platform ensures. It is not safe for concurrent use.
 type Server struct {
-	limits  func(organisation string) (rate.Limit, bool)
-	began   clock.Instant
-	buckets map[string]*mint
+	window   time.Duration
+	limits   func(organisation string) (rate.Limit, bool)
+	began    clock.Instant
+	accounts map[string]*account
 }
 
-// mint is the bucket of one organisation at the server.
-type mint struct {
-	limit  rate.Limit
-	tokens rate.Tokens
-	rest   uint64
-	filled clock.Instant
+// account counts what one organisation was granted lately.
+type account struct {
+	limit rate.Limit
+	// slots has what was granted in the last window, by time; sum is all of it.
+	slots [slotCount]rate.Tokens
+	sum   rate.Tokens
+	// slot is the number of the newest slot, counted from the server's start.
+	slot int64
 	// promised is until when refused requests have been told to come back.
 	promised clock.Instant
 }
 
-// NewServer returns a server that begins to serve now.
-func NewServer(now clock.Instant, limits func(organisation string) (rate.Limit, bool)) *Server {
-	return &Server{limits: limits, began: now, buckets: make(map[string]*mint)}
+// NewServer returns a server that begins to serve now and counts in windows of
+// the given length.
+func NewServer(now clock.Instant, window time.Duration, limits func(organisation string) (rate.Limit, bool)) *Server {
+	return &Server{window: window, limits: limits, began: now, accounts: make(map[string]*account)}
 }
 
 // Answer decides on an ask.
@@ -49,61 +54,91 @@
 		gra.RetryAfter = time.Second
 		return gra
 	}
-	mnt := srv.bucket(now, ask.Organisation, lim)
-	mnt.refill(now)
-	whole := int(mnt.tokens / rate.Request)
+	acc := srv.account(now, ask.Organisation, lim)
+	whole := max(int((srv.allowed(lim)-acc.sum)/rate.Request), 0)
 	gra.Count = min(whole, ask.Need+ask.Ahead)
-	mnt.tokens -= rate.Tokens(gra.Count) * rate.Request
+	acc.add(rate.Tokens(gra.Count) * rate.Request)
 	if short := ask.Need - gra.Count; short > 0 {
-		gra.RetryAfter = mnt.promise(now, short)
+		gra.RetryAfter = acc.promise(now, srv.window, srv.allowed(lim), short)
 	}
 	return gra
 }
 
-func (srv *Server) bucket(now clock.Instant, organisation string, lim rate.Limit) *mint {
-	mnt := srv.buckets[organisation]
-	if mnt == nil {
-		// rate.Tokens accrue from the beginning of the service, also for
-		// organisations that are asked for later.
-		mnt = &mint{limit: lim, filled: srv.began}
-		srv.buckets[organisation] = mnt
+// allowed returns what an organisation may be granted in one window.
+func (srv *Server) allowed(lim rate.Limit) rate.Tokens {
+	return max(srv.yield(lim, 1)+lim.Burst, rate.Request)
+}
+
+// yield returns a share of what the rate yields in one window.
+func (srv *Server) yield(lim rate.Limit, share float64) rate.Tokens {
+	return rate.Tokens(float64(lim.Rate) * srv.window.Seconds() * share)
+}
+
+func (srv *Server) account(now clock.Instant, organisation string, lim rate.Limit) *account {
+	slot := int64(now.Since(srv.began) / (srv.window / slotCount))
+	acc := srv.accounts[organisation]
+	if acc == nil {
+		acc = &account{limit: lim}
+		srv.assume(acc)
+		srv.accounts[organisation] = acc
 	}
-	if mnt.limit != lim {
-		mnt.refill(now)
-		mnt.limit = lim
-		mnt.tokens = min(mnt.tokens, mnt.capacity())
+	if acc.limit != lim {
+		acc.scale(float64(srv.allowed(lim)) / float64(srv.allowed(acc.limit)))
+		acc.limit = lim
 	}
-	return mnt
+	acc.advance(slot)
+	return acc
 }
 
-func (mnt *mint) capacity() rate.Tokens {
-	return max(scaled(mnt.limit.Burst, burstShare), rate.Request)
+// assume fills the window before the server's start as if its predecessor had
+// granted all, most of it evenly and the rest at last.
+func (srv *Server) assume(acc *account) {
+	each := srv.yield(acc.limit, startShare) / slotCount
+	for num := range acc.slots {
+		acc.slots[num] = each
+	}
+	acc.sum = each * slotCount
+	acc.add(srv.allowed(acc.limit) - acc.sum)
 }
 
-func (mnt *mint) refill(now clock.Instant) {
-	var gain rate.Tokens
-	gain, mnt.rest = rate.Accrue(mnt.limit.Rate, now.Since(mnt.filled), mnt.rest)
-	mnt.filled = now
-	mnt.tokens = min(mnt.tokens+gain, mnt.capacity())
+func (acc *account) add(tok rate.Tokens) {
+	acc.slots[acc.slot%slotCount] += tok
+	acc.sum += tok
 }
 
-// promise returns when the last of some refused requests may come back, so
-// that returns are spread at the organisation's rate.
-func (mnt *mint) promise(now clock.Instant, requests int) time.Duration {
-	if mnt.promised.Before(now) {
-		mnt.promised = now
+// advance empties the slots that have left the window.
+func (acc *account) advance(slot int64) {
+	if slot-acc.slot >= slotCount {
+		acc.slots, acc.sum, acc.slot = [slotCount]rate.Tokens{}, 0, slot
+		return
 	}
-	if mnt.limit.Rate <= 0 {
-		return maxRetryAfter
+	for acc.slot < slot {
+		acc.slot++
+		at := acc.slot % slotCount
+		acc.sum -= acc.slots[at]
+		acc.slots[at] = 0
 	}
-	step := time.Duration(float64(requests) / mnt.limit.Rate.Float() * float64(time.Second))
-	mnt.promised = mnt.promised.Add(step)
-	left := mnt.promised.Mono - now.Mono
-	if left > maxRetryAfter {
-		mnt.promised = now.Add(maxRetryAfter)
-		left = maxRetryAfter
+}
+
+// scale keeps the part of the limit that is used where the limit changes.
+func (acc *account) scale(factor float64) {
+	acc.sum = 0
+	for num := range acc.slots {
+		acc.slots[num] = rate.Tokens(float64(acc.slots[num]) * factor)
+		acc.sum += acc.slots[num]
 	}
-	return max(left, time.Millisecond)
 }
 
-func scaled(tok rate.Tokens, share float64) rate.Tokens { return rate.Tokens(float64(tok) * share) }
+// promise returns when the last of some refused requests may come back, so
+// that returns are spread as the window frees what they need.
+func (acc *account) promise(now clock.Instant, window time.Duration, allowed rate.Tokens, requests int) time.Duration {
+	if acc.promised.Before(now) {
+		acc.promised = now
+	}
+	step := time.Duration(float64(requests) / allowed.Float() * float64(window))
+	acc.promised = acc.promised.Add(step)
+	if limit := now.Add(maxRetryAfter); limit.Before(acc.promised) {
+		acc.promised = limit
+	}
+	return max(acc.promised.Mono-now.Mono, time.Millisecond)
+}
--- /dev/null
+++ b/core/request/window.go
@@ -0,0 +1,67 @@
+package request
+
+import (
+	"time"
+
+	"marigoldlug.example/core/clock"
+)
+
+// windowSlots is the number of slots in which a window is counted.
+const windowSlots = 20
+
+// Window bounds the retries for a service in a sliding window by the number of
+// its requests in it. It is not safe for concurrent use.
+type Window struct {
+	window   time.Duration
+	share    float64
+	extra    float64
+	requests [windowSlots]int
+	retries  [windowSlots]int
+	slot     int64
+}
+
+// NewWindow returns a window in which no request has been counted. Retries may
+// make up a share of the requests, and extra beside it.
+func NewWindow(window time.Duration, share, extra float64) *Window {
+	return &Window{window: window, share: share, extra: extra}
+}
+
+// Set changes what is allowed from now on.
+func (win *Window) Set(share, extra float64) { win.share, win.extra = share, extra }
+
+func (win *Window) advance(now clock.Instant) {
+	slot := int64(now.Mono / (win.window / windowSlots))
+	if slot-win.slot >= windowSlots {
+		win.requests, win.retries = [windowSlots]int{}, [windowSlots]int{}
+		win.slot = slot
+	}
+	for win.slot < slot {
+		win.slot++
+		win.requests[win.slot%windowSlots] = 0
+		win.retries[win.slot%windowSlots] = 0
+	}
+}
+
+// Deposit counts a request.
+func (win *Window) Deposit(now clock.Instant) {
+	win.advance(now)
+	win.requests[win.slot%windowSlots]++
+}
+
+// Withdraw takes one retry and reports whether that was allowed.
+func (win *Window) Withdraw(now clock.Instant) bool {
+	win.advance(now)
+	if float64(sum(win.retries)+1) > win.share*float64(sum(win.requests))+win.extra {
+		return false
+	}
+	win.retries[win.slot%windowSlots]++
+	return true
+}
+
+func sum(counts [windowSlots]int) int {
+	out := 0
+	for _, cnt := range counts {
+		out += cnt
+	}
+	return out
+}
--- a/lugd/pkg/driver/driver.go
+++ b/lugd/pkg/driver/driver.go
@@ -216,7 +216,9 @@
 }
 
 // Received takes a message from another VM.
-func (dri *Driver) Received(from string, msg any) { dri.Step(gateway.Received{From: from, Message: msg}) }
+func (dri *Driver) Received(from string, msg any) {
+	dri.Step(gateway.Received{From: from, Message: msg})
+}
 
 // PeerGone notes that a VM has ended.
 func (dri *Driver) PeerGone(id string) { dri.Step(gateway.PeerGone{ID: id}) }
@@ -227,7 +229,7 @@
 // State returns what this VM says of itself to others.
 func (dri *Driver) State() peer.State {
 	sta, ready := dri.Status()
-	return peer.State{Version: sta.Version, Members: sta.VMs, Ready: ready, ProofAge: sta.Ages.Config, Requests: sta.Flights, Ejected: sta.Ejected}
+	return peer.State{Version: sta.Version, Members: sta.VMs, Ready: ready, ProofAge: sta.Ages.Config, Requests: sta.Flights, Ejected: sta.Suspected}
 }
 
 // Address returns where a VM is reached.
--- a/lugd/pkg/driver/reader.go
+++ b/lugd/pkg/driver/reader.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/registry"
@@ -39,9 +40,11 @@
 }
 
 const (
-	// watchTime is how long the platform is asked to wait for a change. What a
-	// watch returns is known to be the newest only at the time of its sending.
-	watchTime = time.Second
+	// targetsWatch and fleetWatch are how long the platform is asked to wait for
+	// a change. What a watch returns is known to be the newest only at the time
+	// of its sending.
+	targetsWatch = 1500 * time.Millisecond
+	fleetWatch   = time.Second
 	// answerTime is how long an answer may take beyond that.
 	answerTime = 800 * time.Millisecond
 	// listTime bounds a listing.
@@ -64,17 +67,17 @@
 	dri.stopReading = cancel
 	held := dri.mac.Held()
 	dri.work.Go(func() {
-		read(ctx, dri, "config", dri.platform.Config(), dri.config, func(asked clock.Instant, del table.Delta[*gateway.Config]) {
+		read(ctx, dri, "config", dri.platform.Config(), dri.config, feed.WatchTime, func(asked clock.Instant, del table.Delta[*gateway.Config]) {
 			dri.tookConfig(asked, del)
 		})
 	})
 	dri.work.Go(func() {
-		read(ctx, dri, "targets", dri.platform.Targets(), held.Targets, func(asked clock.Instant, del table.Delta[registry.Entry]) {
+		read(ctx, dri, "targets", dri.platform.Targets(), held.Targets, targetsWatch, func(asked clock.Instant, del table.Delta[registry.Entry]) {
 			dri.Step(gateway.TargetsRead{Asked: asked, News: del})
 		})
 	})
 	dri.work.Go(func() {
-		read(ctx, dri, "fleet", dri.platform.Fleet(), held.Fleet, func(asked clock.Instant, del table.Delta[fleet.Row]) {
+		read(ctx, dri, "fleet", dri.platform.Fleet(), held.Fleet, fleetWatch, func(asked clock.Instant, del table.Delta[fleet.Row]) {
 			dri.Step(gateway.FleetRead{Asked: asked, News: del})
 		})
 	})
@@ -95,12 +98,12 @@
 }
 
 // read follows one kind of object until ctx ends.
-func read[T any](ctx context.Context, dri *Driver, kind string, src Source[T], since uint64, take func(asked clock.Instant, del table.Delta[T])) {
+func read[T any](ctx context.Context, dri *Driver, kind string, src Source[T], since uint64, watch time.Duration, take func(asked clock.Instant, del table.Delta[T])) {
 	log := dri.log.WithField("kind", kind)
 	pause, lost := firstPause, false
 	for ctx.Err() == nil {
 		asked := dri.clock.Now()
-		del, err := readOnce(ctx, src, since)
+		del, err := readOnce(ctx, src, since, watch)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -127,15 +130,15 @@
 	}
 }
 
-func readOnce[T any](ctx context.Context, src Source[T], since uint64) (table.Delta[T], error) {
+func readOnce[T any](ctx context.Context, src Source[T], since uint64, watch time.Duration) (table.Delta[T], error) {
 	if since == 0 {
 		ctx, cancel := context.WithTimeout(ctx, listTime)
 		defer cancel()
 		return src.List(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchTime+answerTime)
+	ctx, cancel := context.WithTimeout(ctx, watch+answerTime)
 	defer cancel()
-	return src.Watch(ctx, since, watchTime)
+	return src.Watch(ctx, since, watch)
 }
 
 func sleep(ctx context.Context, dur time.Duration) {
--- a/lugd/pkg/edge/counter.go
+++ b/lugd/pkg/edge/counter.go
@@ -35,9 +35,9 @@
 		sta, _ := dmn.driver.Status()
 		return float64(sta.VMs)
 	})
-	met.Gauge("targets_ejected", "Targets that the VM does not use.", func() float64 {
+	met.Gauge("targets_suspected", "Targets that the VM, as a placer, takes to be sick.", func() float64 {
 		sta, _ := dmn.driver.Status()
-		return float64(len(sta.Ejected))
+		return float64(len(sta.Suspected))
 	})
 	met.Gauge("caller_connections", "Open connections of callers.", func() float64 { return float64(dmn.callers.Connections()) })
 	met.Counter("peer_sent_bytes", "Bytes sent to other VMs.", func() float64 {
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -17,7 +17,6 @@
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/gateway"
-	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/lugd/pkg/driver"
 	"marigoldlug.example/lugd/pkg/header"
@@ -92,7 +91,7 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	dmn.cancel = cancel
 	dmn.driver = driver.New(work, gateway.Settings{
-		Name: set.Name, Self: dmn.self, Terms: terms(set), Threshold: health.Threshold(set.EjectionThreshold),
+		Name: set.Name, Self: dmn.self, Terms: terms(set),
 	}, wir.Connect(set.PlatformAddress, lgs.Logger(logflags.Platform)), driver.NewClock(), lgs.Logger(logflags.Machine))
 	dmn.transport = peer.New(dmn.self, dmn.listeners.peers, dmn.driver, lgs.Logger(logflags.Peer))
 	dmn.driver.SetTransport(dmn.transport)
@@ -109,7 +108,7 @@
 
 func terms(set Settings) gateway.Terms {
 	return gateway.Terms{
-		RevokeTime: set.RevokeTime, RetryShare: set.RetryShare, RetryExtra: set.RetryExtra, RetryWindow: set.RetryWindow, FloorShare: set.FloorShare,
+		RevokeTime: set.RevokeTime, RetryShare: set.RetryShare, RetryExtra: set.RetryExtra, RetryWindow: set.RetryWindow, QuotaWindow: set.QuotaWindow,
 	}
 }
 
--- a/lugd/pkg/edge/settings.go
+++ b/lugd/pkg/edge/settings.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
-
-	"marigoldlug.example/core/health"
 )
 
 // Settings are the values for one VM.
@@ -34,9 +32,9 @@
 	RetryShare  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
-	// FloorShare is the part of a service's targets that must stay in use.
-	FloorShare        float64
-	EjectionThreshold float64
+	// QuotaWindow is the time over which the rate and burst of organisations
+	// are counted.
+	QuotaWindow time.Duration
 	// StopTime is how long a planned stop may take.
 	StopTime time.Duration
 	// BalancerLag is how long the balancer takes to notice that a VM is not
@@ -57,23 +55,22 @@
 // DefaultSettings returns the values in force where an operator sets none.
 func DefaultSettings() Settings {
 	return Settings{
-		RevokeTime:        5 * time.Second,
-		RetryShare:        0.1,
-		RetryExtra:        20,
-		RetryWindow:       10 * time.Second,
-		FloorShare:        0.5,
-		EjectionThreshold: float64(health.ThresholdQuick),
-		StopTime:          10 * time.Second,
-		BalancerLag:       2200 * time.Millisecond,
-		HeaderBytes:       16 << 10,
-		BodyBytes:         64 << 20,
-		HeaderTimeout:     5 * time.Second,
-		IdleTimeout:       60 * time.Second,
-		BodyTimeout:       30 * time.Second,
-		DialTimeout:       500 * time.Millisecond,
-		MemoryMiB:         256,
-		LogFormat:         "json",
-		LogLinesPerSec:    200,
+		RevokeTime:     5 * time.Second,
+		RetryShare:     0.1,
+		RetryExtra:     20,
+		RetryWindow:    10 * time.Second,
+		QuotaWindow:    5 * time.Second,
+		StopTime:       10 * time.Second,
+		BalancerLag:    2200 * time.Millisecond,
+		HeaderBytes:    16 << 10,
+		BodyBytes:      64 << 20,
+		HeaderTimeout:  5 * time.Second,
+		IdleTimeout:    60 * time.Second,
+		BodyTimeout:    30 * time.Second,
+		DialTimeout:    500 * time.Millisecond,
+		MemoryMiB:      256,
+		LogFormat:      "json",
+		LogLinesPerSec: 200,
 	}
 }
 
@@ -106,7 +103,7 @@
 		name string
 		val  time.Duration
 	}{
-		{"revoke-time", set.RevokeTime}, {"retry-window", set.RetryWindow}, {"stop-time", set.StopTime},
+		{"revoke-time", set.RevokeTime}, {"retry-window", set.RetryWindow}, {"quota-window", set.QuotaWindow}, {"stop-time", set.StopTime},
 		{"header-timeout", set.HeaderTimeout}, {"idle-timeout", set.IdleTimeout}, {"body-timeout", set.BodyTimeout}, {"dial-timeout", set.DialTimeout},
 	} {
 		if one.val <= 0 {
@@ -116,15 +113,9 @@
 	if set.BalancerLag < 0 || set.BalancerLag >= set.StopTime {
 		fault("balancer-lag", "%v is not below stop-time, %v", set.BalancerLag, set.StopTime)
 	}
-	if set.FloorShare <= 0 || set.FloorShare > 1 {
-		fault("floor-share", "%v is not above 0 and at most 1", set.FloorShare)
-	}
 	if set.RetryShare < 0 || set.RetryExtra < 0 {
 		fault("retry-share", "%v and retry-extra, %v, must not be negative", set.RetryShare, set.RetryExtra)
 	}
-	if set.EjectionThreshold < 1 || set.EjectionThreshold > 50 {
-		fault("ejection-threshold", "%v is not between 1 and 50", set.EjectionThreshold)
-	}
 	if set.HeaderBytes < 1<<10 || set.BodyBytes < 0 || set.MemoryMiB < 16 {
 		fault("max-header-bytes", "the bounds of sizes are too low")
 	}
@@ -166,8 +157,7 @@
 		number("retry-share", "retries that the fleet may make, as a share of the requests for a service", &set.RetryShare),
 		number("retry-extra", "retries that the fleet may make beside retry-share in a retry-window", &set.RetryExtra),
 		duration("retry-window", "time over which retries are counted", &set.RetryWindow),
-		number("floor-share", "part of a service's targets that must stay in use", &set.FloorShare),
-		number("ejection-threshold", "evidence at which targets are ejected", &set.EjectionThreshold),
+		duration("quota-window", "time over which the rate and burst of organisations are counted", &set.QuotaWindow),
 		duration("stop-time", "how long a planned stop may take", &set.StopTime),
 		duration("balancer-lag", "time that the balancer takes to notice that a VM is not ready", &set.BalancerLag),
 		whole("max-header-bytes", "greatest size of the head of a request", &set.HeaderBytes),
--- a/lugd/pkg/http1/session.go
+++ b/lugd/pkg/http1/session.go
@@ -361,4 +361,3 @@
 	}
 	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
-
--- a/lugd/pkg/peer/codec.go
+++ b/lugd/pkg/peer/codec.go
@@ -40,12 +40,16 @@
 	kindDigest  = 40
 	kindVerdict = 41
 
-	kindFeedAsk    = 50
-	kindFeedNews   = 51
-	kindVMPing     = 52
-	kindVMPong     = 53
-	kindTokenAsk   = 54
-	kindTokenGrant = 55
+	kindFeedAsk     = 50
+	kindFeedNews    = 51
+	kindVMPing      = 52
+	kindVMPong      = 53
+	kindTokenAsk    = 54
+	kindTokenGrant  = 55
+	kindPlaceAsk    = 56
+	kindPlaceAnswer = 57
+	kindPlaceEnded  = 58
+	kindPlaceOpen   = 59
 )
 
 // protocolVersion is raised when frames change in a way that older programs
--- a/lugd/pkg/peer/gateway.go
+++ b/lugd/pkg/peer/gateway.go
@@ -38,7 +38,7 @@
 		wrt.whole(int64(msg.Count))
 		wrt.duration(msg.RetryAfter)
 	default:
-		return false
+		return wrt.placement(msg)
 	}
 	return true
 }
@@ -58,7 +58,7 @@
 	case kindTokenGrant:
 		return quota.Grant{Organisation: rdr.text(), Number: rdr.number(), Count: int(rdr.whole()), RetryAfter: rdr.duration()}
 	}
-	return nil
+	return rdr.placement(kind)
 }
 
 func (wrt *writer) news(msg gateway.News) {
@@ -67,6 +67,7 @@
 	wrt.duration(msg.Ages.Config)
 	wrt.duration(msg.Ages.Targets)
 	wrt.duration(msg.Ages.Fleet)
+	wrt.duration(msg.Ages.Contact)
 	wrt.boolean(msg.Config != nil)
 	if msg.Config != nil {
 		wrt.number(msg.Config.Version)
@@ -77,7 +78,7 @@
 }
 
 func (rdr *reader) news() gateway.News {
-	msg := gateway.News{Number: rdr.number(), Ages: gateway.Ages{Config: rdr.duration(), Targets: rdr.duration(), Fleet: rdr.duration()}}
+	msg := gateway.News{Number: rdr.number(), Ages: gateway.Ages{Config: rdr.duration(), Targets: rdr.duration(), Fleet: rdr.duration(), Contact: rdr.duration()}}
 	if rdr.boolean() {
 		version := rdr.number()
 		con := rdr.content()
