Refuse for lack of time only on what is known of a route

Cause: a request with little time left on a route that is new was refused, since the first guess of its latency came from the time in which an answer is wanted.

A new route is taken to be like the others of its service, and nothing is refused for its chance before eight answers are known. A placer that begins takes the extra retries as spent, since its predecessor may have spent them.

--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -25,8 +25,8 @@
 	muteTime = 400 * time.Millisecond
 	// ownShare is the part of the allowed retries that VMs spend by themselves
 	// where they do not reach the placer; the placers spend up to placerShare.
-	ownShare    = 0.15
-	placerShare = 0.75
+	ownShare    = 0.08
+	placerShare = 0.85
 )
 
 // service is what a VM knows of the placement of one service.
@@ -72,7 +72,7 @@
 	if svc == nil || len(svc.parts) != cnt {
 		svc = &service{name: name}
 		for num := range cnt {
-			svc.parts = append(svc.parts, &part{service: name, number: num, local: placement.New(mac.source(), mac.ownRetries())})
+			svc.parts = append(svc.parts, &part{service: name, number: num, local: placement.New(mac.source(), mac.ownRetries(now))})
 		}
 		mac.services[name] = svc
 	}
@@ -97,18 +97,18 @@
 }
 
 // ownRetries returns the retries that this VM may spend by itself.
-func (mac *Machine) ownRetries() *request.Window {
+func (mac *Machine) ownRetries(now clock.Instant) *request.Window {
 	trm := mac.set.Terms
 	vms := float64(max(mac.fleet.View().Size(), minFleet))
-	return request.NewWindow(trm.RetryWindow, trm.RetryShare*ownShare, trm.RetryExtra*ownShare/vms)
+	return request.NewWindow(now, trm.RetryWindow, trm.RetryShare*ownShare, trm.RetryExtra*ownShare/vms)
 }
 
 // minFleet is taken for the number of VMs while fewer are known.
 const minFleet = 8
 
-func (mac *Machine) placerRetries() *request.Window {
+func (mac *Machine) placerRetries(now clock.Instant) *request.Window {
 	trm := mac.set.Terms
-	return request.NewWindow(trm.RetryWindow, trm.RetryShare*placerShare, trm.RetryExtra*placerShare)
+	return request.NewWindow(now, trm.RetryWindow, trm.RetryShare*placerShare, trm.RetryExtra*placerShare)
 }
 
 // setOwner finds the placer of a part. A new one is told what runs there.
@@ -151,7 +151,7 @@
 // centralOf returns the placer that this VM keeps for the fleet.
 func (mac *Machine) centralOf(now clock.Instant, par *part) *placement.Placer {
 	if par.central == nil {
-		par.central = placement.New(mac.source(), mac.placerRetries())
+		par.central = placement.New(mac.source(), mac.placerRetries(now))
 		par.central.SetTargets(now, par.targets)
 	}
 	return par.central
--- a/core/placement/latency.go
+++ b/core/placement/latency.go
@@ -8,8 +8,9 @@
 const (
 	// latencyWeight is the weight of one answer in the estimates.
 	latencyWeight = 0.05
-	// firstWeights is the number of answers after which an estimate no longer
-	// leans on its first value.
+	// knownCount is the number of answers from which an estimate can be relied
+	// on.
+	knownCount   = 8
 	minDeviation = 0.22
 	maxDeviation = 0.9
 	// firstDeviation is assumed of a route of which nothing is known.
@@ -34,11 +35,20 @@
 }
 
 // newLatency returns the estimate for a route whose answers are wanted within
-// aim.
+// aim, where nothing else is known of the service.
 func newLatency(aim time.Duration) *latency {
 	return &latency{mean: math.Log(max(aim.Seconds(), 0.01) * aimPart), deviation: firstDeviation}
 }
 
+// like returns the estimate for a route that is new to a service with the given
+// estimate for all its routes.
+func (lat *latency) like() *latency {
+	return &latency{mean: lat.mean, deviation: firstDeviation}
+}
+
+// known reports whether the estimate can be relied on.
+func (lat *latency) known() bool { return lat.count >= knownCount }
+
 // learn takes the time that a request took at a target of usual speed.
 func (lat *latency) learn(took time.Duration) {
 	lat.count++
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -37,6 +37,9 @@
 	// repeated.
 	idleTime        = 2 * time.Second
 	carefulIdleTime = 3500 * time.Millisecond
+	// hopeless is the part of requests that would miss their deadlines from
+	// which none is sent.
+	hopeless = 0.85
 	// triedBelief is the belief above which no target is tried.
 	triedBelief = 0.6
 )
@@ -105,8 +108,10 @@
 	targets   []*target
 	attempts  map[Ticket]*attempt
 	latencies map[string]*latency
-	budget    *request.Window
-	changes   []Change
+	// overall is the estimate for all routes together.
+	overall *latency
+	budget  *request.Window
+	changes []Change
 }
 
 // New returns a placer without targets, whose retries are bounded by a budget.
@@ -158,10 +163,14 @@
 // latency returns the estimate for a route.
 func (pla *Placer) latency(route string, aim time.Duration) *latency {
 	lat := pla.latencies[route]
-	if lat == nil {
-		lat = newLatency(aim)
-		pla.latencies[route] = lat
+	if lat != nil {
+		return lat
 	}
+	if pla.overall == nil {
+		pla.overall = newLatency(aim)
+	}
+	lat = pla.overall.like()
+	pla.latencies[route] = lat
 	return lat
 }
 
@@ -213,7 +222,7 @@
 		}
 		wait := tgt.wait(now, lat)
 		usual := time.Duration(float64(lat.usual()) * tgt.pace(now))
-		if len(tgt.running) >= depth*tgt.Slots || wait+usual > wis.Left {
+		if len(tgt.running) >= depth*tgt.Slots || lat.known() && lat.outlasts(wis.Left-wait, tgt.pace(now)) > hopeless {
 			if over := max(wait+usual-wis.Left, usual/time.Duration(max(tgt.Slots, 1))); shortest < 0 || over < shortest {
 				shortest = over
 			}
@@ -329,7 +338,9 @@
 	delete(tgt.paths, att.ticket.VM)
 	lat := pla.latencies[att.route]
 	served := max(took-att.wait, took/4)
-	lat.learn(time.Duration(float64(served) / tgt.pace(now)))
+	usual := time.Duration(float64(served) / tgt.pace(now))
+	lat.learn(usual)
+	pla.overall.learn(usual)
 	if !now.Before(tgt.Warm) {
 		tgt.answers++
 		ratio := served.Seconds() / max(lat.usual().Seconds(), 1e-4)
--- a/core/request/window.go
+++ b/core/request/window.go
@@ -21,14 +21,15 @@
 }
 
 // NewWindow returns a window in which no request has been counted. Retries may
-// make up a share of the requests, and extra beside it.
-func NewWindow(window time.Duration, share, extra float64) *Window {
-	return &Window{window: window, share: share, extra: extra}
+// make up a share of the requests, and extra beside it. The extra is taken to
+// be spent at first, since another VM may have counted until now.
+func NewWindow(now clock.Instant, window time.Duration, share, extra float64) *Window {
+	win := &Window{window: window, share: share, extra: extra}
+	win.advance(now)
+	win.retries[win.slot%windowSlots] = int(extra)
+	return win
 }
 
-// Set changes what is allowed from now on.
-func (win *Window) Set(share, extra float64) { win.share, win.extra = share, extra }
-
 func (win *Window) advance(now clock.Instant) {
 	slot := int64(now.Mono / (win.window / windowSlots))
 	if slot-win.slot >= windowSlots {
