Try idle targets sooner, and read the store less at starts

An answer by which a target says that it failed weighs less; a target is tried the sooner the sounder it seems; watches of busy kinds are gathered; the extra retries are divided among the parts of a service.

--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -282,7 +282,7 @@
 	}
 	failed := ans.Status >= 500
 	if failed && fli.route.Idempotent && mac.mayRepeat(now, fli, verdict.MayHaveRun) {
-		mac.endAttempt(now, fli, health.Failure)
+		mac.endAttempt(now, fli, health.Erred)
 		fli.verdict = fli.verdict.Worse(verdict.MayHaveRun)
 		fli.runs++
 		mac.next(now, fli, "the target failed")
@@ -292,7 +292,7 @@
 	fli.verdict = verdict.Answered
 	outcome := health.Success
 	if failed {
-		outcome = health.Failure
+		outcome = health.Erred
 	}
 	fli.outcome = outcome
 	mac.do(Note{Request: fli.ID, Event: "answered", Fields: []any{
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -106,9 +106,11 @@
 // minFleet is taken for the number of VMs while fewer are known.
 const minFleet = 8
 
-func (mac *Machine) placerRetries(now clock.Instant) *request.Window {
+// placerRetries returns the retries that the placer of one of some parts may
+// spend.
+func (mac *Machine) placerRetries(now clock.Instant, parts int) *request.Window {
 	trm := mac.set.Terms
-	return request.NewWindow(now, trm.RetryWindow, trm.RetryShare*placerShare, trm.RetryExtra*placerShare)
+	return request.NewWindow(now, trm.RetryWindow, trm.RetryShare*placerShare, trm.RetryExtra*placerShare/float64(parts))
 }
 
 // setOwner finds the placer of a part. A new one is told what runs there.
@@ -151,7 +153,7 @@
 // centralOf returns the placer that this VM keeps for the fleet.
 func (mac *Machine) centralOf(now clock.Instant, par *part) *placement.Placer {
 	if par.central == nil {
-		par.central = placement.New(mac.source(), mac.placerRetries(now))
+		par.central = placement.New(mac.source(), mac.placerRetries(now, len(mac.services[par.service].parts)))
 		par.central.SetTargets(now, par.targets)
 	}
 	return par.central
--- a/core/health/outcome.go
+++ b/core/health/outcome.go
@@ -22,11 +22,13 @@
 	Shed
 	// Canceled is an attempt that the caller gave up.
 	Canceled
+	// Erred is a whole answer by which the target says that it failed.
+	Erred
 )
 
 // String returns the name of the outcome used in metrics.
 func (out Outcome) String() string {
-	names := [...]string{"success", "failure", "unreachable", "shed", "canceled"}
+	names := [...]string{"success", "failure", "unreachable", "shed", "canceled", "erred"}
 	if int(out) < len(names) {
 		return names[out]
 	}
@@ -34,7 +36,7 @@
 }
 
 // Bad reports whether the outcome counts against the target.
-func (out Outcome) Bad() bool { return out == Failure || out == Unreachable }
+func (out Outcome) Bad() bool { return out == Failure || out == Unreachable || out == Erred }
 
 // Target is what the choice of targets knows of one worker.
 type Target struct {
--- a/core/placement/belief.go
+++ b/core/placement/belief.go
@@ -64,7 +64,10 @@
 
 // The factors of what became of attempts.
 const (
-	failedFactor  = sickFails / soundFails
+	failedFactor = sickFails / soundFails
+	// erredFactor is that of an answer by which the target says that it failed,
+	// as sound ones do for some requests.
+	erredFactor   = 7
 	successFactor = (1 - sickFails) / (1 - soundFails)
 	// unreachableFactor is that of an attempt for which no connection could be
 	// opened.
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -32,11 +32,12 @@
 	// lostTime is how long after its deadline an attempt is forgotten whose end
 	// was not reported.
 	lostTime = time.Second
-	// idleTime is how long a target stays without requests until one is sent to
-	// see how it fares, and carefulIdleTime the same for requests that cannot be
-	// repeated.
-	idleTime        = 2 * time.Second
-	carefulIdleTime = 3500 * time.Millisecond
+	// idleTime is how long a sound target stays without requests until one is
+	// sent to see how it fares, and sickIdleTime how much longer a sick one
+	// does. Requests that can be repeated go sooner.
+	idleTime       = time.Second
+	sickIdleTime   = 4 * time.Second
+	repeatableIdle = 0.6
 	// hopeless is the part of requests that would miss their deadlines from
 	// which none is sent.
 	hopeless = 0.85
@@ -252,7 +253,7 @@
 	if at, failed := tgt.paths[vmm]; failed && now.Since(at) < pathTime {
 		cost += pathCost
 	}
-	if tgt.due(now, wis.Idempotent) && sick < triedBelief {
+	if tgt.due(now, sick, wis.Idempotent) {
 		cost -= failCost // Nobody knows how it fares; this request tells.
 	}
 	return cost
@@ -260,12 +261,15 @@
 
 // due reports whether a target has had no request for so long that one is sent
 // to see how it fares.
-func (tgt *target) due(now clock.Instant, idempotent bool) bool {
-	idle := carefulIdleTime
+func (tgt *target) due(now clock.Instant, sick float64, idempotent bool) bool {
+	if len(tgt.running) > 0 || sick >= triedBelief {
+		return false
+	}
+	idle := float64(idleTime) + sick*float64(sickIdleTime)
 	if idempotent {
-		idle = idleTime
+		idle *= repeatableIdle
 	}
-	return len(tgt.running) == 0 && now.Since(tgt.lastUsed) >= idle
+	return float64(now.Since(tgt.lastUsed)) >= idle
 }
 
 // pace returns by how much a target is slower than usual.
@@ -320,6 +324,10 @@
 		if !att.overdue {
 			pla.blame(now, att, failedFactor, took, "failed")
 		}
+	case health.Erred:
+		if !att.overdue {
+			pla.blame(now, att, erredFactor, took, "erred")
+		}
 	case health.Unreachable:
 		pla.blame(now, att, unreachableFactor, 0, "unreachable")
 	case health.Shed, health.Canceled:
--- a/lugd/pkg/driver/reader.go
+++ b/lugd/pkg/driver/reader.go
@@ -39,6 +39,9 @@
 	Delete(ctx context.Context, name string, revision uint64) error
 }
 
+// kindConfig names the reading of the configuration in logs.
+const kindConfig = "config"
+
 const (
 	// targetsWatch and fleetWatch are how long the platform is asked to wait for
 	// a change. What a watch returns is known to be the newest only at the time
@@ -47,6 +50,12 @@
 	fleetWatch   = time.Second
 	// answerTime is how long an answer may take beyond that.
 	answerTime = 800 * time.Millisecond
+	// settleTime is how long a VM that has listed the objects looks for another
+	// VM to follow before it watches them itself.
+	settleTime = 300 * time.Millisecond
+	// gatherTime is the least time between two watches of a kind that changes
+	// often, so that changes in quick succession take one.
+	gatherTime = 250 * time.Millisecond
 	// listTime bounds a listing.
 	listTime = 2 * time.Second
 	// firstPause and lastPause bound the pause after a failed read.
@@ -67,7 +76,7 @@
 	dri.stopReading = cancel
 	held := dri.mac.Held()
 	dri.work.Go(func() {
-		read(ctx, dri, "config", dri.platform.Config(), dri.config, feed.WatchTime, func(asked clock.Instant, del table.Delta[*gateway.Config]) {
+		read(ctx, dri, kindConfig, dri.platform.Config(), dri.config, feed.WatchTime, func(asked clock.Instant, del table.Delta[*gateway.Config]) {
 			dri.tookConfig(asked, del)
 		})
 	})
@@ -126,6 +135,12 @@
 		}
 		pause, lost = firstPause, false
 		take(asked, del)
+		switch {
+		case since == 0:
+			sleep(ctx, settleTime)
+		case kind != kindConfig:
+			sleep(ctx, gatherTime-dri.clock.Now().Since(asked))
+		}
 		since = del.Revision
 	}
 }
--- a/lugd/pkg/http1/session.go
+++ b/lugd/pkg/http1/session.go
@@ -202,7 +202,7 @@
 	case ans.Shed || ans.Stranger:
 		return health.Shed
 	case ans.Status >= http.StatusInternalServerError:
-		return health.Failure
+		return health.Erred
 	}
 	return health.Success
 }
