Test the connections of callers, and write the platform's stand-in anew

Cause: the caller's side and the platform's protocol had no test without the bench. lugbench/storefake speaks the store's protocol with its faults; scripts and a fuzz test drive lugd/http1.

--- /dev/null
+++ b/lugbench/pkg/storefake/server.go
@@ -0,0 +1,284 @@
+package storefake
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// ServeHTTP answers one call as the faults have it.
+func (sto *Store) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
+	fls := sto.meet(req)
+	switch {
+	case fls.Silent:
+		<-req.Context().Done()
+		panic(http.ErrAbortHandler)
+	case fls.Reset:
+		panic(http.ErrAbortHandler)
+	case fls.Status != 0:
+		wrt.WriteHeader(fls.Status)
+		return
+	}
+	if fls.Delay > 0 {
+		select {
+		case <-time.After(fls.Delay):
+		case <-req.Context().Done():
+		}
+	}
+	if req.Method == http.MethodGet {
+		sto.mux.ServeHTTP(wrt, req)
+		return
+	}
+	sto.write(wrt, req)
+}
+
+// meet counts a call and returns the faults that it meets.
+func (sto *Store) meet(req *http.Request) Faults {
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	sto.calls[req.Method]++
+	if sto.faults.Only != nil && !sto.faults.Only(req.RemoteAddr) {
+		return Faults{}
+	}
+	return sto.faults
+}
+
+// write carries out a write, whose answer may be lost, and which may be late.
+func (sto *Store) write(wrt http.ResponseWriter, req *http.Request) {
+	sto.mut.Lock()
+	lose, late, wait := sto.faults.LoseAnswers > 0, sto.faults.LateWrites > 0, sto.faults.LateTime
+	switch {
+	case lose:
+		sto.faults.LoseAnswers--
+	case late:
+		sto.faults.LateWrites--
+	}
+	sto.mut.Unlock()
+	switch {
+	case lose:
+		sto.mux.ServeHTTP(&discarded{header: make(http.Header)}, req)
+		panic(http.ErrAbortHandler)
+	case late:
+		body := new(bytes.Buffer)
+		if _, err := body.ReadFrom(req.Body); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		again := req.Clone(req.Context())
+		again.Body = http.NoBody
+		if body.Len() > 0 {
+			again.Body = readCloser{bytes.NewReader(body.Bytes())}
+		}
+		time.AfterFunc(wait, func() { sto.mux.ServeHTTP(&discarded{header: make(http.Header)}, again) })
+		panic(http.ErrAbortHandler)
+	}
+	sto.mux.ServeHTTP(wrt, req)
+}
+
+type readCloser struct{ *bytes.Reader }
+
+func (readCloser) Close() error { return nil }
+
+// discarded is an answer that nobody gets.
+type discarded struct{ header http.Header }
+
+func (dis *discarded) Header() http.Header           { return dis.header }
+func (dis *discarded) Write(buf []byte) (int, error) { return len(buf), nil }
+func (dis *discarded) WriteHeader(int)               {}
+
+func answer(wrt http.ResponseWriter, status int, body any) {
+	wrt.Header().Set("Content-Type", "application/json")
+	wrt.WriteHeader(status)
+	if err := json.NewEncoder(wrt).Encode(body); err != nil {
+		panic(http.ErrAbortHandler) // The caller is gone.
+	}
+}
+
+// listing is one page of objects.
+type listing struct {
+	Items    []object `json:"items"`
+	More     bool     `json:"hasMore"`
+	Revision uint64   `json:"storeRevision"`
+}
+
+func (sto *Store) list(wrt http.ResponseWriter, req *http.Request) {
+	kind := req.PathValue("kind")
+	if req.URL.Query().Has("watch") {
+		sto.watch(wrt, req, kind)
+		return
+	}
+	sto.mut.Lock()
+	page := listing{Items: []object{}, Revision: sto.revision}
+	for _, name := range slices.Sorted(maps.Keys(sto.objects[kind])) {
+		if name <= req.URL.Query().Get("after") {
+			continue
+		}
+		if len(page.Items) == pageSize {
+			page.More = true
+			break
+		}
+		page.Items = append(page.Items, sto.objects[kind][name])
+	}
+	sto.mut.Unlock()
+	answer(wrt, http.StatusOK, page)
+}
+
+type event struct {
+	Object  object `json:"object"`
+	Deleted bool   `json:"deleted"`
+}
+
+type events struct {
+	Events   []event `json:"events"`
+	Revision uint64  `json:"storeRevision"`
+}
+
+// watch answers as soon as there is an event, or when the wait is over.
+func (sto *Store) watch(wrt http.ResponseWriter, req *http.Request, kind string) {
+	since, err := strconv.ParseUint(req.URL.Query().Get("watch"), 10, 64)
+	if err != nil {
+		wrt.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, err := strconv.Atoi(req.URL.Query().Get("waitMs"))
+	if err != nil {
+		wait = 0
+	}
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		sto.mut.Lock()
+		evs, gone, changed := sto.since(kind, since), since < sto.dropped, sto.changed
+		sto.mut.Unlock()
+		if gone {
+			wrt.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(evs.Events) > 0 {
+			answer(wrt, http.StatusOK, evs)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			answer(wrt, http.StatusOK, evs)
+			return
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
+
+func (sto *Store) since(kind string, revision uint64) events {
+	evs := events{Events: []event{}, Revision: sto.revision}
+	if sto.faults.DeafWatches {
+		return evs
+	}
+	for _, chg := range sto.history {
+		if chg.kind == kind && chg.revision > revision {
+			evs.Events = append(evs.Events, event{Object: chg.object, Deleted: chg.deleted})
+		}
+	}
+	return evs
+}
+
+func (sto *Store) get(wrt http.ResponseWriter, req *http.Request) {
+	sto.mut.Lock()
+	obj, found := sto.objects[req.PathValue("kind")][req.PathValue("name")]
+	sto.mut.Unlock()
+	if !found {
+		wrt.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(wrt, http.StatusOK, obj)
+}
+
+func (sto *Store) create(wrt http.ResponseWriter, req *http.Request) {
+	var obj object
+	if err := json.NewDecoder(req.Body).Decode(&obj); err != nil || obj.Metadata.Name == "" {
+		wrt.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	kind := req.PathValue("kind")
+	sto.mut.Lock()
+	old, found := sto.objects[kind][obj.Metadata.Name]
+	if !found {
+		old = sto.store(kind, object{Metadata: meta{Name: obj.Metadata.Name, Finalizers: obj.Metadata.Finalizers}, Spec: obj.Spec})
+	}
+	sto.mut.Unlock()
+	if found {
+		answer(wrt, http.StatusConflict, old)
+		return
+	}
+	answer(wrt, http.StatusCreated, old)
+}
+
+// change applies a change to an object that has the given revision, if one is
+// given.
+func (sto *Store) change(wrt http.ResponseWriter, req *http.Request, revision uint64, apply func(kind string, obj object) object) {
+	kind, name := req.PathValue("kind"), req.PathValue("name")
+	sto.mut.Lock()
+	obj, found := sto.objects[kind][name]
+	conflict := found && revision != 0 && revision != obj.Metadata.Revision
+	if found && !conflict {
+		obj = apply(kind, obj)
+	}
+	sto.mut.Unlock()
+	switch {
+	case !found:
+		wrt.WriteHeader(http.StatusNotFound)
+	case conflict:
+		answer(wrt, http.StatusConflict, obj)
+	default:
+		answer(wrt, http.StatusOK, obj)
+	}
+}
+
+func (sto *Store) replace(wrt http.ResponseWriter, req *http.Request) {
+	var sent object
+	if err := json.NewDecoder(req.Body).Decode(&sent); err != nil {
+		wrt.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	sto.change(wrt, req, sent.Metadata.Revision, func(kind string, obj object) object {
+		if bytes.Equal(obj.Spec, sent.Spec) && slices.Equal(obj.Metadata.Finalizers, sent.Metadata.Finalizers) {
+			return obj
+		}
+		obj.Spec, obj.Metadata.Finalizers = sent.Spec, sent.Metadata.Finalizers
+		if obj.Metadata.Deleting && len(obj.Metadata.Finalizers) == 0 {
+			sto.drop(kind, obj.Metadata.Name)
+			return obj
+		}
+		return sto.store(kind, obj)
+	})
+}
+
+func (sto *Store) setStatus(wrt http.ResponseWriter, req *http.Request) {
+	var sent object
+	if err := json.NewDecoder(req.Body).Decode(&sent); err != nil {
+		wrt.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	sto.change(wrt, req, sent.Metadata.Revision, func(kind string, obj object) object {
+		obj.Status = sent.Status
+		return sto.store(kind, obj)
+	})
+}
+
+func (sto *Store) remove(wrt http.ResponseWriter, req *http.Request) {
+	revision, err := strconv.ParseUint(req.URL.Query().Get("revision"), 10, 64)
+	if err != nil {
+		revision = 0
+	}
+	sto.change(wrt, req, revision, func(kind string, obj object) object {
+		if len(obj.Metadata.Finalizers) > 0 {
+			obj.Metadata.Deleting = true
+			return sto.store(kind, obj)
+		}
+		sto.drop(kind, obj.Metadata.Name)
+		return obj
+	})
+}
--- /dev/null
+++ b/lugd/pkg/http1/server_test.go
@@ -0,0 +1,333 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/sirupsen/logrus"
+
+	"marigoldlug.example/core/gateway"
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/request"
+	"marigoldlug.example/core/verdict"
+	"marigoldlug.example/lugd/pkg/header"
+	"marigoldlug.example/lugd/pkg/target"
+)
+
+func names() header.Names {
+	return header.Names{Request: "Request-Id", Timeout: "Timeout-Ms", TimeoutUnit: time.Millisecond, Organisation: "Organisation", NotRun: "Not-Run", ExpectTarget: "Expect"}
+}
+
+// fakes decide on requests by their paths and play the targets.
+type fakes struct {
+	mut   sync.Mutex
+	next  request.ID
+	waits map[request.ID]chan gateway.Action
+	// seen has the requests that reached a target, in their order.
+	seen []string
+	left []request.ID
+}
+
+// Begin dispatches every request but those below /refuse.
+func (fks *fakes) Begin(req request.Request) (request.ID, <-chan gateway.Action) {
+	fks.mut.Lock()
+	defer fks.mut.Unlock()
+	fks.next++
+	wai := make(chan gateway.Action, 8)
+	fks.waits[fks.next] = wai
+	if strings.HasPrefix(req.Path, "/refuse") {
+		wai <- gateway.Refuse{Request: fks.next, Refusal: request.Refusal{Reason: request.Overloaded, RetryAfter: 1500 * time.Millisecond}}
+	} else {
+		wai <- gateway.Dispatch{Request: fks.next, Attempt: 1, Timeout: 3 * time.Second, Organisation: "studio"}
+	}
+	return fks.next, wai
+}
+
+// Step relays what was answered, and refuses what failed.
+func (fks *fakes) Step(evt gateway.Event) {
+	fks.mut.Lock()
+	defer fks.mut.Unlock()
+	switch evt := evt.(type) {
+	case gateway.Answered:
+		fks.waits[evt.Request] <- gateway.Relay{Request: evt.Request, Attempt: evt.Attempt}
+	case gateway.AttemptFailed:
+		fks.waits[evt.Request] <- gateway.Refuse{Request: evt.Request, Refusal: request.Refusal{Reason: request.TargetFailed, Verdict: evt.Verdict}}
+	case gateway.CallerLeft:
+		fks.left = append(fks.left, evt.Request)
+	}
+}
+
+func (fks *fakes) End(id request.ID) {
+	fks.mut.Lock()
+	defer fks.mut.Unlock()
+	delete(fks.waits, id)
+}
+
+func (*fakes) Request(string, string, time.Duration, time.Duration) {}
+func (*fakes) Attempt(string, health.Outcome)                      {}
+
+// brokenBody ends before its length.
+type brokenBody struct{ io.Reader }
+
+func (brokenBody) Read([]byte) (int, error) { return 0, errors.New("cut") }
+func (brokenBody) Close() error             { return nil }
+
+// Send plays the target that the path of a request describes.
+func (fks *fakes) Send(ctx context.Context, _ target.Call, req *http.Request) (*target.Answer, *target.Error) {
+	body := ""
+	if req.Body != nil {
+		raw, err := io.ReadAll(req.Body)
+		if err != nil {
+			return nil, &target.Error{Verdict: verdict.MayHaveRun, Err: err}
+		}
+		body = string(raw)
+	}
+	fks.mut.Lock()
+	fks.seen = append(fks.seen, fmt.Sprintf("%s %s %q key=%q organisation=%q", req.Method, req.URL.RequestURI(), body, req.Header.Get("Authorization"), req.Header.Get("Organisation")))
+	fks.mut.Unlock()
+	pause := time.Duration(0)
+	switch {
+	case strings.HasPrefix(req.URL.Path, "/slow"):
+		pause = 200 * time.Millisecond
+	case strings.HasPrefix(req.URL.Path, "/hang"):
+		pause = time.Minute
+	case strings.HasPrefix(req.URL.Path, "/fail"):
+		return nil, &target.Error{Verdict: verdict.MayHaveRun, Err: errors.New("reset")}
+	}
+	select {
+	case <-time.After(pause):
+	case <-ctx.Done():
+		return nil, &target.Error{Verdict: verdict.MayHaveRun, Outcome: health.Canceled, Err: ctx.Err()}
+	}
+	held := []byte("answer to " + req.URL.Path)
+	rsp := &http.Response{StatusCode: 200, Header: http.Header{"Keep-Alive": {"timeout=5"}}, Body: io.NopCloser(strings.NewReader("")), ContentLength: int64(len(held))}
+	if strings.HasPrefix(req.URL.Path, "/cut") {
+		rsp.ContentLength = 1000
+		rsp.Body = brokenBody{}
+		return target.NewAnswer(rsp, held, false), nil
+	}
+	return target.NewAnswer(rsp, held, true), nil
+}
+
+type fixture struct {
+	srv *Server
+	lis net.Listener
+	fks *fakes
+	con net.Conn
+	src *bufio.Reader
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	fks := &fakes{waits: make(map[request.ID]chan gateway.Action)}
+	srv := New(Settings{
+		HeaderBytes: 4 << 10, BodyBytes: 1 << 10, HeaderTimeout: 150 * time.Millisecond, IdleTimeout: time.Second,
+		BodyTimeout: 150 * time.Millisecond, Memory: 1 << 20,
+	}, names(), fks, fks, fks, log)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = srv.Serve(lis) }()
+	fix := &fixture{srv: srv, lis: lis, fks: fks}
+	t.Cleanup(func() {
+		_ = lis.Close()
+		if fix.con != nil {
+			_ = fix.con.Close()
+		}
+	})
+	return fix
+}
+
+func (fix *fixture) connect(t *testing.T) {
+	t.Helper()
+	if fix.con != nil {
+		_ = fix.con.Close()
+	}
+	con, err := net.Dial("tcp", fix.lis.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	fix.con, fix.src = con, bufio.NewReader(con)
+}
+
+// read returns the next answers, up to the end of the connection or cnt.
+func (fix *fixture) read(cnt int) string {
+	var out strings.Builder
+	for range cnt {
+		_ = fix.con.SetReadDeadline(time.Now().Add(2 * time.Second))
+		rsp, err := http.ReadResponse(fix.src, nil)
+		if err != nil {
+			fmt.Fprintln(&out, "no answer")
+			break
+		}
+		body, err := io.ReadAll(rsp.Body)
+		line := fmt.Sprint(rsp.StatusCode)
+		if after := rsp.Header.Get("Retry-After"); after != "" {
+			line += " retry after " + after
+		}
+		if rsp.StatusCode == 200 {
+			line += fmt.Sprintf(" %q", body)
+		}
+		if err != nil {
+			line += " cut"
+		}
+		if rsp.Close {
+			line += " close"
+		}
+		fmt.Fprintln(&out, line)
+	}
+	return out.String()
+}
+
+// TestConnections runs the scripts in testdata. "send" writes its input to a
+// new connection, with line ends of HTTP, and prints answers=N answers; "more"
+// writes to the same one. "seen" prints what reached targets, "stop" begins a
+// planned stop, "leave" closes the connection, "left" prints how many requests
+// were given up by their callers.
+func TestConnections(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		fix := newFixture(t)
+		datadriven.RunTest(t, path, func(t *testing.T, dat *datadriven.TestData) string {
+			answers := 1
+			if dat.HasArg("answers") {
+				dat.ScanArgs(t, "answers", &answers)
+			}
+			switch dat.Cmd {
+			case "send", "more":
+				if dat.Cmd == "send" {
+					fix.connect(t)
+				}
+				txt := strings.ReplaceAll(dat.Input, "\n", "\r\n")
+				txt = strings.ReplaceAll(txt, "<long>", strings.Repeat("x", 5000))
+				txt = strings.ReplaceAll(txt, "<end>", "\r\n")
+				if _, err := io.WriteString(fix.con, txt); err != nil {
+					return err.Error()
+				}
+				if answers == 0 {
+					time.Sleep(200 * time.Millisecond) // Lets the requests reach their targets.
+				}
+				return fix.read(answers)
+			case "seen":
+				fix.fks.mut.Lock()
+				defer fix.fks.mut.Unlock()
+				slices.Sort(fix.fks.seen)
+				out := strings.Join(fix.fks.seen, "\n") + "\n"
+				fix.fks.seen = nil
+				return out
+			case "stop":
+				fix.srv.Stop()
+				return ""
+			case "leave":
+				_ = fix.con.Close()
+				return ""
+			case "left":
+				time.Sleep(100 * time.Millisecond)
+				fix.fks.mut.Lock()
+				defer fix.fks.mut.Unlock()
+				return fmt.Sprintln(len(fix.fks.left))
+			}
+			t.Fatalf("command %q does not exist", dat.Cmd)
+			return ""
+		})
+	})
+}
+
+// TestPipelinedRequestsRunTogether sends four requests that take 200 ms each.
+func TestPipelinedRequestsRunTogether(t *testing.T) {
+	fix := newFixture(t)
+	fix.connect(t)
+	began := time.Now()
+	for num := range 4 {
+		if _, err := fmt.Fprintf(fix.con, "GET /slow/%d HTTP/1.1\r\nHost: h\r\n\r\n", num); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want := ""
+	for num := range 4 {
+		want += fmt.Sprintf("200 \"answer to /slow/%d\"\n", num)
+	}
+	if got := fix.read(4); got != want {
+		t.Errorf("got %q", got)
+	}
+	if took := time.Since(began); took > 600*time.Millisecond {
+		t.Errorf("four requests at a time took %v", took)
+	}
+}
+
+// TestDrainCutsNothing stops the server while requests are under way and
+// connections are idle.
+func TestDrainCutsNothing(t *testing.T) {
+	fix := newFixture(t)
+	var wgr sync.WaitGroup
+	results := make(chan string, 20)
+	for num := range 20 {
+		wgr.Go(func() {
+			con, err := net.Dial("tcp", fix.lis.Addr().String())
+			if err != nil {
+				results <- err.Error()
+				return
+			}
+			defer func() { _ = con.Close() }()
+			own := &fixture{con: con, src: bufio.NewReader(con)}
+			if num%2 == 0 {
+				results <- "" // An idle connection.
+				time.Sleep(400 * time.Millisecond)
+				return
+			}
+			_, _ = fmt.Fprintf(con, "GET /slow/%d HTTP/1.1\r\nHost: h\r\n\r\n", num)
+			results <- own.read(1)
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	fix.srv.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if !fix.srv.Drain(ctx) {
+		t.Error("connections are left")
+	}
+	wgr.Wait()
+	close(results)
+	for res := range results {
+		if res != "" && (!strings.HasPrefix(res, "200 ") || !strings.HasSuffix(res, "close\n")) {
+			t.Errorf("got %q", res)
+		}
+	}
+}
+
+// FuzzRequests sends arbitrary bytes; whatever they are, the server answers or
+// closes, and serves the next caller.
+func FuzzRequests(f *testing.F) {
+	for _, one := range []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n", "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab", "\x00\xff\r\n\r\n", "GET / HTTP/1.1\nHost: h\n\n"} {
+		f.Add([]byte(one))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		fix := newFixture(t)
+		fix.connect(t)
+		if _, err := fix.con.Write(raw); err == nil {
+			_ = fix.con.(*net.TCPConn).CloseWrite()
+			_ = fix.con.SetReadDeadline(time.Now().Add(3 * time.Second))
+			if _, err := io.Copy(io.Discard, fix.con); err != nil && isTimeout(err) {
+				t.Fatalf("%q is neither answered nor closed", raw)
+			}
+		}
+		fix.connect(t)
+		_, _ = io.WriteString(fix.con, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+		if got := fix.read(1); got != "200 \"answer to /x\"\n" {
+			t.Fatalf("the next caller got %q", got)
+		}
+	})
+}
--- a/lugd/pkg/target/pool.go
+++ b/lugd/pkg/target/pool.go
@@ -361,3 +361,9 @@
 	}
 	return ans, nil
 }
+
+// NewAnswer returns an answer of which a part is held, and its whole where
+// whole is set.
+func NewAnswer(rsp *http.Response, held []byte, whole bool) *Answer {
+	return &Answer{Response: rsp, Held: held, whole: whole}
+}
