Write logs from a goroutine of their own, bounded, and keep the lines of requests that fail

Cause: a reader of the logs that stops reading would have held up the decisions, and nothing bounded the volume. Beyond half of log-lines a second the lines of a request are held and written only if it does not go well; what is dropped is counted and told.

--- a/lugd/pkg/driver/driver.go
+++ b/lugd/pkg/driver/driver.go
@@ -31,6 +31,7 @@
 // Driver owns the machine of one VM. It is safe for concurrent use.
 type Driver struct {
 	log      logrus.FieldLogger
+	journal  journal
 	platform Platform
 	clock    *Clock
 	// transport is set before Run.
@@ -55,13 +56,16 @@
 type wait struct {
 	label   string
 	actions chan gateway.Action
+	// notes are held back until it is known whether the request goes well.
+	notes []heldNote
 }
 
-// New returns a driver whose machine has the given settings. ctx ends the work
-// that the machine asks for.
-func New(ctx context.Context, set gateway.Settings, pla Platform, clk *Clock, log logrus.FieldLogger) *Driver {
+// New returns a driver whose machine has the given settings, and which writes
+// that many lines on decisions a second. ctx ends the work that the machine
+// asks for.
+func New(ctx context.Context, set gateway.Settings, pla Platform, clk *Clock, log logrus.FieldLogger, lines int) *Driver {
 	dri := &Driver{
-		log: log, platform: pla, clock: clk, ctx: ctx,
+		log: log, journal: journal{log: log, limit: lines}, platform: pla, clock: clk, ctx: ctx,
 		mac:   gateway.New(set, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		waits: make(map[request.ID]wait),
 	}
@@ -155,29 +159,11 @@
 
 // logNote writes a decision to the logs.
 func (dri *Driver) logNote(nte gateway.Note) {
-	fields := make(logrus.Fields, len(nte.Fields)/2+2)
-	for at := 0; at+1 < len(nte.Fields); at += 2 {
-		name, ok := nte.Fields[at].(string)
-		if ok {
-			fields[name] = plain(nte.Fields[at+1])
-		}
-	}
-	if nte.Request != 0 {
-		fields["request"] = dri.waits[nte.Request].label
-		fields["number"] = uint64(nte.Request)
-	}
-	dri.log.WithFields(fields).Info(nte.Event)
-}
-
-// plain returns a value as it is to be read in the logs.
-func plain(val any) any {
-	switch val := val.(type) {
-	case time.Duration:
-		return val.Round(100 * time.Microsecond).String()
-	case interface{ String() string }:
-		return val.String()
+	wai, found := dri.waits[nte.Request]
+	wai.notes = dri.journal.take(nte, wai.label, wai.notes)
+	if found {
+		dri.waits[nte.Request] = wai
 	}
-	return val
 }
 
 // Begin registers a request and returns its ID and the channel on which its
--- a/lugd/pkg/edge/command.go
+++ b/lugd/pkg/edge/command.go
@@ -17,7 +17,9 @@
 // environment variable fileVariable. It writes to out and logs to log.
 func Command(wir Wiring, fileVariable string, out, log io.Writer) *cli.Command {
 	run := func(ctx context.Context, set Settings, path string, args []string) error {
-		lgs, err := logflags.New(log, set.LogFormat, set.LogVerbose)
+		rng := logflags.NewRing(log)
+		defer rng.Close()
+		lgs, err := logflags.New(rng, set.LogFormat, set.LogVerbose)
 		if err != nil {
 			return err
 		}
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -92,7 +92,7 @@
 	dmn.cancel = cancel
 	dmn.driver = driver.New(work, gateway.Settings{
 		Name: set.Name, Self: dmn.self, Terms: terms(set),
-	}, wir.Connect(set.PlatformAddress, lgs.Logger(logflags.Platform)), driver.NewClock(), lgs.Logger(logflags.Machine))
+	}, wir.Connect(set.PlatformAddress, lgs.Logger(logflags.Platform)), driver.NewClock(), lgs.Logger(logflags.Machine), set.LogLinesPerSec)
 	dmn.transport = peer.New(dmn.self, dmn.listeners.peers, dmn.driver, lgs.Logger(logflags.Peer))
 	dmn.driver.SetTransport(dmn.transport)
 	dmn.pool = target.New(target.Settings{
@@ -189,12 +189,11 @@
 // take over settings that may change while it runs.
 func (dmn *Daemon) Run(ctx context.Context, reload <-chan Settings) error {
 	defer dmn.cancel()
-	var wgr sync.WaitGroup
-	wgr.Go(dmn.transport.Serve)
-	wgr.Go(dmn.driver.Run)
+	go dmn.transport.Serve()
+	go dmn.driver.Run()
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	wgr.Go(func() { dmn.maintain(work) })
+	go dmn.maintain(work)
 	failed := make(chan error, 3)
 	go func() { failed <- dmn.callers.Serve(dmn.listeners.callers) }()
 	go func() { failed <- dmn.ready.Serve(dmn.listeners.ready) }()
@@ -206,11 +205,28 @@
 	dmn.stop(work)
 	cancel()
 	dmn.cancel()
-	dmn.transport.Close()
+	dmn.closePeers()
 	dmn.log.WithField("vm", dmn.self.ID).Info("stopped")
 	return err
 }
 
+// closePeers ends the connections to other VMs. One that is cut off is not
+// waited for.
+func (dmn *Daemon) closePeers() {
+	done := make(chan struct{})
+	go func() {
+		dmn.transport.Close()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(peerCloseTime):
+	}
+}
+
+// peerCloseTime bounds the closing of the connections to other VMs.
+const peerCloseTime = 100 * time.Millisecond
+
 // serve waits for the end of ctx, or of a listener, and takes over settings.
 func (dmn *Daemon) serve(ctx context.Context, reload <-chan Settings, failed <-chan error) error {
 	for {
--- a/lugd/pkg/http1/server_test.go
+++ b/lugd/pkg/http1/server_test.go
@@ -75,7 +75,7 @@
 }
 
 func (*fakes) Request(string, string, time.Duration, time.Duration) {}
-func (*fakes) Attempt(string, health.Outcome)                      {}
+func (*fakes) Attempt(string, health.Outcome)                       {}
 
 // brokenBody ends before its length.
 type brokenBody struct{ io.Reader }
