--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -117,7 +117,7 @@
 	if mac.config == nil {
 		return nil, &request.Refusal{Reason: request.NoConfiguration, Detail: "this VM has no configuration yet", RetryAfter: usualReturn}
 	}
-	rou := mac.config.Snapshot.Route(req.Host, req.Path, req.Method)
+	rou := mac.config.Snapshot.Route(req.Host, req.Path)
 	if rou == nil {
 		return nil, &request.Refusal{Reason: request.NoRoute, Detail: "no route matches the host, path and method"}
 	}
@@ -170,9 +170,6 @@
 	if key == nil {
 		return &request.Refusal{Reason: request.UnknownKey, Detail: "the key is unknown or withdrawn"}
 	}
-	if !fli.route.Admits(key.Organisation) {
-		return &request.Refusal{Reason: request.NotAdmitted, Detail: "the route does not admit the organisation"}
-	}
 	fli.organisation = key.Organisation
 	if org := mac.config.Snapshot.Organisation(key.Organisation); org != nil && org.Priority != nil {
 		fli.priority = *org.Priority
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -297,6 +297,34 @@
 	return sta
 }
 
+// TargetStatus is what a VM knows of a target.
+type TargetStatus struct {
+	ID, Service, Address, FailureDomain string
+	Leaving                             bool
+	// Placer is the VM that places the requests to the target, and Sick the
+	// probability that it is sick by what this VM has heard.
+	Placer string
+	Sick   float64
+}
+
+// Targets returns the registered targets, sorted by ID.
+func (mac *Machine) Targets(now clock.Instant) []TargetStatus {
+	var out []TargetStatus
+	for _, row := range mac.registry.Rows() {
+		ent := row.Value
+		tgt := TargetStatus{ID: row.Name, Service: ent.Service, Address: ent.Address, FailureDomain: ent.FailureDomain, Leaving: ent.Leaving}
+		if svc := mac.services[ent.Service]; svc != nil {
+			par := svc.parts[partOf(row.Name, len(svc.parts))]
+			tgt.Placer, tgt.Sick = par.owner, par.local.Sick(now, row.Name)
+			if par.central != nil {
+				tgt.Sick = par.central.Sick(now, row.Name)
+			}
+		}
+		out = append(out, tgt)
+	}
+	return out
+}
+
 // Ready reports whether the VM may be sent callers: it knows a configuration
 // and the targets, and does not stop.
 func (mac *Machine) Ready() bool {
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/bits"
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -72,7 +71,7 @@
 	if svc == nil || len(svc.parts) != cnt {
 		svc = &service{name: name}
 		for num := range cnt {
-			svc.parts = append(svc.parts, &part{service: name, number: num, local: placement.New(mac.source(), mac.ownRetries(now))})
+			svc.parts = append(svc.parts, &part{service: name, number: num, local: placement.New(mac.rnd, mac.ownRetries(now))})
 		}
 		mac.services[name] = svc
 	}
@@ -91,11 +90,6 @@
 	}
 }
 
-// source returns a source of random numbers of its own.
-func (mac *Machine) source() *rand.Rand {
-	return rand.New(rand.NewPCG(mac.rnd.Uint64(), mac.rnd.Uint64()))
-}
-
 // ownRetries returns the retries that this VM may spend by itself.
 func (mac *Machine) ownRetries(now clock.Instant) *request.Window {
 	trm := mac.set.Terms
@@ -153,7 +147,7 @@
 // centralOf returns the placer that this VM keeps for the fleet.
 func (mac *Machine) centralOf(now clock.Instant, par *part) *placement.Placer {
 	if par.central == nil {
-		par.central = placement.New(mac.source(), mac.placerRetries(now, len(mac.services[par.service].parts)))
+		par.central = placement.New(mac.rnd, mac.placerRetries(now, len(mac.services[par.service].parts)))
 		par.central.SetTargets(now, par.targets)
 	}
 	return par.central
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -19,10 +19,7 @@
 	FailureDomain string
 }
 
-// spreadFactor is how many times as many VMs as wanted Spread looks at.
-const spreadFactor = 4
-
-// View is an agreed list of VMs. It is immutable.
+// View is a list of VMs. It is immutable.
 type View struct {
 	epoch uint64
 	// vms is sorted by ID and has no two VMs with the same ID.
@@ -37,7 +34,7 @@
 	return View{epoch: epoch, vms: sorted}
 }
 
-// Epoch returns the number of the view: the version of the head that brought it.
+// Epoch returns the number of the view: the revision of the list it was read from.
 func (vie View) Epoch() uint64 { return vie.epoch }
 
 // VMs returns the members sorted by ID, which must not be changed.
@@ -46,9 +43,6 @@
 // Size returns the number of members.
 func (vie View) Size() int { return len(vie.vms) }
 
-// Majority returns the least number of members that is more than half.
-func (vie View) Majority() int { return len(vie.vms)/2 + 1 }
-
 // VM returns the member with the given ID.
 func (vie View) VM(id string) (VM, bool) {
 	idx, found := slices.BinarySearchFunc(vie.vms, id, func(vmm VM, id string) int { return cmp.Compare(vmm.ID, id) })
@@ -58,12 +52,6 @@
 	return vie.vms[idx], true
 }
 
-// With returns the view of a later epoch with some VMs added and some removed.
-func (vie View) With(epoch uint64, added []VM, removed []string) View {
-	vms := slices.DeleteFunc(slices.Clone(vie.vms), func(vmm VM) bool { return slices.Contains(removed, vmm.ID) })
-	return NewView(epoch, append(vms, added...))
-}
-
 // Ranked returns the cnt members that rendezvous hashing puts first for a
 // duty, the first of them first. Members of other duties are spread evenly and
 // a change of the view moves only the duties of the VMs that came or went.
@@ -71,26 +59,6 @@
 	return Ranked(vie.vms, duty, cnt)
 }
 
-// Spread returns cnt members as Ranked does, but takes the next of a failure
-// domain only after those of all others, so that few are lost together.
-func (vie View) Spread(duty string, cnt int) []VM {
-	if cnt <= 1 {
-		return vie.Ranked(duty, cnt)
-	}
-	ranked := vie.Ranked(duty, cnt*spreadFactor)
-	taken := make(map[string]int)
-	out := make([]VM, 0, cnt)
-	for round := 0; len(out) < min(cnt, len(ranked)); round++ {
-		for _, vmm := range ranked {
-			if len(out) < cnt && taken[vmm.FailureDomain] == round && !slices.Contains(out, vmm) {
-				taken[vmm.FailureDomain]++
-				out = append(out, vmm)
-			}
-		}
-	}
-	return out
-}
-
 // Domain returns the members in one failure domain.
 func (vie View) Domain(domain string) []VM {
 	var out []VM
--- a/core/note/diff.go
+++ b/core/note/diff.go
@@ -25,8 +25,7 @@
 	out = appendDiff(out, organisationKind, one.organisations, two.organisations)
 	out = appendDiff(out, keyKind, one.keys, two.keys)
 	out = appendDiff(out, routeKind, one.routes, two.routes)
-	out = appendDiff(out, serviceKind, one.services, two.services)
-	return appendDiff(out, targetKind, one.targets, two.targets)
+	return appendDiff(out, serviceKind, one.services, two.services)
 }
 
 func appendDiff[T any](out []Difference, knd kind[T], before, after map[string]T) []Difference {
--- a/core/note/note.go
+++ b/core/note/note.go
@@ -14,7 +14,6 @@
 	keys          []patch[config.Key]
 	routes        []patch[config.Route]
 	services      []patch[config.Service]
-	targets       []patch[target]
 }
 
 type withdrawals struct {
@@ -22,7 +21,6 @@
 	keys          []string
 	routes        []string
 	services      []string
-	targets       []string
 }
 
 // Note is a release note that was read without faults.
@@ -97,8 +95,6 @@
 			chg.routes = routeKind.read(rdr, prr.value, at, complete)
 		case serviceKind.name:
 			chg.services = serviceKind.read(rdr, prr.value, at, complete)
-		case targetKind.name:
-			chg.targets = targetKind.read(rdr, prr.value, at, complete)
 		default:
 			rdr.fail(prr.at, at, "is not a kind of object")
 		}
@@ -118,18 +114,8 @@
 			wdr.routes = rdr.names(prr.value, at)
 		case serviceKind.name:
 			wdr.services = rdr.names(prr.value, at)
-		case targetKind.name:
-			wdr.targets = rdr.targetNames(prr.value, at)
 		default:
 			rdr.fail(prr.at, at, "is not a kind of object")
 		}
 	}
 }
-
-func (rdr *reader) targetNames(nod *yaml.Node, path string) []string {
-	var out []string
-	for _, itm := range rdr.items(nod, path) {
-		out = append(out, rdr.text(itm, path))
-	}
-	return rdr.sorted(nod, path, out)
-}
--- a/core/note/render.go
+++ b/core/note/render.go
@@ -8,8 +8,8 @@
 	"marigoldlug.example/core/config"
 )
 
-// listFields are the fields whose values are lists.
-var listFields = map[string]bool{"methods": true, "organisations": true}
+// tableFields are the fields whose values are tables.
+var tableFields = map[string]bool{"split": true}
 
 // Render returns a configuration in the form of the added section of a note.
 func Render(con config.Content) string {
@@ -19,7 +19,6 @@
 	render(&bld, organisationKind, sortedValues(obs.organisations))
 	render(&bld, keyKind, sortedValues(obs.keys))
 	render(&bld, serviceKind, sortedValues(obs.services))
-	render(&bld, targetKind, sortedValues(obs.targets))
 	render(&bld, routeKind, sortedValues(obs.routes))
 	return bld.String()
 }
@@ -33,8 +32,11 @@
 		var parts []string
 		for _, fld := range knd.fields {
 			val := strconv.Quote(fld.show(obj))
-			if listFields[fld.name] {
-				val = "[" + fld.show(obj) + "]"
+			if fld.show(obj) == "" && !fld.required {
+				continue
+			}
+			if tableFields[fld.name] {
+				val = "{" + fld.show(obj) + "}"
 			}
 			parts = append(parts, fld.name+": "+val)
 		}
@@ -44,7 +46,7 @@
 
 // KeyNote returns a note that adds one key.
 func KeyNote(release string, base uint64, key config.Key) string {
-	return fmt.Sprintf("release: %q\nbase: %d\n%s", release, base, Render(config.Content{Keys: []config.Key{key}}))
+	return fmt.Sprintf("release: %q\nbase: %d\nadded:\n  keys: [{organisation: %q, secret: %q}]\n", release, base, key.Organisation, key.Secret)
 }
 
 // WithdrawKeyNote returns a note that withdraws one key.
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -433,6 +433,14 @@
 	}
 }
 
+// Sick returns the probability that the target with an ID is sick.
+func (pla *Placer) Sick(now clock.Instant, id string) float64 {
+	if tgt := pla.target(id); tgt != nil {
+		return pla.sick(now, tgt)
+	}
+	return 0
+}
+
 // Suspected lists the targets that are believed to be sick.
 func (pla *Placer) Suspected(now clock.Instant) []string {
 	var out []string
--- a/core/rate/limit.go
+++ b/core/rate/limit.go
@@ -1,5 +1,5 @@
-// Package rate divides the rate and burst of organisations among the VMs of
-// the fleet without ever admitting more than the whole.
+// Package rate counts requests and the rates at which organisations may make
+// them, in whole numbers.
 package rate
 
 import (
@@ -50,15 +50,16 @@
 	return Tokens(min(quo, 1<<62)), rest
 }
 
-// scale returns val × num ÷ den rounded down, for 0 ≤ num ≤ den.
-func scale(val, num, den int64) int64 {
-	if val <= 0 || num <= 0 || den <= 0 {
-		return 0
+const maxWait = time.Minute
+
+// Wait returns how long a rate takes to yield some tokens, up to a bound.
+func Wait(per PerSecond, need Tokens) time.Duration {
+	if per <= 0 {
+		return maxWait
 	}
-	if num >= den {
-		return val
+	sec := float64(need) / float64(per)
+	if sec >= maxWait.Seconds() {
+		return maxWait
 	}
-	hig, low := bits.Mul64(uint64(val), uint64(num))
-	quo, _ := bits.Div64(hig, low, uint64(den))
-	return int64(quo)
+	return time.Duration(sec * float64(time.Second))
 }
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -68,6 +68,9 @@
 // Since returns what a reader at the given revision lacks.
 func (reg *Registry) Since(revision uint64) table.Delta[Entry] { return reg.entries.Since(revision) }
 
+// Rows returns the entries sorted by name.
+func (reg *Registry) Rows() []table.Row[Entry] { return reg.entries.Rows() }
+
 // Len returns the number of entries.
 func (reg *Registry) Len() int { return reg.entries.Len() }
 
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -37,12 +37,10 @@
 	NoKey           Reason = "noKey"
 	ManyKeys        Reason = "manyKeys"
 	UnknownKey      Reason = "unknownKey"
-	NotAdmitted     Reason = "notAdmitted"
 	LeaseLapsed     Reason = "leaseLapsed"
 	RateExceeded    Reason = "rateExceeded"
 	NoTarget        Reason = "noTarget"
 	Overloaded      Reason = "overloaded"
-	Stopping        Reason = "stopping"
 	TargetFailed    Reason = "targetFailed"
 	TimedOut        Reason = "timedOut"
 	Malformed       Reason = "malformed"
@@ -57,12 +55,10 @@
 	NoKey:           401,
 	ManyKeys:        400,
 	UnknownKey:      401,
-	NotAdmitted:     403,
 	LeaseLapsed:     503,
 	RateExceeded:    429,
 	NoTarget:        503,
 	Overloaded:      503,
-	Stopping:        503,
 	TargetFailed:    502,
 	TimedOut:        504,
 	Malformed:       400,
--- /dev/null
+++ b/lugbench/pkg/playground/playground.go
@@ -0,0 +1,254 @@
+// Package playground runs a store, targets and VMs of the fleet in one process
+// on loopback.
+package playground
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldlug.example/core/config"
+	"marigoldlug.example/lugbench/pkg/storefake"
+	"marigoldlug.example/lugbench/pkg/targetfake"
+	"marigoldlug.example/lugctl/pkg/release"
+	"marigoldlug.example/lugd/pkg/driver"
+	"marigoldlug.example/lugd/pkg/edge"
+	"marigoldlug.example/lugd/pkg/logflags"
+	"marigoldlug.example/platform/pkg/objects"
+)
+
+// Key is the key of the organisation studio.
+const Key = "studio-key-0123456789"
+
+// Note is the first release note: a service with reads and orders.
+const Note = `release: first
+base: 0
+added:
+  organisations: [{name: studio, rate: 500, burst: 500}]
+  keys: [{organisation: studio, secret: ` + Key + `}]
+  services: [{name: recipes, healthPath: /health, connections: 300}]
+  routes:
+    - {name: reads, pathPrefix: /recipes/, service: recipes, idempotent: true, timeout: 2s, targetLatency: 500ms, maxAttempts: 2}
+    - {name: orders, pathPrefix: /orders/, service: recipes, idempotent: false, timeout: 2s, targetLatency: 500ms}
+`
+
+// Settings say what is run.
+type Settings struct {
+	VMs     int
+	Targets int
+	Latency time.Duration
+	Log     io.Writer
+}
+
+// Playground is a small fleet with its surroundings.
+type Playground struct {
+	Store    *storefake.Store
+	Targets  []*targetfake.Target
+	Releases *release.Applier
+	// Callers has the addresses at which VMs serve callers, Operators those at
+	// which they serve operators.
+	Callers, Operators []string
+	closers            []func()
+}
+
+// Start runs the store and the targets, applies the first note and starts VMs
+// until ctx ends.
+func Start(ctx context.Context, set Settings) (*Playground, error) {
+	pgr := &Playground{Store: storefake.New()}
+	address, err := pgr.serve(pgr.Store)
+	if err != nil {
+		return nil, err
+	}
+	for num := range set.Targets {
+		tgt := targetfake.New(fmt.Sprintf("worker-%d", num+1), "recipes", domain(num), 3, objects.Names(), pgr.Store)
+		tgt.SetFaults(targetfake.Faults{Latency: set.Latency})
+		at, err := pgr.serve(tgt)
+		if err != nil {
+			return nil, err
+		}
+		if err := tgt.Register(at, false); err != nil {
+			return nil, err
+		}
+		pgr.Targets = append(pgr.Targets, tgt)
+	}
+	log := logrus.New()
+	log.SetOutput(set.Log)
+	pgr.Releases = release.New(objects.NewReleases(objects.New(address, log)), time.Now)
+	if _, err := pgr.Releases.Apply(ctx, []byte(Note), "playground"); err != nil {
+		return nil, err
+	}
+	for num := range set.VMs {
+		if err := pgr.startVM(ctx, num, address, set.Log); err != nil {
+			return nil, err
+		}
+	}
+	return pgr, nil
+}
+
+func domain(num int) string { return fmt.Sprintf("domain-%d", num%3+1) }
+
+// serve runs a handler at an address of its own, and returns that.
+func (pgr *Playground) serve(han http.Handler) (string, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	srv := &http.Server{Handler: han, ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(lis) }() // Serve always ends with the error of Close.
+	pgr.closers = append(pgr.closers, func() { _ = srv.Close() })
+	return lis.Addr().String(), nil
+}
+
+// The ports of VMs lie below those that the system gives to outgoing
+// connections, which could else take the port of a VM that is being restarted.
+// Each program takes them from a range of its own.
+const (
+	lowestPort  = 12000
+	portRange   = 20000
+	portsEach   = 200
+	portRetries = 50
+)
+
+// nextPort counts the ports given out.
+var nextPort atomic.Int64
+
+// FreeAddress returns an address on loopback that nothing listens at.
+func FreeAddress() (string, error) {
+	var last error
+	for range portRetries {
+		port := lowestPort + (int64(os.Getpid())*portsEach+nextPort.Add(1))%portRange
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		lis, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, lis.Close()
+		}
+		last = err
+	}
+	return "", last
+}
+
+// VMSettings returns the settings of a VM on loopback.
+func VMSettings(num int, platform string) (edge.Settings, error) {
+	set := edge.DefaultSettings()
+	set.Name, set.FailureDomain, set.PlatformAddress = fmt.Sprintf("vm-%d", num+1), domain(num), platform
+	set.PlainText = []string{edge.PlainCallers, edge.PlainPeers, edge.PlainOperators}
+	set.BalancerLag, set.StopTime = 300*time.Millisecond, 3*time.Second
+	for _, dst := range []*string{&set.CallerAddress, &set.ReadyAddress, &set.PeerAddress, &set.OperatorAddress} {
+		at, err := FreeAddress()
+		if err != nil {
+			return set, err
+		}
+		*dst = at
+	}
+	return set, nil
+}
+
+func (pgr *Playground) startVM(ctx context.Context, num int, platform string, out io.Writer) error {
+	set, err := VMSettings(num, platform)
+	if err != nil {
+		return err
+	}
+	lgs, err := logflags.New(out, "json", "")
+	if err != nil {
+		return err
+	}
+	dmn, err := edge.New(ctx, set, edge.Wiring{
+		Names:   objects.Names(),
+		Connect: func(address string, log logrus.FieldLogger) driver.Platform { return objects.New(address, log) },
+	}, lgs)
+	if err != nil {
+		return err
+	}
+	log := lgs.Logger(logflags.Daemon)
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan error, 1)
+	go func() { done <- dmn.Run(ctx, nil) }()
+	pgr.closers = append(pgr.closers, func() {
+		cancel()
+		if err := <-done; err != nil {
+			log.WithError(err).Warn("a VM has failed")
+		}
+	})
+	pgr.Callers = append(pgr.Callers, set.CallerAddress)
+	pgr.Operators = append(pgr.Operators, set.OperatorAddress)
+	return waitReady(ctx, set.ReadyAddress)
+}
+
+// readyTime bounds the start of a VM.
+const readyTime = 5 * time.Second
+
+func waitReady(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/", nil)
+		if err != nil {
+			return err
+		}
+		if rsp, err := http.DefaultClient.Do(req); err == nil {
+			_ = rsp.Body.Close()
+			if rsp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errors.New("the VM at " + address + " is not ready in time")
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// Close stops everything, VMs first.
+func (pgr *Playground) Close() {
+	for idx := len(pgr.closers) - 1; idx >= 0; idx-- {
+		pgr.closers[idx]()
+	}
+}
+
+// Response is what a caller got.
+type Response struct {
+	Status     int
+	Body       string
+	RetryAfter string
+}
+
+// Request sends one request to a VM and reads the whole answer.
+func Request(ctx context.Context, cli *http.Client, vmm, method, path, id, key string, timeout time.Duration) (Response, error) {
+	nms := objects.Names()
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader("order " + id)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+vmm+path, body)
+	if err != nil {
+		return Response{}, err
+	}
+	req.Header.Set(nms.Request, id)
+	req.Header.Set(nms.Timeout, nms.ShowTimeout(timeout))
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	rsp, err := cli.Do(req)
+	if err != nil {
+		return Response{}, err
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	raw, err := io.ReadAll(rsp.Body)
+	return Response{Status: rsp.StatusCode, Body: string(raw), RetryAfter: rsp.Header.Get("Retry-After")}, err
+}
+
+// keyID returns the ID of the first key.
+func keyID() string {
+	key := config.Key{Organisation: "studio", Digest: config.DigestOf(Key)}
+	return key.ID()
+}
--- /dev/null
+++ b/lugbench/pkg/playground/playground_test.go
@@ -0,0 +1,190 @@
+package playground
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"marigoldlug.example/lugbench/pkg/storefake"
+	"marigoldlug.example/lugbench/pkg/targetfake"
+)
+
+const requestTime = 2 * time.Second
+
+func start(t *testing.T, vms int) *Playground {
+	t.Helper()
+	pgr, err := Start(context.Background(), Settings{VMs: vms, Targets: 6, Latency: 20 * time.Millisecond, Log: io.Discard})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(pgr.Close)
+	return pgr
+}
+
+func (pgr *Playground) send(vmm int, method, path, id, key string) Response {
+	res, err := Request(context.Background(), http.DefaultClient, pgr.Callers[vmm], method, path, id, key, requestTime)
+	if err != nil {
+		return Response{Body: err.Error()}
+	}
+	return res
+}
+
+// runs returns how often each request was run.
+func (pgr *Playground) runs() map[string]int {
+	out := make(map[string]int)
+	for _, tgt := range pgr.Targets {
+		for _, run := range tgt.Runs() {
+			out[run.Request]++
+		}
+	}
+	return out
+}
+
+// settle waits until the fleet is calm: one server of tokens, VMs that follow.
+func settle() { time.Sleep(1500 * time.Millisecond) }
+
+func TestWholePathServesEveryVM(t *testing.T) {
+	pgr := start(t, 3)
+	settle()
+	for num := range 60 {
+		id := fmt.Sprint("read-", num)
+		res := pgr.send(num%3, http.MethodGet, "/recipes/x", id, Key)
+		if res.Status != http.StatusOK || res.Body != targetfake.Answer(id) {
+			t.Fatalf("request %s got %+v", id, res)
+		}
+	}
+	for _, one := range []struct {
+		path, key string
+		want      int
+	}{{"/nowhere/", Key, 404}, {"/recipes/x", "wrong", 401}, {"/recipes/x", "", 401}} {
+		if res := pgr.send(0, http.MethodGet, one.path, "denied", one.key); res.Status != one.want {
+			t.Errorf("%s with key %q got %d, want %d", one.path, one.key, res.Status, one.want)
+		}
+	}
+	for _, tgt := range pgr.Targets {
+		for _, run := range tgt.Runs() {
+			if run.Organisation != "studio" || run.Key {
+				t.Fatalf("a target saw %+v", run)
+			}
+		}
+	}
+}
+
+// TestGrayTargetsRunOrdersOnce makes two of six targets hang most requests and
+// fail others, and sends orders and reads.
+func TestGrayTargetsRunOrdersOnce(t *testing.T) {
+	pgr := start(t, 3)
+	settle()
+	for _, tgt := range pgr.Targets[:2] {
+		tgt.SetFaults(targetfake.Faults{Latency: 20 * time.Millisecond, HangShare: 0.5, FailShare: 0.1, CutShare: 0.1})
+	}
+	var mut sync.Mutex
+	results := make(map[string]Response)
+	var wgr sync.WaitGroup
+	for num := range 300 {
+		time.Sleep(5 * time.Millisecond)
+		wgr.Go(func() {
+			id, method, path := fmt.Sprint("order-", num), http.MethodPost, "/orders/x"
+			if num%2 == 0 {
+				id, method, path = fmt.Sprint("read-", num), http.MethodGet, "/recipes/x"
+			}
+			res := pgr.send(num%3, method, path, id, Key)
+			mut.Lock()
+			defer mut.Unlock()
+			results[id] = res
+		})
+	}
+	wgr.Wait()
+	runs, good := pgr.runs(), 0
+	for id, res := range results {
+		switch {
+		case res.Status == http.StatusOK && res.Body == targetfake.Answer(id):
+			good++
+		case res.Status == http.StatusServiceUnavailable && runs[id] > 0:
+			t.Errorf("%s was said not to have run, and has", id)
+		case res.Status == http.StatusOK:
+			t.Errorf("%s got %+v", id, res)
+		}
+		if id[0] == 'o' && runs[id] > 1 {
+			t.Errorf("%s ran %d times", id, runs[id])
+		}
+	}
+	if good < 270 {
+		t.Errorf("%d of 300 requests were served", good)
+	}
+}
+
+// TestOutageOfThePlatform keeps serving while keys can be relied on, refuses
+// then, and serves again soon after.
+func TestOutageOfThePlatform(t *testing.T) {
+	pgr := start(t, 3)
+	settle()
+	pgr.Store.SetFaults(storefake.Faults{Silent: true})
+	time.Sleep(2 * time.Second)
+	if res := pgr.send(0, http.MethodGet, "/recipes/x", "soon", Key); res.Status != http.StatusOK {
+		t.Errorf("2 s into the outage: %+v", res)
+	}
+	time.Sleep(4 * time.Second)
+	if res := pgr.send(1, http.MethodGet, "/recipes/x", "late", Key); res.Status != http.StatusServiceUnavailable || res.RetryAfter == "" {
+		t.Errorf("6 s into the outage: %+v", res)
+	}
+	pgr.Store.SetFaults(storefake.Faults{})
+	deadline := time.Now().Add(4 * time.Second)
+	for num := 0; ; num++ {
+		if res := pgr.send(1, http.MethodGet, "/recipes/x", fmt.Sprint("after-", num), Key); res.Status == http.StatusOK {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("not served 4 s after the outage")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// TestWithdrawnKeyStops withdraws the key by a note.
+func TestWithdrawnKeyStops(t *testing.T) {
+	pgr := start(t, 3)
+	settle()
+	if txt, err := pgr.Releases.Show(context.Background(), 0); err != nil || txt == "" {
+		t.Fatalf("got %q, %v", txt, err)
+	}
+	for num := range 3 {
+		if res := pgr.send(num, http.MethodGet, "/recipes/x", "before", Key); res.Status != http.StatusOK {
+			t.Fatalf("got %+v", res)
+		}
+	}
+	doc := "release: stop\nbase: 1\nwithdrawn: {keys: [" + keyID() + "]}\n"
+	if _, err := pgr.Releases.Apply(context.Background(), []byte(doc), "test"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(500 * time.Millisecond)
+	for num := range 3 {
+		if res := pgr.send(num, http.MethodGet, "/recipes/x", "after", Key); res.Status != http.StatusUnauthorized {
+			t.Errorf("VM %d answered %d to a withdrawn key", num+1, res.Status)
+		}
+	}
+}
+
+// TestLeavingTargetGetsNothing lets one target leave, and another vanish.
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	pgr := start(t, 2)
+	settle()
+	if err := pgr.Targets[0].Register("127.0.0.1:1", true); err != nil {
+		t.Fatal(err)
+	}
+	pgr.Targets[1].Withdraw()
+	time.Sleep(500 * time.Millisecond)
+	before := [2]int{len(pgr.Targets[0].Runs()), len(pgr.Targets[1].Runs())}
+	for num := range 60 {
+		if res := pgr.send(num%2, http.MethodGet, "/recipes/x", fmt.Sprint("r", num), Key); res.Status != http.StatusOK {
+			t.Fatalf("got %+v", res)
+		}
+	}
+	if after := [2]int{len(pgr.Targets[0].Runs()), len(pgr.Targets[1].Runs())}; after != before {
+		t.Errorf("targets that left ran %v requests before and %v after", before, after)
+	}
+}
--- /dev/null
+++ b/lugbench/pkg/soak/soak.go
@@ -0,0 +1,296 @@
+// Package soak runs the real programs as processes on loopback, injects faults
+// from outside, and checks from what callers and targets see that the fleet
+// keeps its promises.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldlug.example/lugbench/pkg/playground"
+	"marigoldlug.example/lugbench/pkg/storefake"
+	"marigoldlug.example/lugbench/pkg/targetfake"
+	"marigoldlug.example/lugctl/pkg/release"
+	"marigoldlug.example/platform/pkg/objects"
+)
+
+const (
+	// calmTime is how long the fleet runs without faults before and after.
+	calmTime = 4 * time.Second
+	// requestTime is the time that callers allow.
+	requestTime = 2 * time.Second
+	// revokeTime is how long after its withdrawal a route may work.
+	revokeTime    = 5 * time.Second
+	targetLatency = 30 * time.Millisecond
+	// slots is what a target runs at a time.
+	slots = 3
+	// graceTime is how long a process may take to end.
+	graceTime = 4 * time.Second
+)
+
+// Settings say what is run, and for how long.
+type Settings struct {
+	Program   string
+	Seed      uint64
+	VMs       int
+	Targets   int
+	PerSecond int
+	// Span is how long faults are injected.
+	Span time.Duration
+	// Logs is a folder for the logs of VMs; empty for none.
+	Logs string
+}
+
+// fleet is what a soak runs.
+type fleet struct {
+	set      Settings
+	rnd      *rand.Rand
+	store    *storefake.Store
+	releases *release.Applier
+	targets  []*targetfake.Target
+	wires    []*proxy
+	vms      []*process
+	closers  []func()
+
+	mut sync.Mutex
+	// told lists the faults that were injected.
+	told []string
+	// withdrawn is when the spare route was taken away; zero until then.
+	withdrawn time.Time
+}
+
+// Run starts a fleet, injects faults and reports what was seen.
+func Run(ctx context.Context, set Settings) (*Report, error) {
+	flt := &fleet{set: set, rnd: rand.New(rand.NewPCG(set.Seed, set.Seed)), store: storefake.New()}
+	defer flt.close()
+	if err := flt.start(ctx); err != nil {
+		return nil, err
+	}
+	rep := &Report{seed: set.Seed}
+	load := newLoad(flt, rep)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		load.run(ctx)
+		close(done)
+	}()
+	time.Sleep(calmTime)
+	if err := flt.shake(ctx); err != nil {
+		return nil, err
+	}
+	load.calm.Store(true)
+	time.Sleep(calmTime)
+	cancel()
+	<-done
+	rep.faults = flt.told
+	rep.judge(flt)
+	return rep, nil
+}
+
+// serve runs a handler at an address of its own, and returns that.
+func (flt *fleet) serve(han http.Handler) (string, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	srv := &http.Server{Handler: han, ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(lis) }() // Serve always ends with the error of Close.
+	flt.closers = append(flt.closers, func() { _ = srv.Close() })
+	return lis.Addr().String(), nil
+}
+
+func (flt *fleet) start(ctx context.Context) error {
+	address, err := flt.serve(flt.store)
+	if err != nil {
+		return err
+	}
+	for num := range flt.set.Targets {
+		tgt := targetfake.New(fmt.Sprintf("worker-%d", num+1), "recipes", fmt.Sprintf("domain-%d", num%3+1), slots, objects.Names(), flt.store)
+		tgt.SetFaults(targetfake.Faults{Latency: targetLatency})
+		at, err := flt.serve(tgt)
+		if err != nil {
+			return err
+		}
+		prx, err := newProxy(at)
+		if err != nil {
+			return err
+		}
+		flt.closers = append(flt.closers, prx.close)
+		if err := tgt.Register(prx.address(), false); err != nil {
+			return err
+		}
+		flt.targets, flt.wires = append(flt.targets, tgt), append(flt.wires, prx)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	flt.releases = release.New(objects.NewReleases(objects.New(address, log)), time.Now)
+	if _, err := flt.releases.Apply(ctx, []byte(playground.Note+spareNote), "soak"); err != nil {
+		return err
+	}
+	for num := range flt.set.VMs {
+		set, err := playground.VMSettings(num, address)
+		if err != nil {
+			return err
+		}
+		prx, err := newProxy(address)
+		if err != nil {
+			return err
+		}
+		flt.closers = append(flt.closers, prx.close)
+		prc := &process{program: flt.set.Program, set: set, logs: flt.set.Logs, store: prx}
+		if err := prc.start(); err != nil {
+			return err
+		}
+		flt.vms = append(flt.vms, prc)
+	}
+	return nil
+}
+
+// spareNote adds a route that a later note takes away.
+const spareNote = "    - {name: spare, pathPrefix: /spare/, service: recipes, idempotent: true, timeout: 2s, targetLatency: 500ms, maxAttempts: 2}\n"
+
+func (flt *fleet) close() {
+	for _, prc := range flt.vms {
+		prc.end()
+	}
+	for _, one := range flt.closers {
+		one()
+	}
+}
+
+func (flt *fleet) tell(format string, args ...any) {
+	flt.mut.Lock()
+	defer flt.mut.Unlock()
+	flt.told = append(flt.told, fmt.Sprintf(format, args...))
+}
+
+// shake injects faults, several at a time, until the span is over, and takes
+// every fault back.
+func (flt *fleet) shake(ctx context.Context) error {
+	end := time.Now().Add(flt.set.Span)
+	var wgr sync.WaitGroup
+	errs := make(chan error, 1000)
+	withdraw := time.Now().Add(flt.set.Span / 2)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		inject, dur := flt.pick()
+		wgr.Go(func() {
+			if err := inject(dur); err != nil {
+				errs <- err
+			}
+		})
+		time.Sleep(time.Duration(200+flt.rnd.IntN(1000)) * time.Millisecond)
+		if withdraw.Before(time.Now()) {
+			withdraw = end.Add(time.Hour)
+			if err := flt.withdrawSpare(ctx); err != nil {
+				return err
+			}
+		}
+	}
+	wgr.Wait()
+	select {
+	case err := <-errs:
+		return err
+	default:
+		return nil
+	}
+}
+
+// pick draws a fault and how long it lasts.
+func (flt *fleet) pick() (inject func(dur time.Duration) error, dur time.Duration) {
+	dur = time.Duration(300+flt.rnd.IntN(2500)) * time.Millisecond
+	prc := flt.vms[flt.rnd.IntN(len(flt.vms))]
+	num := flt.rnd.IntN(len(flt.targets))
+	faults := []func(dur time.Duration) error{
+		func(time.Duration) error { return flt.restart(prc, syscall.SIGKILL) },
+		func(time.Duration) error { return flt.restart(prc, syscall.SIGTERM) },
+		func(dur time.Duration) error { return flt.pause(prc, dur) },
+		func(dur time.Duration) error { return flt.harm(prc.store, "store of "+prc.set.Name, dur) },
+		func(dur time.Duration) error { return flt.harm(flt.wires[num], flt.targets[num].ID(), dur) },
+		func(dur time.Duration) error { return flt.sicken(flt.targets[num], dur) },
+		func(dur time.Duration) error { return flt.breakStore(dur) },
+	}
+	return faults[flt.rnd.IntN(len(faults))], dur
+}
+
+func (flt *fleet) restart(prc *process, sig syscall.Signal) error {
+	flt.tell("%s: %s", prc.set.Name, sig)
+	return prc.restart(sig, graceTime)
+}
+
+func (flt *fleet) pause(prc *process, dur time.Duration) error {
+	flt.tell("%s: paused for %v", prc.set.Name, dur)
+	prc.signal(syscall.SIGSTOP)
+	time.Sleep(dur)
+	prc.signal(syscall.SIGCONT)
+	return nil
+}
+
+// harm treats the connections through a proxy badly for a time.
+func (flt *fleet) harm(prx *proxy, what string, dur time.Duration) error {
+	wires := []wire{{delay: 100 * time.Millisecond}, {muteUp: true}, {muteDown: true}, {muteUp: true, muteDown: true}, {reset: true}}
+	wir := wires[int(dur/time.Millisecond)%len(wires)]
+	flt.tell("%s: %+v for %v", what, wir, dur)
+	prx.set(wir)
+	time.Sleep(dur)
+	prx.set(wire{})
+	return nil
+}
+
+func (flt *fleet) sicken(tgt *targetfake.Target, dur time.Duration) error {
+	flt.tell("%s: sick for %v", tgt.ID(), dur)
+	tgt.SetFaults(targetfake.Faults{Latency: targetLatency, HangShare: 0.4, FailShare: 0.2, CutShare: 0.1})
+	time.Sleep(dur)
+	tgt.SetFaults(targetfake.Faults{Latency: targetLatency})
+	return nil
+}
+
+func (flt *fleet) breakStore(dur time.Duration) error {
+	all := []storefake.Faults{
+		{Silent: true},
+		{Status: http.StatusServiceUnavailable},
+		{Status: http.StatusTooManyRequests},
+		{Reset: true},
+		{Delay: 200 * time.Millisecond},
+		{LoseAnswers: 3},
+		{LateWrites: 3, LateTime: time.Second},
+		{DeafWatches: true},
+	}
+	fls := all[int(dur/time.Millisecond)%len(all)]
+	flt.tell("store: %+v for %v", fls, dur)
+	flt.store.SetFaults(fls)
+	time.Sleep(dur)
+	flt.store.SetFaults(storefake.Faults{})
+	flt.store.Compact()
+	return nil
+}
+
+// withdrawSpare takes the spare route away by a note.
+func (flt *fleet) withdrawSpare(ctx context.Context) error {
+	flt.store.SetFaults(storefake.Faults{})
+	doc := "release: second\nbase: 1\nwithdrawn: {routes: [spare]}\n"
+	if _, err := flt.releases.Apply(ctx, []byte(doc), "soak"); err != nil {
+		return err
+	}
+	flt.mut.Lock()
+	defer flt.mut.Unlock()
+	flt.withdrawn = time.Now()
+	flt.told = append(flt.told, "route spare withdrawn")
+	return nil
+}
+
+// withdrawnAt returns when the spare route was taken away, and whether it was.
+func (flt *fleet) withdrawnAt() (time.Time, bool) {
+	flt.mut.Lock()
+	defer flt.mut.Unlock()
+	return flt.withdrawn, flt.withdrawn != (time.Time{})
+}
--- a/lugctl/pkg/command/command.go
+++ b/lugctl/pkg/command/command.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"marigoldlug.example/lugctl/pkg/client"
+	"marigoldlug.example/lugctl/pkg/release"
 	"marigoldlug.example/lugd/pkg/certificate"
 )
 
@@ -19,10 +20,15 @@
 	pollInterval = 200 * time.Millisecond
 )
 
+// Connect returns the releases at the platform's address.
+type Connect func(address string) release.Store
+
 // session is what every command needs.
 type session struct {
 	out      io.Writer
 	progress io.Writer
+	connect  Connect
+	platform string
 	address  string
 	operator string
 	output   string
@@ -31,14 +37,15 @@
 }
 
 // New returns the command line, which writes results to out and progress to
-// progress.
-func New(out, progress io.Writer) *cli.Command {
-	ses := &session{out: out, progress: progress}
+// progress, and reaches the platform by con.
+func New(con Connect, out, progress io.Writer) *cli.Command {
+	ses := &session{out: out, progress: progress, connect: con}
 	return &cli.Command{
 		Name:   "lugctl",
 		Usage:  "drive a marigoldlug proxy fleet",
 		Writer: out,
 		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "platform", Usage: "IP address and port of the platform's store, for releases and keys", Destination: &ses.platform, Sources: cli.EnvVars("LUGCTL_PLATFORM")},
 			&cli.StringFlag{Name: "address", Usage: "URL of the operator API of any VM", Value: "http://127.0.0.1:8082", Destination: &ses.address, Sources: cli.EnvVars("LUGCTL_ADDRESS")},
 			&cli.StringFlag{Name: "operator", Usage: "name of the operator, kept in the history", Value: os.Getenv("USER"), Destination: &ses.operator, Sources: cli.EnvVars("LUGCTL_OPERATOR")},
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Usage: "json or table", Value: "table", Destination: &ses.output, Sources: cli.EnvVars("LUGCTL_OUTPUT")},
@@ -47,10 +54,11 @@
 			&cli.StringFlag{Name: "authority", Usage: "file of the authority that signs the certificates of VMs", Destination: &ses.files.Authority, Sources: cli.EnvVars("LUGCTL_AUTHORITY")},
 			&cli.DurationFlag{Name: "wait", Usage: "how long to wait until a release is in force", Value: 30 * time.Second, Destination: &ses.wait, Sources: cli.EnvVars("LUGCTL_WAIT")},
 		},
-		Commands: []*cli.Command{ses.releaseCommand(), ses.keyCommand(), ses.vmCommand(), ses.targetCommand()},
+		Commands: []*cli.Command{ses.releaseCommand(), ses.keyCommand(), ses.vmCommand(), ses.targetCommand(), ses.explainCommand()},
 	}
 }
 
+// client returns a client of the operator API.
 func (ses *session) client() (*client.Client, error) {
 	doer := &http.Client{Timeout: callTimeout}
 	if ses.files.Given() {
@@ -60,11 +68,19 @@
 		}
 		doer.Transport = &http.Transport{TLSClientConfig: kee.Client()}
 	}
-	return client.New(ses.address, ses.operator, doer), nil
+	return client.New(ses.address, doer), nil
+}
+
+// applier returns what applies notes at the platform.
+func (ses *session) applier() (*release.Applier, error) {
+	if ses.platform == "" {
+		return nil, &usageError{message: "the address of the platform is missing: --platform or LUGCTL_PLATFORM"}
+	}
+	return release.New(ses.connect(ses.platform), time.Now), nil
 }
 
 // action is a command that prints its result.
-type action func(ctx context.Context, cmd *cli.Command, cli *client.Client, prn *printer) error
+type action func(ctx context.Context, cmd *cli.Command, prn *printer) error
 
 func (ses *session) run(act action) cli.ActionFunc {
 	return func(ctx context.Context, cmd *cli.Command) error {
@@ -72,11 +88,7 @@
 		if err != nil {
 			return err
 		}
-		cli, err := ses.client()
-		if err != nil {
-			return err
-		}
-		return act(ctx, cmd, cli, prn)
+		return act(ctx, cmd, prn)
 	}
 }
 
--- a/lugctl/pkg/command/exit.go
+++ b/lugctl/pkg/command/exit.go
@@ -3,8 +3,9 @@
 import (
 	"errors"
 
+	"marigoldlug.example/core/note"
 	"marigoldlug.example/lugctl/pkg/client"
-	"marigoldlug.example/lugd/service/api"
+	"marigoldlug.example/lugctl/pkg/release"
 )
 
 // The exit codes of lugctl.
@@ -18,9 +19,12 @@
 	ExitNotInForce  = 6
 )
 
-// errNotInForce is returned when a release is written but was not seen in
-// force on every VM within the time to wait.
-var errNotInForce = errors.New("the release is written but not yet in force on every VM")
+var (
+	// errNotInForce is returned when a release is stored but was not seen in
+	// force on every VM within the time to wait.
+	errNotInForce = errors.New("the release is stored but not yet in force on every VM")
+	errNotFound   = errors.New("no line of the logs tells of the request")
+)
 
 // usageError is a mistake in the command line.
 type usageError struct{ message string }
@@ -30,7 +34,8 @@
 // ExitCode returns the exit code for an error of a command.
 func ExitCode(err error) int {
 	var usage *usageError
-	var fail *api.Error
+	var faults note.FaultsError
+	var conflict *note.ConflictError
 	var unreachable *client.UnreachableError
 	switch {
 	case err == nil:
@@ -39,21 +44,11 @@
 		return ExitUsage
 	case errors.Is(err, errNotInForce):
 		return ExitNotInForce
-	case errors.As(err, &unreachable):
-		return ExitUnavailable
-	case errors.As(err, &fail):
-		return exitCodeOf(fail.Code)
-	}
-	return ExitFailure
-}
-
-func exitCodeOf(code string) int {
-	switch code {
-	case api.CodeFaults, api.CodeMalformed, api.CodeBase:
+	case errors.As(err, &faults), errors.Is(err, release.ErrNoRelease):
 		return ExitFaults
-	case api.CodeConflict, api.CodeReused:
+	case errors.As(err, &conflict), errors.Is(err, release.ErrReused), errors.Is(err, release.ErrRaced):
 		return ExitConflict
-	case api.CodeUnavailable:
+	case errors.As(err, &unreachable):
 		return ExitUnavailable
 	}
 	return ExitFailure
--- /dev/null
+++ b/lugctl/pkg/command/explain.go
@@ -0,0 +1,54 @@
+package command
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"marigoldlug.example/lugctl/pkg/explain"
+)
+
+func (ses *session) explainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "explain", Usage: "tell the story of a request from the logs of VMs, in files or on standard input", ArgsUsage: "REQUEST-ID [FILE...]",
+		Action: ses.run(ses.explain),
+	}
+}
+
+func (ses *session) explain(_ context.Context, cmd *cli.Command, prn *printer) error {
+	if cmd.Args().Len() == 0 {
+		return &usageError{message: cmd.FullName() + " takes the identifier of a request, and files"}
+	}
+	rdr := explain.New(cmd.Args().First())
+	files := cmd.Args().Tail()
+	if len(files) == 0 {
+		if err := rdr.Read(os.Stdin, ""); err != nil {
+			return err
+		}
+	}
+	for _, name := range files {
+		if err := readLog(rdr, name); err != nil {
+			return err
+		}
+	}
+	sto, found := rdr.Story()
+	if !found {
+		return errNotFound
+	}
+	if prn.json {
+		return prn.print(sto, nil, nil)
+	}
+	return sto.Tell(prn.out)
+}
+
+func readLog(rdr *explain.Reader, name string) error {
+	src, err := os.Open(name)
+	if err != nil {
+		return &usageError{message: err.Error()}
+	}
+	defer func() { _ = src.Close() }()
+	return rdr.Read(src, strings.TrimSuffix(filepath.Base(name), filepath.Ext(name)))
+}
--- a/lugctl/pkg/command/key.go
+++ b/lugctl/pkg/command/key.go
@@ -11,7 +11,6 @@
 
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/note"
-	"marigoldlug.example/lugctl/pkg/client"
 )
 
 const (
@@ -24,18 +23,14 @@
 		Name:  "key",
 		Usage: "create and withdraw keys",
 		Commands: []*cli.Command{
-			{
-				Name: "create", Usage: "create a key, apply it and print it once", ArgsUsage: "ID",
-				Flags:  []cli.Flag{&cli.StringFlag{Name: "organisation", Usage: "organisation of the key", Required: true}},
-				Action: ses.run(ses.createKey),
-			},
-			{Name: "withdraw", Usage: "withdraw a key and wait until it has stopped working", ArgsUsage: "ID", Action: ses.run(ses.withdrawKey)},
+			{Name: "create", Usage: "create a key, apply it and print it once", ArgsUsage: "ORGANISATION", Action: ses.run(ses.createKey)},
+			{Name: "withdraw", Usage: "withdraw the key with an ID and wait until it has stopped working", ArgsUsage: "ID", Action: ses.run(ses.withdrawKey)},
 		},
 	}
 }
 
-func (ses *session) createKey(ctx context.Context, cmd *cli.Command, cli *client.Client, prn *printer) error {
-	id, err := argument(cmd, "the ID of the key")
+func (ses *session) createKey(ctx context.Context, cmd *cli.Command, prn *printer) error {
+	organisation, err := argument(cmd, "the organisation of the key")
 	if err != nil {
 		return err
 	}
@@ -44,29 +39,38 @@
 		return err
 	}
 	secret := keyPrefix + hex.EncodeToString(raw[:])
-	his, err := cli.History(ctx)
+	key := config.Key{Organisation: organisation, Secret: secret, Digest: config.DigestOf(secret)}
+	version, err := ses.version(ctx)
 	if err != nil {
 		return err
 	}
-	key := config.Key{ID: id, Organisation: cmd.String("organisation"), Digest: config.DigestOf(secret)}
 	// The key itself is shown only here, and before it is applied, so that a
-	// key that is written but not yet in force is not lost.
-	if _, err := fmt.Fprintln(ses.out, secret); err != nil {
+	// key that is stored but not yet in force is not lost.
+	if _, err := fmt.Fprintf(ses.out, "%s %s\n", key.ID(), secret); err != nil {
 		return err
 	}
-	return ses.applyNote(ctx, cli, prn, []byte(note.KeyNote(releaseName("key-create", id), his.Version, key)))
+	return ses.applyNote(ctx, prn, []byte(note.KeyNote(releaseName("key-create", organisation), version, key)))
 }
 
-func (ses *session) withdrawKey(ctx context.Context, cmd *cli.Command, cli *client.Client, prn *printer) error {
+func (ses *session) withdrawKey(ctx context.Context, cmd *cli.Command, prn *printer) error {
 	id, err := argument(cmd, "the ID of the key")
 	if err != nil {
 		return err
 	}
-	his, err := cli.History(ctx)
+	version, err := ses.version(ctx)
 	if err != nil {
 		return err
 	}
-	return ses.applyNote(ctx, cli, prn, []byte(note.WithdrawKeyNote(releaseName("key-withdraw", id), his.Version, id)))
+	return ses.applyNote(ctx, prn, []byte(note.WithdrawKeyNote(releaseName("key-withdraw", id), version, id)))
+}
+
+// version returns that of the present configuration.
+func (ses *session) version(ctx context.Context) (uint64, error) {
+	app, err := ses.applier()
+	if err != nil {
+		return 0, err
+	}
+	return app.Version(ctx)
 }
 
 // releaseName returns a release ID for a change made by one command.
--- a/lugctl/pkg/command/release.go
+++ b/lugctl/pkg/command/release.go
@@ -10,6 +10,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"marigoldlug.example/core/note"
 	"marigoldlug.example/lugctl/pkg/client"
 	"marigoldlug.example/lugd/service/api"
 )
@@ -20,12 +21,12 @@
 		Aliases: []string{"rel"},
 		Usage:   "check, apply and follow release notes",
 		Commands: []*cli.Command{
-			{Name: "check", Usage: "report every fault and conflict of a note", ArgsUsage: "FILE", Action: ses.run(checkRelease)},
-			{Name: "diff", Usage: "show every field that a note changes", ArgsUsage: "FILE", Action: ses.run(diffRelease)},
+			{Name: "check", Usage: "report every fault and conflict of a note", ArgsUsage: "FILE", Action: ses.run(ses.checkRelease)},
+			{Name: "diff", Usage: "show every field that a note changes", ArgsUsage: "FILE", Action: ses.run(ses.diffRelease)},
 			{Name: "apply", Usage: "apply a note and wait until it is in force", ArgsUsage: "FILE", Action: ses.run(ses.applyRelease)},
-			{Name: "status", Usage: "show how far a version has come", ArgsUsage: "VERSION", Action: ses.run(releaseStatus)},
-			{Name: "history", Usage: "list the latest releases", Action: ses.run(releaseHistory)},
-			{Name: "show", Usage: "print the configuration at a version", ArgsUsage: "VERSION", Action: ses.run(showRelease)},
+			{Name: "status", Usage: "show how far a version has come", ArgsUsage: "VERSION", Action: ses.run(ses.releaseStatus)},
+			{Name: "history", Usage: "list the latest releases", Action: ses.run(ses.releaseHistory)},
+			{Name: "show", Usage: "print the configuration at a version", ArgsUsage: "VERSION", Action: ses.run(ses.showRelease)},
 		},
 	}
 }
@@ -42,50 +43,85 @@
 	return doc, nil
 }
 
-func checkRelease(ctx context.Context, cmd *cli.Command, cli *client.Client, prn *printer) error {
+// check returns what the note that the command names would change.
+func (ses *session) check(ctx context.Context, cmd *cli.Command) ([]note.Difference, error) {
 	doc, err := readNote(cmd)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	res, err := cli.Check(ctx, doc)
+	app, err := ses.applier()
 	if err != nil {
-		return err
+		return nil, err
 	}
-	summary := fmt.Sprintf("the note is sound and changes %d fields", len(res.Differences))
-	return prn.print(res, []string{"RESULT"}, [][]string{{summary}})
+	return app.Check(ctx, doc)
 }
 
-func diffRelease(ctx context.Context, cmd *cli.Command, cli *client.Client, prn *printer) error {
-	doc, err := readNote(cmd)
+// checkResult is what a check found, as JSON.
+type checkResult struct {
+	Differences []difference `json:"differences"`
+}
+
+type difference struct {
+	Object string `json:"object"`
+	Field  string `json:"field"`
+	Before string `json:"before"`
+	After  string `json:"after"`
+}
+
+func convertDifferences(difs []note.Difference) checkResult {
+	res := checkResult{Differences: make([]difference, 0, len(difs))}
+	for _, dif := range difs {
+		res.Differences = append(res.Differences, difference(dif))
+	}
+	return res
+}
+
+func (ses *session) checkRelease(ctx context.Context, cmd *cli.Command, prn *printer) error {
+	difs, err := ses.check(ctx, cmd)
 	if err != nil {
 		return err
 	}
-	res, err := cli.Check(ctx, doc)
+	summary := fmt.Sprintf("the note is sound and changes %d fields", len(difs))
+	return prn.print(convertDifferences(difs), []string{"RESULT"}, [][]string{{summary}})
+}
+
+func (ses *session) diffRelease(ctx context.Context, cmd *cli.Command, prn *printer) error {
+	difs, err := ses.check(ctx, cmd)
 	if err != nil {
 		return err
 	}
 	var rows [][]string
-	for _, dif := range res.Differences {
+	for _, dif := range difs {
 		rows = append(rows, []string{dif.Object, dif.Field, dif.Before, dif.After})
 	}
-	return prn.print(res, []string{"OBJECT", "FIELD", "BEFORE", "AFTER"}, rows)
+	return prn.print(convertDifferences(difs), []string{"OBJECT", "FIELD", "BEFORE", "AFTER"}, rows)
 }
 
-func (ses *session) applyRelease(ctx context.Context, cmd *cli.Command, cli *client.Client, prn *printer) error {
+func (ses *session) applyRelease(ctx context.Context, cmd *cli.Command, prn *printer) error {
 	doc, err := readNote(cmd)
 	if err != nil {
 		return err
 	}
-	return ses.applyNote(ctx, cli, prn, doc)
+	return ses.applyNote(ctx, prn, doc)
 }
 
 // applyNote applies a note, waits until it is in force and prints the result.
-func (ses *session) applyNote(ctx context.Context, cli *client.Client, prn *printer, doc []byte) error {
-	rel, err := cli.Apply(ctx, doc)
+func (ses *session) applyNote(ctx context.Context, prn *printer, doc []byte) error {
+	app, err := ses.applier()
+	if err != nil {
+		return err
+	}
+	res, err := app.Apply(ctx, doc, ses.operator)
 	if err != nil {
 		return err
 	}
-	spr, err := ses.follow(ctx, cli, rel.Version)
+	// Progress is a courtesy; a closed terminal must not fail the command.
+	_, _ = fmt.Fprintf(ses.progress, "version %d: stored\n", res.Version)
+	cli, err := ses.client()
+	if err != nil {
+		return err
+	}
+	spr, err := ses.follow(ctx, cli, res.Version)
 	if perr := printSpread(prn, spr); perr != nil {
 		return perr
 	}
@@ -96,12 +132,12 @@
 func (ses *session) follow(ctx context.Context, cli *client.Client, version uint64) (api.Spread, error) {
 	ctx, cancel := context.WithTimeout(ctx, ses.wait)
 	defer cancel()
-	var last api.Spread
+	last := api.Spread{Version: version}
 	for {
 		spr, err := cli.Spread(ctx, version)
 		if err == nil {
 			last = spr
-			ses.report(spr)
+			_, _ = fmt.Fprintf(ses.progress, "version %d: held by %d of %d VMs\n", spr.Version, spr.Holding, spr.Members)
 		}
 		if last.InForce {
 			return last, nil
@@ -114,21 +150,9 @@
 	}
 }
 
-func (ses *session) report(spr api.Spread) {
-	state := "written, spreading"
-	if spr.Accepted {
-		state = "accepted"
-	}
-	if spr.InForce {
-		state = "in force"
-	}
-	// Progress is a courtesy; a closed terminal must not fail the command.
-	_, _ = fmt.Fprintf(ses.progress, "version %d: %s, held by %d of %d VMs\n", spr.Version, state, spr.Holding, spr.Members)
-}
-
 func printSpread(prn *printer, spr api.Spread) error {
-	return prn.print(spr, []string{"VERSION", "ACCEPTED", "IN FORCE", "HOLDING", "MEMBERS", "LAGGING"}, [][]string{{
-		strconv.FormatUint(spr.Version, 10), strconv.FormatBool(spr.Accepted), strconv.FormatBool(spr.InForce),
+	return prn.print(spr, []string{"VERSION", "IN FORCE", "HOLDING", "VMS", "LAGGING"}, [][]string{{
+		strconv.FormatUint(spr.Version, 10), strconv.FormatBool(spr.InForce),
 		strconv.Itoa(spr.Holding), strconv.Itoa(spr.Members), strings.Join(spr.Lagging, ","),
 	}})
 }
@@ -145,11 +169,15 @@
 	return version, nil
 }
 
-func releaseStatus(ctx context.Context, cmd *cli.Command, cli *client.Client, prn *printer) error {
+func (ses *session) releaseStatus(ctx context.Context, cmd *cli.Command, prn *printer) error {
 	version, err := parseVersion(cmd)
 	if err != nil {
 		return err
 	}
+	cli, err := ses.client()
+	if err != nil {
+		return err
+	}
 	spr, err := cli.Spread(ctx, version)
 	if err != nil {
 		return err
@@ -157,29 +185,52 @@
 	return printSpread(prn, spr)
 }
 
-func releaseHistory(ctx context.Context, _ *cli.Command, cli *client.Client, prn *printer) error {
-	his, err := cli.History(ctx)
+// entry is a release as JSON.
+type entry struct {
+	Version  uint64    `json:"version"`
+	ID       string    `json:"id"`
+	Operator string    `json:"operator,omitempty"`
+	Time     time.Time `json:"time"`
+}
+
+func (ses *session) releaseHistory(ctx context.Context, _ *cli.Command, prn *printer) error {
+	app, err := ses.applier()
+	if err != nil {
+		return err
+	}
+	ens, err := app.History(ctx)
 	if err != nil {
 		return err
 	}
 	var rows [][]string
-	for _, rel := range his.Releases {
-		rows = append(rows, []string{strconv.FormatUint(rel.Version, 10), rel.ID, rel.Operator, rel.Time.Format(time.RFC3339)})
+	out := make([]entry, 0, len(ens))
+	for _, ent := range ens {
+		out = append(out, entry{Version: ent.Version, ID: ent.ID, Operator: ent.Operator, Time: ent.Time})
+		rows = append(rows, []string{strconv.FormatUint(ent.Version, 10), ent.ID, ent.Operator, ent.Time.Format(time.RFC3339)})
 	}
-	return prn.print(his, []string{"VERSION", "RELEASE", "OPERATOR", "TIME"}, rows)
+	return prn.print(out, []string{"VERSION", "RELEASE", "OPERATOR", "TIME"}, rows)
 }
 
-func showRelease(ctx context.Context, cmd *cli.Command, cli *client.Client, prn *printer) error {
+// document is a text as JSON.
+type document struct {
+	Text string `json:"text"`
+}
+
+func (ses *session) showRelease(ctx context.Context, cmd *cli.Command, prn *printer) error {
 	version, err := parseVersion(cmd)
 	if err != nil {
 		return err
 	}
-	txt, err := cli.Show(ctx, version)
+	app, err := ses.applier()
+	if err != nil {
+		return err
+	}
+	txt, err := app.Show(ctx, version)
 	if err != nil {
 		return err
 	}
 	if prn.json {
-		return prn.print(api.Document{Text: txt}, nil, nil)
+		return prn.print(document{Text: txt}, nil, nil)
 	}
 	_, err = fmt.Fprint(prn.out, txt)
 	return err
--- /dev/null
+++ b/lugctl/pkg/explain/explain_test.go
@@ -0,0 +1,40 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestStories runs the scripts in testdata: "log VM" takes lines of a VM, "tell
+// REQUEST" prints the story of a request.
+func TestStories(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		logs := make(map[string]string)
+		var names []string
+		datadriven.RunTest(t, path, func(t *testing.T, dat *datadriven.TestData) string {
+			name := dat.CmdArgs[0].Key
+			if dat.Cmd == "log" {
+				logs[name] = dat.Input
+				names = append(names, name)
+				return ""
+			}
+			rdr := New(name)
+			for _, vmm := range names {
+				if err := rdr.Read(strings.NewReader(logs[vmm]), vmm); err != nil {
+					return err.Error()
+				}
+			}
+			sto, found := rdr.Story()
+			if !found {
+				return "nothing found\n"
+			}
+			var out strings.Builder
+			if err := sto.Tell(&out); err != nil {
+				return err.Error()
+			}
+			return out.String()
+		})
+	})
+}
--- /dev/null
+++ b/lugctl/pkg/release/release_test.go
@@ -0,0 +1,105 @@
+package release
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"marigoldlug.example/core/config"
+	"marigoldlug.example/core/note"
+)
+
+// memory keeps configurations and releases; others may race it.
+type memory struct {
+	now      Stored
+	releases []Entry
+	// races is the number of replaces before which another configuration is
+	// stored.
+	races int
+}
+
+func (mem *memory) Current(context.Context) (Stored, error) { return mem.now, nil }
+
+func (mem *memory) Replace(_ context.Context, before Stored, version uint64, con config.Content) error {
+	if mem.races > 0 {
+		mem.races--
+		mem.now.Version++
+		mem.now.Revision++
+		mem.releases = append(mem.releases, Entry{ID: fmt.Sprint("race-", mem.races), Version: mem.now.Version, Content: mem.now.Content})
+	}
+	if before.Revision != mem.now.Revision {
+		return ErrRaced
+	}
+	mem.now = Stored{Version: version, Revision: mem.now.Revision + 1, Content: con}
+	return nil
+}
+
+func (mem *memory) Release(_ context.Context, version uint64) (Entry, error) {
+	for _, ent := range mem.releases {
+		if ent.Version == version {
+			return ent, nil
+		}
+	}
+	return Entry{}, ErrNoRelease
+}
+
+func (mem *memory) Releases(context.Context) ([]Entry, error) { return mem.releases, nil }
+
+func (mem *memory) Keep(_ context.Context, ent Entry) error {
+	mem.releases = append(mem.releases, ent)
+	return nil
+}
+
+func doc(id string, base uint64, rest string) []byte {
+	return []byte(fmt.Sprintf("release: %s\nbase: %d\n%s\n", id, base, rest))
+}
+
+const studio = "added: {organisations: [{name: studio, rate: 5, burst: 10}]}"
+
+func TestNotesBecomeConditionalReplaces(t *testing.T) {
+	ctx := context.Background()
+	mem := &memory{races: 2}
+	app := New(mem, func() time.Time { return time.Unix(0, 0) })
+	res, err := app.Apply(ctx, doc("first", 0, studio), "ann")
+	if err != nil || res.Version != 3 || len(mem.now.Content.Organisations) != 1 {
+		t.Fatalf("got %+v, %v; the store holds %+v", res, err, mem.now)
+	}
+	again, err := app.Apply(ctx, doc("first", 0, studio), "ann")
+	if err != nil || !again.Repeated || again.Version != 3 || mem.now.Version != 3 {
+		t.Errorf("the same note again got %+v, %v", again, err)
+	}
+	if _, err := app.Apply(ctx, doc("first", 3, "withdrawn: {organisations: [studio]}"), "ann"); !errors.Is(err, ErrReused) {
+		t.Errorf("another note of the same ID got %v", err)
+	}
+}
+
+func TestConflictsAreFoundByField(t *testing.T) {
+	ctx := context.Background()
+	mem := new(memory)
+	app := New(mem, time.Now)
+	for id, rest := range []string{studio, "changed: {organisations: [{name: studio, rate: 7}]}"} {
+		if _, err := app.Apply(ctx, doc(fmt.Sprint("n", id), uint64(id), rest), "ann"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var conflict *note.ConflictError
+	if _, err := app.Apply(ctx, doc("late", 1, "changed: {organisations: [{name: studio, rate: 9}]}"), "bob"); !errors.As(err, &conflict) {
+		t.Errorf("a note that changes what another has changed got %v", err)
+	}
+	if _, err := app.Apply(ctx, doc("other", 1, "changed: {organisations: [{name: studio, burst: 20}]}"), "bob"); err != nil {
+		t.Errorf("a note that changes another field got %v", err)
+	}
+	if _, err := app.Apply(ctx, doc("lost", 99, "changed: {organisations: [{name: studio, burst: 30}]}"), "bob"); !errors.Is(err, ErrNoRelease) {
+		t.Errorf("a note against a version that is not kept got %v", err)
+	}
+}
+
+func TestCheckChangesNothing(t *testing.T) {
+	mem := new(memory)
+	difs, err := New(mem, time.Now).Check(context.Background(), doc("first", 0, studio))
+	if err != nil || len(difs) == 0 || mem.now.Version != 0 {
+		t.Errorf("got %v, %v; the store holds version %d", difs, err, mem.now.Version)
+	}
+}
--- a/lugd/pkg/driver/driver.go
+++ b/lugd/pkg/driver/driver.go
@@ -11,7 +11,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"marigoldlug.example/core/chunk"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/member"
@@ -30,6 +29,7 @@
 
 // Driver owns the machine of one VM. It is safe for concurrent use.
 type Driver struct {
+	self     member.VM
 	log      logrus.FieldLogger
 	journal  journal
 	platform Platform
@@ -65,7 +65,7 @@
 // asks for.
 func New(ctx context.Context, set gateway.Settings, pla Platform, clk *Clock, log logrus.FieldLogger, lines int) *Driver {
 	dri := &Driver{
-		log: log, journal: journal{log: log, limit: lines}, platform: pla, clock: clk, ctx: ctx,
+		self: set.Self, log: log, journal: journal{log: log, limit: lines}, platform: pla, clock: clk, ctx: ctx,
 		mac:   gateway.New(set, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		waits: make(map[request.ID]wait),
 	}
@@ -209,13 +209,13 @@
 // PeerGone notes that a VM has ended.
 func (dri *Driver) PeerGone(id string) { dri.Step(gateway.PeerGone{ID: id}) }
 
-// Chunk returns nothing: configurations travel whole.
-func (dri *Driver) Chunk(chunk.ID) []byte { return nil }
-
 // State returns what this VM says of itself to others.
 func (dri *Driver) State() peer.State {
 	sta, ready := dri.Status()
-	return peer.State{Version: sta.Version, Members: sta.VMs, Ready: ready, ProofAge: sta.Ages.Config, Requests: sta.Flights, Ejected: sta.Suspected}
+	return peer.State{
+		VM: dri.self, Version: sta.Version, Members: sta.VMs, Ready: ready, Reading: sta.Reading, Follows: sta.Follows,
+		ProofAge: sta.Ages.Config, Requests: sta.Flights, Suspected: sta.Suspected,
+	}
 }
 
 // Address returns where a VM is reached.
--- a/lugd/pkg/edge/counter.go
+++ b/lugd/pkg/edge/counter.go
@@ -1,15 +1,38 @@
 package edge
 
 import (
+	"context"
+	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+
+	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/lugd/pkg/metrics"
+	"marigoldlug.example/lugd/pkg/trace"
 )
 
-// counter turns the course of requests into metrics.
+// counter turns the course of requests into metrics and spans.
 type counter struct {
-	set *metrics.Set
+	set    *metrics.Set
+	tracer *trace.Tracer
+}
+
+// Entry begins the span of a request.
+func (ctr *counter) Entry(ctx context.Context, hdr http.Header) (context.Context, func(result string)) {
+	ctx, spn := ctr.tracer.Entry(ctx, hdr)
+	return ctx, func(result string) {
+		spn.SetAttributes(attribute.String("result", result))
+		spn.End()
+	}
+}
+
+// Hop begins the span of an attempt and hands its context on in the headers.
+func (ctr *counter) Hop(ctx context.Context, dis gateway.Dispatch, hdr http.Header) func() {
+	ctx, spn := ctr.tracer.Attempt(ctx, dis.Target.ID, dis.Attempt)
+	ctr.tracer.Inject(ctx, hdr)
+	return func() { spn.End() }
 }
 
 // Request counts a request that ended.
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
 	"fmt"
@@ -18,14 +19,17 @@
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/member"
+	"marigoldlug.example/lugd/pkg/certificate"
 	"marigoldlug.example/lugd/pkg/driver"
 	"marigoldlug.example/lugd/pkg/header"
 	"marigoldlug.example/lugd/pkg/http1"
 	"marigoldlug.example/lugd/pkg/logflags"
 	"marigoldlug.example/lugd/pkg/metrics"
+	"marigoldlug.example/lugd/pkg/operator"
 	"marigoldlug.example/lugd/pkg/peer"
 	"marigoldlug.example/lugd/pkg/socket"
 	"marigoldlug.example/lugd/pkg/target"
+	"marigoldlug.example/lugd/pkg/trace"
 )
 
 const (
@@ -63,7 +67,8 @@
 	pool      *target.Pool
 	callers   *http1.Server
 	ready     *http.Server
-	metrics   *http.Server
+	operators *http.Server
+	tracer    *trace.Tracer
 	listeners listeners
 	// cancel ends the work of the driver.
 	cancel context.CancelFunc
@@ -73,7 +78,7 @@
 }
 
 type listeners struct {
-	callers, ready, peers, metrics net.Listener
+	callers, ready, peers, operators net.Listener
 }
 
 // New binds the addresses and returns a VM that does not run yet.
@@ -95,14 +100,21 @@
 	}, wir.Connect(set.PlatformAddress, lgs.Logger(logflags.Platform)), driver.NewClock(), lgs.Logger(logflags.Machine), set.LogLinesPerSec)
 	dmn.transport = peer.New(dmn.self, dmn.listeners.peers, dmn.driver, lgs.Logger(logflags.Peer))
 	dmn.driver.SetTransport(dmn.transport)
+	if err := dmn.secure(); err != nil {
+		return nil, err
+	}
+	var err error
+	if dmn.tracer, err = trace.New(ctx, set.TraceEndpoint, dmn.self.ID, set.TraceShare); err != nil {
+		return nil, err
+	}
 	dmn.pool = target.New(target.Settings{
 		DialTimeout: set.DialTimeout, IdlePerTarget: idlePerTarget, BodyPause: bodyPause,
 		Names: wir.Names, Hold: holdBytes, Unframed: true,
 	})
 	met := metrics.New()
 	dmn.register(met)
-	dmn.callers = http1.New(callerBounds(set, config.Bounds{}), wir.Names, dmn.driver, dmn.pool, &counter{set: met}, lgs.Logger(logflags.Caller))
-	dmn.serveOthers(met)
+	dmn.callers = http1.New(callerBounds(set, config.Bounds{}), wir.Names, dmn.driver, dmn.pool, &counter{set: met, tracer: dmn.tracer}, lgs.Logger(logflags.Caller))
+	dmn.serveOthers(met, lgs.Logger(logflags.Operator))
 	return dmn, nil
 }
 
@@ -152,7 +164,7 @@
 		{"callers", dmn.set.CallerAddress, &dmn.listeners.callers},
 		{"the balancer", dmn.set.ReadyAddress, &dmn.listeners.ready},
 		{"other VMs", dmn.set.PeerAddress, &dmn.listeners.peers},
-		{"metrics", dmn.set.MetricsAddress, &dmn.listeners.metrics},
+		{"operators", dmn.set.OperatorAddress, &dmn.listeners.operators},
 	} {
 		if one.address == "" {
 			continue
@@ -167,11 +179,56 @@
 	return nil
 }
 
-func (dmn *Daemon) serveOthers(met *metrics.Set) {
+func (dmn *Daemon) serveOthers(met *metrics.Set, log logrus.FieldLogger) {
 	dmn.ready = &http.Server{Handler: http.HandlerFunc(dmn.answerReady), ReadHeaderTimeout: dmn.set.HeaderTimeout}
+	var operators http.Handler = operator.New(&fleet{dmn: dmn}, log)
+	if !dmn.set.plain(PlainOperators) {
+		operators = onlyOperators(operators)
+	}
 	mux := http.NewServeMux()
+	mux.Handle("/v1/", operators)
 	mux.Handle("GET /metrics", met.Handler())
-	dmn.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: dmn.set.HeaderTimeout}
+	dmn.operators = &http.Server{Handler: mux, ReadHeaderTimeout: dmn.set.HeaderTimeout}
+}
+
+// secure puts TLS before callers, VMs and operators, unless they are set to
+// plain text.
+func (dmn *Daemon) secure() error {
+	if !dmn.set.plain(PlainCallers) {
+		kee, err := certificate.New(dmn.set.CallerFiles)
+		if err != nil {
+			return err
+		}
+		dmn.listeners.callers = tls.NewListener(dmn.listeners.callers, onlyHTTP1(kee.Server(false)))
+	}
+	if !dmn.set.PeerFiles.Given() {
+		return nil
+	}
+	kee, err := certificate.New(dmn.set.PeerFiles)
+	if err != nil {
+		return err
+	}
+	if !dmn.set.plain(PlainPeers) {
+		dmn.transport.Secure(kee)
+	}
+	if dmn.listeners.operators != nil && !dmn.set.plain(PlainOperators) {
+		dmn.listeners.operators = tls.NewListener(dmn.listeners.operators, kee.Server(false))
+	}
+	return nil
+}
+
+// onlyHTTP1 offers callers no other protocol.
+func onlyHTTP1(cfg *tls.Config) *tls.Config {
+	inner := cfg.GetConfigForClient
+	cfg.NextProtos = []string{"http/1.1"}
+	cfg.GetConfigForClient = func(hel *tls.ClientHelloInfo) (*tls.Config, error) {
+		out, err := inner(hel)
+		if err == nil {
+			out.NextProtos = cfg.NextProtos
+		}
+		return out, err
+	}
+	return cfg
 }
 
 // answerReady tells the balancer whether the VM may be sent callers.
@@ -197,8 +254,8 @@
 	failed := make(chan error, 3)
 	go func() { failed <- dmn.callers.Serve(dmn.listeners.callers) }()
 	go func() { failed <- dmn.ready.Serve(dmn.listeners.ready) }()
-	if dmn.listeners.metrics != nil {
-		go func() { failed <- dmn.metrics.Serve(dmn.listeners.metrics) }()
+	if dmn.listeners.operators != nil {
+		go func() { failed <- dmn.operators.Serve(dmn.listeners.operators) }()
 	}
 	dmn.log.WithFields(logrus.Fields{"vm": dmn.self.ID, "callers": dmn.set.CallerAddress, "peers": dmn.set.PeerAddress}).Info("start")
 	err := dmn.serve(ctx, reload, failed)
@@ -310,5 +367,8 @@
 		dmn.log.WithField("connections", dmn.callers.Connections()).Warn("requests are cut after the stop time")
 	}
 	_ = dmn.ready.Close()
-	_ = dmn.metrics.Close()
+	_ = dmn.operators.Close()
+	if err := dmn.tracer.Shutdown(ctx); err != nil {
+		dmn.log.WithError(err).Warn("the last spans were not exported")
+	}
 }
--- a/lugd/pkg/edge/settings.go
+++ b/lugd/pkg/edge/settings.go
@@ -8,23 +8,32 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"marigoldlug.example/lugd/pkg/certificate"
 )
 
 // Settings are the values for one VM.
 type Settings struct {
 	Name          string
 	FailureDomain string
-	// CallerAddress, ReadyAddress, PeerAddress and MetricsAddress are IP
+	// CallerAddress, ReadyAddress, PeerAddress and OperatorAddress are IP
 	// addresses and ports to listen on.
 	CallerAddress   string
 	ReadyAddress    string
 	PeerAddress     string
-	MetricsAddress  string
+	OperatorAddress string
 	PlatformAddress string
+	// CallerFiles are the certificate and key shown to callers, PeerFiles those
+	// shown to other VMs and to operators, with the authority that signs theirs.
+	CallerFiles certificate.Files
+	PeerFiles   certificate.Files
+	// PlainText lists what is served without TLS: callers, peers, operators.
+	PlainText []string
 	// RevokeTime is how long after its withdrawal a key may still work.
 	RevokeTime time.Duration
 	// RetryShare, RetryExtra and RetryWindow bound the fleet's retries for a
@@ -47,6 +56,8 @@
 	BodyTimeout    time.Duration
 	DialTimeout    time.Duration
 	MemoryMiB      int
+	TraceEndpoint  string
+	TraceShare     float64
 	LogFormat      string
 	LogVerbose     string
 	LogLinesPerSec int
@@ -87,24 +98,33 @@
 		fault("failure-domain", "must be given")
 	}
 	for _, one := range []struct{ name, val string }{
-		{"caller-address", set.CallerAddress}, {"ready-address", set.ReadyAddress},
-		{"peer-address", set.PeerAddress}, {"platform-address", set.PlatformAddress},
+		{"caller-address", set.CallerAddress},
+		{"ready-address", set.ReadyAddress},
+		{"peer-address", set.PeerAddress},
+		{"platform-address", set.PlatformAddress},
 	} {
 		if _, err := netip.ParseAddrPort(one.val); err != nil {
 			fault(one.name, "%q is not an IP address and port", one.val)
 		}
 	}
-	if set.MetricsAddress != "" {
-		if _, err := netip.ParseAddrPort(set.MetricsAddress); err != nil {
-			fault("metrics-address", "%q is not an IP address and port", set.MetricsAddress)
+	if set.OperatorAddress != "" {
+		if _, err := netip.ParseAddrPort(set.OperatorAddress); err != nil {
+			fault("operator-address", "%q is not an IP address and port", set.OperatorAddress)
 		}
 	}
+	errs = append(errs, set.checkTLS()...)
 	for _, one := range []struct {
 		name string
 		val  time.Duration
 	}{
-		{"revoke-time", set.RevokeTime}, {"retry-window", set.RetryWindow}, {"quota-window", set.QuotaWindow}, {"stop-time", set.StopTime},
-		{"header-timeout", set.HeaderTimeout}, {"idle-timeout", set.IdleTimeout}, {"body-timeout", set.BodyTimeout}, {"dial-timeout", set.DialTimeout},
+		{"revoke-time", set.RevokeTime},
+		{"retry-window", set.RetryWindow},
+		{"quota-window", set.QuotaWindow},
+		{"stop-time", set.StopTime},
+		{"header-timeout", set.HeaderTimeout},
+		{"idle-timeout", set.IdleTimeout},
+		{"body-timeout", set.BodyTimeout},
+		{"dial-timeout", set.DialTimeout},
 	} {
 		if one.val <= 0 {
 			fault(one.name, "%v is not above 0", one.val)
@@ -125,6 +145,37 @@
 	return errors.Join(errs...)
 }
 
+// What can be served without TLS.
+const (
+	PlainCallers   = "callers"
+	PlainPeers     = "peers"
+	PlainOperators = "operators"
+)
+
+// plain reports whether something is served without TLS.
+func (set Settings) plain(what string) bool { return slices.Contains(set.PlainText, what) }
+
+// checkTLS reports what is neither given certificates nor said to be plain.
+func (set Settings) checkTLS() []error {
+	var errs []error
+	for _, what := range set.PlainText {
+		if !slices.Contains([]string{PlainCallers, PlainPeers, PlainOperators}, what) {
+			errs = append(errs, fmt.Errorf("plain-text: %q is not %s, %s or %s", what, PlainCallers, PlainPeers, PlainOperators))
+		}
+	}
+	if fls := set.CallerFiles; !set.plain(PlainCallers) && (fls.Certificate == "" || fls.Key == "") {
+		errs = append(errs, fmt.Errorf("caller-certificate: callers need a certificate and a key, or plain-text=%s", PlainCallers))
+	}
+	secret := !set.plain(PlainPeers) || set.OperatorAddress != "" && !set.plain(PlainOperators)
+	if fls := set.PeerFiles; secret && (fls.Certificate == "" || fls.Key == "" || fls.Authority == "") {
+		errs = append(errs, fmt.Errorf("peer-certificate: VMs and operators need a certificate, a key and an authority, or plain-text=%s,%s", PlainPeers, PlainOperators))
+	}
+	if set.TraceShare < 0 || set.TraceShare > 1 {
+		errs = append(errs, fmt.Errorf("trace-share: %v is not between 0 and 1", set.TraceShare))
+	}
+	return errs
+}
+
 const environmentPrefix = "LUGD_"
 
 func environment(name string) cli.ValueSourceChain {
@@ -151,8 +202,16 @@
 		text("caller-address", "IP address and port for callers", &set.CallerAddress),
 		text("ready-address", "IP address and port at which the balancer asks whether the VM is ready", &set.ReadyAddress),
 		text("peer-address", "IP address and port for other VMs", &set.PeerAddress),
-		text("metrics-address", "IP address and port for metrics; empty for none", &set.MetricsAddress),
+		text("operator-address", "IP address and port for operators and metrics; empty for none", &set.OperatorAddress),
 		text("platform-address", "IP address and port of the platform's store", &set.PlatformAddress),
+		text("caller-certificate", "file of the certificate shown to callers", &set.CallerFiles.Certificate),
+		text("caller-key", "file of the key of caller-certificate", &set.CallerFiles.Key),
+		text("peer-certificate", "file of the certificate shown to VMs and operators", &set.PeerFiles.Certificate),
+		text("peer-key", "file of the key of peer-certificate", &set.PeerFiles.Key),
+		text("peer-authority", "file of the authority that signs the certificates of VMs and operators", &set.PeerFiles.Authority),
+		&cli.StringSliceFlag{Name: "plain-text", Usage: "what is served without TLS: callers, peers, operators", Destination: &set.PlainText, Sources: environment("plain-text")},
+		text("trace-endpoint", "URL of an OTLP endpoint for traces; empty for none", &set.TraceEndpoint),
+		number("trace-share", "share of requests that are traced, from 0 to 1", &set.TraceShare),
 		duration("revoke-time", "how long after its withdrawal a key may still work", &set.RevokeTime),
 		number("retry-share", "retries that the fleet may make, as a share of the requests for a service", &set.RetryShare),
 		number("retry-extra", "retries that the fleet may make beside retry-share in a retry-window", &set.RetryExtra),
--- a/lugd/pkg/http1/session.go
+++ b/lugd/pkg/http1/session.go
@@ -45,6 +45,8 @@
 	answer  *target.Answer
 	attempt int
 	route   string
+	// result is what became of the request.
+	result string
 }
 
 // result is the end of an attempt.
@@ -79,7 +81,9 @@
 	})
 	ses.id = id
 	defer srv.decider.End(id)
-	ctx, cancel := context.WithCancel(ses.con.ctx)
+	ctx, spanned := srv.observer.Entry(ses.con.ctx, ses.req.Header)
+	defer func() { spanned(ses.result) }()
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ses.cancel = func() {}
 	for {
@@ -108,6 +112,7 @@
 }
 
 func (ses *session) observe(outcome string) {
+	ses.result = outcome
 	elapsed := time.Since(ses.began)
 	ses.con.srv.observer.Request(ses.route, outcome, elapsed, ses.waited)
 }
@@ -154,9 +159,11 @@
 		Label: ses.label, Target: dis.Target.ID,
 	}
 	out := ses.outgoing(dis)
+	hopped := ses.con.srv.observer.Hop(ctx, dis, out.Header)
 	results := ses.results
 	go func() {
 		ans, fail := ses.con.srv.sender.Send(ctx, cal, out)
+		hopped()
 		res := result{attempt: dis.Attempt, service: dis.Service, answer: ans, failure: fail, began: began}
 		select {
 		case results <- res:
--- a/lugd/pkg/logflags/logflags.go
+++ b/lugd/pkg/logflags/logflags.go
@@ -20,6 +20,9 @@
 	Operator = "operator"
 )
 
+// timeFormat shows milliseconds, so that the lines of one request have an order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Subsystems lists the names of the subsystems.
 func Subsystems() []string { return []string{Daemon, Caller, Machine, Peer, Platform, Operator} }
 
@@ -36,9 +39,9 @@
 	lgs := &Logs{out: out}
 	switch format {
 	case "json":
-		lgs.format = &logrus.JSONFormatter{}
+		lgs.format = &logrus.JSONFormatter{TimestampFormat: timeFormat}
 	case "text":
-		lgs.format = &logrus.TextFormatter{FullTimestamp: true}
+		lgs.format = &logrus.TextFormatter{FullTimestamp: true, TimestampFormat: timeFormat}
 	default:
 		return nil, fmt.Errorf("log format %q is not json or text", format)
 	}
--- a/lugd/pkg/peer/content.go
+++ b/lugd/pkg/peer/content.go
@@ -15,7 +15,6 @@
 	}
 	wrt.count(len(con.Keys))
 	for _, key := range con.Keys {
-		wrt.text(key.ID)
 		wrt.text(key.Organisation)
 		wrt.raw(key.Digest[:])
 	}
@@ -41,7 +40,7 @@
 		con.Organisations = append(con.Organisations, rdr.organisation())
 	}
 	for cnt := rdr.count(); cnt > 0 && rdr.err == nil; cnt-- {
-		key := config.Key{ID: rdr.text(), Organisation: rdr.text()}
+		key := config.Key{Organisation: rdr.text()}
 		if raw := rdr.raw(); rdr.err == nil && len(raw) != len(key.Digest) {
 			rdr.err = errMalformed
 		} else {
@@ -65,7 +64,6 @@
 	wrt.text(org.Name)
 	wrt.whole(int64(org.Limit.Rate))
 	wrt.whole(int64(org.Limit.Burst))
-	wrt.whole(int64(org.Weight))
 	wrt.boolean(org.Priority != nil)
 	if org.Priority != nil {
 		wrt.whole(int64(*org.Priority))
@@ -74,7 +72,7 @@
 
 func (rdr *reader) organisation() config.Organisation {
 	org := config.Organisation{
-		Name: rdr.text(), Limit: rate.Limit{Rate: rate.PerSecond(rdr.whole()), Burst: rate.Tokens(rdr.whole())}, Weight: int(rdr.whole()),
+		Name: rdr.text(), Limit: rate.Limit{Rate: rate.PerSecond(rdr.whole()), Burst: rate.Tokens(rdr.whole())},
 	}
 	if rdr.boolean() {
 		pri := config.Priority(rdr.whole())
@@ -89,8 +87,6 @@
 	wrt.text(rou.PathPrefix)
 	wrt.text(string(rou.Access))
 	wrt.text(rou.Service)
-	wrt.texts(rou.Methods)
-	wrt.texts(rou.Organisations)
 	wrt.count(len(rou.Split))
 	for _, sha := range rou.Split {
 		wrt.text(sha.Service)
@@ -106,7 +102,6 @@
 func (rdr *reader) route() config.Route {
 	rou := config.Route{
 		Name: rdr.text(), Host: rdr.text(), PathPrefix: rdr.text(), Access: config.Access(rdr.text()), Service: rdr.text(),
-		Methods: rdr.texts(), Organisations: rdr.texts(),
 	}
 	for cnt := rdr.count(); cnt > 0 && rdr.err == nil; cnt-- {
 		rou.Split = append(rou.Split, config.Share{Service: rdr.text(), Weight: math.Float64frombits(rdr.number())})
--- a/lugd/pkg/peer/link.go
+++ b/lugd/pkg/peer/link.go
@@ -6,8 +6,9 @@
 	"encoding/binary"
 	"fmt"
 	"net"
-	"strings"
 	"time"
+
+	"marigoldlug.example/lugd/pkg/socket"
 )
 
 // link is the queue of messages to one VM and the goroutine that sends them.
@@ -17,7 +18,7 @@
 
 // connect opens a connection to an address.
 func (trn *Transport) connect(address string) (net.Conn, error) {
-	dlr := &net.Dialer{Timeout: dialTimeout}
+	dlr := &net.Dialer{Timeout: dialTimeout, Control: socket.Unacknowledged(writeTimeout)}
 	if trn.identity == nil {
 		return dlr.Dial("tcp", address)
 	}
@@ -48,7 +49,7 @@
 	trn.wait.Add(1)
 	go trn.watchStranger(con, to)
 	wrt := bufio.NewWriter(con)
-	if err := trn.write(con, wrt, hello{Version: protocolVersion, From: trn.self, To: meant(to)}); err != nil {
+	if err := trn.write(con, wrt, hello{Version: protocolVersion, From: trn.self, To: to}); err != nil {
 		return err
 	}
 	idle := time.NewTimer(idleTime)
@@ -74,14 +75,6 @@
 	}
 }
 
-// meant returns the ID that a hello names, none for whatever VM listens.
-func meant(to string) string {
-	if strings.HasPrefix(to, anyVM) {
-		return ""
-	}
-	return to
-}
-
 // watchStranger waits for the only frame that the receiver of a link sends
 // back, and closes the link when the receiver closes it.
 func (trn *Transport) watchStranger(con net.Conn, to string) {
--- a/lugd/pkg/peer/transport.go
+++ b/lugd/pkg/peer/transport.go
@@ -14,7 +14,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"marigoldlug.example/core/chunk"
 	"marigoldlug.example/core/member"
 )
 
@@ -24,24 +23,16 @@
 	writeTimeout = 2 * time.Second
 	idleTime     = time.Minute
 	redialTime   = 250 * time.Millisecond
-	chunkTimeout = 2 * time.Second
 	stateTimeout = time.Second
 	frameHeader  = 4
 )
 
-// anyVM precedes an address in place of the ID of a VM that is not known.
-const anyVM = "any@"
-
-var errNoChunk = errors.New("the VM does not hold the chunk")
-
 // handler takes what arrives from other VMs.
 type handler interface {
 	// Received takes a message of one of the core packages.
 	Received(from string, msg any)
 	// PeerGone notes that a VM has ended, since another runs at its address.
 	PeerGone(id string)
-	// Chunk returns the content of a chunk that this VM holds.
-	Chunk(id chunk.ID) []byte
 	// State returns what this VM says of itself.
 	State() State
 	// Address returns where a VM is reached.
@@ -75,7 +66,6 @@
 	mut     sync.Mutex
 	links   map[string]*link
 	book    map[string]string
-	chunks  map[chunk.ID][]chan []byte
 	states  chan State
 	inbound map[net.Conn]bool
 	closed  bool
@@ -87,7 +77,7 @@
 	return &Transport{
 		self: self, handler: han, log: log, listen: lis,
 		links: make(map[string]*link), book: make(map[string]string),
-		chunks: make(map[chunk.ID][]chan []byte), inbound: make(map[net.Conn]bool),
+		inbound: make(map[net.Conn]bool),
 	}
 }
 
@@ -249,10 +239,6 @@
 		return err
 	}
 	switch msg := msg.(type) {
-	case chunkQuestion:
-		trn.Send(from, chunkAnswer{ID: msg.ID, Content: trn.handler.Chunk(msg.ID)})
-	case chunkAnswer:
-		trn.chunkArrived(msg)
 	case stateQuestion:
 		trn.Send(from, trn.handler.State())
 	case State:
--- a/lugd/pkg/peer/wire.go
+++ b/lugd/pkg/peer/wire.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
-
-	"marigoldlug.example/core/clock"
 )
 
 const (
@@ -50,11 +48,6 @@
 func (wrt *writer) duration(val time.Duration) { wrt.whole(int64(val)) }
 func (wrt *writer) count(val int)              { wrt.keep(wrt.enc.EncodeArrayLen(val)) }
 
-func (wrt *writer) instant(val clock.Instant) {
-	wrt.duration(val.Mono)
-	wrt.duration(val.Wall)
-}
-
 func (wrt *writer) texts(vals []string) {
 	wrt.count(len(vals))
 	for _, val := range vals {
@@ -110,10 +103,6 @@
 
 func (rdr *reader) duration() time.Duration { return time.Duration(rdr.whole()) }
 
-func (rdr *reader) instant() clock.Instant {
-	return clock.Instant{Mono: rdr.duration(), Wall: rdr.duration()}
-}
-
 func (rdr *reader) count() int {
 	cnt, err := rdr.dec.DecodeArrayLen()
 	rdr.keep(err)
--- a/lugd/pkg/trace/trace.go
+++ b/lugd/pkg/trace/trace.go
@@ -66,12 +66,6 @@
 		trace.WithAttributes(attribute.String("target", target), attribute.Int("attempt", attempt)))
 }
 
-// Queue starts the span of the wait for rate and room.
-func (trc *Tracer) Queue(ctx context.Context) trace.Span {
-	_, spn := trc.tracer.Start(ctx, "queue")
-	return spn
-}
-
 // Inject writes the context of the present span into the headers of a request.
 func (trc *Tracer) Inject(ctx context.Context, hdr http.Header) {
 	if trace.SpanContextFromContext(ctx).IsValid() {
