Keep the connection of an answer that is closed twice, and spare the store where many read

Closing an exchange ends it once. The placer prefers, among targets that are as good, one to which the VM likely has an open connection. VMs that read the platform for themselves only read targets and the list less often.

--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -155,6 +155,9 @@
 // SetReading switches the reading of the platform on or off.
 type SetReading struct {
 	On bool
+	// Sparing is set where the VM reads for itself only, because it reaches no
+	// VM to follow. Many may do so at a time.
+	Sparing bool
 }
 
 // Send sends a message to another VM.
--- a/core/gateway/knowledge.go
+++ b/core/gateway/knowledge.go
@@ -51,8 +51,8 @@
 	heard      map[string]clock.Instant
 	pinged     map[string]clock.Instant
 	registered clock.Instant
-	reading    bool
-	readingSet bool
+	// reading is how the platform is read; nil before that is decided.
+	reading *SetReading
 }
 
 func (mac *Machine) version() uint64 {
@@ -242,11 +242,11 @@
 	for _, snd := range mac.follower.Tick(now, mac.Held(), now.Since(mac.contact)) {
 		mac.do(Send{To: snd.To, Message: snd.Ask})
 	}
-	reading := mac.follower.Reading() || mac.config == nil
-	if !mac.readingSet || reading != mac.reading {
-		mac.reading, mac.readingSet = reading, true
-		mac.note("reading", "on", reading, "follows", mac.follower.Followed())
-		mac.do(SetReading{On: reading})
+	set := SetReading{On: mac.follower.Reading() || mac.config == nil, Sparing: !mac.follower.First()}
+	if mac.reading == nil || *mac.reading != set {
+		mac.reading = &set
+		mac.note("reading", "on", set.On, "sparing", set.Sparing, "follows", mac.follower.Followed())
+		mac.do(set)
 	}
 }
 
@@ -264,7 +264,7 @@
 		mac.note("claim", "before", mac.fleet.Holder())
 		mac.do(Write{Name: fleet.DutyName, Row: fleet.Row{Holder: mac.set.Self.ID}, Revision: mac.fleet.Object(fleet.DutyName)})
 	}
-	if mac.follower.First() && mac.reading {
+	if mac.follower.First() {
 		mac.sweep(now)
 	}
 }
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -283,7 +283,7 @@
 // Status returns the state of the VM at now.
 func (mac *Machine) Status(now clock.Instant) Status {
 	sta := Status{
-		Version: mac.version(), VMs: mac.fleet.View().Size(), Reading: mac.reading, Follows: mac.follower.Followed(),
+		Version: mac.version(), VMs: mac.fleet.View().Size(), Reading: mac.reading != nil && mac.reading.On, Follows: mac.follower.Followed(),
 		Holder: mac.fleet.Holder(), Ages: mac.ages(now), Flights: len(mac.flights), Targets: mac.registry.Len(), Stopping: mac.stopping,
 	}
 	for _, svc := range mac.services {
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -19,6 +20,10 @@
 	// pathRepeat is how long further failures of the same VM at the same target
 	// count against the path only.
 	pathRepeat = 3 * time.Second
+	// carefulReuse and repeatableReuse are how long after an answer a connection
+	// is used for requests that cannot and that can be repeated.
+	carefulReuse    = 900 * time.Millisecond
+	repeatableReuse = 5 * time.Second
 	// speedWeight is the weight of one answer in the estimate of a target's
 	// speed.
 	speedWeight = 0.2
@@ -52,6 +57,8 @@
 	pathCost      = 0.5
 	crossCost     = 0.03
 	loadCost      = 0.06
+	// connectCost is that of a new connection.
+	connectCost = 0.015
 )
 
 // Ticket names an attempt: the number that its VM gave it.
@@ -82,8 +89,10 @@
 	slower   float64
 	answers  int
 	lastUsed clock.Instant
-	// paths has when VMs last failed at the target.
-	paths map[string]clock.Instant
+	// paths has when VMs last failed at the target, and answered when they last
+	// had an answer, since when their connections may be used again.
+	paths    map[string]clock.Instant
+	answered map[string]clock.Instant
 	// suspected is set while the target is believed to be sick.
 	suspected bool
 	// gone is set once another target answered at the address.
@@ -138,7 +147,8 @@
 			continue
 		}
 		pla.targets = append(pla.targets, &target{
-			Target: tgt, belief: belief{sick: restBelief / 2, at: now}, slower: 1, lastUsed: now.Add(-idleTime), paths: make(map[string]clock.Instant),
+			Target: tgt, belief: belief{sick: restBelief / 2, at: now}, slower: 1, lastUsed: now.Add(-idleTime),
+			paths: make(map[string]clock.Instant), answered: make(map[string]clock.Instant),
 		})
 	}
 }
@@ -249,6 +259,9 @@
 	if tgt.FailureDomain != wis.Domain {
 		cost += crossCost
 	}
+	if !tgt.connected(now, vmm, wis.Idempotent) {
+		cost += connectCost
+	}
 	if at, failed := tgt.paths[vmm]; failed && now.Since(at) < pathTime {
 		cost += pathCost
 	}
@@ -258,6 +271,17 @@
 	return cost
 }
 
+// connected reports whether a VM likely has a connection to the target that it
+// may use for a request.
+func (tgt *target) connected(now clock.Instant, vmm string, idempotent bool) bool {
+	fresh := carefulReuse
+	if idempotent {
+		fresh = repeatableReuse
+	}
+	at, known := tgt.answered[vmm]
+	return known && now.Since(at) < fresh
+}
+
 // due reports whether a target has had no request for so long that one is sent
 // to see how it fares.
 func (tgt *target) due(now clock.Instant, sick float64, idempotent bool) bool {
@@ -343,6 +367,7 @@
 	}
 	tgt.belief.weigh(now, factor, took)
 	delete(tgt.paths, att.ticket.VM)
+	tgt.answered[att.ticket.VM] = now
 	lat := pla.latencies[att.route]
 	served := max(took-att.wait, took/4)
 	usual := time.Duration(float64(served) / tgt.pace(now))
@@ -422,6 +447,9 @@
 	for _, att := range lost {
 		pla.remove(att)
 	}
+	for _, tgt := range pla.targets {
+		maps.DeleteFunc(tgt.answered, func(_ string, at clock.Instant) bool { return now.Since(at) > repeatableReuse })
+	}
 }
 
 // Forget drops the attempts of a VM that has ended.
--- a/lugd/pkg/driver/driver.go
+++ b/lugd/pkg/driver/driver.go
@@ -122,7 +122,7 @@
 	case gateway.Note:
 		dri.logNote(act)
 	case gateway.SetReading:
-		dri.setReading(act.On)
+		dri.setReading(act)
 	case gateway.Write:
 		dri.perform(func(ctx context.Context) error { return dri.platform.Write(ctx, act.Name, act.Row, act.Revision) }, act.Name)
 	case gateway.Delete:
--- a/lugd/pkg/driver/reader.go
+++ b/lugd/pkg/driver/reader.go
@@ -39,23 +39,31 @@
 	Delete(ctx context.Context, name string, revision uint64) error
 }
 
-// kindConfig names the reading of the configuration in logs.
-const kindConfig = "config"
+// pace says how often a kind of object is read.
+type pace struct {
+	// wait is how long the platform is asked to wait for a change. What a watch
+	// returns is known to be the newest only at the time of its sending.
+	wait time.Duration
+	// gather is the least time between two watches, so that changes in quick
+	// succession take one.
+	gather time.Duration
+}
+
+// The paces of VMs that read for others, and of those that read for themselves.
+var (
+	configPace         = pace{wait: feed.WatchTime}
+	targetsPace        = pace{wait: 1500 * time.Millisecond, gather: 250 * time.Millisecond}
+	fleetPace          = pace{wait: time.Second, gather: 250 * time.Millisecond}
+	sparingTargetsPace = pace{wait: 1500 * time.Millisecond, gather: 900 * time.Millisecond}
+	sparingFleetPace   = pace{wait: 2500 * time.Millisecond, gather: 1500 * time.Millisecond}
+)
 
 const (
-	// targetsWatch and fleetWatch are how long the platform is asked to wait for
-	// a change. What a watch returns is known to be the newest only at the time
-	// of its sending.
-	targetsWatch = 1500 * time.Millisecond
-	fleetWatch   = time.Second
-	// answerTime is how long an answer may take beyond that.
+	// answerTime is how long an answer may take beyond the wait.
 	answerTime = 800 * time.Millisecond
 	// settleTime is how long a VM that has listed the objects looks for another
 	// VM to follow before it watches them itself.
 	settleTime = 300 * time.Millisecond
-	// gatherTime is the least time between two watches of a kind that changes
-	// often, so that changes in quick succession take one.
-	gatherTime = 250 * time.Millisecond
 	// listTime bounds a listing.
 	listTime = 2 * time.Second
 	// firstPause and lastPause bound the pause after a failed read.
@@ -64,29 +72,33 @@
 )
 
 // setReading starts or ends the reading of the platform.
-func (dri *Driver) setReading(on bool) {
+func (dri *Driver) setReading(set gateway.SetReading) {
 	if dri.stopReading != nil {
 		dri.stopReading()
 		dri.stopReading = nil
 	}
-	if !on || dri.ctx.Err() != nil {
+	if !set.On || dri.ctx.Err() != nil {
 		return
 	}
 	ctx, cancel := context.WithCancel(dri.ctx)
 	dri.stopReading = cancel
 	held := dri.mac.Held()
+	tgs, flt := targetsPace, fleetPace
+	if set.Sparing {
+		tgs, flt = sparingTargetsPace, sparingFleetPace
+	}
 	dri.work.Go(func() {
-		read(ctx, dri, kindConfig, dri.platform.Config(), dri.config, feed.WatchTime, func(asked clock.Instant, del table.Delta[*gateway.Config]) {
+		read(ctx, dri, "config", dri.platform.Config(), dri.config, configPace, func(asked clock.Instant, del table.Delta[*gateway.Config]) {
 			dri.tookConfig(asked, del)
 		})
 	})
 	dri.work.Go(func() {
-		read(ctx, dri, "targets", dri.platform.Targets(), held.Targets, targetsWatch, func(asked clock.Instant, del table.Delta[registry.Entry]) {
+		read(ctx, dri, "targets", dri.platform.Targets(), held.Targets, tgs, func(asked clock.Instant, del table.Delta[registry.Entry]) {
 			dri.Step(gateway.TargetsRead{Asked: asked, News: del})
 		})
 	})
 	dri.work.Go(func() {
-		read(ctx, dri, "fleet", dri.platform.Fleet(), held.Fleet, fleetWatch, func(asked clock.Instant, del table.Delta[fleet.Row]) {
+		read(ctx, dri, "fleet", dri.platform.Fleet(), held.Fleet, flt, func(asked clock.Instant, del table.Delta[fleet.Row]) {
 			dri.Step(gateway.FleetRead{Asked: asked, News: del})
 		})
 	})
@@ -107,12 +119,12 @@
 }
 
 // read follows one kind of object until ctx ends.
-func read[T any](ctx context.Context, dri *Driver, kind string, src Source[T], since uint64, watch time.Duration, take func(asked clock.Instant, del table.Delta[T])) {
+func read[T any](ctx context.Context, dri *Driver, kind string, src Source[T], since uint64, pce pace, take func(asked clock.Instant, del table.Delta[T])) {
 	log := dri.log.WithField("kind", kind)
 	pause, lost := firstPause, false
 	for ctx.Err() == nil {
 		asked := dri.clock.Now()
-		del, err := readOnce(ctx, src, since, watch)
+		del, err := readOnce(ctx, src, since, pce.wait)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -135,11 +147,10 @@
 		}
 		pause, lost = firstPause, false
 		take(asked, del)
-		switch {
-		case since == 0:
+		if since == 0 {
 			sleep(ctx, settleTime)
-		case kind != kindConfig:
-			sleep(ctx, gatherTime-dri.clock.Now().Since(asked))
+		} else if left := pce.gather - dri.clock.Now().Since(asked); left > 0 {
+			sleep(ctx, left)
 		}
 		since = del.Revision
 	}
--- a/lugd/pkg/target/exchange.go
+++ b/lugd/pkg/target/exchange.go
@@ -126,6 +126,9 @@
 	exchange *exchange
 	reusable bool
 	whole    bool
+	// closed is set once the exchange has ended; the connection may serve
+	// another one since.
+	closed bool
 }
 
 // Read notes the end of the body. It fails when the target sends nothing for
@@ -144,6 +147,10 @@
 // Close ends the exchange and keeps the connection only if both the request
 // and the answer have gone over it to their ends.
 func (bod *body) Close() error {
+	if bod.closed {
+		return nil
+	}
+	bod.closed = true
 	exc := bod.exchange
 	kept := false
 	if bod.whole && bod.reusable && exc.stop() {
--- a/lugd/pkg/target/pool_test.go
+++ b/lugd/pkg/target/pool_test.go
@@ -246,3 +246,27 @@
 		t.Errorf("after the first request ended: %v", fail)
 	}
 }
+
+// TestHeldAnswersKeepTheirConnections closes answers that are held whole, as
+// callers do once they have been passed on, while the next request is sent.
+func TestHeldAnswersKeepTheirConnections(t *testing.T) {
+	tgt := newScriptedTarget(t)
+	pol := New(Settings{DialTimeout: time.Second, IdlePerTarget: 4, BodyPause: time.Second, Hold: 1 << 10})
+	var before *Answer
+	for num := range 5 {
+		req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: "target", Path: "/"}, Host: "target", Header: http.Header{}}
+		ans, fail := pol.Send(context.Background(), Call{Address: tgt.lis.Addr().String(), Timeout: time.Second, Connections: 4}, req)
+		if fail != nil {
+			t.Fatalf("request %d: %v", num, fail)
+		}
+		if before != nil {
+			_ = before.Body.Close()
+		}
+		before = ans
+	}
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	if tgt.conns != 1 {
+		t.Errorf("%d connections for five requests one after the other", tgt.conns)
+	}
+}
