--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -75,7 +76,7 @@
 func (mac *Machine) arrived(now clock.Instant, req request.Request) {
 	fli, ref := mac.admit(now, req)
 	if ref != nil {
-		mac.noteRefusal(req.ID, *ref)
+		mac.noteRefusal(fli, req.ID, *ref)
 		mac.do(Refuse{Request: req.ID, Refusal: *ref})
 		return
 	}
@@ -89,10 +90,15 @@
 	}
 }
 
-func (mac *Machine) noteRefusal(id request.ID, ref request.Refusal) {
-	mac.do(Note{Request: id, Event: "refused", Fields: []any{
+// noteRefusal notes why a request is refused; fli is nil where it has no route.
+func (mac *Machine) noteRefusal(fli *flight, id request.ID, ref request.Refusal) {
+	fields := []any{
 		"reason", ref.Reason, "detail", ref.Detail, "verdict", ref.Verdict, "retryAfter", ref.RetryAfter, "version", mac.version(),
-	}})
+	}
+	if fli != nil {
+		fields = append(fields, "route", fli.route.Name, "organisation", fli.organisation, "service", fli.service, "attempts", fli.attempt)
+	}
+	mac.do(Note{Request: id, Event: "refused", Fields: fields})
 }
 
 // rateDecided takes the decision on a request by the organisation's rate.
@@ -102,7 +108,8 @@
 		return
 	}
 	if !dec.Admitted {
-		detail := "the organisation's rate is exceeded"
+		lim, _ := mac.limit(fli.organisation)
+		detail := fmt.Sprintf("the organisation's rate of %v a second and burst of %v are exceeded, says %s", lim.Rate.Float(), lim.Burst.Float(), mac.fleet.Holder())
 		if dec.Alone {
 			detail = "the VM's own part of the organisation's rate is exceeded, and it does not reach the server of tokens"
 		}
@@ -195,7 +202,7 @@
 		ref.RetryAfter = usualReturn
 	}
 	mac.forget(fli)
-	mac.noteRefusal(fli.ID, ref)
+	mac.noteRefusal(fli, fli.ID, ref)
 	mac.do(Refuse{Request: fli.ID, Refusal: ref})
 }
 
--- a/lugctl/pkg/explain/explain.go
+++ b/lugctl/pkg/explain/explain.go
@@ -122,14 +122,13 @@
 	return sto, true
 }
 
-// concerns reports whether a belief is that of a VM that took the request, or
-// is about a target that it was sent to.
+// concerns reports whether a belief is that of a VM that took the request and
+// not about another target, or that of a placer about its target.
 func (sto Story) concerns(bel Line) bool {
+	fromPlacer := bel.Event == "targetSuspected" || bel.Event == "targetTrusted"
 	for _, lin := range sto.Lines {
-		if tgt := lin.Fields["target"]; tgt != "" && tgt == bel.Fields["target"] {
-			return true
-		}
-		if bel.Fields["target"] == "" && lin.VM == bel.VM {
+		tgt := bel.Fields["target"]
+		if (tgt == "" || tgt == lin.Fields["target"]) && (fromPlacer || lin.VM == bel.VM) {
 			return true
 		}
 	}
--- a/lugd/pkg/target/exchange.go
+++ b/lugd/pkg/target/exchange.go
@@ -100,11 +100,20 @@
 	return rsp.ContentLength < 0 && len(rsp.TransferEncoding) == 0
 }
 
+// cause returns why an exchange failed. One that was given up fails for that and
+// not for the closing of its connection; nil stands for the end of its time.
+func (exc *exchange) cause(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
 // fail ends the exchange before an answer and waits until the request is no
 // longer read, so that the verdict is final.
 func (exc *exchange) fail(cause error) *Error {
 	if cause == nil {
-		cause = fmt.Errorf("target %s did not answer in time", exc.con.address)
+		cause = fmt.Errorf("target %s did not answer in time, or the attempt was given up", exc.con.address)
 	}
 	exc.stop()
 	exc.cancel()
--- a/lugd/pkg/target/pool.go
+++ b/lugd/pkg/target/pool.go
@@ -346,7 +346,7 @@
 	go exc.write(req)
 	rsp, err := exc.readHead(req) //nolint:bodyclose // the caller of Send closes it
 	if err != nil {
-		return nil, exc.fail(err)
+		return nil, exc.fail(exc.cause(ctx, err))
 	}
 	rsp.Body = &body{ReadCloser: rsp.Body, exchange: exc, reusable: !rsp.Close}
 	ans := &Answer{Response: rsp}
@@ -354,7 +354,7 @@
 		err = ans.hold(pol.set.Hold)
 	}
 	if err != nil || !timer.Stop() {
-		return nil, exc.fail(err)
+		return nil, exc.fail(exc.cause(ctx, err))
 	}
 	if ans.whole {
 		_ = ans.Body.Close()
