Answer every caller before a planned stop ends

A target had run a request and its answer was lost on the way; the VM waited for it until the end of its stop and closed the caller's connection without a word.

0.6 s before the end of the stop time the requests that targets have not answered are given their final answer, with a verdict.

The new test fails without it.

--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -105,6 +105,10 @@
 // StopBegan is the start of a planned stop.
 type StopBegan struct{}
 
+// StopEnds is the last moment of a planned stop at which callers can be
+// answered.
+type StopEnds struct{}
+
 func (Arrived) event()       {}
 func (Answered) event()      {}
 func (AttemptFailed) event() {}
@@ -118,6 +122,7 @@
 func (PeerGone) event()      {}
 func (Ticked) event()        {}
 func (StopBegan) event()     {}
+func (StopEnds) event()      {}
 
 // Action is something that the driver is to do.
 type Action interface{ action() }
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -8,12 +8,14 @@
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
+	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/placement"
 	"marigoldlug.example/core/quota"
 	"marigoldlug.example/core/rate"
 	"marigoldlug.example/core/registry"
 	"marigoldlug.example/core/request"
+	"marigoldlug.example/core/verdict"
 )
 
 // TickInterval is how often the driver delivers Ticked.
@@ -100,6 +102,8 @@
 		mac.ticked(now)
 	case StopBegan:
 		mac.stop()
+	case StopEnds:
+		mac.refuseAll(now)
 	default:
 		mac.learned(now, evt)
 	}
@@ -250,6 +254,22 @@
 	}
 }
 
+// refuseAll answers the requests that targets have not answered when the stop
+// must end, so that no caller is left without an answer.
+func (mac *Machine) refuseAll(now clock.Instant) {
+	for _, id := range sortedFlights(mac.flights) {
+		fli := mac.flights[id]
+		if fli.answering {
+			continue
+		}
+		if fli.running {
+			mac.endAttempt(now, fli, health.Canceled)
+			fli.verdict = fli.verdict.Worse(verdict.MayHaveRun)
+		}
+		mac.refuse(fli, request.Refusal{Reason: request.TimedOut, Detail: "the VM stops and the target has not answered", RetryAfter: usualReturn})
+	}
+}
+
 // sweepable returns the VMs that this one takes off the list when they are
 // silent: those of its failure domain, and the first of the next one.
 func (mac *Machine) sweepable() []member.VM {
--- a/core/gateway/machine_test.go
+++ b/core/gateway/machine_test.go
@@ -313,6 +313,23 @@
 	vmm.mustDispatch(vmm.step(Ticked{}))
 }
 
+// TestStopAnswersEveryCaller ends a stop while targets have not answered.
+func TestStopAnswersEveryCaller(t *testing.T) {
+	vmm := newVM(t).load()
+	vmm.mustDispatch(vmm.arrive("/read/x", key))
+	vmm.mustDispatch(vmm.arrive("/once/x", key))
+	vmm.step(StopBegan{})
+	refusals := 0
+	for _, act := range vmm.step(StopEnds{}) {
+		if ref, ok := act.(Refuse); ok && ref.Refusal.Reason.Status() == 504 && ref.Refusal.Verdict == verdict.MayHaveRun {
+			refusals++
+		}
+	}
+	if refusals != 2 || vmm.mac.Flights() != 0 {
+		t.Errorf("%d callers were answered, %d are left", refusals, vmm.mac.Flights())
+	}
+}
+
 func TestStopGivesUpTheDutyAndTheListing(t *testing.T) {
 	vmm := newVM(t).load()
 	released, delisted := false, false
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -43,9 +43,10 @@
 	// are passed on.
 	holdBytes     = 64 << 10
 	idlePerTarget = 4
-	// killMargin is how long before the end of the stop time the last requests
-	// are answered, so that their answers are delivered.
-	killMargin = 300 * time.Millisecond
+	// answerMargin and killMargin are how long before the end of the stop time
+	// the last requests are answered, and the process ends.
+	answerMargin = 600 * time.Millisecond
+	killMargin   = 150 * time.Millisecond
 	// bodyShare is the part of the memory that may hold bodies.
 	bodyShare = 4
 	mib       = 1 << 20
@@ -356,6 +357,7 @@
 // and closes.
 func (dmn *Daemon) stop(ctx context.Context) {
 	set := dmn.settings()
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, set.StopTime-killMargin)
 	defer cancel()
 	dmn.log.WithFields(logrus.Fields{"connections": dmn.callers.Connections(), "stopTime": set.StopTime.String()}).Info("stop")
@@ -363,6 +365,8 @@
 	dmn.callers.Stop()
 	sleep(ctx, set.BalancerLag)
 	_ = dmn.listeners.callers.Close()
+	last := time.AfterFunc(set.StopTime-answerMargin-time.Since(began), func() { dmn.driver.Step(gateway.StopEnds{}) })
+	defer last.Stop()
 	if !dmn.callers.Drain(ctx) {
 		dmn.log.WithField("connections", dmn.callers.Connections()).Warn("requests are cut after the stop time")
 	}
--- a/lugd/pkg/edge/settings.go
+++ b/lugd/pkg/edge/settings.go
@@ -130,8 +130,8 @@
 			fault(one.name, "%v is not above 0", one.val)
 		}
 	}
-	if set.BalancerLag < 0 || set.BalancerLag >= set.StopTime {
-		fault("balancer-lag", "%v is not below stop-time, %v", set.BalancerLag, set.StopTime)
+	if set.BalancerLag < 0 || set.BalancerLag >= set.StopTime-answerMargin {
+		fault("balancer-lag", "%v is not well below stop-time, %v", set.BalancerLag, set.StopTime)
 	}
 	if set.RetryShare < 0 || set.RetryExtra < 0 {
 		fault("retry-share", "%v and retry-extra, %v, must not be negative", set.RetryShare, set.RetryExtra)
