Serve tokens from three VMs of different failure domains

Each of three holders grants a third of every limit; a VM asks the next one where the first has none or is silent, and refuses only once all were asked.

Ruled out: a shorter lease (its holder would cease to act in outages of the store for which keys still work), a greater part for VMs alone (the sum would exceed the limit while a server is reached by some).

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -1,8 +1,9 @@
 // Package fleet keeps the list of the fleet's VMs that the platform holds, and
-// who holds the duty to serve tokens.
+// who holds the duties to serve tokens.
 package fleet
 
 import (
+	"strconv"
 	"time"
 
 	"marigoldlug.example/core/clock"
@@ -20,15 +21,21 @@
 	claimInterval = 700 * time.Millisecond
 )
 
-// DutyName is the name of the object that says who serves tokens.
-const DutyName = "duty.quota"
+// Duties is the number of VMs that serve tokens, each a part of them. They are
+// of different failure domains, so that one of them can be lost.
+const Duties = 3
+
+const dutyPrefix = "duty.quota-"
+
+// DutyName returns the name of the object that says who holds a duty.
+func DutyName(num int) string { return dutyPrefix + strconv.Itoa(num) }
 
 const vmPrefix = "vm."
 
 // VMName returns the name of the object of a VM with the given name.
 func VMName(name string) string { return vmPrefix + name }
 
-// Row is one object of the fleet: a VM, or the holder of the duty.
+// Row is one object of the fleet: a VM, or the holder of a duty.
 type Row struct {
 	VM member.VM
 	// Name is the VM's name, which it keeps when its process starts anew.
@@ -46,11 +53,17 @@
 	rows   *table.Table[Row]
 	view   member.View
 	proven clock.Instant
+	duties [Duties]duty
+}
+
+// duty is what is known of one duty.
+type duty struct {
+	// holder is the ID of the VM that holds it, or empty.
+	holder string
 	// since is when this VM learned that it holds the duty, and patience how
 	// long it waits from then before it acts.
 	since    clock.Instant
 	patience time.Duration
-	holder   string
 	claimed  clock.Instant
 }
 
@@ -83,8 +96,6 @@
 	if !fle.rows.Apply(del) || del.Empty() {
 		return false
 	}
-	before, beforeHeld := fle.holder, fle.holder != ""
-	ended := beforeHeld && fle.ended(before)
 	var vms []member.VM
 	for _, row := range fle.rows.Rows() {
 		if row.Value.Holder == "" {
@@ -92,21 +103,32 @@
 		}
 	}
 	fle.view = member.NewView(fle.rows.Revision(), vms)
-	duty, _ := fle.rows.Get(DutyName)
-	fle.holder = duty.Value.Holder
-	if duty.Value.Released {
-		fle.holder = ""
-	}
-	if fle.holder == fle.self.ID && before != fle.self.ID {
-		fle.since = now
-		fle.patience = LeaseTime + leaseSlack
-		if before == "" && fle.proven != (clock.Instant{}) || ended {
-			fle.patience = 0
-		}
+	for num := range fle.duties {
+		fle.setHolder(now, num)
 	}
 	return true
 }
 
+// setHolder takes over who holds a duty. A new holder waits until its
+// predecessor can no longer act, unless that has given the duty up or ended.
+func (fle *Fleet) setHolder(now clock.Instant, num int) {
+	dut := &fle.duties[num]
+	before := dut.holder
+	row, _ := fle.rows.Get(DutyName(num))
+	dut.holder = row.Value.Holder
+	if row.Value.Released {
+		dut.holder = ""
+	}
+	if dut.holder != fle.self.ID || before == fle.self.ID {
+		return
+	}
+	dut.since = now
+	dut.patience = LeaseTime + leaseSlack
+	if before == "" && fle.proven != (clock.Instant{}) || before != "" && fle.ended(before) {
+		dut.patience = 0
+	}
+}
+
 // ended reports whether the process with an ID is known to have ended, since
 // another runs under the same name.
 func (fle *Fleet) ended(id string) bool {
@@ -146,35 +168,59 @@
 	return table.Row[Row]{}, false
 }
 
-// Holder returns the ID of the VM that holds the duty, or nothing.
-func (fle *Fleet) Holder() string { return fle.holder }
+// Holder returns the ID of the VM that holds a duty, or nothing.
+func (fle *Fleet) Holder(num int) string { return fle.duties[num].holder }
 
-// Vacant reports whether it is known that no VM acts on the duty.
+// Holders returns the IDs of the VMs that hold the duties, with nothing where
+// none does.
+func (fle *Fleet) Holders() []string {
+	out := make([]string, 0, Duties)
+	for _, dut := range fle.duties {
+		out = append(out, dut.holder)
+	}
+	return out
+}
+
+// Vacant reports whether it is known that no VM acts on any duty.
 func (fle *Fleet) Vacant() bool {
 	if fle.rows.Revision() == 0 {
 		return false
 	}
-	return fle.holder == "" || fle.ended(fle.holder)
+	for _, dut := range fle.duties {
+		if dut.holder != "" && !fle.ended(dut.holder) {
+			return false
+		}
+	}
+	return true
 }
 
-// Acts reports whether this VM may act on the duty.
-func (fle *Fleet) Acts(now clock.Instant) bool {
-	return fle.holder == fle.self.ID && now.Since(fle.proven) <= LeaseTime && now.Since(fle.since) >= fle.patience
+// Acts reports whether this VM may act on a duty.
+func (fle *Fleet) Acts(now clock.Instant, num int) bool {
+	dut := fle.duties[num]
+	return dut.holder == fle.self.ID && now.Since(fle.proven) <= LeaseTime && now.Since(dut.since) >= dut.patience
 }
 
-// Claims reports whether this VM is to claim the duty now: the holder is no
-// longer listed, and this VM ranks first for it.
-func (fle *Fleet) Claims(now clock.Instant) bool {
-	if fle.view.Size() == 0 || fle.claimed != (clock.Instant{}) && now.Since(fle.claimed) < claimInterval {
+// Claims reports whether this VM is to claim a duty now: the holder is no longer
+// listed, and this VM ranks first for it.
+func (fle *Fleet) Claims(now clock.Instant, num int) bool {
+	dut := &fle.duties[num]
+	if fle.view.Size() == 0 || dut.claimed != (clock.Instant{}) && now.Since(dut.claimed) < claimInterval {
 		return false
 	}
-	if _, alive := fle.view.VM(fle.holder); alive {
+	if _, alive := fle.view.VM(dut.holder); alive {
 		return false
 	}
-	first := fle.view.Ranked(DutyName, 1)
-	if first[0].ID != fle.self.ID {
+	if fle.candidate(num) != fle.self.ID {
 		return false
 	}
-	fle.claimed = now
+	dut.claimed = now
 	return true
 }
+
+// candidate returns the VM that is to hold a duty: the first of a failure domain
+// of its own, as far as there are enough.
+func (fle *Fleet) candidate(num int) string {
+	domains := fle.view.Domains()
+	vms := fle.view.Domain(domains[num%len(domains)])
+	return member.Ranked(vms, DutyName(num), 1)[0].ID
+}
--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -109,9 +109,9 @@
 	}
 	if !dec.Admitted {
 		lim, _ := mac.limit(fli.organisation)
-		detail := fmt.Sprintf("the organisation's rate of %v a second and burst of %v are exceeded, says %s", lim.Rate.Float(), lim.Burst.Float(), mac.fleet.Holder())
+		detail := fmt.Sprintf("the organisation's rate of %v a second and burst of %v are exceeded, say %v", lim.Rate.Float(), lim.Burst.Float(), mac.fleet.Holders())
 		if dec.Alone {
-			detail = "the VM's own part of the organisation's rate is exceeded, and it does not reach the server of tokens"
+			detail = "the VM's own part of the organisation's rate is exceeded, and it reaches no server of tokens"
 		}
 		mac.refuse(fli, request.Refusal{Reason: request.RateExceeded, Detail: detail, RetryAfter: dec.RetryAfter})
 		return
--- a/core/gateway/knowledge.go
+++ b/core/gateway/knowledge.go
@@ -112,7 +112,7 @@
 		return false
 	}
 	vie := mac.fleet.View()
-	mac.note("fleet", "vms", vie.Size(), "revision", vie.Epoch(), "holder", mac.fleet.Holder())
+	mac.note("fleet", "vms", vie.Size(), "revision", vie.Epoch(), "holders", mac.fleet.Holders())
 	mac.follower.SetView(vie)
 	for _, name := range sortedNames(mac.services) {
 		for _, par := range mac.services[name].parts {
@@ -260,9 +260,13 @@
 		mac.registered = now
 		mac.do(Write{Name: fleet.VMName(mac.set.Name), Row: fleet.Row{VM: mac.set.Self, Name: mac.set.Name}, Revision: revision})
 	}
-	if !mac.stopping && mac.fleet.Claims(now) {
-		mac.note("claim", "before", mac.fleet.Holder())
-		mac.do(Write{Name: fleet.DutyName, Row: fleet.Row{Holder: mac.set.Self.ID}, Revision: mac.fleet.Object(fleet.DutyName)})
+	for num := range fleet.Duties {
+		if mac.stopping || !mac.fleet.Claims(now, num) {
+			continue
+		}
+		name := fleet.DutyName(num)
+		mac.note("claim", "part", num, "before", mac.fleet.Holder(num))
+		mac.do(Write{Name: name, Row: fleet.Row{Holder: mac.set.Self.ID}, Revision: mac.fleet.Object(name)})
 	}
 	if mac.follower.First() {
 		mac.sweep(now)
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -49,10 +49,11 @@
 // Machine is the decision logic of one VM. It is not safe for concurrent use.
 type Machine struct {
 	knowledge
-	set      Settings
-	rnd      *rand.Rand
-	tokens   *quota.Client
-	server   *quota.Server
+	set    Settings
+	rnd    *rand.Rand
+	tokens *quota.Client
+	// servers has the parts of the tokens that this VM serves.
+	servers  [fleet.Duties]*quota.Server
 	services map[string]*service
 	// number is that of the last ask for a placement, and asks has the requests
 	// for which an answer is awaited.
@@ -140,10 +141,10 @@
 // serveTokens answers an ask if this VM holds the duty; otherwise the asking VM
 // decides by itself.
 func (mac *Machine) serveTokens(now clock.Instant, from string, ask quota.Ask) {
-	if mac.server == nil || !mac.fleet.Acts(now) {
+	if ask.Server < 0 || ask.Server >= fleet.Duties || mac.servers[ask.Server] == nil || !mac.fleet.Acts(now, ask.Server) {
 		return
 	}
-	gra := mac.server.Answer(now, ask)
+	gra := mac.servers[ask.Server].Answer(now, ask)
 	if from == mac.set.Self.ID {
 		mac.tokens.Granted(now, gra)
 		return
@@ -151,24 +152,31 @@
 	mac.do(Send{To: from, Message: gra})
 }
 
-// reach returns what is known of the server of tokens.
+// reach returns what is known of the servers of tokens.
 func (mac *Machine) reach() quota.Reach {
-	rea := quota.Reach{Server: mac.fleet.Holder(), Vacant: mac.fleet.Vacant(), VMs: mac.fleet.View().Size()}
-	if mac.stopping && rea.Server == mac.set.Self.ID {
-		rea.Server, rea.Vacant = "", true // This VM has given up the duty.
+	rea := quota.Reach{Servers: mac.fleet.Holders(), Vacant: mac.fleet.Vacant(), VMs: mac.fleet.View().Size()}
+	for num, id := range rea.Servers {
+		if mac.stopping && id == mac.set.Self.ID {
+			rea.Servers[num] = "" // This VM has given up the duty.
+		}
+		if vmm, _ := mac.fleet.View().VM(id); vmm.FailureDomain == mac.set.Self.FailureDomain {
+			rea.First = num
+		}
 	}
 	return rea
 }
 
-// takeDuty begins or ceases to serve tokens as the list of VMs says.
-func (mac *Machine) takeDuty(now clock.Instant) {
-	switch {
-	case mac.server != nil && mac.fleet.Holder() != mac.set.Self.ID:
-		mac.note("ceaseTokens", "holder", mac.fleet.Holder())
-		mac.server = nil
-	case mac.server == nil && mac.config != nil && !mac.stopping && mac.fleet.Acts(now):
-		mac.note("serveTokens", "proofAge", now.Since(mac.fleet.Proven()))
-		mac.server = quota.NewServer(now, mac.set.Terms.QuotaWindow, mac.limit)
+// takeDuties begins or ceases to serve tokens as the list of VMs says.
+func (mac *Machine) takeDuties(now clock.Instant) {
+	for num := range mac.servers {
+		switch srv := mac.servers[num]; {
+		case srv != nil && mac.fleet.Holder(num) != mac.set.Self.ID:
+			mac.note("ceaseTokens", "part", num, "holder", mac.fleet.Holder(num))
+			mac.servers[num] = nil
+		case srv == nil && mac.config != nil && !mac.stopping && mac.fleet.Acts(now, num):
+			mac.note("serveTokens", "part", num, "proofAge", now.Since(mac.fleet.Proven()))
+			mac.servers[num] = quota.NewServer(now, mac.set.Terms.QuotaWindow, fleet.Duties, mac.limit)
+		}
 	}
 }
 
@@ -192,7 +200,7 @@
 		mac.note("targetsGone", "left", mac.registry.Len())
 		mac.setServices(now)
 	}
-	mac.takeDuty(now)
+	mac.takeDuties(now)
 	mac.tokens.SetReach(mac.reach())
 	mac.follow(now)
 	mac.enlist(now)
@@ -216,12 +224,11 @@
 }
 
 func (mac *Machine) sendTokens(now clock.Instant, snd quota.Send) {
-	ask, isAsk := snd.Message.(quota.Ask)
-	if isAsk && snd.To == mac.set.Self.ID {
-		mac.serveTokens(now, snd.To, ask)
+	if snd.To == mac.set.Self.ID {
+		mac.serveTokens(now, snd.To, snd.Ask)
 		return
 	}
-	mac.do(Send{To: snd.To, Message: snd.Message})
+	mac.do(Send{To: snd.To, Message: snd.Ask})
 }
 
 // setServices hands the targets of every service to the balancer.
@@ -241,13 +248,17 @@
 	}
 }
 
-// stop begins a planned stop: the duty is given up and the VM is delisted.
+// stop begins a planned stop: duties are given up and the VM is delisted.
 func (mac *Machine) stop() {
 	mac.stopping = true
 	mac.tokens.SetReach(mac.reach())
-	if mac.fleet.Holder() == mac.set.Self.ID {
-		mac.server = nil
-		mac.do(Write{Name: fleet.DutyName, Row: fleet.Row{Holder: mac.set.Self.ID, Released: true}, Revision: mac.fleet.Object(fleet.DutyName)})
+	for num := range mac.servers {
+		if mac.fleet.Holder(num) != mac.set.Self.ID {
+			continue
+		}
+		mac.servers[num] = nil
+		name := fleet.DutyName(num)
+		mac.do(Write{Name: name, Row: fleet.Row{Holder: mac.set.Self.ID, Released: true}, Revision: mac.fleet.Object(name)})
 	}
 	if listed, revision := mac.fleet.Listed(); listed {
 		mac.do(Delete{Name: fleet.VMName(mac.set.Name), Revision: revision})
@@ -291,7 +302,7 @@
 	VMs     int
 	Reading bool
 	Follows string
-	Holder  string
+	Holders []string
 	Ages    Ages
 	Flights int
 	Targets int
@@ -304,7 +315,7 @@
 func (mac *Machine) Status(now clock.Instant) Status {
 	sta := Status{
 		Version: mac.version(), VMs: mac.fleet.View().Size(), Reading: mac.reading != nil && mac.reading.On, Follows: mac.follower.Followed(),
-		Holder: mac.fleet.Holder(), Ages: mac.ages(now), Flights: len(mac.flights), Targets: mac.registry.Len(), Stopping: mac.stopping,
+		Holders: mac.fleet.Holders(), Ages: mac.ages(now), Flights: len(mac.flights), Targets: mac.registry.Len(), Stopping: mac.stopping,
 	}
 	for _, svc := range mac.services {
 		for _, par := range svc.parts {
--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -11,8 +12,12 @@
 )
 
 const (
-	// askTime is how long a request waits for the server's answer.
-	askTime = 150 * time.Millisecond
+	// askTime is how long a server may take to answer, and silentTime how long
+	// one that did not is not asked.
+	askTime    = 120 * time.Millisecond
+	silentTime = time.Second
+	// waitTime bounds how long a request waits for tokens.
+	waitTime = 300 * time.Millisecond
 	// tokenLife is how long granted tokens may be spent. What is spent late
 	// adds to what is granted later.
 	tokenLife = time.Second
@@ -37,24 +42,28 @@
 	maxWaitCount = 256
 )
 
-// Reach says what a VM knows of the server.
+// Reach says what a VM knows of the servers.
 type Reach struct {
-	// Server is the ID of the VM that serves; empty where none is known.
-	Server string
+	// Servers has the IDs of the VMs that serve the parts, empty where none is
+	// known, and First is the part that this VM asks for first.
+	Servers []string
+	First   int
 	// Vacant is set when it is known that no VM grants tokens.
 	Vacant bool
 	// VMs is the number of VMs that share what is spent without the server.
 	VMs int
 }
 
-// Client spends the tokens of organisations at one VM, and asks the server for
-// more. While it does not reach the server it spends a small part of the limit
+// Client spends the tokens of organisations at one VM, and asks the servers for
+// more. While it reaches no server it spends a small part of the limit
 // of its own, so that all VMs together stay within what the limit allows. It is
 // not safe for concurrent use.
 type Client struct {
-	rnd      *rand.Rand
-	limits   func(organisation string) (rate.Limit, bool)
-	reach    Reach
+	rnd    *rand.Rand
+	limits func(organisation string) (rate.Limit, bool)
+	reach  Reach
+	// silent has until when servers are not asked.
+	silent   map[string]clock.Instant
 	number   uint64
 	accounts map[string]*wallet
 	outputs  []Output
@@ -69,9 +78,15 @@
 	demand  float64
 	counted clock.Instant
 	waiting []waiter
-	// asked is when the ask numbered open was sent; open is 0 where none is.
+	// asked is when the ask numbered open was sent, for part; open is 0 where
+	// none is.
 	asked clock.Instant
 	open  uint64
+	part  int
+	// tried has the parts that were asked for since requests began to wait, and
+	// retry the least time after which one of their servers has tokens.
+	tried map[int]bool
+	retry time.Duration
 	// quiet is until when requests are refused without asking.
 	quiet clock.Instant
 	// lonely holds what may be spent without the server, as of filled.
@@ -83,7 +98,7 @@
 
 // NewClient returns a client that holds no tokens.
 func NewClient(rnd *rand.Rand, limits func(organisation string) (rate.Limit, bool)) *Client {
-	return &Client{rnd: rnd, limits: limits, accounts: make(map[string]*wallet)}
+	return &Client{rnd: rnd, limits: limits, silent: make(map[string]clock.Instant), accounts: make(map[string]*wallet)}
 }
 
 // SetReach takes what is known of the server.
@@ -111,7 +126,7 @@
 	wal.expire(now)
 	if len(wal.waiting) == 0 && wal.count > 0 {
 		wal.count--
-		if wal.count == 0 && wal.ahead() > 0 {
+		if wal.count == 0 && wal.ahead() > 0 && cli.reachable(now) {
 			cli.ask(now, wal)
 		}
 		return Decided{Request: request, Admitted: true}, true
@@ -119,7 +134,7 @@
 	if now.Before(wal.quiet) || len(wal.waiting) >= maxWaitCount {
 		return Decided{Request: request, RetryAfter: max(wal.quiet.Mono-now.Mono, time.Millisecond)}, true
 	}
-	if cli.reach.Server == "" {
+	if !cli.reachable(now) {
 		return cli.spendLonely(now, wal, lim, request), true
 	}
 	wal.waiting = append(wal.waiting, waiter{request: request, since: now})
@@ -127,10 +142,20 @@
 	return Decided{}, false
 }
 
+// reachable reports whether there is a server to ask.
+func (cli *Client) reachable(now clock.Instant) bool {
+	for _, id := range cli.reach.Servers {
+		if id != "" && !now.Before(cli.silent[id]) {
+			return true
+		}
+	}
+	return false
+}
+
 func (cli *Client) wallet(now clock.Instant, organisation string) *wallet {
 	wal := cli.accounts[organisation]
 	if wal == nil {
-		wal = &wallet{organisation: organisation, counted: now}
+		wal = &wallet{organisation: organisation, counted: now, tried: make(map[int]bool)}
 		cli.accounts[organisation] = wal
 	}
 	wal.used = now
@@ -184,19 +209,56 @@
 // ahead is what the VM expects to need beyond the requests that wait.
 func (wal *wallet) ahead() int { return int(wal.demand * aheadTime.Seconds()) }
 
-// ask sends an ask unless one is under way.
+// ask asks for the next part, unless an ask is under way. Where all parts have
+// been asked for, the requests that wait are decided.
 func (cli *Client) ask(now clock.Instant, wal *wallet) {
-	if wal.open != 0 || cli.reach.Server == "" {
+	if wal.open != 0 {
+		return
+	}
+	cnt := len(cli.reach.Servers)
+	for off := range cnt {
+		part := (cli.reach.First + off) % cnt
+		id := cli.reach.Servers[part]
+		if id == "" || wal.tried[part] || now.Before(cli.silent[id]) {
+			continue
+		}
+		cli.number++
+		wal.open, wal.asked, wal.part = cli.number, now, part
+		cli.outputs = append(cli.outputs, Send{To: id, Ask: Ask{
+			Organisation: wal.organisation, Server: part, Number: cli.number, Need: len(wal.waiting), Ahead: wal.ahead(),
+		}})
+		return
+	}
+	cli.settle(now, wal)
+}
+
+// settle decides on the requests that wait once no server is left to ask.
+func (cli *Client) settle(now clock.Instant, wal *wallet) {
+	retry := wal.retry
+	wal.retry = 0
+	clear(wal.tried)
+	if retry > 0 {
+		cli.refuseWaiting(wal, retry)
+		wal.quiet = now.Add(min(retry, quietTime))
 		return
 	}
-	cli.number++
-	wal.open, wal.asked = cli.number, now
-	cli.outputs = append(cli.outputs, Send{To: cli.reach.Server, Message: Ask{
-		Organisation: wal.organisation, Number: cli.number, Need: len(wal.waiting), Ahead: wal.ahead(),
-	}})
+	cli.decideAlone(now, wal)
 }
 
-// Granted takes the server's answer.
+// decideAlone decides on the requests that wait without a server.
+func (cli *Client) decideAlone(now clock.Instant, wal *wallet) {
+	lim, found := cli.limits(wal.organisation)
+	for _, wai := range wal.waiting {
+		if !found {
+			cli.decide(Decided{Request: wai.request, RetryAfter: time.Second})
+			continue
+		}
+		cli.decide(cli.spendLonely(now, wal, lim, wai.request))
+	}
+	wal.waiting = nil
+}
+
+// Granted takes a server's answer.
 func (cli *Client) Granted(now clock.Instant, gra Grant) {
 	wal := cli.accounts[gra.Organisation]
 	if wal == nil || wal.open != gra.Number {
@@ -214,13 +276,17 @@
 		wal.waiting = wal.waiting[1:]
 	}
 	if gra.RetryAfter > 0 {
-		cli.refuseWaiting(wal, gra.RetryAfter)
-		wal.quiet = now.Add(min(gra.RetryAfter, quietTime))
-		return
+		wal.tried[wal.part] = true
+		if wal.retry == 0 || gra.RetryAfter < wal.retry {
+			wal.retry = gra.RetryAfter
+		}
 	}
 	if len(wal.waiting) > 0 {
 		cli.ask(now, wal)
+		return
 	}
+	wal.retry = 0
+	clear(wal.tried)
 }
 
 func (cli *Client) decide(dec Decided) { cli.outputs = append(cli.outputs, dec) }
@@ -239,29 +305,29 @@
 	}
 }
 
-// Tick decides on requests for which the server has not answered in time.
+// Tick gives up servers that have not answered in time, and decides on requests
+// that have waited for too long.
 func (cli *Client) Tick(now clock.Instant) {
 	for organisation, wal := range cli.accounts {
 		if wal.open != 0 && now.Since(wal.asked) >= askTime {
 			wal.open = 0
-		}
-		lim, found := cli.limits(organisation)
-		for len(wal.waiting) > 0 && (!found || now.Since(wal.waiting[0].since) >= askTime) {
-			request := wal.waiting[0].request
-			wal.waiting = wal.waiting[1:]
-			if !found {
-				cli.decide(Decided{Request: request, RetryAfter: time.Second})
-				continue
+			wal.tried[wal.part] = true
+			if wal.part < len(cli.reach.Servers) {
+				cli.silent[cli.reach.Servers[wal.part]] = now.Add(silentTime)
 			}
-			cli.decide(cli.spendLonely(now, wal, lim, request))
 		}
-		if len(wal.waiting) > 0 {
+		switch {
+		case len(wal.waiting) == 0:
+		case now.Since(wal.waiting[0].since) >= waitTime:
+			cli.settle(now, wal)
+		default:
 			cli.ask(now, wal)
 		}
 		if len(wal.waiting) == 0 && now.Since(wal.used) > idleAccount {
 			delete(cli.accounts, organisation)
 		}
 	}
+	maps.DeleteFunc(cli.silent, func(_ string, until clock.Instant) bool { return !now.Before(until) })
 }
 
 // Accounts returns the number of organisations of which the VM keeps state.
--- a/core/quota/message.go
+++ b/core/quota/message.go
@@ -1,5 +1,6 @@
-// Package quota keeps organisations within their rates across the fleet: one
-// VM at a time serves tokens, and every VM spends those that it was granted.
+// Package quota keeps organisations within their rates across the fleet: a few
+// VMs serve tokens, each a part of them, and every VM spends those that it was
+// granted.
 package quota
 
 import (
@@ -14,6 +15,8 @@
 // Ask requests tokens of an organisation from the server.
 type Ask struct {
 	Organisation string
+	// Server is the part of the tokens that is asked for.
+	Server int
 	// Number grows with every ask of the sender.
 	Number uint64
 	// Need is the number of requests that wait, Ahead what the VM expects soon.
@@ -37,10 +40,10 @@
 // Output is something that a client wants done.
 type Output interface{ quotaOutput() }
 
-// Send sends a message to the VM with an ID.
+// Send sends an ask to the VM with an ID.
 type Send struct {
-	To      string
-	Message Message
+	To  string
+	Ask Ask
 }
 
 // Decided tells what became of a request.
--- a/core/quota/server.go
+++ b/core/quota/server.go
@@ -18,9 +18,9 @@
 	maxRetryAfter = 5 * time.Second
 )
 
-// Server grants the tokens of organisations: in any window no more than the
-// rate yields in it and the burst. Only one VM at a time may serve, which a
-// lease on the platform ensures. It is not safe for concurrent use.
+// Server grants a part of the tokens of organisations: in any window no more
+// than the rate yields in it and the burst. Only one VM at a time may serve a
+// part, which a lease on the platform ensures. It is not safe for concurrent use.
 type Server struct {
 	window   time.Duration
 	limits   func(organisation string) (rate.Limit, bool)
@@ -46,10 +46,14 @@
 	promised clock.Instant
 }
 
-// NewServer returns a server that begins to serve now and counts in windows of
-// the given length.
-func NewServer(now clock.Instant, window time.Duration, limits func(organisation string) (rate.Limit, bool)) *Server {
-	return &Server{window: window, limits: limits, began: now, accounts: make(map[string]*account)}
+// NewServer returns a server that begins to serve now one of so many equal parts
+// and counts in windows of the given length.
+func NewServer(now clock.Instant, window time.Duration, parts int, limits func(organisation string) (rate.Limit, bool)) *Server {
+	part := func(organisation string) (rate.Limit, bool) {
+		lim, found := limits(organisation)
+		return rate.Limit{Rate: lim.Rate / rate.PerSecond(parts), Burst: lim.Burst / rate.Tokens(parts)}, found
+	}
+	return &Server{window: window, limits: part, began: now, accounts: make(map[string]*account)}
 }
 
 // Answer decides on an ask.
--- a/lugd/pkg/peer/gateway.go
+++ b/lugd/pkg/peer/gateway.go
@@ -28,6 +28,7 @@
 	case quota.Ask:
 		wrt.number(kindTokenAsk)
 		wrt.text(msg.Organisation)
+		wrt.whole(int64(msg.Server))
 		wrt.number(msg.Number)
 		wrt.whole(int64(msg.Need))
 		wrt.whole(int64(msg.Ahead))
@@ -54,7 +55,7 @@
 	case kindVMPong:
 		return gateway.Pong{}
 	case kindTokenAsk:
-		return quota.Ask{Organisation: rdr.text(), Number: rdr.number(), Need: int(rdr.whole()), Ahead: int(rdr.whole())}
+		return quota.Ask{Organisation: rdr.text(), Server: int(rdr.whole()), Number: rdr.number(), Need: int(rdr.whole()), Ahead: int(rdr.whole())}
 	case kindTokenGrant:
 		return quota.Grant{Organisation: rdr.text(), Number: rdr.number(), Count: int(rdr.whole()), RetryAfter: rdr.duration()}
 	}
