Try sick targets by what was last heard of them

How long a target rests goes by the belief at the last evidence, not by what it has drifted to: one that surely hung rests for about 5 s, one that gave a single error for under 2 s. Errors weigh less, since sound targets give some.

--- a/core/placement/belief.go
+++ b/core/placement/belief.go
@@ -67,7 +67,7 @@
 	failedFactor = sickFails / soundFails
 	// erredFactor is that of an answer by which the target says that it failed,
 	// as sound ones do for some requests.
-	erredFactor   = 7
+	erredFactor   = 4
 	successFactor = (1 - sickFails) / (1 - soundFails)
 	// unreachableFactor is that of an attempt for which no connection could be
 	// opened.
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -37,8 +37,9 @@
 	// was not reported.
 	lostTime = time.Second
 	// idleTime is how long a sound target stays without requests until one is
-	// sent to see how it fares, and sickIdleTime how much longer a sick one
-	// does. Requests that can be repeated go sooner.
+	// sent to see how it fares, and sickIdleTime how much longer one does that
+	// was surely sick when it was last heard of. Requests that can be repeated
+	// go sooner.
 	idleTime       = time.Second
 	sickIdleTime   = 4 * time.Second
 	repeatableIdle = 0.6
@@ -288,7 +289,7 @@
 	if len(tgt.running) > 0 || sick >= triedBelief {
 		return false
 	}
-	idle := float64(idleTime) + sick*float64(sickIdleTime)
+	idle := float64(idleTime) + tgt.belief.sick*float64(sickIdleTime)
 	if idempotent {
 		idle *= repeatableIdle
 	}
