--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -15,6 +15,9 @@
 	// overdueFactor is the evidence at which a request without answer counts
 	// as failed.
 	overdueFactor = 30
+	// answeringTime is how long ago a target may have answered one VM if the
+	// failure of another to connect is taken for that of its path.
+	answeringTime = time.Second
 	// pathTime is how long a target is avoided from a VM that failed there.
 	pathTime = 4 * time.Second
 	// pathRepeat is how long further failures of the same VM at the same target
@@ -41,7 +44,7 @@
 	// was surely sick when it was last heard of. Requests that can be repeated
 	// go sooner.
 	idleTime       = time.Second
-	sickIdleTime   = 4 * time.Second
+	sickIdleTime   = 2500 * time.Millisecond
 	repeatableIdle = 0.6
 	// hopeless is the part of requests that would miss their deadlines from
 	// which none is sent.
@@ -88,7 +91,6 @@
 	belief   belief
 	running  []*attempt
 	slower   float64
-	answers  int
 	lastUsed clock.Instant
 	// paths has when VMs last failed at the target, and answered when they last
 	// had an answer, since when their connections may be used again.
@@ -283,6 +285,16 @@
 	return known && now.Since(at) < fresh
 }
 
+// answers reports whether the target has answered another VM lately.
+func (tgt *target) answers(now clock.Instant, vmm string) bool {
+	for id, at := range tgt.answered {
+		if id != vmm && now.Since(at) < answeringTime {
+			return true
+		}
+	}
+	return false
+}
+
 // due reports whether a target has had no request for so long that one is sent
 // to see how it fares.
 func (tgt *target) due(now clock.Instant, sick float64, idempotent bool) bool {
@@ -353,7 +365,11 @@
 			pla.blame(now, att, erredFactor, took, "erred")
 		}
 	case health.Unreachable:
-		pla.blame(now, att, unreachableFactor, 0, "unreachable")
+		factor := float64(unreachableFactor)
+		if tgt.answers(now, tic.VM) {
+			factor = 1 // Others reach it; the path of this VM is at fault.
+		}
+		pla.blame(now, att, factor, 0, "unreachable")
 	case health.Shed, health.Canceled:
 	}
 	pla.tell(now, tgt, outcome.String(), tic.VM)
@@ -375,7 +391,6 @@
 	lat.learn(usual)
 	pla.overall.learn(usual)
 	if !now.Before(tgt.Warm) {
-		tgt.answers++
 		ratio := served.Seconds() / max(lat.usual().Seconds(), 1e-4)
 		tgt.slower += speedWeight * (min(max(ratio, minSlower), maxSlower) - tgt.slower)
 		tgt.slower = min(max(tgt.slower, minSlower), maxSlower)
--- a/core/placement/placer_test.go
+++ b/core/placement/placer_test.go
@@ -268,6 +268,29 @@
 	}
 }
 
+// TestUnreachableTargets lets one VM fail to connect to a target that answers
+// others, and to one that answers nobody.
+func TestUnreachableTargets(t *testing.T) {
+	for _, one := range []struct {
+		answers bool
+		want    int
+	}{{true, 0}, {false, 1}} {
+		now := clock.At(time.Hour)
+		pla := New(rand.New(rand.NewPCG(1, 1)), request.NewWindow(now, 10*time.Second, 0.2, 64))
+		pla.SetTargets(now, []health.Target{{ID: "t0", Slots: 3}})
+		if one.answers {
+			pla.Open(now, "fine", Running{Number: 1, Target: "t0", Route: "r", Left: deadline})
+			now = now.Add(100 * time.Millisecond)
+			pla.Ended(now, Ticket{VM: "fine", Number: 1}, health.Success)
+		}
+		pla.Open(now, "cut", Running{Number: 2, Target: "t0", Route: "r", Left: deadline})
+		pla.Ended(now.Add(100*time.Millisecond), Ticket{VM: "cut", Number: 2}, health.Unreachable)
+		if got := pla.Suspected(now.Add(100 * time.Millisecond)); len(got) != one.want {
+			t.Errorf("answers others %v: suspected %v", one.answers, got)
+		}
+	}
+}
+
 // TestStrangersAndEndedVMs checks what frees targets and slots.
 func TestStrangersAndEndedVMs(t *testing.T) {
 	now := clock.At(time.Hour)
