--- a/core/config/config.go
+++ b/core/config/config.go
@@ -81,10 +81,10 @@
 	Idempotent bool
 	// Timeout bounds the time from arrival to the answer.
 	Timeout time.Duration
-	// TargetLatency is the time within which an answer is of full use; 0 where
+	// LatencyGoal is the time within which an answer is of full use; 0 where
 	// none is stated.
-	TargetLatency time.Duration
-	Priority      Priority
+	LatencyGoal time.Duration
+	Priority    Priority
 	// MaxAttempts is at least 1.
 	MaxAttempts int
 }
--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -83,9 +83,6 @@
 	News  table.Delta[fleet.Row]
 }
 
-// PlatformLost says that the platform did not answer a read.
-type PlatformLost struct{}
-
 // Received is a message from another VM: one of this package, or of the
 // packages quota and health.
 type Received struct {
@@ -117,7 +114,6 @@
 func (ConfigRead) event()    {}
 func (TargetsRead) event()   {}
 func (FleetRead) event()     {}
-func (PlatformLost) event()  {}
 func (Received) event()      {}
 func (PeerGone) event()      {}
 func (Ticked) event()        {}
--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -128,7 +128,7 @@
 	if rou == nil {
 		return nil, &request.Refusal{Reason: request.NoRoute, Detail: "no route matches the host, path and method"}
 	}
-	fli := &flight{Request: req, route: rou, priority: rou.Priority, arrived: now, deadline: now.Add(rou.Timeout), aim: now.Add(rou.TargetLatency)}
+	fli := &flight{Request: req, route: rou, priority: rou.Priority, arrived: now, deadline: now.Add(rou.Timeout), aim: now.Add(rou.LatencyGoal)}
 	if req.Timeout > 0 && (req.Timeout < rou.Timeout || rou.Timeout <= 0) {
 		fli.deadline = now.Add(req.Timeout)
 	}
--- a/core/gateway/machine_test.go
+++ b/core/gateway/machine_test.go
@@ -25,7 +25,7 @@
 	route := func(name string, idempotent bool) config.Route {
 		return config.Route{
 			Name: name, Host: "h", PathPrefix: "/" + name + "/", Access: config.AccessKeyed, Service: "svc", Idempotent: idempotent,
-			Timeout: 2 * time.Second, TargetLatency: time.Second, MaxAttempts: 2,
+			Timeout: 2 * time.Second, LatencyGoal: time.Second, MaxAttempts: 2,
 		}
 	}
 	split := route("split", true)
@@ -109,7 +109,7 @@
 // arrive sends a request and returns what becomes of it.
 func (vmm *vm) arrive(path, bearer string) []Action {
 	vmm.next++
-	req := request.Request{ID: vmm.next, Host: "h", Path: path, Method: "GET", Timeout: 5 * time.Second}
+	req := request.Request{ID: vmm.next, Host: "h", Path: path, Timeout: 5 * time.Second}
 	if bearer != "" {
 		req.Keys = []config.Digest{config.DigestOf(bearer)}
 	}
--- a/core/note/kind.go
+++ b/core/note/kind.go
@@ -172,15 +172,15 @@
 			func(rou config.Route) string { return rou.Timeout.String() },
 		},
 		{
-			"targetLatency", false,
+			"latencyGoal", false,
 			func(rdr *reader, nod *yaml.Node, path string, rou *config.Route) {
-				rou.TargetLatency = rdr.duration(nod, path)
+				rou.LatencyGoal = rdr.duration(nod, path)
 			},
 			func(rou config.Route) string {
-				if rou.TargetLatency == 0 {
+				if rou.LatencyGoal == 0 {
 					return ""
 				}
-				return rou.TargetLatency.String()
+				return rou.LatencyGoal.String()
 			},
 		},
 		{
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -34,8 +34,11 @@
 	maxSlower   = 20.0
 	// coldSlower is how much slower a target is taken to be until it is warm.
 	coldSlower = 2.0
-	// depth is how many times its slots a target is given at a time.
-	depth = 3
+	// depth is how many times its slots a target is given at a time. Each rank
+	// below the highest, down to lowestRank, leaves a part of its slots free.
+	depth      = 3
+	lowestRank = 2
+	rankStep   = 2
 	// lostTime is how long after its deadline an attempt is forgotten whose end
 	// was not reported.
 	lostTime = time.Second
@@ -235,7 +238,7 @@
 		}
 		wait := tgt.wait(now, lat)
 		usual := time.Duration(float64(lat.usual()) * tgt.pace(now))
-		if len(tgt.running) >= depth*tgt.Slots || lat.known() && lat.outlasts(wis.Left-wait, tgt.pace(now)) > hopeless {
+		if len(tgt.running) >= tgt.room(wis.Rank) || lat.known() && lat.outlasts(wis.Left-wait, tgt.pace(now)) > hopeless {
 			if over := max(wait+usual-wis.Left, usual/time.Duration(max(tgt.Slots, 1))); shortest < 0 || over < shortest {
 				shortest = over
 			}
@@ -249,6 +252,12 @@
 	return best, shortest
 }
 
+// room returns the number of requests that a target is given at a time, less for
+// those that are less urgent, so that the more urgent ones still find a place.
+func (tgt *target) room(rank int) int {
+	return depth*tgt.Slots - min(max(rank, 0), lowestRank)*tgt.Slots/rankStep
+}
+
 // cost returns what a placement costs, in parts of what the request is worth.
 func (pla *Placer) cost(now clock.Instant, vmm string, wis Wish, lat *latency, tgt *target, wait time.Duration) float64 {
 	sick := pla.sick(now, tgt)
--- a/core/placement/placer_test.go
+++ b/core/placement/placer_test.go
@@ -268,6 +268,23 @@
 	}
 }
 
+// TestUrgentRequestsFindAPlaceInAFullService fills a target with requests of the
+// lowest rank.
+func TestUrgentRequestsFindAPlaceInAFullService(t *testing.T) {
+	now := clock.At(time.Hour)
+	pla := New(rand.New(rand.NewPCG(1, 1)), request.NewWindow(now, 10*time.Second, 0.2, 64))
+	pla.SetTargets(now, []health.Target{{ID: "t0", Slots: slots}})
+	place := func(number uint64, rank int) Answer {
+		return pla.Place(now, Ticket{VM: "vm", Number: number}, Wish{Route: "r", Left: deadline, Aim: time.Second, Rank: rank})
+	}
+	number := uint64(0)
+	for ; place(number, lowestRank).Target != ""; number++ {
+	}
+	if ans := place(number+1, 0); ans.Target != "t0" {
+		t.Errorf("after %d requests of the lowest rank an urgent one got %+v", number, ans)
+	}
+}
+
 // TestUnreachableTargets lets one VM fail to connect to a target that answers
 // others, and to one that answers nobody.
 func TestUnreachableTargets(t *testing.T) {
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -18,9 +18,8 @@
 	// Label names the request in logs: the identifier that its caller gave it.
 	Label string
 	// Host is lower case and without port.
-	Host   string
-	Path   string
-	Method string
+	Host string
+	Path string
 	// Keys holds the digest of every distinct key that the request carries.
 	Keys []config.Digest
 	// Timeout is the time that the caller allows; 0 means no bound.
--- a/lugbench/pkg/playground/playground.go
+++ b/lugbench/pkg/playground/playground.go
@@ -37,8 +37,8 @@
   keys: [{organisation: studio, secret: ` + Key + `}]
   services: [{name: recipes, healthPath: /health, connections: 300}]
   routes:
-    - {name: reads, pathPrefix: /recipes/, service: recipes, idempotent: true, timeout: 2s, targetLatency: 500ms, maxAttempts: 2}
-    - {name: orders, pathPrefix: /orders/, service: recipes, idempotent: false, timeout: 2s, targetLatency: 500ms}
+    - {name: reads, pathPrefix: /recipes/, service: recipes, idempotent: true, timeout: 2s, latencyGoal: 500ms, maxAttempts: 2}
+    - {name: orders, pathPrefix: /orders/, service: recipes, idempotent: false, timeout: 2s, latencyGoal: 500ms}
 `
 
 // Settings say what is run.
--- a/lugbench/pkg/soak/soak.go
+++ b/lugbench/pkg/soak/soak.go
@@ -29,8 +29,8 @@
 	// requestTime is the time that callers allow.
 	requestTime = 2 * time.Second
 	// revokeTime is how long after its withdrawal a route may work.
-	revokeTime    = 5 * time.Second
-	targetLatency = 30 * time.Millisecond
+	revokeTime = 5 * time.Second
+	workTime   = 30 * time.Millisecond
 	// slots is what a target runs at a time.
 	slots = 3
 	// graceTime is how long a process may take to end.
@@ -116,7 +116,7 @@
 	}
 	for num := range flt.set.Targets {
 		tgt := targetfake.New(fmt.Sprintf("worker-%d", num+1), "recipes", fmt.Sprintf("domain-%d", num%3+1), slots, objects.Names(), flt.store)
-		tgt.SetFaults(targetfake.Faults{Latency: targetLatency})
+		tgt.SetFaults(targetfake.Faults{Latency: workTime})
 		at, err := flt.serve(tgt)
 		if err != nil {
 			return err
@@ -157,7 +157,7 @@
 }
 
 // spareNote adds a route that a later note takes away.
-const spareNote = "    - {name: spare, pathPrefix: /spare/, service: recipes, idempotent: true, timeout: 2s, targetLatency: 500ms, maxAttempts: 2}\n"
+const spareNote = "    - {name: spare, pathPrefix: /spare/, service: recipes, idempotent: true, timeout: 2s, latencyGoal: 500ms, maxAttempts: 2}\n"
 
 func (flt *fleet) close() {
 	for _, prc := range flt.vms {
@@ -248,9 +248,9 @@
 
 func (flt *fleet) sicken(tgt *targetfake.Target, dur time.Duration) error {
 	flt.tell("%s: sick for %v", tgt.ID(), dur)
-	tgt.SetFaults(targetfake.Faults{Latency: targetLatency, HangShare: 0.4, FailShare: 0.2, CutShare: 0.1})
+	tgt.SetFaults(targetfake.Faults{Latency: workTime, HangShare: 0.4, FailShare: 0.2, CutShare: 0.1})
 	time.Sleep(dur)
-	tgt.SetFaults(targetfake.Faults{Latency: targetLatency})
+	tgt.SetFaults(targetfake.Faults{Latency: workTime})
 	return nil
 }
 
--- a/lugd/pkg/driver/reader.go
+++ b/lugd/pkg/driver/reader.go
@@ -137,7 +137,6 @@
 				log.WithError(err).Warn("platform lost")
 			}
 			lost = true
-			dri.Step(gateway.PlatformLost{})
 			sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
 			pause = min(2*pause, lastPause)
 			continue
--- a/lugd/pkg/http1/session.go
+++ b/lugd/pkg/http1/session.go
@@ -77,7 +77,7 @@
 		return
 	}
 	id, actions := srv.decider.Begin(request.Request{
-		Label: ses.label, Host: plainHost(ses.req.Host), Path: ses.req.URL.Path, Method: ses.req.Method, Keys: keys, Timeout: timeout,
+		Label: ses.label, Host: plainHost(ses.req.Host), Path: ses.req.URL.Path, Keys: keys, Timeout: timeout,
 	})
 	ses.id = id
 	defer srv.decider.End(id)
--- a/lugd/pkg/peer/codec_test.go
+++ b/lugd/pkg/peer/codec_test.go
@@ -30,7 +30,7 @@
 		Keys:          []config.Key{{Organisation: "o", Digest: config.DigestOf("key")}},
 		Routes: []config.Route{{
 			Name: "r", Host: "h", PathPrefix: "/", Access: config.AccessKeyed, Service: "s", Split: []config.Share{{Service: "s", Weight: 0.5}},
-			Idempotent: true, Timeout: time.Second, TargetLatency: time.Millisecond, Priority: 3, MaxAttempts: 2,
+			Idempotent: true, Timeout: time.Second, LatencyGoal: time.Millisecond, Priority: 3, MaxAttempts: 2,
 		}},
 		Services: []config.Service{{Name: "s", HealthPath: "/h", Connections: 9}},
 		Bounds:   config.Bounds{HeaderBytes: 1, BodyBytes: 2, HeaderTimeout: 3, IdleTimeout: 4},
--- a/lugd/pkg/peer/content.go
+++ b/lugd/pkg/peer/content.go
@@ -94,7 +94,7 @@
 	}
 	wrt.boolean(rou.Idempotent)
 	wrt.duration(rou.Timeout)
-	wrt.duration(rou.TargetLatency)
+	wrt.duration(rou.LatencyGoal)
 	wrt.whole(int64(rou.Priority))
 	wrt.whole(int64(rou.MaxAttempts))
 }
@@ -107,7 +107,7 @@
 		rou.Split = append(rou.Split, config.Share{Service: rdr.text(), Weight: math.Float64frombits(rdr.number())})
 	}
 	rou.Idempotent = rdr.boolean()
-	rou.Timeout, rou.TargetLatency = rdr.duration(), rdr.duration()
+	rou.Timeout, rou.LatencyGoal = rdr.duration(), rdr.duration()
 	rou.Priority, rou.MaxAttempts = config.Priority(rdr.whole()), int(rdr.whole())
 	return rou
 }
--- a/lugd/pkg/target/exchange.go
+++ b/lugd/pkg/target/exchange.go
@@ -101,32 +101,29 @@
 }
 
 // cause returns why an exchange failed. One that was given up fails for that and
-// not for the closing of its connection; nil stands for the end of its time.
-func (exc *exchange) cause(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return nil
+// not for the closing of its connection.
+func cause(ctx context.Context, err error) error {
+	if ctx.Err() != nil || err == nil {
+		return errGivenUp
 	}
 	return err
 }
 
 // fail ends the exchange before an answer and waits until the request is no
 // longer read, so that the verdict is final.
-func (exc *exchange) fail(cause error) *Error {
-	if cause == nil {
-		cause = fmt.Errorf("target %s did not answer in time, or the attempt was given up", exc.con.address)
-	}
+func (exc *exchange) fail(err error) *Error {
 	exc.stop()
 	exc.cancel()
 	_ = exc.con.Close()
 	select {
-	case err := <-exc.written:
-		if err != nil && exc.con.sent == 0 {
-			return &Error{Verdict: verdict.NotRun, Outcome: health.Failure, Err: fmt.Errorf("cannot send to target %s: %w", exc.con.address, err)}
+	case werr := <-exc.written:
+		if werr != nil && exc.con.sent == 0 {
+			return &Error{Verdict: verdict.NotRun, Outcome: health.Failure, Err: fmt.Errorf("cannot send to target %s: %w", exc.con.address, werr)}
 		}
 	case <-time.After(time.Millisecond):
 		// The writer waits for the caller's body; the head has been sent.
 	}
-	return &Error{Verdict: verdict.MayHaveRun, Outcome: health.Failure, Err: cause}
+	return &Error{Verdict: verdict.MayHaveRun, Outcome: health.Failure, Err: fmt.Errorf("target %s: %w", exc.con.address, err)}
 }
 
 // body is the body of an answer. It gives the connection back at its end.
--- a/lugd/pkg/target/pool.go
+++ b/lugd/pkg/target/pool.go
@@ -50,6 +50,7 @@
 	errUnframed  = errors.New("the target's answer states neither length nor chunks")
 	errInterim   = errors.New("the target sent too many interim answers")
 	errForeign   = errors.New("the target answered another request")
+	errGivenUp   = errors.New("no answer in time, or the attempt was given up")
 	errSwitching = errors.New("the target switched protocols unasked")
 )
 
@@ -346,7 +347,7 @@
 	go exc.write(req)
 	rsp, err := exc.readHead(req) //nolint:bodyclose // the caller of Send closes it
 	if err != nil {
-		return nil, exc.fail(exc.cause(ctx, err))
+		return nil, exc.fail(cause(ctx, err))
 	}
 	rsp.Body = &body{ReadCloser: rsp.Body, exchange: exc, reusable: !rsp.Close}
 	ans := &Answer{Response: rsp}
@@ -354,7 +355,7 @@
 		err = ans.hold(pol.set.Hold)
 	}
 	if err != nil || !timer.Stop() {
-		return nil, exc.fail(exc.cause(ctx, err))
+		return nil, exc.fail(cause(ctx, err))
 	}
 	if ans.whole {
 		_ = ans.Body.Close()
