Look up ended processes by name, and let the stand-in write entries by the adapter

Ruled out: merging the look-alikes that were pointed at (codecs of frames field by field, blocks of constants); they say different things.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"marigoldlug.example/core/clock"
@@ -132,17 +133,14 @@
 // ended reports whether the process with an ID is known to have ended, since
 // another runs under the same name.
 func (fle *Fleet) ended(id string) bool {
-	for _, row := range fle.rows.Rows() {
-		if row.Value.VM.ID != id && row.Value.Name != "" && sameName(id, row.Value.Name) {
-			return true
-		}
-	}
-	return false
+	row, found := fle.rows.Get(VMName(nameOf(id)))
+	return found && row.Value.VM.ID != id
 }
 
-// sameName reports whether an ID is that of a run of the VM with a name.
-func sameName(id, name string) bool {
-	return len(id) > len(name) && id[:len(name)] == name && id[len(name)] == '.'
+// nameOf returns the name of the VM of which an ID names a run.
+func nameOf(id string) string {
+	at := strings.LastIndexByte(id, '.')
+	return id[:max(at, 0)]
 }
 
 // Listed reports whether the list has this run of the VM, and the revision of
@@ -159,13 +157,9 @@
 }
 
 // Row returns the row of the VM with an ID.
-func (fle *Fleet) Row(id string) (row table.Row[Row], found bool) {
-	for _, row := range fle.rows.Rows() {
-		if row.Value.VM.ID == id {
-			return row, true
-		}
-	}
-	return table.Row[Row]{}, false
+func (fle *Fleet) Row(id string) (table.Row[Row], bool) {
+	row, _ := fle.rows.Get(VMName(nameOf(id)))
+	return row, row.Value.VM.ID == id
 }
 
 // Holder returns the ID of the VM that holds a duty, or nothing.
--- a/core/health/outcome.go
+++ b/core/health/outcome.go
@@ -1,4 +1,4 @@
-// Package health chooses targets for requests and judges which of them fail.
+// Package health classifies what attempts tell of their targets.
 package health
 
 import (
--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -1,8 +1,7 @@
 // Package verdict says whether a request may have run on a target.
 package verdict
 
-// Header carries a verdict on refusals sent to callers and on shed answers
-// received from targets.
+// Header carries a verdict on refusals sent to callers.
 const Header = "Marigoldlug-Verdict"
 
 // Verdict states what is known about the execution of one request.
--- a/lugbench/pkg/targetfake/target.go
+++ b/lugbench/pkg/targetfake/target.go
@@ -10,16 +10,15 @@
 	"sync"
 	"time"
 
+	"marigoldlug.example/core/registry"
 	"marigoldlug.example/lugbench/pkg/storefake"
 	"marigoldlug.example/lugd/pkg/header"
+	"marigoldlug.example/platform/pkg/objects"
 )
 
 // queueLength is the number of requests that wait for a slot.
 const queueLength = 12
 
-// entryKind is the kind of the entries of targets in the store.
-const entryKind = "servers"
-
 // Faults are the ways in which a target misbehaves.
 type Faults struct {
 	// Latency is the time that each request takes.
@@ -69,19 +68,18 @@
 
 // Register writes the target's entry, at which it is reached.
 func (tgt *Target) Register(address string, leaving bool) error {
-	state := "ready"
-	if leaving {
-		state = "draining"
+	raw, err := objects.EncodeTarget(registry.Entry{
+		Service: tgt.service, Address: address, FailureDomain: tgt.domain, Version: "v1", Slots: tgt.slots, Leaving: leaving, Born: tgt.born,
+	}, 1)
+	if err != nil {
+		return err
 	}
-	_, err := tgt.store.Put(entryKind, tgt.id, map[string]any{
-		"service": tgt.service, "address": address, "zone": tgt.domain, "version": "v1", "slots": tgt.slots, "state": state,
-		"coldLeft": "0ms", "seq": 1, "born": tgt.born.UnixMilli(),
-	})
-	return err
+	tgt.store.PutRaw(objects.KindTargets, tgt.id, raw)
+	return nil
 }
 
 // Withdraw removes the target's entry.
-func (tgt *Target) Withdraw() { tgt.store.Remove(entryKind, tgt.id) }
+func (tgt *Target) Withdraw() { tgt.store.Remove(objects.KindTargets, tgt.id) }
 
 // SetFaults replaces the faults.
 func (tgt *Target) SetFaults(fls Faults) {
--- a/lugd/pkg/peer/codec.go
+++ b/lugd/pkg/peer/codec.go
@@ -144,9 +144,3 @@
 	}
 	return nil
 }
-
-// FrameSize returns the length in bytes of the frame that carries a message.
-func FrameSize(msg any) (int, error) {
-	payload, err := encode(msg)
-	return len(payload) + frameHeader, err
-}
