Let few VMs read the platform in short outages

Now a VM that loses its source looks for another for 0.25 s, or 0.7 s unless it ranks high, keeps its source while the ranks change, asks for the configuration only until the platform answers, and follows again within 0.6 s. Targets and the fleet are listed cheaply at the start; such a list proves nothing until a watch has answered.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"marigoldlug.example/core/clock"
@@ -27,10 +28,20 @@
 	// helpInterval is how often a VM that is cut off from the platform asks
 	// others.
 	helpInterval = 500 * time.Millisecond
-	// failedTime is how long a VM that failed is not followed.
-	failedTime = 3 * time.Second
+	// silentPause is how long a VM that was silent is not asked again, and
+	// stalePause how long one is not that the platform does not answer. Both
+	// are spread by as much again.
+	silentPause = 3 * time.Second
+	stalePause  = 300 * time.Millisecond
 	// candidates is the number of VMs of a failure domain that others follow.
 	candidates = 2
+	// standIns of a failure domain read the platform if they find no other VM to
+	// follow for seekTime, the rest if they find none for longSeekTime. A short
+	// outage of the platform, or the loss of the VM that reads, thus leaves most
+	// VMs as they are.
+	standIns     = 4
+	seekTime     = 250 * time.Millisecond
+	longSeekTime = 700 * time.Millisecond
 )
 
 // Ask asks the VM that is followed what is new since some revisions.
@@ -52,10 +63,14 @@
 	rnd    *rand.Rand
 	view   member.View
 	number uint64
-	// followed is the ID of the VM that is followed; empty while the VM reads
-	// the platform itself.
+	// followed is the ID of the VM that is followed; empty while there is none.
 	followed string
-	// tried is the VM that a reading VM would rather follow.
+	// readFrom is from when the VM reads the platform itself, unless it follows
+	// another by then.
+	readFrom clock.Instant
+	// tried is the VM that is asked: the one that is followed, or one that this
+	// VM would rather follow. answered is when it last answered, or was first
+	// asked.
 	tried    string
 	asked    clock.Instant
 	answered clock.Instant
@@ -75,7 +90,9 @@
 }
 
 // Reading reports whether the VM is to read the platform itself.
-func (fol *Follower) Reading() bool { return fol.followed == "" }
+func (fol *Follower) Reading(now clock.Instant) bool {
+	return fol.followed == "" && !now.Before(fol.readFrom)
+}
 
 // Followed returns the ID of the VM that is followed, or nothing.
 func (fol *Follower) Followed() string { return fol.followed }
@@ -90,8 +107,24 @@
 	return len(first) > 0 && first[0].ID == fol.self.ID
 }
 
-func (fol *Follower) ranked() []member.VM {
-	return member.Ranked(fol.view.Domain(fol.self.FailureDomain), "feed/"+fol.self.FailureDomain, candidates)
+func (fol *Follower) ranked() []member.VM { return fol.ranks(candidates) }
+
+// ranks returns the first VMs of the failure domain.
+func (fol *Follower) ranks(count int) []member.VM {
+	return member.Ranked(fol.view.Domain(fol.self.FailureDomain), "feed/"+fol.self.FailureDomain, count)
+}
+
+// patience returns how long the VM looks for another one to follow before it
+// reads the platform itself.
+func (fol *Follower) patience() time.Duration {
+	isSelf := func(vmm member.VM) bool { return vmm.ID == fol.self.ID }
+	switch at := slices.IndexFunc(fol.ranks(standIns), isSelf); {
+	case at < 0:
+		return longSeekTime
+	case at < candidates:
+		return 0
+	}
+	return seekTime
 }
 
 // candidate returns the VM to follow, or nothing where this VM is to read.
@@ -110,24 +143,20 @@
 // Tick returns the asks that are due. held are the revisions that the VM holds,
 // and contact is how long ago the platform last answered it, if it reads.
 func (fol *Follower) Tick(now clock.Instant, held Ask, contact time.Duration) []Send {
-	if fol.followed != "" && now.Since(fol.answered) > silentTime+fol.spread {
-		fol.fail(now, fol.followed)
+	if fol.tried != "" && now.Since(fol.answered) > silentTime+fol.spread {
+		fol.fail(now, fol.tried, silentPause)
 	}
 	to := fol.candidate(now)
-	if fol.followed != "" && fol.followed != to && to != "" {
-		fol.followed = "" // The ranking has changed; read until the new one answers.
-	}
-	if to == "" {
-		fol.followed, fol.tried = "", ""
+	switch {
+	case to == "":
+		fol.tried = ""
+		if fol.followed != "" {
+			fol.lose(now)
+		}
 		return fol.seekHelp(now, held, contact)
-	}
-	if fol.tried != to {
+	case fol.tried != to:
 		fol.answered = now
-	} else if now.Since(fol.asked) < askInterval {
-		return nil
-	}
-	if fol.followed == "" && fol.tried == to && now.Since(fol.answered) > silentTime+fol.spread {
-		fol.fail(now, to)
+	case now.Since(fol.asked) < askInterval:
 		return nil
 	}
 	fol.tried = to
@@ -165,10 +194,19 @@
 	}
 }
 
-func (fol *Follower) fail(now clock.Instant, id string) {
-	fol.failed[id] = now.Add(failedTime + time.Duration(fol.rnd.Int64N(int64(failedTime))))
-	fol.followed = ""
+// fail notes that a VM cannot be followed for a pause.
+func (fol *Follower) fail(now clock.Instant, id string, pause time.Duration) {
+	fol.failed[id] = now.Add(pause + time.Duration(fol.rnd.Int64N(int64(pause))))
 	fol.tried = ""
+	if fol.followed == id {
+		fol.lose(now)
+	}
+}
+
+// lose ends the following of a VM.
+func (fol *Follower) lose(now clock.Instant) {
+	fol.followed = ""
+	fol.readFrom = now.Add(fol.patience())
 }
 
 // Answered takes the answer to the ask of a number: how long ago the platform
@@ -183,14 +221,13 @@
 	if from != fol.tried {
 		return sent, true
 	}
-	switch {
-	case contact > lostTime+fol.spread:
-		fol.fail(now, from)
-	case fol.followed == from:
-		fol.answered = now
-	case contact <= regainedTime:
+	if contact > lostTime+fol.spread {
+		fol.fail(now, from, stalePause)
+		return sent, true
+	}
+	fol.answered = now
+	if contact <= regainedTime {
 		fol.followed = from
-		fol.answered = now
 	}
 	return sent, true
 }
--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -54,8 +54,8 @@
 func TestFollowsTheFirstOfItsDomain(t *testing.T) {
 	fol, first := pair(t)
 	now, asks := run(fol, clock.At(time.Hour), 3*time.Second, map[string]time.Duration{first: 100 * time.Millisecond})
-	if fol.Reading() || fol.Followed() != first {
-		t.Fatalf("follows %q, reading %v", fol.Followed(), fol.Reading())
+	if fol.Reading(now) || fol.Followed() != first {
+		t.Fatalf("follows %q, reading %v", fol.Followed(), fol.Reading(now))
 	}
 	if asks > 12 {
 		t.Errorf("%d asks in 3 s", asks)
@@ -65,7 +65,7 @@
 	for _, vmm := range view(5).VMs() {
 		stale[vmm.ID] = 2 * time.Second
 	}
-	if _, _ = run(fol, now, time.Second, stale); !fol.Reading() {
+	if now, _ = run(fol, now, time.Second, stale); !fol.Reading(now) {
 		t.Error("follows a VM that the platform does not answer")
 	}
 }
@@ -90,12 +90,12 @@
 	fol := New(self, rand.New(rand.NewPCG(1, 1)))
 	fol.SetView(vie)
 	now := clock.At(time.Hour)
-	if snds := fol.Tick(now, Ask{}, 100*time.Millisecond); len(snds) > 0 || !fol.Reading() {
+	if snds := fol.Tick(now, Ask{}, 100*time.Millisecond); len(snds) > 0 || !fol.Reading(now) {
 		t.Fatalf("the first VM asks %v", snds)
 	}
 	_, asks := run(fol, now, 3*time.Second, nil)
-	if asks == 0 || !fol.Reading() {
-		t.Errorf("%d asks while the platform does not answer, reading %v", asks, fol.Reading())
+	if asks == 0 || !fol.Reading(now) {
+		t.Errorf("%d asks while the platform does not answer, reading %v", asks, fol.Reading(now))
 	}
 }
 
@@ -116,3 +116,80 @@
 		t.Error("an answer counts twice")
 	}
 }
+
+// crowd is a failure domain whose VMs follow and read.
+type crowd struct {
+	now  clock.Instant
+	fols map[string]*Follower
+	// contact has when the platform last answered each VM.
+	contact map[string]clock.Instant
+	down    bool
+	dead    string
+	// reads counts the VMs that read, by steps.
+	reads int
+}
+
+func newCrowd(cnt int) *crowd {
+	crw := &crowd{now: clock.At(time.Hour), fols: make(map[string]*Follower), contact: make(map[string]clock.Instant)}
+	vie := view(cnt)
+	for num, vmm := range vie.VMs() {
+		fol := New(vmm, rand.New(rand.NewPCG(uint64(num), 1)))
+		fol.SetView(vie)
+		crw.fols[vmm.ID] = fol
+		crw.contact[vmm.ID] = crw.now
+	}
+	return crw
+}
+
+// play passes time. Watches that wait are answered every WatchTime.
+func (crw *crowd) play(dur time.Duration) {
+	for end := crw.now.Add(dur); crw.now.Before(end); crw.now = crw.now.Add(tick) {
+		for id, fol := range crw.fols {
+			if id == crw.dead {
+				continue
+			}
+			if fol.Reading(crw.now) {
+				crw.reads++
+				if !crw.down && crw.now.Since(crw.contact[id]) >= WatchTime {
+					crw.contact[id] = crw.now
+				}
+			}
+			for _, snd := range fol.Tick(crw.now, Ask{}, crw.now.Since(crw.contact[id])) {
+				if snd.To != crw.dead {
+					fol.Answered(crw.now, snd.To, snd.Ask.Number, crw.now.Since(crw.contact[snd.To]))
+				}
+			}
+		}
+	}
+}
+
+// TestShortOutageMakesFewVMsRead takes the platform away for a moment, and then
+// the VM that reads.
+func TestShortOutageMakesFewVMsRead(t *testing.T) {
+	const vms = 30
+	crw := newCrowd(vms)
+	crw.play(3 * time.Second)
+	// most is how many times a VM may read for a step, on average, in 6 s.
+	check := func(what string, most float64) {
+		t.Helper()
+		if reads := float64(crw.reads) / vms; reads > most {
+			t.Errorf("%s: each VM reads for %.1f of %d steps", what, reads, 6*time.Second/tick)
+		}
+	}
+	crw.reads = 0
+	crw.down = true
+	crw.play(1300 * time.Millisecond)
+	crw.down = false
+	crw.play(4700 * time.Millisecond)
+	check("outage of 1.3 s", 12)
+	crw.reads = 0
+	crw.dead = member.Ranked(view(vms).VMs(), "feed/a", 1)[0].ID
+	crw.play(6 * time.Second)
+	check("the reading VM ends", 12)
+	crw.reads = 0
+	crw.down = true
+	crw.play(3 * time.Second)
+	if crw.reads < vms*int(time.Second/tick) {
+		t.Errorf("in an outage of 3 s the VMs read for %d steps in all, want them to look for a way of their own", crw.reads)
+	}
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -175,9 +175,10 @@
 	return out
 }
 
-// Vacant reports whether it is known that no VM acts on any duty.
+// Vacant reports whether it is known that no VM acts on any duty. A list that
+// was never proven may be old.
 func (fle *Fleet) Vacant() bool {
-	if fle.rows.Revision() == 0 {
+	if fle.rows.Revision() == 0 || fle.proven == (clock.Instant{}) {
 		return false
 	}
 	for _, dut := range fle.duties {
--- a/core/gateway/knowledge.go
+++ b/core/gateway/knowledge.go
@@ -242,7 +242,7 @@
 	for _, snd := range mac.follower.Tick(now, mac.Held(), now.Since(mac.contact)) {
 		mac.do(Send{To: snd.To, Message: snd.Ask})
 	}
-	set := SetReading{On: mac.follower.Reading() || mac.config == nil, Sparing: !mac.follower.First()}
+	set := SetReading{On: mac.follower.Reading(now) || mac.config == nil, Sparing: !mac.follower.First()}
 	if mac.reading == nil || *mac.reading != set {
 		mac.reading = &set
 		mac.note("reading", "on", set.On, "sparing", set.Sparing, "follows", mac.follower.Followed())
--- a/lugbench/pkg/storefake/server.go
+++ b/lugbench/pkg/storefake/server.go
@@ -40,7 +40,11 @@
 func (sto *Store) meet(req *http.Request) Faults {
 	sto.mut.Lock()
 	defer sto.mut.Unlock()
-	sto.calls[req.Method]++
+	if req.URL.Query().Get("allowStale") == "1" {
+		sto.calls[CheapCall]++
+	} else {
+		sto.calls[req.Method]++
+	}
 	if sto.faults.Only != nil && !sto.faults.Only(req.RemoteAddr) {
 		return Faults{}
 	}
@@ -111,8 +115,12 @@
 		return
 	}
 	sto.mut.Lock()
-	page := listing{Items: []object{}, Revision: sto.revision}
-	for _, name := range slices.Sorted(maps.Keys(sto.objects[kind])) {
+	objs, revision := sto.objects[kind], sto.revision
+	if sto.faults.OldLists && req.URL.Query().Get("allowStale") == "1" {
+		objs, revision = sto.old[kind], sto.oldRevision
+	}
+	page := listing{Items: []object{}, Revision: revision}
+	for _, name := range slices.Sorted(maps.Keys(objs)) {
 		if name <= req.URL.Query().Get("after") {
 			continue
 		}
@@ -120,7 +128,7 @@
 			page.More = true
 			break
 		}
-		page.Items = append(page.Items, sto.objects[kind][name])
+		page.Items = append(page.Items, objs[name])
 	}
 	sto.mut.Unlock()
 	answer(wrt, http.StatusOK, page)
--- a/lugbench/pkg/storefake/store.go
+++ b/lugbench/pkg/storefake/store.go
@@ -32,6 +32,9 @@
 	LateTime   time.Duration
 	// DeafWatches makes watches that wait hear of no change.
 	DeafWatches bool
+	// OldLists makes listings that may be old show what they showed when the
+	// faults were set.
+	OldLists bool
 	// Only limits the faults to callers for which it returns true.
 	Only func(remote string) bool
 }
@@ -71,7 +74,10 @@
 	// dropped is the revision up to which the history is gone.
 	dropped uint64
 	faults  Faults
-	calls   map[string]int
+	// old is what listings that may be old show, oldRevision its revision.
+	old         map[string]map[string]object
+	oldRevision uint64
+	calls       map[string]int
 	// changed is closed at the next change.
 	changed chan struct{}
 }
@@ -95,15 +101,23 @@
 	sto.mut.Lock()
 	defer sto.mut.Unlock()
 	sto.faults = fls
+	sto.old, sto.oldRevision = make(map[string]map[string]object), sto.revision
+	for kind, objs := range sto.objects {
+		sto.old[kind] = maps.Clone(objs)
+	}
 }
 
-// Calls returns the number of calls so far by method and kind.
+// Calls returns the number of calls so far by method, with CheapCall for those
+// that may show what is old.
 func (sto *Store) Calls() map[string]int {
 	sto.mut.Lock()
 	defer sto.mut.Unlock()
 	return maps.Clone(sto.calls)
 }
 
+// CheapCall is under which listings that may be old are counted.
+const CheapCall = "cheap"
+
 // Compact drops the history, and cuts the watches that wait.
 func (sto *Store) Compact() {
 	sto.mut.Lock()
--- a/lugd/pkg/driver/reader.go
+++ b/lugd/pkg/driver/reader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"marigoldlug.example/core/clock"
@@ -20,8 +21,8 @@
 
 // Source reads the objects of one kind.
 type Source[T any] interface {
-	// List returns every object.
-	List(ctx context.Context) (table.Delta[T], error)
+	// List returns every object. What is listed cheaply may be old by seconds.
+	List(ctx context.Context, cheaply bool) (table.Delta[T], error)
 	// Watch returns what has changed since a revision, as soon as anything has
 	// and after wait at the latest.
 	Watch(ctx context.Context, since uint64, wait time.Duration) (table.Delta[T], error)
@@ -41,34 +42,50 @@
 
 // pace says how often a kind of object is read.
 type pace struct {
+	// cheap is set where a VM that has just started lists the objects cheaply.
+	cheap bool
+	// settle is how long a VM that has listed the objects looks for another VM
+	// to follow before it watches them itself.
+	settle time.Duration
 	// wait is how long the platform is asked to wait for a change. What a watch
 	// returns is known to be the newest only at the time of its sending.
 	wait time.Duration
 	// gather is the least time between two watches, so that changes in quick
 	// succession take one.
 	gather time.Duration
+	// pause bounds the pause after a failed read.
+	pause time.Duration
 }
 
 // The paces of VMs that read for others, and of those that read for themselves.
 var (
-	configPace         = pace{wait: feed.WatchTime}
-	targetsPace        = pace{wait: 1500 * time.Millisecond, gather: 250 * time.Millisecond}
-	fleetPace          = pace{wait: time.Second, gather: 250 * time.Millisecond}
-	sparingTargetsPace = pace{wait: 1500 * time.Millisecond, gather: 900 * time.Millisecond}
-	sparingFleetPace   = pace{wait: 2500 * time.Millisecond, gather: 1500 * time.Millisecond}
+	configPace  = pace{settle: settleTime, wait: feed.WatchTime, pause: lastPause}
+	targetsPace = pace{cheap: true, settle: settleTime, wait: 1500 * time.Millisecond, gather: 250 * time.Millisecond, pause: lastPause}
+	fleetPace   = pace{cheap: true, settle: settleTime, wait: time.Second, gather: 250 * time.Millisecond, pause: lastPause}
+
+	sparingConfigPace  = pace{settle: longSettleTime, wait: feed.WatchTime, pause: sparingPause}
+	sparingTargetsPace = pace{cheap: true, settle: longSettleTime, wait: 1500 * time.Millisecond, gather: 900 * time.Millisecond, pause: sparingPause}
+	sparingFleetPace   = pace{cheap: true, settle: settleTime, wait: 2500 * time.Millisecond, gather: 1500 * time.Millisecond, pause: sparingPause}
 )
 
 const (
+	// firstWait is the wait of a watch that is to prove at once that nothing has
+	// changed.
+	firstWait = 10 * time.Millisecond
 	// answerTime is how long an answer may take beyond the wait.
 	answerTime = 800 * time.Millisecond
-	// settleTime is how long a VM that has listed the objects looks for another
-	// VM to follow before it watches them itself.
-	settleTime = 300 * time.Millisecond
+	// settleTime is long enough for VMs that start together to be listed, which
+	// the fleet's list tells, and longSettleTime to follow one of them then.
+	settleTime     = 300 * time.Millisecond
+	longSettleTime = 600 * time.Millisecond
 	// listTime bounds a listing.
 	listTime = 2 * time.Second
-	// firstPause and lastPause bound the pause after a failed read.
-	firstPause = 100 * time.Millisecond
-	lastPause  = 800 * time.Millisecond
+	// firstPause is the pause after a first failed read; lastPause and
+	// sparingPause bound later ones. A VM that reads for itself hears from the
+	// others once the platform answers them.
+	firstPause   = 100 * time.Millisecond
+	lastPause    = 800 * time.Millisecond
+	sparingPause = 2 * time.Second
 )
 
 // setReading starts or ends the reading of the platform.
@@ -83,27 +100,51 @@
 	ctx, cancel := context.WithCancel(dri.ctx)
 	dri.stopReading = cancel
 	held := dri.mac.Held()
-	tgs, flt := targetsPace, fleetPace
+	con, tgs, flt := configPace, targetsPace, fleetPace
+	// A VM that reads for itself asks for the configuration only until the
+	// platform answers.
+	reached := make(chan struct{})
+	reach := sync.OnceFunc(func() { close(reached) })
 	if set.Sparing {
-		tgs, flt = sparingTargetsPace, sparingFleetPace
+		con, tgs, flt = sparingConfigPace, sparingTargetsPace, sparingFleetPace
+	} else {
+		reach()
 	}
 	dri.work.Go(func() {
-		read(ctx, dri, "config", dri.platform.Config(), dri.config, configPace, func(asked clock.Instant, del table.Delta[*gateway.Config]) {
+		read(ctx, dri, "config", dri.platform.Config(), dri.config, con, func(asked clock.Instant, del table.Delta[*gateway.Config]) {
 			dri.tookConfig(asked, del)
+			reach()
 		})
 	})
 	dri.work.Go(func() {
+		if !await(ctx, reached) {
+			return
+		}
 		read(ctx, dri, "targets", dri.platform.Targets(), held.Targets, tgs, func(asked clock.Instant, del table.Delta[registry.Entry]) {
 			dri.Step(gateway.TargetsRead{Asked: asked, News: del})
 		})
 	})
 	dri.work.Go(func() {
+		if !await(ctx, reached) {
+			return
+		}
 		read(ctx, dri, "fleet", dri.platform.Fleet(), held.Fleet, flt, func(asked clock.Instant, del table.Delta[fleet.Row]) {
 			dri.Step(gateway.FleetRead{Asked: asked, News: del})
 		})
 	})
 }
 
+// await waits until a channel is closed, and reports whether it was before ctx
+// ended.
+func await(ctx context.Context, closed <-chan struct{}) bool {
+	select {
+	case <-closed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // tookConfig delivers the newest configuration that was read.
 func (dri *Driver) tookConfig(asked clock.Instant, del table.Delta[*gateway.Config]) {
 	evt := gateway.ConfigRead{Asked: asked}
@@ -118,48 +159,57 @@
 	dri.step(evt)
 }
 
-// read follows one kind of object until ctx ends.
+// read follows one kind of object until ctx ends. What was listed cheaply is
+// taken without a time at which it was the newest.
 func read[T any](ctx context.Context, dri *Driver, kind string, src Source[T], since uint64, pce pace, take func(asked clock.Instant, del table.Delta[T])) {
 	log := dri.log.WithField("kind", kind)
-	pause, lost := firstPause, false
+	pause, lost, cheap, wait := firstPause, false, pce.cheap, firstWait
 	for ctx.Err() == nil {
 		asked := dri.clock.Now()
-		del, err := readOnce(ctx, src, since, pce.wait)
+		listed := since == 0
+		del, err := readOnce(ctx, src, since, wait, cheap)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrHistoryGone):
 			log.WithField("since", since).Info("the platform dropped its history; listing anew")
-			since = 0
+			since, cheap = 0, false
 			continue
 		case err != nil:
 			if !lost {
 				log.WithError(err).Warn("platform lost")
 			}
-			lost = true
+			lost, wait = true, firstWait
 			sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
-			pause = min(2*pause, lastPause)
+			pause = min(2*pause, pce.pause)
 			continue
 		}
 		if lost {
 			log.WithField("revision", del.Revision).Info("platform regained")
 		}
 		pause, lost = firstPause, false
+		since = del.Revision
+		if listed {
+			if cheap {
+				asked = clock.Instant{}
+			}
+			take(asked, del)
+			sleep(ctx, pce.settle)
+			continue
+		}
 		take(asked, del)
-		if since == 0 {
-			sleep(ctx, settleTime)
-		} else if left := pce.gather - dri.clock.Now().Since(asked); left > 0 {
+		wait = pce.wait
+		if left := pce.gather - dri.clock.Now().Since(asked); left > 0 {
 			sleep(ctx, left)
 		}
-		since = del.Revision
 	}
 }
 
-func readOnce[T any](ctx context.Context, src Source[T], since uint64, watch time.Duration) (table.Delta[T], error) {
+func readOnce[T any](ctx context.Context, src Source[T], since uint64, watch time.Duration, cheap bool) (table.Delta[T], error) {
 	if since == 0 {
 		ctx, cancel := context.WithTimeout(ctx, listTime)
 		defer cancel()
-		return src.List(ctx)
+		return src.List(ctx, cheap)
 	}
 	ctx, cancel := context.WithTimeout(ctx, watch+answerTime)
 	defer cancel()
