Let large VMs do the work for all

Duties went by hash alone, to VMs of 0.16 and 0.8 cores alike.

Ruled out: outages (the store was fine); the size of queues between VMs.

The capacity of VMs is now a setting and part of the list, and VMs of half of the greatest capacity come first for duties, unless they have less than an eighth of the capacity of all.

Where all VMs are equal nothing changes.

--- a/core/member/view.go
+++ b/core/member/view.go
@@ -17,6 +17,8 @@
 	// Address is the IP address and port at which peers reach the VM.
 	Address       string
 	FailureDomain string
+	// Capacity is how much the VM can do, in proportion to others; above 0.
+	Capacity float64
 }
 
 // View is a list of VMs. It is immutable.
@@ -52,9 +54,8 @@
 	return vie.vms[idx], true
 }
 
-// Ranked returns the cnt members that rendezvous hashing puts first for a
-// duty, the first of them first. Members of other duties are spread evenly and
-// a change of the view moves only the duties of the VMs that came or went.
+// Ranked returns the cnt members that come first for a duty, as the function
+// Ranked orders them.
 func (vie View) Ranked(duty string, cnt int) []VM {
 	return Ranked(vie.vms, duty, cnt)
 }
@@ -80,12 +81,43 @@
 	return slices.Compact(out)
 }
 
-// Ranked returns the cnt VMs of vms with the highest rendezvous hash for duty.
+const (
+	// roomyPart is the part of the greatest capacity from which a VM is roomy.
+	roomyPart = 0.5
+	// roomyShare is the share of the capacity of all VMs that the roomy ones
+	// need to have to come before the others.
+	roomyShare = 0.125
+)
+
+// roomy returns the least capacity of the VMs that come first for duties, so
+// that small VMs are spared the work that is done for others; 0 where all do.
+func roomy(vms []VM) float64 {
+	most, all := 0.0, 0.0
+	for _, vmm := range vms {
+		most, all = max(most, vmm.Capacity), all+vmm.Capacity
+	}
+	least, sum := roomyPart*most, 0.0
+	for _, vmm := range vms {
+		if vmm.Capacity >= least {
+			sum += vmm.Capacity
+		}
+	}
+	if sum < roomyShare*all {
+		return 0
+	}
+	return least
+}
+
+// Ranked returns the cnt VMs of vms that come first for a duty: roomy ones
+// before others, and among them those with the highest rendezvous hash. Duties
+// are thus spread evenly, and a VM that comes or goes moves only its own.
 func Ranked(vms []VM, duty string, cnt int) []VM {
 	type scored struct {
-		hash uint64
-		vmm  VM
+		small bool
+		hash  uint64
+		vmm   VM
 	}
+	least := roomy(vms)
 	best := make([]scored, 0, cnt+1)
 	var dig xxhash.Digest
 	for _, vmm := range vms {
@@ -93,8 +125,14 @@
 		_, _ = dig.WriteString(duty)
 		_, _ = dig.WriteString("\x00")
 		_, _ = dig.WriteString(vmm.ID)
-		one := scored{hash: dig.Sum64(), vmm: vmm}
+		one := scored{small: vmm.Capacity < least, hash: dig.Sum64(), vmm: vmm}
 		at, _ := slices.BinarySearchFunc(best, one, func(two, one scored) int {
+			if one.small != two.small {
+				if two.small {
+					return 1
+				}
+				return -1
+			}
 			return cmp.Or(cmp.Compare(one.hash, two.hash), strings.Compare(two.vmm.ID, one.vmm.ID))
 		})
 		if at < cnt {
--- /dev/null
+++ b/core/member/view_test.go
@@ -0,0 +1,62 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+)
+
+func vms(capacities ...float64) []VM {
+	var out []VM
+	for num, capacity := range capacities {
+		out = append(out, VM{ID: fmt.Sprintf("vm-%03d.r", num), FailureDomain: "a", Capacity: capacity})
+	}
+	return out
+}
+
+// firsts counts how often each VM comes first for one of many duties.
+func firsts(list []VM) map[string]int {
+	out := make(map[string]int)
+	for num := range 2000 {
+		out[Ranked(list, fmt.Sprint("duty-", num), 1)[0].ID]++
+	}
+	return out
+}
+
+func TestDutiesAreSpreadOverEqualVMs(t *testing.T) {
+	for _, capacity := range []float64{0, 0.32} {
+		cnts := firsts(vms(capacity, capacity, capacity, capacity))
+		for id, cnt := range cnts {
+			if cnt < 400 || cnt > 600 {
+				t.Errorf("%s has %d of 2000 duties", id, cnt)
+			}
+		}
+		if len(cnts) != 4 {
+			t.Errorf("got %v", cnts)
+		}
+	}
+}
+
+// TestRoomyVMsComeFirst lists two large VMs among small ones, and one among so
+// many that it cannot do the work for all.
+func TestRoomyVMsComeFirst(t *testing.T) {
+	caps := []float64{0.8, 0.8}
+	for range 26 {
+		caps = append(caps, 0.16)
+	}
+	list := vms(caps...)
+	cnts := firsts(list)
+	if len(cnts) != 2 || cnts[list[0].ID] < 800 || cnts[list[1].ID] < 800 {
+		t.Errorf("got %v", cnts)
+	}
+	three := Ranked(list, "duty", 3)
+	if three[0].Capacity != 0.8 || three[1].Capacity != 0.8 || three[2].Capacity != 0.16 {
+		t.Errorf("got %v", three)
+	}
+	caps = []float64{0.8}
+	for range 100 {
+		caps = append(caps, 0.16)
+	}
+	if cnts := firsts(vms(caps...)); len(cnts) < 90 {
+		t.Errorf("the duties of 101 VMs are on %d", len(cnts))
+	}
+}
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -93,7 +93,7 @@
 	if err := dmn.listen(); err != nil {
 		return nil, err
 	}
-	dmn.self = member.VM{ID: set.Name + "." + runID(), Address: set.PeerAddress, FailureDomain: set.FailureDomain}
+	dmn.self = member.VM{ID: set.Name + "." + runID(), Address: set.PeerAddress, FailureDomain: set.FailureDomain, Capacity: set.Capacity}
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	dmn.cancel = cancel
 	dmn.driver = driver.New(work, gateway.Settings{
--- a/lugd/pkg/edge/settings.go
+++ b/lugd/pkg/edge/settings.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"slices"
@@ -48,14 +49,16 @@
 	StopTime time.Duration
 	// BalancerLag is how long the balancer takes to notice that a VM is not
 	// ready.
-	BalancerLag    time.Duration
-	HeaderBytes    int
-	BodyBytes      int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
-	BodyTimeout    time.Duration
-	DialTimeout    time.Duration
-	MemoryMiB      int
+	BalancerLag   time.Duration
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+	BodyTimeout   time.Duration
+	DialTimeout   time.Duration
+	MemoryMiB     int
+	// Capacity is what the VM can do in proportion to others.
+	Capacity       float64
 	TraceEndpoint  string
 	TraceShare     float64
 	LogFormat      string
@@ -80,6 +83,7 @@
 		BodyTimeout:    30 * time.Second,
 		DialTimeout:    500 * time.Millisecond,
 		MemoryMiB:      256,
+		Capacity:       1,
 		LogFormat:      "json",
 		LogLinesPerSec: 200,
 	}
@@ -133,16 +137,26 @@
 	if set.BalancerLag < 0 || set.BalancerLag >= set.StopTime-answerMargin {
 		fault("balancer-lag", "%v is not well below stop-time, %v", set.BalancerLag, set.StopTime)
 	}
+	errs = append(errs, set.checkSizes()...)
+	if set.LogFormat != "json" && set.LogFormat != "text" {
+		fault("log-format", "%q is not json or text", set.LogFormat)
+	}
+	return errors.Join(errs...)
+}
+
+// checkSizes reports the numbers that are out of bounds.
+func (set Settings) checkSizes() []error {
+	var errs []error
 	if set.RetryShare < 0 || set.RetryExtra < 0 {
-		fault("retry-share", "%v and retry-extra, %v, must not be negative", set.RetryShare, set.RetryExtra)
+		errs = append(errs, fmt.Errorf("retry-share: %v and retry-extra, %v, must not be negative", set.RetryShare, set.RetryExtra))
 	}
 	if set.HeaderBytes < 1<<10 || set.BodyBytes < 0 || set.MemoryMiB < 16 {
-		fault("max-header-bytes", "the bounds of sizes are too low")
+		errs = append(errs, errors.New("max-header-bytes: the bounds of sizes are too low"))
 	}
-	if set.LogFormat != "json" && set.LogFormat != "text" {
-		fault("log-format", "%q is not json or text", set.LogFormat)
+	if !(set.Capacity > 0) || math.IsInf(set.Capacity, 0) {
+		errs = append(errs, fmt.Errorf("capacity: %v is not above 0", set.Capacity))
 	}
-	return errors.Join(errs...)
+	return errs
 }
 
 // What can be served without TLS.
@@ -226,6 +240,7 @@
 		duration("body-timeout", "longest time for the body of a request to arrive", &set.BodyTimeout),
 		duration("dial-timeout", "longest time to open a connection to a target", &set.DialTimeout),
 		whole("memory-mib", "memory of the VM", &set.MemoryMiB),
+		number("capacity", "what the VM can do in proportion to others; VMs of half the greatest and more do the work for all", &set.Capacity),
 		text("log-format", "json or text", &set.LogFormat),
 		text("log-verbose", "subsystems that write debug messages, separated by commas", &set.LogVerbose),
 		whole("log-lines", "greatest number of log lines a second", &set.LogLinesPerSec),
--- a/lugd/pkg/edge/settings_test.go
+++ b/lugd/pkg/edge/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"os"
 	"path/filepath"
 	"strings"
@@ -32,12 +33,12 @@
 
 func TestEveryWrongSettingIsNamed(t *testing.T) {
 	set := DefaultSettings()
-	set.CallerAddress, set.RevokeTime, set.LogFormat, set.PlainText = "nowhere", -1, "xml", []string{"all"}
+	set.CallerAddress, set.RevokeTime, set.LogFormat, set.PlainText, set.Capacity = "nowhere", -1, "xml", []string{"all"}, math.NaN()
 	err := set.Check()
 	if err == nil {
 		t.Fatal("no error")
 	}
-	for _, name := range []string{"name:", "failure-domain:", "caller-address:", "ready-address:", "platform-address:", "revoke-time:", "log-format:", "plain-text:", "caller-certificate:"} {
+	for _, name := range []string{"name:", "failure-domain:", "caller-address:", "ready-address:", "platform-address:", "revoke-time:", "log-format:", "capacity:", "plain-text:", "caller-certificate:"} {
 		if !strings.Contains(err.Error(), name) {
 			t.Errorf("%q is not named in %q", name, err)
 		}
--- a/lugd/pkg/peer/codec.go
+++ b/lugd/pkg/peer/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"marigoldlug.example/core/member"
@@ -28,7 +29,7 @@
 
 // protocolVersion is raised when frames change in a way that older programs
 // cannot read.
-const protocolVersion = 2
+const protocolVersion = 3
 
 // hello opens a connection.
 type hello struct {
@@ -103,10 +104,11 @@
 	wrt.text(vmm.ID)
 	wrt.text(vmm.Address)
 	wrt.text(vmm.FailureDomain)
+	wrt.number(math.Float64bits(vmm.Capacity))
 }
 
 func (rdr *reader) vm() member.VM {
-	return member.VM{ID: rdr.text(), Address: rdr.text(), FailureDomain: rdr.text()}
+	return member.VM{ID: rdr.text(), Address: rdr.text(), FailureDomain: rdr.text(), Capacity: math.Float64frombits(rdr.number())}
 }
 
 // decode reads the payload of a frame. The error wraps errMalformed.
--- a/lugd/pkg/peer/codec_test.go
+++ b/lugd/pkg/peer/codec_test.go
@@ -23,7 +23,7 @@
 
 // messages has one of every kind, with every field set.
 func messages() []any {
-	vmm := member.VM{ID: "vm-1.a", Address: "127.0.0.1:1", FailureDomain: "a"}
+	vmm := member.VM{ID: "vm-1.a", Address: "127.0.0.1:1", FailureDomain: "a", Capacity: 0.3}
 	pri := config.Priority(2)
 	content := config.Content{
 		Organisations: []config.Organisation{{Name: "o", Limit: rate.Limit{Rate: 1, Burst: 2}, Priority: &pri}, {Name: "p"}},
