Note why a request is not sent again

Cause: the logs did not tell why requests that may be repeated timed out after one attempt. One line for each attempt that is kept.

--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -60,6 +60,8 @@
 	// patient is until when the attempt under way is waited for, if the request
 	// may be repeated.
 	patient clock.Instant
+	// kept is the attempt of which it was noted that no other replaced it.
+	kept int
 	// sent counts the attempts that reached a target, and runs those of them
 	// that the target may have run.
 	sent, runs int
@@ -222,12 +224,24 @@
 	case ref == nil:
 		mac.place(now, fli)
 	case fli.running:
-		fli.patient = now.Add(hurryPause) // The attempt under way goes on.
+		mac.keepAttempt(now, fli, string(ref.Reason))
 	default:
 		mac.refuse(fli, *ref)
 	}
 }
 
+// keepAttempt goes on with the attempt under way, which was to be replaced.
+func (mac *Machine) keepAttempt(now clock.Instant, fli *flight, reason string) {
+	fli.patient = now.Add(hurryPause)
+	if fli.kept == fli.attempt {
+		return
+	}
+	fli.kept = fli.attempt
+	mac.do(Note{Request: fli.ID, Event: "notSentAgain", Fields: []any{
+		"attempt", fli.attempt, "target", fli.target.ID, "reason", reason, "after", now.Since(fli.began),
+	}})
+}
+
 // dispatch sends a request to the target that was chosen, in place of the
 // attempt under way, if any.
 func (mac *Machine) dispatch(now clock.Instant, fli *flight, tgt health.Target, ans placement.Answer, placer string) {
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -298,7 +298,7 @@
 // unplaced decides on a request for which there is no target now.
 func (mac *Machine) unplaced(now clock.Instant, fli *flight, ans placement.Answer) {
 	if fli.running {
-		fli.patient = now.Add(hurryPause) // The attempt under way goes on.
+		mac.keepAttempt(now, fli, string(ans.Reason))
 		return
 	}
 	ref := request.Refusal{Reason: request.Overloaded, RetryAfter: ans.RetryAfter, Detail: "the targets have no room in time"}
