--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -223,7 +223,9 @@
 	pla.begin(now, &attempt{
 		ticket: tic, target: tgt, route: wis.Route, idempotent: wis.Idempotent, began: now, deadline: now.Add(wis.Left), wait: best.wait,
 	})
-	return Answer{Number: tic.Number, Target: tgt.ID, Patience: best.wait + lat.patience(tgt.pace(now))}
+	// A second attempt needs time as well.
+	patience := min(best.wait+lat.patience(tgt.pace(now)), wis.Left/2)
+	return Answer{Number: tic.Number, Target: tgt.ID, Patience: patience}
 }
 
 func (pla *Placer) begin(now clock.Instant, att *attempt) {
@@ -282,7 +284,7 @@
 	if at, failed := tgt.paths[vmm]; failed && now.Since(at) < pathTime {
 		cost += pathCost
 	}
-	if tgt.due(now, sick, wis.Idempotent) {
+	if !wis.Again && tgt.due(now, sick, wis.Idempotent) {
 		cost -= failCost // Nobody knows how it fares; this request tells.
 	}
 	return cost
--- a/core/placement/placer_test.go
+++ b/core/placement/placer_test.go
@@ -316,6 +316,36 @@
 	}
 }
 
+// TestRepeatedRequestsAreSafe lets a target that has failed rest until it is
+// tried again. A request that was sent before is not what it is tried with, and
+// one that may be repeated is waited for no longer than leaves time for that.
+func TestRepeatedRequestsAreSafe(t *testing.T) {
+	now := clock.At(time.Hour)
+	pla := New(rand.New(rand.NewPCG(1, 1)), request.NewWindow(now, 10*time.Second, 0.2, 64))
+	pla.SetTargets(now, []health.Target{{ID: "t0", Slots: slots}, {ID: "t1", Slots: slots}})
+	number := uint64(0)
+	place := func(again bool) Answer {
+		number++
+		return pla.Place(now, Ticket{VM: "vm", Number: number}, Wish{Route: "r", Idempotent: true, Again: again, Aim: time.Second, Left: deadline})
+	}
+	for range 200 {
+		now = now.Add(100 * time.Millisecond)
+		ans := place(false)
+		if ans.Patience > deadline/2 {
+			t.Fatalf("a target is waited for for %v of %v", ans.Patience, deadline)
+		}
+		outcome := health.Success
+		if ans.Target == "t0" {
+			outcome = health.Failure
+		}
+		pla.Ended(now, Ticket{VM: "vm", Number: number}, outcome)
+		if ans := place(true); ans.Target == "t0" {
+			t.Fatalf("after %d requests one that was sent before is sent to a target that fails all", number)
+		}
+		pla.Ended(now, Ticket{VM: "vm", Number: number}, health.Success)
+	}
+}
+
 // TestPathFailuresDoNotCondemnATarget lets one VM fail at a target that answers
 // all others.
 func TestPathFailuresDoNotCondemnATarget(t *testing.T) {
