--- a/core/placement/latency.go
+++ b/core/placement/latency.go
@@ -82,6 +82,14 @@
 // tailOf returns the part of a normal distribution above a number of deviations.
 func tailOf(devs float64) float64 { return 0.5 * math.Erfc(devs/math.Sqrt2) }
 
+// spare returns how much of the time left may pass until a request is sent again
+// that is then to be answered in time, and half of it at least.
+func (lat *latency) spare(left time.Duration) time.Duration {
+	const devs = 1.3
+	needed := time.Duration(math.Exp(lat.mean+devs*lat.deviation) * float64(time.Second))
+	return max(left-needed, left/2)
+}
+
 // patience returns the time that few requests of sound targets exceed.
 func (lat *latency) patience(slower float64) time.Duration {
 	const devs = 2.3
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -223,9 +223,7 @@
 	pla.begin(now, &attempt{
 		ticket: tic, target: tgt, route: wis.Route, idempotent: wis.Idempotent, began: now, deadline: now.Add(wis.Left), wait: best.wait,
 	})
-	// A second attempt needs time as well.
-	patience := min(best.wait+lat.patience(tgt.pace(now)), wis.Left/2)
-	return Answer{Number: tic.Number, Target: tgt.ID, Patience: patience}
+	return Answer{Number: tic.Number, Target: tgt.ID, Patience: min(best.wait+lat.patience(tgt.pace(now)), lat.spare(wis.Left))}
 }
 
 func (pla *Placer) begin(now clock.Instant, att *attempt) {
