Count decisions, placements, tokens and calls of the platform

Every note of the machine is counted by its event, also where it is not logged; placers and servers of tokens count their answers; reads and writes count kind, call and outcome. Labels are bounded by kinds, not by organisations. A test reads the metrics of three VMs after 30 requests.

--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -62,6 +63,9 @@
 	flights  map[request.ID]*flight
 	stopping bool
 	actions  []Action
+	// placements and granted count answers as a placer and as a server of
+	// tokens by outcome.
+	placements, granted map[string]uint64
 }
 
 // New returns the machine of a VM that knows nothing yet.
@@ -76,6 +80,9 @@
 		services: make(map[string]*service),
 		asks:     make(map[uint64]request.ID),
 		flights:  make(map[request.ID]*flight),
+
+		placements: make(map[string]uint64),
+		granted:    make(map[string]uint64),
 	}
 	mac.tokens = quota.NewClient(rnd, mac.limit)
 	return mac
@@ -145,6 +152,10 @@
 		return
 	}
 	gra := mac.servers[ask.Server].Answer(now, ask)
+	mac.granted["granted"] += uint64(gra.Count)
+	if short := ask.Need - gra.Count; short > 0 {
+		mac.granted["refused"] += uint64(short)
+	}
 	if from == mac.set.Self.ID {
 		mac.tokens.Granted(now, gra)
 		return
@@ -309,6 +320,11 @@
 	// Suspected lists the targets that this VM, as a placer, takes to be sick.
 	Suspected []string
 	Stopping  bool
+	// Followers is the number of VMs that learn from this one.
+	Followers int
+	// Placements counts what this VM answered as a placer, and Tokens the
+	// requests of which it decided as a server of tokens.
+	Placements, Tokens map[string]uint64
 }
 
 // Status returns the state of the VM at now.
@@ -316,6 +332,7 @@
 	sta := Status{
 		Version: mac.version(), VMs: mac.fleet.View().Size(), Reading: mac.reading != nil && mac.reading.On, Follows: mac.follower.Followed(),
 		Holders: mac.fleet.Holders(), Ages: mac.ages(now), Flights: len(mac.flights), Targets: mac.registry.Len(), Stopping: mac.stopping,
+		Followers: len(mac.followers), Placements: maps.Clone(mac.placements), Tokens: maps.Clone(mac.granted),
 	}
 	for _, svc := range mac.services {
 		for _, par := range svc.parts {
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -178,6 +178,7 @@
 		if par := mac.partAt(msg.Service, msg.Part); par != nil {
 			ans = mac.centralOf(now, par).Place(now, placement.Ticket{VM: from, Number: msg.Number}, msg.Wish)
 		}
+		mac.countPlacement(msg.Wish, ans)
 		mac.send(now, from, ans)
 	case placement.Answer:
 		mac.placed(now, from, msg)
@@ -196,6 +197,18 @@
 	}
 }
 
+// countPlacement counts what this VM answered as a placer.
+func (mac *Machine) countPlacement(wis placement.Wish, ans placement.Answer) {
+	switch {
+	case ans.Target == "":
+		mac.placements[string(ans.Reason)]++
+	case wis.Again:
+		mac.placements["placedAgain"]++
+	default:
+		mac.placements["placed"]++
+	}
+}
+
 // place asks for a target for the next attempt of a request.
 func (mac *Machine) place(now clock.Instant, fli *flight) {
 	svc := mac.services[fli.service]
--- a/lugbench/pkg/playground/playground_test.go
+++ b/lugbench/pkg/playground/playground_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -118,6 +119,52 @@
 	}
 }
 
+// TestMetricsTellWhatHappened reads the metrics of every VM after requests.
+func TestMetricsTellWhatHappened(t *testing.T) {
+	pgr := start(t, 3)
+	settle()
+	const requests = 30
+	for num := range requests {
+		pgr.send(num%3, http.MethodGet, "/recipes/x", fmt.Sprint("read-", num), Key)
+	}
+	all := ""
+	for _, address := range pgr.Operators {
+		rsp, err := http.Get("http://" + address + "/metrics")
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw, err := io.ReadAll(rsp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = rsp.Body.Close()
+		all += string(raw)
+	}
+	for name, least := range map[string]float64{
+		`marigoldlug_placements_total{outcome="placed"}`:                                 requests,
+		`marigoldlug_tokens_total{outcome="granted"}`:                                    1,
+		`marigoldlug_events_total{event="dispatched"}`:                                   requests,
+		`marigoldlug_platform_calls_total{call="list",kind="config",outcome="done"}`:     3,
+		`marigoldlug_platform_calls_total{call="cheapList",kind="fleet",outcome="done"}`: 3,
+		`marigoldlug_platform_calls_total{call="write",kind="fleet",outcome="done"}`:     3,
+		`marigoldlug_requests_total{result="answered",route="reads"}`:                    requests,
+	} {
+		sum := 0.0
+		for line := range strings.Lines(all) {
+			var val float64
+			if rest, found := strings.CutPrefix(line, name+" "); found {
+				if _, err := fmt.Sscan(rest, &val); err != nil {
+					t.Errorf("%s: %v", line, err)
+				}
+			}
+			sum += val
+		}
+		if sum < least {
+			t.Errorf("%s is %v, want %v at least", name, sum, least)
+		}
+	}
+}
+
 // TestOutageOfThePlatform keeps serving while keys can be relied on, refuses
 // then, and serves again soon after.
 func TestOutageOfThePlatform(t *testing.T) {
--- a/lugd/pkg/driver/driver.go
+++ b/lugd/pkg/driver/driver.go
@@ -27,6 +27,12 @@
 	Send(to string, msg any)
 }
 
+// tally counts what the VM decides and what it asks of the platform.
+type tally interface {
+	Event(name string)
+	PlatformCall(kind, call, outcome string)
+}
+
 // Driver owns the machine of one VM. It is safe for concurrent use.
 type Driver struct {
 	self     member.VM
@@ -34,6 +40,7 @@
 	journal  journal
 	platform Platform
 	clock    *Clock
+	tally    tally
 	// transport is set before Run.
 	transport transport
 	// ctx ends the work that the machine asks for.
@@ -63,9 +70,9 @@
 // New returns a driver whose machine has the given settings, and which writes
 // that many lines on decisions a second. ctx ends the work that the machine
 // asks for.
-func New(ctx context.Context, set gateway.Settings, pla Platform, clk *Clock, log logrus.FieldLogger, lines int) *Driver {
+func New(ctx context.Context, set gateway.Settings, pla Platform, clk *Clock, tal tally, log logrus.FieldLogger, lines int) *Driver {
 	dri := &Driver{
-		self: set.Self, log: log, journal: journal{log: log, limit: lines}, platform: pla, clock: clk, ctx: ctx,
+		self: set.Self, log: log, journal: journal{log: log, limit: lines}, platform: pla, clock: clk, tally: tal, ctx: ctx,
 		mac:   gateway.New(set, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		waits: make(map[request.ID]wait),
 	}
@@ -124,9 +131,9 @@
 	case gateway.SetReading:
 		dri.setReading(act)
 	case gateway.Write:
-		dri.perform(func(ctx context.Context) error { return dri.platform.Write(ctx, act.Name, act.Row, act.Revision) }, act.Name)
+		dri.perform("write", act.Name, func(ctx context.Context) error { return dri.platform.Write(ctx, act.Name, act.Row, act.Revision) })
 	case gateway.Delete:
-		dri.perform(func(ctx context.Context) error { return dri.platform.Delete(ctx, act.Name, act.Revision) }, act.Name)
+		dri.perform("delete", act.Name, func(ctx context.Context) error { return dri.platform.Delete(ctx, act.Name, act.Revision) })
 	}
 }
 
@@ -139,8 +146,9 @@
 // callTime bounds a write to the platform.
 const callTime = 2 * time.Second
 
-// perform makes a call to the platform in the background.
-func (dri *Driver) perform(call func(ctx context.Context) error, name string) {
+// perform makes a call to the platform in the background that changes an object
+// of the fleet.
+func (dri *Driver) perform(what, name string, call func(ctx context.Context) error) {
 	if dri.ctx.Err() != nil {
 		return
 	}
@@ -148,6 +156,7 @@
 		ctx, cancel := context.WithTimeout(dri.ctx, callTime)
 		defer cancel()
 		err := call(ctx)
+		dri.tally.PlatformCall(fleetKind, what, outcomeOf(err))
 		log := dri.log.WithField("object", name)
 		if err != nil {
 			log.WithError(err).Warn("cannot write to the platform")
@@ -159,6 +168,7 @@
 
 // logNote writes a decision to the logs.
 func (dri *Driver) logNote(nte gateway.Note) {
+	dri.tally.Event(nte.Event)
 	wai, found := dri.waits[nte.Request]
 	wai.notes = dri.journal.take(nte, wai.label, wai.notes)
 	if found {
--- a/lugd/pkg/driver/reader.go
+++ b/lugd/pkg/driver/reader.go
@@ -111,7 +111,7 @@
 		reach()
 	}
 	dri.work.Go(func() {
-		read(ctx, dri, "config", dri.platform.Config(), dri.config, con, func(asked clock.Instant, del table.Delta[*gateway.Config]) {
+		read(ctx, dri, configKind, dri.platform.Config(), dri.config, con, func(asked clock.Instant, del table.Delta[*gateway.Config]) {
 			dri.tookConfig(asked, del)
 			reach()
 		})
@@ -120,7 +120,7 @@
 		if !await(ctx, reached) {
 			return
 		}
-		read(ctx, dri, "targets", dri.platform.Targets(), held.Targets, tgs, func(asked clock.Instant, del table.Delta[registry.Entry]) {
+		read(ctx, dri, targetsKind, dri.platform.Targets(), held.Targets, tgs, func(asked clock.Instant, del table.Delta[registry.Entry]) {
 			dri.Step(gateway.TargetsRead{Asked: asked, News: del})
 		})
 	})
@@ -128,7 +128,7 @@
 		if !await(ctx, reached) {
 			return
 		}
-		read(ctx, dri, "fleet", dri.platform.Fleet(), held.Fleet, flt, func(asked clock.Instant, del table.Delta[fleet.Row]) {
+		read(ctx, dri, fleetKind, dri.platform.Fleet(), held.Fleet, flt, func(asked clock.Instant, del table.Delta[fleet.Row]) {
 			dri.Step(gateway.FleetRead{Asked: asked, News: del})
 		})
 	})
@@ -168,6 +168,9 @@
 		asked := dri.clock.Now()
 		listed := since == 0
 		del, err := readOnce(ctx, src, since, wait, cheap)
+		if ctx.Err() == nil {
+			dri.tally.PlatformCall(kind, callName(listed, cheap), outcomeOf(err))
+		}
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -205,6 +208,39 @@
 	}
 }
 
+// The kinds of objects, as metrics and logs name them.
+const (
+	configKind  = "config"
+	targetsKind = "targets"
+	fleetKind   = "fleet"
+)
+
+func callName(listed, cheap bool) string {
+	switch {
+	case listed && cheap:
+		return "cheapList"
+	case listed:
+		return "list"
+	}
+	return "watch"
+}
+
+// outcomeOf names what became of a call of the platform.
+func outcomeOf(err error) string {
+	var ref interface{ Refused() bool }
+	switch {
+	case err == nil:
+		return "done"
+	case errors.Is(err, ErrHistoryGone):
+		return "historyGone"
+	case errors.Is(err, context.DeadlineExceeded):
+		return "late"
+	case errors.As(err, &ref) && ref.Refused():
+		return "refused"
+	}
+	return "failed"
+}
+
 func readOnce[T any](ctx context.Context, src Source[T], since uint64, watch time.Duration, cheap bool) (table.Delta[T], error) {
 	if since == 0 {
 		ctx, cancel := context.WithTimeout(ctx, listTime)
--- a/lugd/pkg/edge/counter.go
+++ b/lugd/pkg/edge/counter.go
@@ -62,6 +62,18 @@
 		sta, _ := dmn.driver.Status()
 		return float64(len(sta.Suspected))
 	})
+	met.Gauge("followers", "VMs that learn from this one.", func() float64 {
+		sta, _ := dmn.driver.Status()
+		return float64(sta.Followers)
+	})
+	met.Counters("placements_total", "Requests that the VM placed for the fleet, by outcome.", "outcome", func() map[string]uint64 {
+		sta, _ := dmn.driver.Status()
+		return sta.Placements
+	})
+	met.Counters("tokens_total", "Requests for which the VM was asked for tokens, by whether it granted them.", "outcome", func() map[string]uint64 {
+		sta, _ := dmn.driver.Status()
+		return sta.Tokens
+	})
 	met.Gauge("caller_connections", "Open connections of callers.", func() float64 { return float64(dmn.callers.Connections()) })
 	met.Counter("peer_sent_bytes", "Bytes sent to other VMs.", func() float64 {
 		sent, _ := dmn.transport.Bytes()
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -96,9 +96,10 @@
 	dmn.self = member.VM{ID: set.Name + "." + runID(), Address: set.PeerAddress, FailureDomain: set.FailureDomain, Capacity: set.Capacity}
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	dmn.cancel = cancel
+	met := metrics.New()
 	dmn.driver = driver.New(work, gateway.Settings{
 		Name: set.Name, Self: dmn.self, Terms: terms(set),
-	}, wir.Connect(set.PlatformAddress, lgs.Logger(logflags.Platform)), driver.NewClock(), lgs.Logger(logflags.Machine), set.LogLinesPerSec)
+	}, wir.Connect(set.PlatformAddress, lgs.Logger(logflags.Platform)), driver.NewClock(), met, lgs.Logger(logflags.Machine), set.LogLinesPerSec)
 	dmn.transport = peer.New(dmn.self, dmn.listeners.peers, dmn.driver, lgs.Logger(logflags.Peer))
 	dmn.driver.SetTransport(dmn.transport)
 	if err := dmn.secure(); err != nil {
@@ -112,7 +113,6 @@
 		DialTimeout: set.DialTimeout, IdlePerTarget: idlePerTarget, BodyPause: bodyPause,
 		Names: wir.Names, Hold: holdBytes, Unframed: true,
 	})
-	met := metrics.New()
 	dmn.register(met)
 	dmn.callers = http1.New(callerBounds(set, config.Bounds{}), wir.Names, dmn.driver, dmn.pool, &counter{set: met, tracer: dmn.tracer}, lgs.Logger(logflags.Caller))
 	dmn.serveOthers(met, lgs.Logger(logflags.Operator))
--- a/lugd/pkg/metrics/metrics.go
+++ b/lugd/pkg/metrics/metrics.go
@@ -22,6 +22,8 @@
 	attempts *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	added    prometheus.Histogram
+	events   *prometheus.CounterVec
+	calls    *prometheus.CounterVec
 }
 
 // New returns metrics at zero.
@@ -41,6 +43,13 @@
 			Namespace: namespace, Name: "added_seconds", Help: "Time of a request not spent waiting for targets.", Buckets: latencyBuckets,
 		}),
 	}
+	set.events = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "events_total", Help: "Decisions and changes of belief, as the logs name them.",
+	}, []string{"event"})
+	set.calls = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "platform_calls_total", Help: "Calls of the platform's store by kind of object, call and outcome.",
+	}, []string{"kind", "call", "outcome"})
+	set.registry.MustRegister(set.events, set.calls)
 	set.registry.MustRegister(set.requests, set.attempts, set.latency, set.added, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return set
 }
@@ -55,6 +64,38 @@
 	set.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, read))
 }
 
+// Counters registers counts that are read when metrics are collected, one for
+// each value of a label.
+func (set *Set) Counters(name, help, label string, read func() map[string]uint64) {
+	set.registry.MustRegister(&counters{
+		desc: prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, []string{label}, nil), read: read,
+	})
+}
+
+// counters is a collector of counts that are kept elsewhere.
+type counters struct {
+	desc *prometheus.Desc
+	read func() map[string]uint64
+}
+
+// Describe sends the description of the counts.
+func (cts *counters) Describe(out chan<- *prometheus.Desc) { out <- cts.desc }
+
+// Collect sends the counts.
+func (cts *counters) Collect(out chan<- prometheus.Metric) {
+	for label, cnt := range cts.read() {
+		out <- prometheus.MustNewConstMetric(cts.desc, prometheus.CounterValue, float64(cnt), label)
+	}
+}
+
+// Event counts a decision or a change of belief.
+func (set *Set) Event(name string) { set.events.WithLabelValues(name).Inc() }
+
+// PlatformCall counts a call of the platform.
+func (set *Set) PlatformCall(kind, call, outcome string) {
+	set.calls.WithLabelValues(kind, call, outcome).Inc()
+}
+
 // Request counts a request that ended. waited is the part of elapsed that was
 // spent waiting for targets.
 func (set *Set) Request(route, result string, elapsed, waited time.Duration) {
