Cut VMs from each other in the soak, and show that it finds what is missing

Cause: the soak did not cut VMs from each other, let no target leave, did not count retries nor shares, and nothing showed that it can fail. Each kind of request also came to the same VM always (six kinds, six VMs).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT_VERSION := v2.15.0
 LINT := $(TOOLS)/golangci-lint-$(LINT_VERSION)
 
-.PHONY: all build build-alone test race lint format check-core check-link soak soak-short fuzz quickstart ci
+.PHONY: all build build-alone test race lint format check-core check-link soak soak-proof soak-short fuzz quickstart ci
 
 all: build test
 
@@ -42,6 +42,10 @@
 soak: build
 	target/lugbench soak --seed $(SEED)
 
+# Takes safeguards out one by one; the soak must find each.
+soak-proof:
+	bash _scripts/check-soak.sh
+
 # A short one for every change; the seeds are fixed.
 soak-short: build
 	for seed in 1 2; do target/lugbench soak --seed $$seed --for 8s || exit 1; done
--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -174,7 +174,8 @@
 
 // spendLonely decides without the server. A time without it begins with a part
 // of a request drawn at random, so that the VMs together spend evenly from its
-// beginning, and nothing that gathered before.
+// beginning, and nothing that gathered before. Who is refused may come back when
+// the servers are asked again.
 func (cli *Client) spendLonely(now clock.Instant, wal *wallet, lim rate.Limit, request uint64) Decided {
 	rat := cli.lonelyRate(lim)
 	if wal.filled == (clock.Instant{}) || now.Since(wal.filled) > lonelyWindow {
@@ -190,7 +191,7 @@
 		wal.lonely -= rate.Request
 		return Decided{Request: request, Admitted: true, Alone: true}
 	}
-	return Decided{Request: request, Alone: true, RetryAfter: min(rate.Wait(rat, rate.Request-wal.lonely), maxRetryAfter)}
+	return Decided{Request: request, Alone: true, RetryAfter: min(rate.Wait(rat, rate.Request-wal.lonely), silentTime)}
 }
 
 func (wal *wallet) countDemand(now clock.Instant) {
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -31,6 +31,8 @@
 	// admitted has when requests were admitted.
 	admitted []time.Duration
 	next     uint64
+	// longest is the longest time after which a refused caller may come back.
+	longest time.Duration
 }
 
 func newWorld(vms int, limits func(string) (rate.Limit, bool)) *world {
@@ -59,6 +61,7 @@
 }
 
 func (wld *world) decided(dec Decided) {
+	wld.longest = max(wld.longest, dec.RetryAfter)
 	if dec.Admitted {
 		wld.admitted = append(wld.admitted, wld.now.Mono)
 	}
@@ -204,6 +207,9 @@
 				wld.request(vmm)
 			}
 		}
+		if wld.longest > silentTime {
+			t.Errorf("vacant %v: a refused caller is told to come back after %v, servers are asked again after %v", one.vacant, wld.longest, silentTime)
+		}
 		share := float64(len(wld.admitted)) / (100 * 10)
 		if share < one.least || share > one.most {
 			t.Errorf("vacant %v: VMs alone spent %.2f of the rate, want %.2f to %.2f", one.vacant, share, one.least, one.most)
--- a/lugbench/pkg/playground/playground.go
+++ b/lugbench/pkg/playground/playground.go
@@ -38,7 +38,7 @@
   services: [{name: recipes, healthPath: /health, connections: 300}]
   routes:
     - {name: reads, pathPrefix: /recipes/, service: recipes, idempotent: true, timeout: 2s, latencyGoal: 500ms, maxAttempts: 2}
-    - {name: orders, pathPrefix: /orders/, service: recipes, idempotent: false, timeout: 2s, latencyGoal: 500ms}
+    - {name: orders, pathPrefix: /orders/, service: recipes, idempotent: false, timeout: 2s, latencyGoal: 500ms, maxAttempts: 2}
 `
 
 // Settings say what is run.
--- a/lugbench/pkg/soak/process.go
+++ b/lugbench/pkg/soak/process.go
@@ -18,8 +18,9 @@
 	program string
 	set     edge.Settings
 	logs    string
-	// store is the proxy through which the VM reaches the platform.
-	store *proxy
+	// store is the proxy through which the VM reaches the platform, and peers
+	// the one through which other VMs reach it.
+	store, peers *proxy
 
 	// restarting is held while the process is ended and started anew.
 	restarting sync.Mutex
@@ -41,8 +42,10 @@
 	cmd := exec.Command(prc.program, "run", //nolint:gosec // The program is the one under test.
 		"--name="+set.Name, "--failure-domain="+set.FailureDomain, "--caller-address="+set.CallerAddress, "--ready-address="+set.ReadyAddress,
 		"--peer-address="+set.PeerAddress, "--operator-address="+set.OperatorAddress, "--platform-address="+prc.store.address(),
+		"--peer-public-address="+prc.peers.address(),
 		"--plain-text=callers,peers,operators", "--balancer-lag="+set.BalancerLag.String(), "--stop-time="+set.StopTime.String(),
-		"--retry-share=0.2", "--retry-extra=64", "--log-lines=2000")
+		"--retry-share="+fmt.Sprint(retryShare), "--retry-extra="+fmt.Sprint(retryExtra), "--retry-window="+retryWindow.String(),
+		"--quota-window="+shareWindow.String(), "--log-lines=2000")
 	if prc.logs != "" {
 		prc.starts++
 		out, err := os.Create(filepath.Join(prc.logs, set.Name+"."+strconv.Itoa(prc.starts)+".log"))
--- a/lugbench/pkg/soak/soak.go
+++ b/lugbench/pkg/soak/soak.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -28,9 +29,14 @@
 	calmTime = 4 * time.Second
 	// requestTime is the time that callers allow.
 	requestTime = 2 * time.Second
-	// revokeTime is how long after its withdrawal a route may work.
+	// revokeTime is how long after its withdrawal a route may work, and
+	// drainTime how long a target that leaves may get requests.
 	revokeTime = 5 * time.Second
-	workTime   = 30 * time.Millisecond
+	drainTime  = 2 * time.Second
+	// farewellTime is how long a VM is cut off at last, while a route is
+	// withdrawn and a target leaves.
+	farewellTime = 8 * time.Second
+	workTime     = 30 * time.Millisecond
 	// slots is what a target runs at a time.
 	slots = 3
 	// graceTime is how long a process may take to end.
@@ -64,13 +70,18 @@
 	mut sync.Mutex
 	// told lists the faults that were injected.
 	told []string
-	// withdrawn is when the spare route was taken away; zero until then.
-	withdrawn time.Time
+	// withdrawn has when routes were taken away, by the paths that they served.
+	withdrawn map[string]time.Time
+	// leaver is the target that left, and left when it did.
+	leaver *targetfake.Target
+	left   time.Time
+	// cutOff is the VM that was cut off meanwhile; it cannot know.
+	cutOff *process
 }
 
 // Run starts a fleet, injects faults and reports what was seen.
 func Run(ctx context.Context, set Settings) (*Report, error) {
-	flt := &fleet{set: set, rnd: rand.New(rand.NewPCG(set.Seed, set.Seed)), store: storefake.New()}
+	flt := &fleet{set: set, rnd: rand.New(rand.NewPCG(set.Seed, set.Seed)), store: storefake.New(), withdrawn: make(map[string]time.Time)}
 	defer flt.close()
 	if err := flt.start(ctx); err != nil {
 		return nil, err
@@ -90,6 +101,10 @@
 	}
 	load.calm.Store(true)
 	time.Sleep(calmTime)
+	load.calm.Store(false)
+	if err := flt.farewell(ctx); err != nil {
+		return nil, err
+	}
 	cancel()
 	<-done
 	rep.faults = flt.told
@@ -121,11 +136,10 @@
 		if err != nil {
 			return err
 		}
-		prx, err := newProxy(at)
+		prx, err := flt.proxy(at)
 		if err != nil {
 			return err
 		}
-		flt.closers = append(flt.closers, prx.close)
 		if err := tgt.Register(prx.address(), false); err != nil {
 			return err
 		}
@@ -134,7 +148,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	flt.releases = release.New(objects.NewReleases(objects.New(address, log)), time.Now)
-	if _, err := flt.releases.Apply(ctx, []byte(playground.Note+spareNote), "soak"); err != nil {
+	if _, err := flt.releases.Apply(ctx, []byte(firstNote), "soak"); err != nil {
 		return err
 	}
 	for num := range flt.set.VMs {
@@ -142,12 +156,13 @@
 		if err != nil {
 			return err
 		}
-		prx, err := newProxy(address)
-		if err != nil {
+		prc := &process{program: flt.set.Program, set: set, logs: flt.set.Logs}
+		if prc.store, err = flt.proxy(address); err != nil {
+			return err
+		}
+		if prc.peers, err = flt.proxy(set.PeerAddress); err != nil {
 			return err
 		}
-		flt.closers = append(flt.closers, prx.close)
-		prc := &process{program: flt.set.Program, set: set, logs: flt.set.Logs, store: prx}
 		if err := prc.start(); err != nil {
 			return err
 		}
@@ -156,8 +171,32 @@
 	return nil
 }
 
-// spareNote adds a route that a later note takes away.
-const spareNote = "    - {name: spare, pathPrefix: /spare/, service: recipes, idempotent: true, timeout: 2s, latencyGoal: 500ms, maxAttempts: 2}\n"
+// proxy puts a proxy in front of a server until the soak ends.
+func (flt *fleet) proxy(server string) (*proxy, error) {
+	prx, err := newProxy(server)
+	if err == nil {
+		flt.closers = append(flt.closers, prx.close)
+	}
+	return prx, err
+}
+
+// The paths of routes that are taken away: one while faults are injected, one
+// at last, while a VM is cut off.
+const (
+	sparePath = "/spare/"
+	latePath  = "/late/"
+)
+
+// firstNote adds these routes, and an organisation that is to stay within a
+// small share, to the note of the playground.
+var firstNote = strings.NewReplacer(
+	"organisations: [", fmt.Sprintf("organisations: [{name: %s, rate: %d, burst: %d}, ", smallName, smallRate, smallBurst),
+	"keys: [", fmt.Sprintf("keys: [{organisation: %s, secret: %s}, ", smallName, smallKey),
+).Replace(playground.Note) + spareRoute("spare", sparePath) + spareRoute("late", latePath)
+
+func spareRoute(name, path string) string {
+	return fmt.Sprintf("    - {name: %s, pathPrefix: %s, service: recipes, idempotent: true, timeout: 2s, latencyGoal: 500ms, maxAttempts: 2}\n", name, path)
+}
 
 func (flt *fleet) close() {
 	for _, prc := range flt.vms {
@@ -191,7 +230,8 @@
 		time.Sleep(time.Duration(200+flt.rnd.IntN(1000)) * time.Millisecond)
 		if withdraw.Before(time.Now()) {
 			withdraw = end.Add(time.Hour)
-			if err := flt.withdrawSpare(ctx); err != nil {
+			flt.store.SetFaults(storefake.Faults{})
+			if err := flt.withdraw(ctx, 1, "spare", sparePath); err != nil {
 				return err
 			}
 		}
@@ -215,6 +255,7 @@
 		func(time.Duration) error { return flt.restart(prc, syscall.SIGTERM) },
 		func(dur time.Duration) error { return flt.pause(prc, dur) },
 		func(dur time.Duration) error { return flt.harm(prc.store, "store of "+prc.set.Name, dur) },
+		func(dur time.Duration) error { return flt.harm(prc.peers, "peers of "+prc.set.Name, dur) },
 		func(dur time.Duration) error { return flt.harm(flt.wires[num], flt.targets[num].ID(), dur) },
 		func(dur time.Duration) error { return flt.sicken(flt.targets[num], dur) },
 		func(dur time.Duration) error { return flt.breakStore(dur) },
@@ -274,23 +315,45 @@
 	return nil
 }
 
-// withdrawSpare takes the spare route away by a note.
-func (flt *fleet) withdrawSpare(ctx context.Context) error {
-	flt.store.SetFaults(storefake.Faults{})
-	doc := "release: second\nbase: 1\nwithdrawn: {routes: [spare]}\n"
+// withdraw takes a route away by a note against a version.
+func (flt *fleet) withdraw(ctx context.Context, base int, name, path string) error {
+	doc := fmt.Sprintf("release: without-%s\nbase: %d\nwithdrawn: {routes: [%s]}\n", name, base, name)
 	if _, err := flt.releases.Apply(ctx, []byte(doc), "soak"); err != nil {
 		return err
 	}
+	flt.tell("route %s withdrawn", name)
 	flt.mut.Lock()
 	defer flt.mut.Unlock()
-	flt.withdrawn = time.Now()
-	flt.told = append(flt.told, "route spare withdrawn")
+	flt.withdrawn[path] = time.Now()
+	return nil
+}
+
+// farewell cuts one VM off from the platform and from what others tell it, takes
+// a route away and lets a target leave.
+func (flt *fleet) farewell(ctx context.Context) error {
+	prc := flt.vms[flt.rnd.IntN(len(flt.vms))]
+	num := flt.rnd.IntN(len(flt.targets))
+	flt.tell("%s: cut off for %v, %s leaves", prc.set.Name, farewellTime, flt.targets[num].ID())
+	cut := wire{muteUp: true, muteDown: true}
+	prc.store.set(cut)
+	prc.peers.set(cut)
+	flt.cutOff = prc
+	if err := flt.withdraw(ctx, 2, "late", latePath); err != nil {
+		return err
+	}
+	if err := flt.targets[num].Register(flt.wires[num].address(), true); err != nil {
+		return err
+	}
+	flt.leaver, flt.left = flt.targets[num], time.Now()
+	time.Sleep(farewellTime)
 	return nil
 }
 
-// withdrawnAt returns when the spare route was taken away, and whether it was.
-func (flt *fleet) withdrawnAt() (time.Time, bool) {
+// withdrawnAt returns when the route of a path was taken away, and whether it
+// was.
+func (flt *fleet) withdrawnAt(path string) (time.Time, bool) {
 	flt.mut.Lock()
 	defer flt.mut.Unlock()
-	return flt.withdrawn, flt.withdrawn != (time.Time{})
+	at, gone := flt.withdrawn[path]
+	return at, gone
 }
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"crypto/tls"
@@ -93,7 +94,7 @@
 	if err := dmn.listen(); err != nil {
 		return nil, err
 	}
-	dmn.self = member.VM{ID: set.Name + "." + runID(), Address: set.PeerAddress, FailureDomain: set.FailureDomain, Capacity: set.Capacity}
+	dmn.self = member.VM{ID: set.Name + "." + runID(), Address: cmp.Or(set.PeerPublicAddress, set.PeerAddress), FailureDomain: set.FailureDomain, Capacity: set.Capacity}
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	dmn.cancel = cancel
 	met := metrics.New()
@@ -313,7 +314,7 @@
 	dmn.set = set
 	dmn.mut.Unlock()
 	dmn.driver.Machine(func(mac *gateway.Machine, _ clock.Instant) { mac.SetTerms(terms(set)) })
-	moved := old.CallerAddress != set.CallerAddress || old.ReadyAddress != set.ReadyAddress || old.PeerAddress != set.PeerAddress || old.Name != set.Name
+	moved := old.CallerAddress != set.CallerAddress || old.ReadyAddress != set.ReadyAddress || old.PeerAddress != set.PeerAddress || old.PeerPublicAddress != set.PeerPublicAddress || old.Name != set.Name
 	dmn.log.WithField("needsRestart", moved).Info("reload")
 }
 
--- a/lugd/pkg/edge/settings.go
+++ b/lugd/pkg/edge/settings.go
@@ -28,7 +28,9 @@
 	ReadyAddress    string
 	PeerAddress     string
 	OperatorAddress string
-	PlatformAddress string
+	// PeerPublicAddress is where other VMs reach PeerAddress, if it differs.
+	PeerPublicAddress string
+	PlatformAddress   string
 	// CallerFiles are the certificate and key shown to callers, PeerFiles those
 	// shown to other VMs and to operators, with the authority that signs theirs.
 	CallerFiles certificate.Files
@@ -111,9 +113,12 @@
 			fault(one.name, "%q is not an IP address and port", one.val)
 		}
 	}
-	if set.OperatorAddress != "" {
-		if _, err := netip.ParseAddrPort(set.OperatorAddress); err != nil {
-			fault("operator-address", "%q is not an IP address and port", set.OperatorAddress)
+	for _, one := range []struct{ name, val string }{
+		{"operator-address", set.OperatorAddress},
+		{"peer-public-address", set.PeerPublicAddress},
+	} {
+		if _, err := netip.ParseAddrPort(one.val); one.val != "" && err != nil {
+			fault(one.name, "%q is not an IP address and port", one.val)
 		}
 	}
 	errs = append(errs, set.checkTLS()...)
@@ -216,6 +221,7 @@
 		text("caller-address", "IP address and port for callers", &set.CallerAddress),
 		text("ready-address", "IP address and port at which the balancer asks whether the VM is ready", &set.ReadyAddress),
 		text("peer-address", "IP address and port for other VMs", &set.PeerAddress),
+		text("peer-public-address", "IP address and port at which other VMs reach peer-address, if it differs", &set.PeerPublicAddress),
 		text("operator-address", "IP address and port for operators and metrics; empty for none", &set.OperatorAddress),
 		text("platform-address", "IP address and port of the platform's store", &set.PlatformAddress),
 		text("caller-certificate", "file of the certificate shown to callers", &set.CallerFiles.Certificate),
--- a/lugd/pkg/metrics/metrics.go
+++ b/lugd/pkg/metrics/metrics.go
@@ -34,8 +34,8 @@
 			Namespace: namespace, Name: "requests_total", Help: "Requests of callers by route and result.",
 		}, []string{"route", "result"}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: namespace, Name: "attempts_total", Help: "Attempts sent to targets by target and outcome.",
-		}, []string{"target", "outcome"}),
+			Namespace: namespace, Name: "attempts_total", Help: "Attempts sent to targets by service and outcome.",
+		}, []string{"service", "outcome"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "request_seconds", Help: "Time from arrival to the end of the answer.", Buckets: latencyBuckets,
 		}, []string{"route"}),
@@ -105,8 +105,8 @@
 }
 
 // Attempt counts an attempt that ended or whose answer began.
-func (set *Set) Attempt(target, outcome string) {
-	set.attempts.WithLabelValues(target, outcome).Inc()
+func (set *Set) Attempt(service, outcome string) {
+	set.attempts.WithLabelValues(service, outcome).Inc()
 }
 
 // Handler serves the metrics in the Prometheus text format.
