Spread the returns of refused callers

Ruled out: a higher share for new servers of tokens (the bound on any window); holding the requests (a refusal is to come at once).

Where nothing better is known a caller is told a time between 0.25 and 1.25 s, without a server of tokens between 0.5 and 1 s.

The test of it fails before.

--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -24,9 +24,10 @@
 	hurryPause = 200 * time.Millisecond
 	// proofSlack covers clocks that run at different rates.
 	proofSlack = 50 * time.Millisecond
-	// usualReturn is when a refused caller is told to come back where nothing
-	// better is known.
-	usualReturn = 500 * time.Millisecond
+	// soonestReturn and latestReturn bound when refused callers are told to come
+	// back where nothing better is known.
+	soonestReturn = 250 * time.Millisecond
+	latestReturn  = 1250 * time.Millisecond
 )
 
 // flight is a request that has not been answered to its end.
@@ -124,7 +125,7 @@
 // admit finds the route and the organisation of a request.
 func (mac *Machine) admit(now clock.Instant, req request.Request) (*flight, *request.Refusal) {
 	if mac.config == nil {
-		return nil, &request.Refusal{Reason: request.NoConfiguration, Detail: "this VM has no configuration yet", RetryAfter: usualReturn}
+		return nil, &request.Refusal{Reason: request.NoConfiguration, Detail: "this VM has no configuration yet", RetryAfter: mac.usualReturn()}
 	}
 	rou := mac.config.Snapshot.Route(req.Host, req.Path)
 	if rou == nil {
@@ -171,7 +172,7 @@
 	}
 	if age := now.Since(mac.configProven); age > mac.set.Terms.RevokeTime-proofSlack {
 		return &request.Refusal{
-			Reason: request.LeaseLapsed, RetryAfter: usualReturn,
+			Reason: request.LeaseLapsed, RetryAfter: mac.usualReturn(),
 			Detail: "the configuration was last known to be the newest " + age.Round(time.Millisecond).String() + " ago",
 		}
 	}
@@ -186,6 +187,12 @@
 	return nil
 }
 
+// usualReturn draws when a refused caller is to come back, so that those who are
+// refused together do not return together.
+func (mac *Machine) usualReturn() time.Duration {
+	return soonestReturn + time.Duration(mac.rnd.Int64N(int64(latestReturn-soonestReturn)))
+}
+
 // refuse ends a request without an answer of a target. The status follows from
 // the verdict: only a request that has not run may be said to be refused.
 func (mac *Machine) refuse(fli *flight, ref request.Refusal) {
@@ -201,7 +208,7 @@
 		ref.Reason = request.TargetFailed
 	}
 	if ref.Verdict == verdict.NotRun && ref.Reason == request.Overloaded && ref.RetryAfter == 0 {
-		ref.RetryAfter = usualReturn
+		ref.RetryAfter = mac.usualReturn()
 	}
 	mac.forget(fli)
 	mac.noteRefusal(fli, fli.ID, ref)
@@ -336,7 +343,7 @@
 		mac.next(now, fli, "the targets are overloaded")
 		return
 	}
-	mac.refuse(fli, request.Refusal{Reason: request.Overloaded, Detail: "the targets are overloaded", RetryAfter: usualReturn})
+	mac.refuse(fli, request.Refusal{Reason: request.Overloaded, Detail: "the targets are overloaded", RetryAfter: mac.usualReturn()})
 }
 
 func (mac *Machine) attemptFailed(now clock.Instant, evt AttemptFailed) {
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -288,7 +288,7 @@
 			mac.endAttempt(now, fli, health.Canceled)
 			fli.verdict = fli.verdict.Worse(verdict.MayHaveRun)
 		}
-		mac.refuse(fli, request.Refusal{Reason: request.TimedOut, Detail: "the VM stops and the target has not answered", RetryAfter: usualReturn})
+		mac.refuse(fli, request.Refusal{Reason: request.TimedOut, Detail: "the VM stops and the target has not answered", RetryAfter: mac.usualReturn()})
 	}
 }
 
--- a/core/gateway/machine_test.go
+++ b/core/gateway/machine_test.go
@@ -348,3 +348,17 @@
 	}
 	vmm.mustDispatch(vmm.arrive("/read/x", key)) // Requests that still come are served.
 }
+
+// TestReturnsAreSpread refuses many callers at a VM that has just started, who
+// are told to come back at different times.
+func TestReturnsAreSpread(t *testing.T) {
+	vmm := newVM(t)
+	soonest, latest := time.Hour, time.Duration(0)
+	for range 100 {
+		ref := vmm.mustRefuse(vmm.arrive("/read/x", key), request.NoConfiguration, verdict.NotRun)
+		soonest, latest = min(soonest, ref.RetryAfter), max(latest, ref.RetryAfter)
+	}
+	if latest-soonest < 800*time.Millisecond || latest > latestReturn {
+		t.Errorf("callers are told to come back after %v to %v", soonest, latest)
+	}
+}
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -317,9 +317,9 @@
 	ref := request.Refusal{Reason: request.Overloaded, RetryAfter: ans.RetryAfter, Detail: "the targets have no room in time"}
 	switch {
 	case ans.Reason == placement.NoTarget && fli.attempt > 0:
-		ref.Detail, ref.RetryAfter = "no target is left that has not been tried", usualReturn
+		ref.Detail, ref.RetryAfter = "no target is left that has not been tried", mac.usualReturn()
 	case ans.Reason == placement.NoTarget:
-		ref.Reason, ref.Detail, ref.RetryAfter = request.NoTarget, "no target is registered", usualReturn
+		ref.Reason, ref.Detail, ref.RetryAfter = request.NoTarget, "no target is registered", mac.usualReturn()
 	case ans.Reason == placement.NoRetry:
 		ref.Detail = "the budget of retries is spent"
 	}
--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -191,7 +191,13 @@
 		wal.lonely -= rate.Request
 		return Decided{Request: request, Admitted: true, Alone: true}
 	}
-	return Decided{Request: request, Alone: true, RetryAfter: min(rate.Wait(rat, rate.Request-wal.lonely), silentTime)}
+	return Decided{Request: request, Alone: true, RetryAfter: min(rate.Wait(rat, rate.Request-wal.lonely), cli.nextAsk())}
+}
+
+// nextAsk draws when a caller that was refused without a server is to come back:
+// when servers are asked again, which is spread.
+func (cli *Client) nextAsk() time.Duration {
+	return silentTime/2 + time.Duration(cli.rnd.Int64N(int64(silentTime/2)))
 }
 
 func (wal *wallet) countDemand(now clock.Instant) {
