Leave a VM that is followed once it answers no more

The platform refused the first VM of the domain, the second one was killed: the others tried the first, which answered that it was stale, again and again, and never got to miss the second (logs: peerGone of it every 0.5 s, no reading).

Ruled out: the patches (no whole nor patch was sent); the platform, which served that VM.

What is followed is now left when it has not answered with fresh news for 0.7 to 0.9 s, whoever else is tried, and at once when another process answers at its address.

Before: the test of ten VMs fails, five follow a VM that has ended.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -64,7 +64,9 @@
 	view   member.View
 	number uint64
 	// followed is the ID of the VM that is followed; empty while there is none.
+	// fresh is when it last answered with news that were not stale.
 	followed string
+	fresh    clock.Instant
 	// readFrom is from when the VM reads the platform itself, unless it follows
 	// another by then.
 	readFrom clock.Instant
@@ -146,6 +148,10 @@
 	if fol.tried != "" && now.Since(fol.answered) > silentTime+fol.spread {
 		fol.fail(now, fol.tried, silentPause)
 	}
+	// While others are tried, the one that is followed is not asked.
+	if fol.followed != "" && now.Since(fol.fresh) > silentTime+fol.spread {
+		fol.lose(now)
+	}
 	to := fol.candidate(now)
 	switch {
 	case to == "":
@@ -203,6 +209,13 @@
 	}
 }
 
+// Ended takes note of a VM that has ended.
+func (fol *Follower) Ended(now clock.Instant, id string) {
+	if id == fol.tried || id == fol.followed {
+		fol.fail(now, id, silentPause)
+	}
+}
+
 // lose ends the following of a VM.
 func (fol *Follower) lose(now clock.Instant) {
 	fol.followed = ""
@@ -229,5 +242,8 @@
 	if contact <= regainedTime {
 		fol.followed = from
 	}
+	if fol.followed == from {
+		fol.fresh = now
+	}
 	return sent, true
 }
--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -124,7 +124,9 @@
 	// contact has when the platform last answered each VM.
 	contact map[string]clock.Instant
 	down    bool
-	dead    string
+	// dead is the VM that answers nothing, and refused the one that the platform
+	// does not answer.
+	dead, refused string
 	// reads counts the VMs that read, by steps.
 	reads int
 }
@@ -150,7 +152,7 @@
 			}
 			if fol.Reading(crw.now) {
 				crw.reads++
-				if !crw.down && crw.now.Since(crw.contact[id]) >= WatchTime {
+				if !crw.down && id != crw.refused && crw.now.Since(crw.contact[id]) >= WatchTime {
 					crw.contact[id] = crw.now
 				}
 			}
@@ -193,3 +195,35 @@
 		t.Errorf("in an outage of 3 s the VMs read for %d steps in all, want them to look for a way of their own", crw.reads)
 	}
 }
+
+// TestVMsReadWhereNobodyCanBeFollowed has the platform refuse the first VM while
+// the second one, which the others follow then, ends.
+func TestVMsReadWhereNobodyCanBeFollowed(t *testing.T) {
+	const vms = 10
+	crw := newCrowd(vms)
+	first := member.Ranked(view(vms).VMs(), "feed/a", 2)
+	crw.refused = first[0].ID
+	crw.play(3 * time.Second)
+	crw.dead = first[1].ID
+	crw.play(2500 * time.Millisecond)
+	for id, fol := range crw.fols {
+		if id != crw.dead && !fol.Reading(crw.now) {
+			t.Errorf("%s follows %q, which has ended", id, fol.Followed())
+		}
+	}
+}
+
+// TestEndedVMIsLeftAtOnce tells a follower that the VM that it follows has ended.
+func TestEndedVMIsLeftAtOnce(t *testing.T) {
+	fol, first := pair(t)
+	now, _ := run(fol, clock.At(time.Hour), 2*time.Second, map[string]time.Duration{first: 0})
+	fol.Ended(now, first)
+	if fol.Followed() == first {
+		t.Error("follows a VM that has ended")
+	}
+	for _, snd := range fol.Tick(now, Ask{}, 0) {
+		if snd.To == first {
+			t.Error("asks a VM that has ended")
+		}
+	}
+}
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -106,6 +106,7 @@
 		mac.received(now, evt)
 	case PeerGone:
 		mac.note("peerGone", "vm", evt.ID)
+		mac.follower.Ended(now, evt.ID)
 	case Ticked:
 		mac.ticked(now)
 	case StopBegan:
