Keep former configurations only where others follow

Cause: every VM kept the last four configurations for patches, which only those with followers use; 0.6 MB each with 1400 routes, 20 MB at the size aimed at (worked out). The test of patches now asks that a VM without followers keeps none.

--- a/core/gateway/knowledge.go
+++ b/core/gateway/knowledge.go
@@ -42,8 +42,9 @@
 type knowledge struct {
 	config       *Config
 	configProven clock.Instant
-	// before has the last configurations, the newest last, and patches what
-	// takes them to the one in force, as far as a follower needed it.
+	// before has the last configurations, the newest last, on a VM that others
+	// follow, and patches what takes them to the one in force, as far as a
+	// follower needed it.
 	before  []*Config
 	patches map[uint64]*Patch
 	// contact is when the platform last answered a read of this VM.
@@ -88,9 +89,11 @@
 		return false
 	}
 	mac.note("configuration", "version", con.Version, "before", mac.version())
-	if mac.config != nil {
+	if mac.config != nil && len(mac.followers) > 0 {
 		mac.before = append(mac.before, mac.config)
 		mac.before = mac.before[max(len(mac.before)-keptConfigs, 0):]
+	} else {
+		mac.before = nil // Nobody is told what changes.
 	}
 	mac.patches = make(map[uint64]*Patch)
 	mac.config = con
--- a/core/gateway/news_test.go
+++ b/core/gateway/news_test.go
@@ -117,6 +117,9 @@
 			t.Errorf("the reader holds %+v, want %+v", got[rou.Name], rou)
 		}
 	}
+	if len(twn.reader.before) > 0 {
+		t.Error("a VM that nobody follows keeps former configurations")
+	}
 	for _, news := range twn.news {
 		if news.Config != nil {
 			t.Error("a configuration with one change travelled whole")
