Keep what is queued for a VM when its connection is reset

A VM whose connection to another is reset threw away its queue and was silent for 0.25 s: the reports that requests had ended never came to the placer, which took the targets for sick, and let them rest.

Ruled out: resets of the targets' own connections (one each, against several targets, blamed once); frozen VMs (later).

A link that was open for 0.25 s or longer is opened again at once, with its queue, and is found lost before the next message is written. What was being written is still lost, since a repeated ask would count twice.

--- a/lugd/pkg/peer/link.go
+++ b/lugd/pkg/peer/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"crypto/tls"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -25,13 +26,25 @@
 	return tls.DialWithDialer(dlr, "tcp", address, trn.identity.Client())
 }
 
+// errLinkLost ends a link whose connection the other end has closed.
+var errLinkLost = errors.New("the connection was closed by the other VM")
+
 // run sends the messages of one link until it is idle or the VM is not reached.
+// What is queued when a connection is lost is sent over another one at once: a
+// report that is lost makes a target look sick.
 func (trn *Transport) run(to, address string, lnk *link) {
 	defer trn.wait.Done()
-	err := trn.runLink(to, address, lnk)
-	if err != nil {
+	for {
+		began := time.Now()
+		err := trn.runLink(to, address, lnk)
+		if err == nil {
+			break
+		}
 		trn.log.WithError(err).WithField("to", to).Debug("link ended")
-		time.Sleep(redialTime)
+		if time.Since(began) < redialTime {
+			time.Sleep(redialTime)
+			break
+		}
 	}
 	trn.mut.Lock()
 	defer trn.mut.Unlock()
@@ -46,8 +59,12 @@
 		return err
 	}
 	defer func() { _ = con.Close() }()
+	lost := make(chan struct{})
 	trn.wait.Add(1)
-	go trn.watchStranger(con, to)
+	go func() {
+		defer close(lost)
+		trn.watchStranger(con, to)
+	}()
 	wrt := bufio.NewWriter(con)
 	if err := trn.write(con, wrt, hello{Version: protocolVersion, From: trn.self, To: to}); err != nil {
 		return err
@@ -69,6 +86,8 @@
 				}
 			}
 			idle.Reset(idleTime)
+		case <-lost:
+			return errLinkLost
 		case <-idle.C:
 			return nil
 		}
