Do on a change what was done on every tick or for every target

Cause: read anew, the machine ranked the VMs of its failure domain three times a tick and sorted all domains, walked all targets for those whose entry is missing and for old answers, and on a change of one target scanned all targets for each service and ranked all VMs for each part.

The ranks are kept with the list of VMs, and failed VMs that are no longer listed forgotten; views hold their domains; missing entries have a list of their own; targets are grouped by service in one pass; the placer of a part is looked up when the part or the list is new.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -59,9 +59,11 @@
 
 // Follower decides whom its VM follows. It is not safe for concurrent use.
 type Follower struct {
-	self   member.VM
-	rnd    *rand.Rand
-	view   member.View
+	self member.VM
+	rnd  *rand.Rand
+	view member.View
+	// ranks has the first VMs of the failure domain in view.
+	ranks  []member.VM
 	number uint64
 	// followed is the ID of the VM that is followed; empty while there is none.
 	// fresh is when it last answered with news that were not stale.
@@ -100,27 +102,27 @@
 func (fol *Follower) Followed() string { return fol.followed }
 
 // SetView takes a newer list of the VMs.
-func (fol *Follower) SetView(vie member.View) { fol.view = vie }
+func (fol *Follower) SetView(vie member.View) {
+	fol.view = vie
+	fol.ranks = member.Ranked(vie.Domain(fol.self.FailureDomain), "feed/"+fol.self.FailureDomain, standIns)
+	for id := range fol.failed {
+		if _, listed := vie.VM(id); !listed {
+			delete(fol.failed, id)
+		}
+	}
+}
 
 // First reports whether this VM is the one of its failure domain that reads
 // for the others.
 func (fol *Follower) First() bool {
-	first := fol.ranked()
-	return len(first) > 0 && first[0].ID == fol.self.ID
-}
-
-func (fol *Follower) ranked() []member.VM { return fol.ranks(candidates) }
-
-// ranks returns the first VMs of the failure domain.
-func (fol *Follower) ranks(count int) []member.VM {
-	return member.Ranked(fol.view.Domain(fol.self.FailureDomain), "feed/"+fol.self.FailureDomain, count)
+	return len(fol.ranks) > 0 && fol.ranks[0].ID == fol.self.ID
 }
 
 // patience returns how long the VM looks for another one to follow before it
 // reads the platform itself.
 func (fol *Follower) patience() time.Duration {
 	isSelf := func(vmm member.VM) bool { return vmm.ID == fol.self.ID }
-	switch at := slices.IndexFunc(fol.ranks(standIns), isSelf); {
+	switch at := slices.IndexFunc(fol.ranks, isSelf); {
 	case at < 0:
 		return longSeekTime
 	case at < candidates:
@@ -131,7 +133,7 @@
 
 // candidate returns the VM to follow, or nothing where this VM is to read.
 func (fol *Follower) candidate(now clock.Instant) string {
-	for _, vmm := range fol.ranked() {
+	for _, vmm := range fol.ranks[:min(candidates, len(fol.ranks))] {
 		if vmm.ID == fol.self.ID {
 			return ""
 		}
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -249,9 +249,14 @@
 		return
 	}
 	kept := make(map[string]bool)
+	all := mac.registry.Targets()
 	for _, svc := range mac.config.Snapshot.Services() {
 		kept[svc.Name] = true
-		mac.setService(now, svc.Name, mac.registry.Targets(svc.Name, svc.Connections))
+		tgs := all[svc.Name]
+		for num := range tgs {
+			tgs[num].Connections = svc.Connections
+		}
+		mac.setService(now, svc.Name, tgs)
 	}
 	for name := range mac.services {
 		if !kept[name] {
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -68,7 +68,8 @@
 func (mac *Machine) setService(now clock.Instant, name string, tgs []health.Target) {
 	svc := mac.services[name]
 	cnt := partCount(len(tgs))
-	if svc == nil || len(svc.parts) != cnt {
+	anew := svc == nil || len(svc.parts) != cnt
+	if anew {
 		svc = &service{name: name}
 		for num := range cnt {
 			svc.parts = append(svc.parts, &part{service: name, number: num, local: placement.New(mac.rnd, mac.ownRetries(now))})
@@ -86,7 +87,9 @@
 		if par.central != nil {
 			par.central.SetTargets(now, par.targets)
 		}
-		mac.setOwner(now, par)
+		if anew {
+			mac.setOwner(now, par) // Else it depends on the list of VMs alone.
+		}
 	}
 }
 
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -26,6 +27,9 @@
 	epoch uint64
 	// vms is sorted by ID and has no two VMs with the same ID.
 	vms []VM
+	// domains has the failure domains, sorted, and byDomain their VMs.
+	domains  []string
+	byDomain map[string][]VM
 }
 
 // NewView returns the view of an epoch with the given VMs.
@@ -33,7 +37,12 @@
 	sorted := slices.Clone(vms)
 	slices.SortFunc(sorted, func(one, two VM) int { return strings.Compare(one.ID, two.ID) })
 	sorted = slices.CompactFunc(sorted, func(one, two VM) bool { return one.ID == two.ID })
-	return View{epoch: epoch, vms: sorted}
+	vie := View{epoch: epoch, vms: sorted, byDomain: make(map[string][]VM)}
+	for _, vmm := range sorted {
+		vie.byDomain[vmm.FailureDomain] = append(vie.byDomain[vmm.FailureDomain], vmm)
+	}
+	vie.domains = slices.Sorted(maps.Keys(vie.byDomain))
+	return vie
 }
 
 // Epoch returns the number of the view: the revision of the list it was read from.
@@ -60,26 +69,12 @@
 	return Ranked(vie.vms, duty, cnt)
 }
 
-// Domain returns the members in one failure domain.
-func (vie View) Domain(domain string) []VM {
-	var out []VM
-	for _, vmm := range vie.vms {
-		if vmm.FailureDomain == domain {
-			out = append(out, vmm)
-		}
-	}
-	return out
-}
+// Domain returns the members in one failure domain, which must not be changed.
+func (vie View) Domain(domain string) []VM { return slices.Clip(vie.byDomain[domain]) }
 
-// Domains returns the names of the failure domains, sorted.
-func (vie View) Domains() []string {
-	var out []string
-	for _, vmm := range vie.vms {
-		out = append(out, vmm.FailureDomain)
-	}
-	slices.Sort(out)
-	return slices.Compact(out)
-}
+// Domains returns the names of the failure domains, sorted, which must not be
+// changed.
+func (vie View) Domains() []string { return vie.domains }
 
 const (
 	// roomyPart is the part of the greatest capacity from which a VM is roomy.
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -132,6 +132,8 @@
 	overall *latency
 	budget  *request.Window
 	changes []Change
+	// pruned is when the answers that are too old to matter were last dropped.
+	pruned clock.Instant
 }
 
 // New returns a placer without targets, whose retries are bounded by a budget.
@@ -465,6 +467,10 @@
 
 // Tick counts overdue requests and forgets those whose end was not reported.
 func (pla *Placer) Tick(now clock.Instant) {
+	pla.prune(now)
+	if len(pla.attempts) == 0 {
+		return
+	}
 	var lost []*attempt
 	for _, tgt := range pla.targets {
 		for _, att := range tgt.running {
@@ -480,6 +486,14 @@
 	for _, att := range lost {
 		pla.remove(att)
 	}
+}
+
+// prune drops the answers that are too old to matter.
+func (pla *Placer) prune(now clock.Instant) {
+	if now.Since(pla.pruned) < repeatableReuse {
+		return
+	}
+	pla.pruned = now
 	for _, tgt := range pla.targets {
 		maps.DeleteFunc(tgt.answered, func(_ string, at clock.Instant) bool { return now.Since(at) > repeatableReuse })
 	}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -42,15 +42,15 @@
 	entry Entry
 	// warm is when the target is at full speed.
 	warm clock.Instant
-	// missing is when the entry was first missing after an outage; zero while
-	// it is there.
-	missing clock.Instant
 }
 
 // Registry follows the table of entries. It is not safe for concurrent use.
 type Registry struct {
 	entries *table.Table[Entry]
 	targets map[string]*target
+	// missing has when entries of targets were first missing after an outage,
+	// while they are.
+	missing map[string]clock.Instant
 	// proven is when the table was last known to be the newest.
 	proven clock.Instant
 	// returned is when the knowledge was renewed after an outage.
@@ -59,7 +59,7 @@
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{entries: table.New[Entry](), targets: make(map[string]*target)}
+	return &Registry{entries: table.New[Entry](), targets: make(map[string]*target), missing: make(map[string]clock.Instant)}
 }
 
 // Revision returns the revision of the entries.
@@ -99,16 +99,21 @@
 		}
 		changed = true
 		if reg.mayReturn(now) && !tgt.entry.Leaving {
-			if tgt.missing == (clock.Instant{}) {
-				tgt.missing = now
+			if _, known := reg.missing[name]; !known {
+				reg.missing[name] = now
 			}
 			continue
 		}
-		delete(reg.targets, name)
+		reg.drop(name)
 	}
 	return changed
 }
 
+func (reg *Registry) drop(name string) {
+	delete(reg.targets, name)
+	delete(reg.missing, name)
+}
+
 // mayReturn reports whether a missing entry may have lapsed for an outage.
 func (reg *Registry) mayReturn(now clock.Instant) bool {
 	return reg.proven != (clock.Instant{}) && now.Since(reg.proven) > outageTime ||
@@ -117,9 +122,11 @@
 
 func (reg *Registry) put(now clock.Instant, name string, ent Entry) bool {
 	old := reg.targets[name]
-	if old != nil && old.entry == ent && old.missing == (clock.Instant{}) {
+	_, missing := reg.missing[name]
+	if old != nil && old.entry == ent && !missing {
 		return false
 	}
+	delete(reg.missing, name)
 	tgt := &target{entry: ent, warm: now.Add(ent.Warming)}
 	reg.targets[name] = tgt
 	return true
@@ -128,9 +135,9 @@
 // Tick drops the targets that have not come back and reports whether any was.
 func (reg *Registry) Tick(now clock.Instant) bool {
 	dropped := false
-	for name, tgt := range reg.targets {
-		if tgt.missing != (clock.Instant{}) && now.Since(tgt.missing) >= ReturnTime && !reg.away(now) {
-			delete(reg.targets, name)
+	for name, since := range reg.missing {
+		if now.Since(since) >= ReturnTime && !reg.away(now) {
+			reg.drop(name)
 			dropped = true
 		}
 	}
@@ -140,17 +147,20 @@
 // away reports whether the entries have not been known to be the newest lately.
 func (reg *Registry) away(now clock.Instant) bool { return now.Since(reg.proven) > outageTime }
 
-// Targets returns the targets of a service that may be sent new requests.
-func (reg *Registry) Targets(service string, connections int) []health.Target {
-	var out []health.Target
+// Targets returns the targets that may be sent new requests by service, sorted.
+func (reg *Registry) Targets() map[string][]health.Target {
+	out := make(map[string][]health.Target)
 	for name, tgt := range reg.targets {
-		if tgt.entry.Service != service || tgt.entry.Leaving {
+		if tgt.entry.Leaving {
 			continue
 		}
-		out = append(out, health.Target{
+		out[tgt.entry.Service] = append(out[tgt.entry.Service], health.Target{
 			ID: name, Address: tgt.entry.Address, FailureDomain: tgt.entry.FailureDomain,
-			Slots: tgt.entry.Slots, Connections: connections, Warm: tgt.warm, Born: tgt.entry.Born.UnixMilli(),
+			Slots: tgt.entry.Slots, Warm: tgt.warm, Born: tgt.entry.Born.UnixMilli(),
 		})
 	}
-	return health.Sorted(out)
+	for service, tgs := range out {
+		out[service] = health.Sorted(tgs)
+	}
+	return out
 }
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -16,7 +16,7 @@
 
 func names(reg *Registry) string {
 	out := ""
-	for _, tgt := range reg.Targets("recipes", 10) {
+	for _, tgt := range reg.Targets()["recipes"] {
 		out += tgt.ID
 	}
 	return out
