--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -30,8 +30,6 @@
 	Shed bool
 	// Stranger is set when another target answered at the address.
 	Stranger bool
-	// Leaving is set when the target closes the connection because it leaves.
-	Leaving bool
 }
 
 // Answered is the whole answer of a target, or so much of it that the rest is
--- a/lugbench/pkg/playground/playground.go
+++ b/lugbench/pkg/playground/playground.go
@@ -96,16 +96,23 @@
 
 func domain(num int) string { return fmt.Sprintf("domain-%d", num%3+1) }
 
-// serve runs a handler at an address of its own, and returns that.
-func (pgr *Playground) serve(han http.Handler) (string, error) {
+// Serve runs a handler at an address of its own on loopback, until closed.
+func Serve(han http.Handler) (address string, closeServer func(), err error) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", err
+		return "", nil, err
 	}
 	srv := &http.Server{Handler: han, ReadHeaderTimeout: time.Second}
 	go func() { _ = srv.Serve(lis) }() // Serve always ends with the error of Close.
-	pgr.closers = append(pgr.closers, func() { _ = srv.Close() })
-	return lis.Addr().String(), nil
+	return lis.Addr().String(), func() { _ = srv.Close() }, nil
+}
+
+func (pgr *Playground) serve(han http.Handler) (string, error) {
+	address, closeServer, err := Serve(han)
+	if err == nil {
+		pgr.closers = append(pgr.closers, closeServer)
+	}
+	return address, err
 }
 
 // The ports of VMs lie below those that the system gives to outgoing
--- a/lugbench/pkg/soak/soak.go
+++ b/lugbench/pkg/soak/soak.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -114,14 +113,11 @@
 
 // serve runs a handler at an address of its own, and returns that.
 func (flt *fleet) serve(han http.Handler) (string, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	address, closeServer, err := playground.Serve(han)
+	if err == nil {
+		flt.closers = append(flt.closers, closeServer)
 	}
-	srv := &http.Server{Handler: han, ReadHeaderTimeout: time.Second}
-	go func() { _ = srv.Serve(lis) }() // Serve always ends with the error of Close.
-	flt.closers = append(flt.closers, func() { _ = srv.Close() })
-	return lis.Addr().String(), nil
+	return address, err
 }
 
 func (flt *fleet) start(ctx context.Context) error {
--- a/lugd/pkg/driver/clock.go
+++ b/lugd/pkg/driver/clock.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -31,3 +32,13 @@
 func (clk *Clock) Now() clock.Instant {
 	return clock.Instant{Mono: time.Since(clk.start), Wall: bootTime() - clk.startBoot}
 }
+
+// Sleep pauses for dur, or until ctx ends.
+func Sleep(ctx context.Context, dur time.Duration) {
+	tmr := time.NewTimer(dur)
+	defer tmr.Stop()
+	select {
+	case <-ctx.Done():
+	case <-tmr.C:
+	}
+}
--- a/lugd/pkg/driver/reader.go
+++ b/lugd/pkg/driver/reader.go
@@ -183,7 +183,7 @@
 				log.WithError(err).Warn("platform lost")
 			}
 			lost, wait = true, firstWait
-			sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
+			Sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
 			pause = min(2*pause, pce.pause)
 			continue
 		}
@@ -197,13 +197,13 @@
 				asked = clock.Instant{}
 			}
 			take(asked, del)
-			sleep(ctx, pce.settle)
+			Sleep(ctx, pce.settle)
 			continue
 		}
 		take(asked, del)
 		wait = pce.wait
 		if left := pce.gather - dri.clock.Now().Since(asked); left > 0 {
-			sleep(ctx, left)
+			Sleep(ctx, left)
 		}
 	}
 }
@@ -251,12 +251,3 @@
 	defer cancel()
 	return src.Watch(ctx, since, watch)
 }
-
-func sleep(ctx context.Context, dur time.Duration) {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tmr.C:
-	}
-}
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -37,7 +37,7 @@
 	// sweepInterval is how often idle connections to targets are looked over.
 	sweepInterval = 2 * time.Second
 	// reloadInterval is how often the bounds of the configuration are taken
-	// over, and the settings file is looked at.
+	// over.
 	reloadInterval = 500 * time.Millisecond
 	bodyPause      = 20 * time.Second
 	// holdBytes is the length up to which answers are read whole before they
@@ -329,7 +329,7 @@
 func (dmn *Daemon) maintain(ctx context.Context) {
 	var swept time.Time
 	for ctx.Err() == nil {
-		sleep(ctx, reloadInterval)
+		driver.Sleep(ctx, reloadInterval)
 		var bnd config.Bounds
 		dmn.driver.Machine(func(mac *gateway.Machine, _ clock.Instant) {
 			if con := mac.Config(); con != nil {
@@ -344,15 +344,6 @@
 	}
 }
 
-func sleep(ctx context.Context, dur time.Duration) {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tmr.C:
-	}
-}
-
 // stop ends the service without cutting a request: the VM says that it is not
 // ready, serves on until the balancer has noticed, lets every request finish
 // and closes.
@@ -364,7 +355,7 @@
 	dmn.log.WithFields(logrus.Fields{"connections": dmn.callers.Connections(), "stopTime": set.StopTime.String()}).Info("stop")
 	dmn.driver.Step(gateway.StopBegan{})
 	dmn.callers.Stop()
-	sleep(ctx, set.BalancerLag)
+	driver.Sleep(ctx, set.BalancerLag)
 	_ = dmn.listeners.callers.Close()
 	last := time.AfterFunc(set.StopTime-answerMargin-time.Since(began), func() { dmn.driver.Step(gateway.StopEnds{}) })
 	defer last.Stop()
--- a/lugd/pkg/http1/session.go
+++ b/lugd/pkg/http1/session.go
@@ -197,7 +197,6 @@
 		Status:   res.answer.StatusCode,
 		Shed:     res.answer.StatusCode >= 400 && res.answer.Header.Get(srv.names.NotRun) != "",
 		Stranger: res.answer.StatusCode == http.StatusMisdirectedRequest,
-		Leaving:  false,
 	}
 	srv.observer.Attempt(res.service, answerOutcome(ans))
 	srv.decider.Step(gateway.Answered{Request: ses.id, Attempt: res.attempt, Answer: ans})
