Count the calls of a fleet's start and outages in virtual time

The test started real VMs one after the other and counted what they asked of a store on loopback, so the pause between two starts was set by the speed of the machine.

Each VM that starts by itself is one event to each of three VMs that read the list, and several starts within 0.25 s share one; so a slower machine counts more.

The test now plays 16 drivers that start within 0.3 s, as the platform does, with a store and messages in memory and virtual time (testing/synctest). The bounds are the same (4.5 and 6 calls a VM beside 10 a second).

--- a/lugbench/pkg/playground/playground_test.go
+++ b/lugbench/pkg/playground/playground_test.go
@@ -235,33 +235,3 @@
 		t.Errorf("targets that left ran %v requests before and %v after", before, after)
 	}
 }
-
-// TestOutagesCostFewCalls counts what a fleet asks of the platform: at its
-// start, in a short outage and until it is calm again.
-func TestOutagesCostFewCalls(t *testing.T) {
-	const vms = 16
-	// Three VMs read for the others, each about three times a second.
-	const perSecond = 10
-	began, before := time.Now(), 0
-	pgr := start(t, vms)
-	check := func(what string, each float64) {
-		t.Helper()
-		sum := 0
-		for kind, cnt := range pgr.Store.Calls() {
-			if kind != storefake.CheapCall {
-				sum += cnt
-			}
-		}
-		if most := int(perSecond*time.Since(began).Seconds() + each*vms); sum-before > most {
-			t.Errorf("%s: %d VMs made %d calls, want %d at most", what, vms, sum-before, most)
-		}
-		began, before = time.Now(), sum
-	}
-	time.Sleep(3 * time.Second)
-	check("start", 4.5)
-	pgr.Store.SetFaults(storefake.Faults{Status: http.StatusServiceUnavailable})
-	time.Sleep(1500 * time.Millisecond)
-	pgr.Store.SetFaults(storefake.Faults{})
-	time.Sleep(4 * time.Second)
-	check("outage of 1.5 s", 6)
-}
--- a/lugd/pkg/driver/clock.go
+++ b/lugd/pkg/driver/clock.go
@@ -14,10 +14,17 @@
 type Clock struct {
 	start     time.Time
 	startBoot time.Duration
+	// boot returns the time since the machine started, suspensions included.
+	boot func() time.Duration
 }
 
 // NewClock returns a clock that begins at zero.
-func NewClock() *Clock { return &Clock{start: time.Now(), startBoot: bootTime()} }
+func NewClock() *Clock { return newClock(bootTime) }
+
+// newClock returns a clock that takes the time since the start from boot.
+func newClock(boot func() time.Duration) *Clock {
+	return &Clock{start: time.Now(), startBoot: boot(), boot: boot}
+}
 
 // bootTime returns the time since the machine started, suspensions included.
 func bootTime() time.Duration {
@@ -30,7 +37,7 @@
 
 // Now reads both clocks.
 func (clk *Clock) Now() clock.Instant {
-	return clock.Instant{Mono: time.Since(clk.start), Wall: bootTime() - clk.startBoot}
+	return clock.Instant{Mono: time.Since(clk.start), Wall: clk.boot() - clk.startBoot}
 }
 
 // Sleep pauses for dur, or until ctx ends.
--- /dev/null
+++ b/lugd/pkg/driver/fleet_test.go
@@ -0,0 +1,249 @@
+package driver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"marigoldlug.example/core/config"
+	"marigoldlug.example/core/fleet"
+	"marigoldlug.example/core/gateway"
+	"marigoldlug.example/core/member"
+	"marigoldlug.example/core/registry"
+	"marigoldlug.example/core/table"
+)
+
+var errDown = errors.New("the store is down")
+
+// answerDelay is how long the store takes for an answer.
+const answerDelay = 4 * time.Millisecond
+
+// memoryStore is a store in memory that counts the calls that it is paid for.
+type memoryStore struct {
+	mut     sync.Mutex
+	down    bool
+	paid    int
+	fleet   *table.Table[fleet.Row]
+	changed chan struct{}
+}
+
+func newMemoryStore() *memoryStore {
+	sto := &memoryStore{fleet: table.New[fleet.Row](), changed: make(chan struct{})}
+	sto.fleet.Apply(table.Delta[fleet.Row]{Whole: true, Revision: 1})
+	return sto
+}
+
+func (sto *memoryStore) setDown(down bool) {
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	sto.down = down
+}
+
+func (sto *memoryStore) calls() int {
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	return sto.paid
+}
+
+// call counts a call, and fails while the store is down.
+func (sto *memoryStore) call(ctx context.Context, paid bool) error {
+	Sleep(ctx, answerDelay)
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	if paid {
+		sto.paid++
+	}
+	if sto.down {
+		return errDown
+	}
+	return ctx.Err()
+}
+
+// Write implements Platform.
+func (sto *memoryStore) Write(ctx context.Context, name string, row fleet.Row, revision uint64) error {
+	return sto.change(ctx, name, revision, table.Delta[fleet.Row]{Rows: []table.Row[fleet.Row]{{Name: name, Value: row}}})
+}
+
+// Delete implements Platform.
+func (sto *memoryStore) Delete(ctx context.Context, name string, revision uint64) error {
+	return sto.change(ctx, name, revision, table.Delta[fleet.Row]{Removed: []string{name}})
+}
+
+func (sto *memoryStore) change(ctx context.Context, name string, revision uint64, del table.Delta[fleet.Row]) error {
+	if err := sto.call(ctx, true); err != nil {
+		return err
+	}
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	if row, _ := sto.fleet.Get(name); row.Revision != revision {
+		return fmt.Errorf("%s has revision %d, not %d", name, row.Revision, revision)
+	}
+	del.Since = sto.fleet.Revision()
+	del.Revision = del.Since + 1
+	for num := range del.Rows {
+		del.Rows[num].Revision = del.Revision
+	}
+	sto.fleet.Apply(del)
+	close(sto.changed)
+	sto.changed = make(chan struct{})
+	return nil
+}
+
+// Config implements Platform.
+func (sto *memoryStore) Config() Source[*gateway.Config] {
+	return &still[*gateway.Config]{sto: sto, rows: []table.Row[*gateway.Config]{{Name: "main", Revision: 1, Value: gateway.NewConfig(1, config.Content{})}}}
+}
+
+// Targets implements Platform.
+func (sto *memoryStore) Targets() Source[registry.Entry] { return &still[registry.Entry]{sto: sto} }
+
+// Fleet implements Platform.
+func (sto *memoryStore) Fleet() Source[fleet.Row] { return (*listed)(sto) }
+
+// still is a kind of objects that do not change.
+type still[T any] struct {
+	sto  *memoryStore
+	rows []table.Row[T]
+}
+
+func (stl *still[T]) List(ctx context.Context, cheaply bool) (table.Delta[T], error) {
+	return table.Delta[T]{Whole: true, Revision: 1, Rows: slices.Clone(stl.rows)}, stl.sto.call(ctx, !cheaply)
+}
+
+func (stl *still[T]) Watch(ctx context.Context, since uint64, wait time.Duration) (table.Delta[T], error) {
+	err := stl.sto.call(ctx, true)
+	if err == nil {
+		Sleep(ctx, wait)
+	}
+	return table.Delta[T]{Since: since, Revision: since}, err
+}
+
+// listed is the kind of the fleet's objects.
+type listed memoryStore
+
+func (lst *listed) List(ctx context.Context, cheaply bool) (table.Delta[fleet.Row], error) {
+	sto := (*memoryStore)(lst)
+	if err := sto.call(ctx, !cheaply); err != nil {
+		return table.Delta[fleet.Row]{}, err
+	}
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	return table.Delta[fleet.Row]{Whole: true, Revision: sto.fleet.Revision(), Rows: sto.fleet.Rows()}, nil
+}
+
+func (lst *listed) Watch(ctx context.Context, since uint64, wait time.Duration) (table.Delta[fleet.Row], error) {
+	sto := (*memoryStore)(lst)
+	if err := sto.call(ctx, true); err != nil {
+		return table.Delta[fleet.Row]{}, err
+	}
+	sto.mut.Lock()
+	changed, revision := sto.changed, sto.fleet.Revision()
+	sto.mut.Unlock()
+	if revision == since {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return table.Delta[fleet.Row]{}, ctx.Err()
+		case <-time.After(wait):
+		}
+	}
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	return sto.fleet.Since(since), nil
+}
+
+// network carries messages between drivers in memory.
+type network struct {
+	mut     sync.Mutex
+	drivers map[string]*Driver
+	delay   time.Duration
+}
+
+// wire is the transport of one VM.
+type wire struct {
+	net  *network
+	from string
+}
+
+func (wir wire) Send(to string, msg any) {
+	time.AfterFunc(wir.net.delay, func() {
+		wir.net.mut.Lock()
+		dri := wir.net.drivers[to]
+		wir.net.mut.Unlock()
+		if dri != nil && dri.ctx.Err() == nil {
+			dri.Received(wir.from, msg)
+		}
+	})
+}
+
+// noTally counts nothing.
+type noTally struct{}
+
+func (noTally) Event(string)                        {}
+func (noTally) PlatformCall(string, string, string) {}
+
+// startFleet runs VMs of three failure domains until ctx ends, each a pause
+// after the one before.
+func startFleet(ctx context.Context, sto *memoryStore, net *network, vms int, pause time.Duration) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	net.drivers = make(map[string]*Driver)
+	for num := range vms {
+		name := fmt.Sprintf("vm-%d", num+1)
+		self := member.VM{ID: name + ".r", Address: name, FailureDomain: fmt.Sprintf("domain-%d", num%3+1), Capacity: 1}
+		set := gateway.Settings{Name: name, Self: self, Terms: gateway.Terms{
+			RevokeTime: 5 * time.Second, RetryShare: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second, QuotaWindow: 5 * time.Second,
+		}}
+		dri := New(ctx, set, sto, newClock(func() time.Duration { return 0 }), noTally{}, log, 0)
+		dri.mac = gateway.New(set, rand.New(rand.NewPCG(uint64(num), 1)))
+		dri.SetTransport(wire{net: net, from: self.ID})
+		net.mut.Lock()
+		net.drivers[self.ID] = dri
+		net.mut.Unlock()
+		go dri.Run()
+		Sleep(ctx, pause)
+	}
+}
+
+// TestOutagesCostFewCalls counts what a fleet asks of the platform: at its
+// start, in a short outage and until it is calm again.
+func TestOutagesCostFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			vms = 16
+			// startPause lets all VMs start within 0.3 s.
+			startPause = 20 * time.Millisecond
+			// Three VMs read for the others, each about three times a second.
+			perSecond = 10
+		)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		sto := newMemoryStore()
+		began, before := time.Now(), 0
+		check := func(what string, each float64) {
+			t.Helper()
+			sum := sto.calls()
+			if most := int(perSecond*time.Since(began).Seconds() + each*vms); sum-before > most {
+				t.Errorf("%s: %d VMs made %d calls, want %d at most", what, vms, sum-before, most)
+			}
+			began, before = time.Now(), sum
+		}
+		startFleet(ctx, sto, &network{delay: time.Millisecond}, vms, startPause)
+		time.Sleep(3 * time.Second)
+		check("start", 4.5)
+		sto.setDown(true)
+		time.Sleep(1500 * time.Millisecond)
+		sto.setDown(false)
+		time.Sleep(4 * time.Second)
+		check("outage of 1.5 s", 6)
+	})
+}
