Try targets less that stay sick, and wait less for those that are tried

Targets that were cut off or sick for long were tried every 3.5 s (2.1 s by requests that can be repeated), each time as if they had just turned; and a trial that hung was waited for as long as any other request, so that its second answer came too late.

A target rests longer after each trial but the first that fails, up to 6.9 s, so that it still is used again before it counts as unused. A request that tries a suspected target is waited for until 70% of answers have come. What was given up says as much as its age (a new outcome, overdue), not as much as a failure: requests of callers with little time made sound targets suspects. And as answers are seen only until requests are given up, those that would have taken longer now count in the estimate of latencies.

Ruled out in the play of long requests that can be repeated (three tenths of the targets sick): to send each again at the time that is best by belief and latency.

--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -253,7 +253,7 @@
 // attempt under way, if any.
 func (mac *Machine) dispatch(now clock.Instant, fli *flight, tgt health.Target, ans placement.Answer, placer string) {
 	if fli.running {
-		mac.endAttempt(now, fli, health.Failure)
+		mac.endAttempt(now, fli, health.Overdue)
 		fli.verdict = fli.verdict.Worse(verdict.MayHaveRun)
 		fli.runs++
 	}
@@ -400,7 +400,7 @@
 			continue
 		}
 		if !now.Before(fli.deadline) {
-			mac.endAttempt(now, fli, health.Failure)
+			mac.endAttempt(now, fli, health.Overdue)
 			fli.verdict = fli.verdict.Worse(verdict.MayHaveRun)
 			mac.refuse(fli, request.Refusal{Reason: request.TimedOut, Detail: "the target did not answer in time"})
 			continue
--- a/core/health/outcome.go
+++ b/core/health/outcome.go
@@ -14,7 +14,7 @@
 const (
 	// Success is an answer that is not the target's own failure.
 	Success Outcome = iota
-	// Failure is a failed, cut or timed out attempt.
+	// Failure is a failed or cut attempt.
 	Failure
 	// Unreachable is an attempt for which no connection could be opened.
 	Unreachable
@@ -24,11 +24,13 @@
 	Canceled
 	// Erred is a whole answer by which the target says that it failed.
 	Erred
+	// Overdue is an attempt that was ended because its answer took too long.
+	Overdue
 )
 
 // String returns the name of the outcome used in metrics.
 func (out Outcome) String() string {
-	names := [...]string{"success", "failure", "unreachable", "shed", "canceled", "erred"}
+	names := [...]string{"success", "failure", "unreachable", "shed", "canceled", "erred", "overdue"}
 	if int(out) < len(names) {
 		return names[out]
 	}
@@ -36,7 +38,9 @@
 }
 
 // Bad reports whether the outcome counts against the target.
-func (out Outcome) Bad() bool { return out == Failure || out == Unreachable || out == Erred }
+func (out Outcome) Bad() bool {
+	return out == Failure || out == Unreachable || out == Erred || out == Overdue
+}
 
 // Target is what the choice of targets knows of one worker.
 type Target struct {
--- a/core/placement/latency.go
+++ b/core/placement/latency.go
@@ -21,6 +21,12 @@
 	// lostShare is the part of requests of sound targets that are never
 	// answered.
 	lostShare = 0.001
+	// The deviations above the usual time until which an answer is waited for, as
+	// long as the target seems sound and where it does not, and those for which
+	// time is left if a request is sent again.
+	patienceDevs = 2.3
+	trialDevs    = 0.5
+	spareDevs    = 1.3
 	// aimPart is the part of its aim that a request of an unknown route is
 	// taken to last.
 	aimPart = 0.35
@@ -62,6 +68,22 @@
 	lat.deviation = min(max(math.Sqrt(variance), minDeviation), maxDeviation)
 }
 
+// learnLonger takes a request that would have taken longer than dur at a target
+// of usual speed, if it was to be answered at all; likely is the probability of
+// that. Without these, the estimate would be that of the requests that were
+// answered before they were given up.
+func (lat *latency) learnLonger(dur time.Duration, likely float64) {
+	devs := (math.Log(max(dur.Seconds(), 1e-4)) - lat.mean) / lat.deviation
+	devs = min(max(devs, -3), 3)
+	// The mean of the normal distribution above a number of deviations.
+	above := math.Exp(-devs*devs/2) / math.Sqrt(2*math.Pi) / tailOf(devs)
+	weight := latencyWeight * likely
+	variance := lat.deviation * lat.deviation
+	lat.mean += weight * lat.deviation * above
+	variance += weight * variance * devs * above
+	lat.deviation = min(max(math.Sqrt(variance), minDeviation), maxDeviation)
+}
+
 // usual returns the time that half of the requests exceed.
 func (lat *latency) usual() time.Duration {
 	return time.Duration(math.Exp(lat.mean) * float64(time.Second))
@@ -85,13 +107,19 @@
 // spare returns how much of the time left may pass until a request is sent again
 // that is then to be answered in time, and half of it at least.
 func (lat *latency) spare(left time.Duration) time.Duration {
-	const devs = 1.3
-	needed := time.Duration(math.Exp(lat.mean+devs*lat.deviation) * float64(time.Second))
-	return max(left-needed, left/2)
+	return max(left-lat.after(spareDevs, 1), left/2)
 }
 
 // patience returns the time that few requests of sound targets exceed.
-func (lat *latency) patience(slower float64) time.Duration {
-	const devs = 2.3
+func (lat *latency) patience(slower float64) time.Duration { return lat.after(patienceDevs, slower) }
+
+// trialPatience returns the time that most requests do not exceed. Those that
+// try a target that is likely sick are not waited for longer.
+func (lat *latency) trialPatience(slower float64) time.Duration {
+	return lat.after(trialDevs, slower)
+}
+
+// after returns the time that lies a number of deviations above the usual one.
+func (lat *latency) after(devs, slower float64) time.Duration {
 	return time.Duration(math.Exp(lat.mean+devs*lat.deviation) * slower * float64(time.Second))
 }
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -49,6 +49,11 @@
 	idleTime       = time.Second
 	sickIdleTime   = 2500 * time.Millisecond
 	repeatableIdle = 0.6
+	// missFactor is by how much longer a target stays without requests for each
+	// trial that failed, up to maxMisses: what has been sick for long is likely
+	// to stay so.
+	missFactor = 1.4
+	maxMisses  = 3
 	// hopeless is the part of requests that would miss their deadlines from
 	// which none is sent.
 	hopeless = 0.85
@@ -91,23 +96,8 @@
 	wait time.Duration
 	// overdue is set once the missing answer has been counted.
 	overdue bool
-}
-
-// target is what the placer knows of one target.
-type target struct {
-	health.Target
-	belief   belief
-	running  []*attempt
-	slower   float64
-	lastUsed clock.Instant
-	// paths has when VMs last failed at the target, and answered when they last
-	// had an answer, since when their connections may be used again.
-	paths    map[string]clock.Instant
-	answered map[string]clock.Instant
-	// suspected is set while the target is believed to be sick.
-	suspected bool
-	// gone is set once another target answered at the address.
-	gone bool
+	// trial is set where the target was suspected when the request was sent.
+	trial bool
 }
 
 // Change is a change of belief about a target.
@@ -222,10 +212,15 @@
 		return Answer{Number: tic.Number, Reason: NoRoom, RetryAfter: max(shortest, time.Millisecond)}
 	}
 	tgt := best.target
+	patience, trial := lat.patience(tgt.pace(now)), tgt.suspected && len(tgt.running) == 0
+	if trial && lat.known() {
+		patience = lat.trialPatience(tgt.pace(now))
+	}
 	pla.begin(now, &attempt{
 		ticket: tic, target: tgt, route: wis.Route, idempotent: wis.Idempotent, began: now, deadline: now.Add(wis.Left), wait: best.wait,
+		trial: trial,
 	})
-	return Answer{Number: tic.Number, Target: tgt.ID, Patience: min(best.wait+lat.patience(tgt.pace(now)), lat.spare(wis.Left))}
+	return Answer{Number: tic.Number, Target: tgt.ID, Patience: min(best.wait+patience, lat.spare(wis.Left))}
 }
 
 func (pla *Placer) begin(now clock.Instant, att *attempt) {
@@ -259,12 +254,6 @@
 	return best, shortest
 }
 
-// room returns the number of requests that a target is given at a time, less for
-// those that are less urgent, so that the more urgent ones still find a place.
-func (tgt *target) room(rank int) int {
-	return depth*tgt.Slots - min(max(rank, 0), lowestRank)*tgt.Slots/rankStep
-}
-
 // cost returns what a placement costs, in parts of what the request is worth.
 func (pla *Placer) cost(now clock.Instant, vmm string, wis Wish, lat *latency, tgt *target, wait time.Duration) float64 {
 	sick := pla.sick(now, tgt)
@@ -290,61 +279,6 @@
 	return cost
 }
 
-// connected reports whether a VM likely has a connection to the target that it
-// may use for a request.
-func (tgt *target) connected(now clock.Instant, vmm string, idempotent bool) bool {
-	fresh := carefulReuse
-	if idempotent {
-		fresh = repeatableReuse
-	}
-	at, known := tgt.answered[vmm]
-	return known && now.Since(at) < fresh
-}
-
-// answers reports whether the target has answered another VM lately.
-func (tgt *target) answers(now clock.Instant, vmm string) bool {
-	for id, at := range tgt.answered {
-		if id != vmm && now.Since(at) < answeringTime {
-			return true
-		}
-	}
-	return false
-}
-
-// due reports whether a target has had no request for so long that one is sent
-// to see how it fares.
-func (tgt *target) due(now clock.Instant, sick float64, idempotent bool) bool {
-	if len(tgt.running) > 0 {
-		return idempotent && sick < triedWaitingBelief && now.Since(tgt.lastUsed) >= waitingIdle
-	}
-	if sick >= triedBelief {
-		return false
-	}
-	idle := float64(idleTime) + tgt.belief.sick*float64(sickIdleTime)
-	if idempotent {
-		idle *= repeatableIdle
-	}
-	return float64(now.Since(tgt.lastUsed)) >= idle
-}
-
-// pace returns by how much a target is slower than usual.
-func (tgt *target) pace(now clock.Instant) float64 {
-	if now.Before(tgt.Warm) && tgt.slower < coldSlower {
-		return coldSlower
-	}
-	return tgt.slower
-}
-
-// wait returns how long a further request waits for a slot.
-func (tgt *target) wait(now clock.Instant, lat *latency) time.Duration {
-	slots := max(tgt.Slots, 1)
-	over := len(tgt.running) + 1 - slots
-	if over <= 0 {
-		return 0
-	}
-	return time.Duration(float64(lat.usual()) * tgt.pace(now) * float64(over) / float64(slots))
-}
-
 // sick returns the probability that a target is sick, in view of what runs
 // there without answer.
 func (pla *Placer) sick(now clock.Instant, tgt *target) float64 {
@@ -379,6 +313,8 @@
 		if !att.overdue {
 			pla.blame(now, att, failedFactor, took, "failed")
 		}
+	case health.Overdue:
+		pla.gaveUp(now, att, took-att.wait)
 	case health.Erred:
 		if !att.overdue {
 			pla.blame(now, att, erredFactor, took, "erred")
@@ -402,6 +338,7 @@
 		factor /= overdueFactor
 	}
 	tgt.belief.weigh(now, factor, took)
+	tgt.misses = 0
 	delete(tgt.paths, att.ticket.VM)
 	tgt.answered[att.ticket.VM] = now
 	lat := pla.latencies[att.route]
@@ -416,6 +353,19 @@
 	}
 }
 
+// gaveUp takes an attempt whose answer was no longer waited for. How much that
+// says depends on how long it was; and the requests that would have lasted still
+// longer belong to the estimate of latencies too.
+func (pla *Placer) gaveUp(now clock.Instant, att *attempt, waited time.Duration) {
+	lat, pace := pla.latencies[att.route], att.target.pace(now)
+	lost := sickFails * att.target.belief.now(now)
+	missing := (1 - lost) * lat.outlasts(waited, pace)
+	lat.learnLonger(time.Duration(float64(waited)/pace), missing/(missing+lost))
+	if !att.overdue {
+		pla.blame(now, att, pla.waiting(now, att), waited, "overdue")
+	}
+}
+
 // blame takes evidence against a target. Further failures of a VM at the same
 // target count against the path between them only.
 func (pla *Placer) blame(now clock.Instant, att *attempt, factor float64, past time.Duration, cause string) {
@@ -423,6 +373,9 @@
 	at, before := tgt.paths[att.ticket.VM]
 	if !before || now.Since(at) > pathRepeat {
 		tgt.belief.weigh(now, factor, past)
+		if att.trial {
+			tgt.misses = min(tgt.misses+1, maxMisses)
+		}
 	}
 	tgt.paths[att.ticket.VM] = now
 	pla.tell(now, tgt, cause, att.ticket.VM)
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -51,6 +51,9 @@
 	// bodyShare is the part of the memory that may hold bodies.
 	bodyShare = 4
 	mib       = 1 << 20
+	// gcPercent is how much the heap may grow between two collections. Memory is
+	// dearer to the users than processor time.
+	gcPercent = 40
 )
 
 // Wiring is what the platform adds to a VM: where the configuration, targets
@@ -90,6 +93,7 @@
 	}
 	// The collector works harder before the limit rather than later than it.
 	debug.SetMemoryLimit(int64(set.MemoryMiB) * mib * 3 / 4)
+	debug.SetGCPercent(gcPercent)
 	dmn := &Daemon{set: set, log: lgs.Logger(logflags.Daemon)}
 	if err := dmn.listen(); err != nil {
 		return nil, err
