Keep the connection of an answer that came before its writer had spoken

A target that answers at once can be read to its end before the goroutine that sent the request has said so, and the connection was then closed as if the request were still being sent. Callers lost nothing, but the next request paid for a new connection.

The end of an exchange waits for the writer for up to a millisecond, as the failing one already did, by the same function now.

--- a/lugd/pkg/target/exchange.go
+++ b/lugd/pkg/target/exchange.go
@@ -109,19 +109,28 @@
 	return err
 }
 
+// writerTime is how long the goroutine that has sent a request may take to say so.
+const writerTime = time.Millisecond
+
+// sending returns how the sending of the request ended. It is not done where the
+// writer still waits for the caller's body; the head has been sent then.
+func (exc *exchange) sending() (err error, done bool) {
+	select {
+	case err := <-exc.written:
+		return err, true
+	case <-time.After(writerTime):
+		return nil, false
+	}
+}
+
 // fail ends the exchange before an answer and waits until the request is no
 // longer read, so that the verdict is final.
 func (exc *exchange) fail(err error) *Error {
 	exc.stop()
 	exc.cancel()
 	_ = exc.con.Close()
-	select {
-	case werr := <-exc.written:
-		if werr != nil && exc.con.sent == 0 {
-			return &Error{Verdict: verdict.NotRun, Outcome: health.Failure, Err: fmt.Errorf("cannot send to target %s: %w", exc.con.address, werr)}
-		}
-	case <-time.After(time.Millisecond):
-		// The writer waits for the caller's body; the head has been sent.
+	if werr, done := exc.sending(); done && werr != nil && exc.con.sent == 0 {
+		return &Error{Verdict: verdict.NotRun, Outcome: health.Failure, Err: fmt.Errorf("cannot send to target %s: %w", exc.con.address, werr)}
 	}
 	outcome := health.Failure
 	if errors.Is(err, errGivenUp) {
@@ -164,11 +173,8 @@
 	exc := bod.exchange
 	kept := false
 	if bod.whole && bod.reusable && exc.stop() {
-		select {
-		case err := <-exc.written:
-			kept = err == nil
-		default:
-		}
+		err, done := exc.sending()
+		kept = done && err == nil
 	}
 	if kept && exc.con.SetReadDeadline(time.Time{}) == nil {
 		exc.con.pool.keep(exc.con)
