Say in the store which organisations are busy, and open with a part of the excess

A new server of tokens cannot know what its predecessor granted and took it for all. Others were refused at once by VMs that had just started, some tenths of a second before the servers were there, since the list that they knew still named those that had ended.

A server now states in its object which organisations are busy and grants the others 0.7 of a window; its successor grants the rest at once. It also opens with a part of what the users' terms allow beyond the limit, once in a window (new settings quota-excess and quota-slack, until now two constants fitted to one deployment). VMs that have just started let requests wait for a server for 0.3 s, as do those whose tokens come within that time.

Found by the random test once it plays calm and floods by turns, in the code before too: 695 requests in a window that allows 673. The oldest of 20 slots was freed up to a slot too early, and tokens asked for ahead were spent up to a second later. One more slot is kept, and tokens live for 0.6 s.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -9,6 +9,7 @@
 
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/member"
+	"marigoldlug.example/core/quota"
 	"marigoldlug.example/core/table"
 )
 
@@ -45,6 +46,8 @@
 	Holder string
 	// Released is set when the holder has ceased to act.
 	Released bool
+	// Busy are the organisations that the holder may grant all tokens.
+	Busy quota.Busy
 }
 
 // Fleet follows the table of the fleet. It is not safe for concurrent use.
@@ -66,6 +69,9 @@
 	since    clock.Instant
 	patience time.Duration
 	claimed  clock.Instant
+	// inherited is what the holder before this VM stated, as of the claim, which
+	// is made on condition that it has not changed.
+	inherited quota.Busy
 }
 
 // New returns the fleet as seen by one VM that knows nothing yet.
@@ -125,14 +131,14 @@
 	}
 	dut.since = now
 	dut.patience = LeaseTime + leaseSlack
-	if before == "" && fle.proven != (clock.Instant{}) || before != "" && fle.ended(before) {
+	if before == "" && fle.proven != (clock.Instant{}) || before != "" && fle.Ended(before) {
 		dut.patience = 0
 	}
 }
 
-// ended reports whether the process with an ID is known to have ended, since
+// Ended reports whether the process with an ID is known to have ended, since
 // another runs under the same name.
-func (fle *Fleet) ended(id string) bool {
+func (fle *Fleet) Ended(id string) bool {
 	row, found := fle.rows.Get(VMName(nameOf(id)))
 	return found && row.Value.VM.ID != id
 }
@@ -182,7 +188,7 @@
 		return false
 	}
 	for _, dut := range fle.duties {
-		if dut.holder != "" && !fle.ended(dut.holder) {
+		if dut.holder != "" && !fle.Ended(dut.holder) {
 			return false
 		}
 	}
@@ -209,9 +215,23 @@
 		return false
 	}
 	dut.claimed = now
+	dut.inherited = quota.Busy{All: true}
+	if row, found := fle.rows.Get(DutyName(num)); found {
+		dut.inherited = row.Value.Busy
+	}
 	return true
 }
 
+// Inherited returns which organisations the holder of a duty before this VM may
+// have granted all tokens.
+func (fle *Fleet) Inherited(num int) quota.Busy { return fle.duties[num].inherited }
+
+// Busy returns which organisations the holder of a duty may grant all tokens.
+func (fle *Fleet) Busy(num int) quota.Busy {
+	row, _ := fle.rows.Get(DutyName(num))
+	return row.Value.Busy
+}
+
 // candidate returns the VM that is to hold a duty: the first of a failure domain
 // of its own, as far as there are enough.
 func (fle *Fleet) candidate(num int) string {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -6,6 +6,7 @@
 
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/member"
+	"marigoldlug.example/core/quota"
 	"marigoldlug.example/core/table"
 )
 
@@ -113,3 +114,31 @@
 		t.Errorf("listed %v at revision %d, want the entry of the earlier run at 4", listed, revision)
 	}
 }
+
+// TestClaimsRememberWhatWasStated takes a duty over twice: from a holder that
+// named a busy organisation, and from one that had just begun.
+func TestClaimsRememberWhatWasStated(t *testing.T) {
+	now := clock.At(time.Hour)
+	busy := holderRow("two.r1", 3)
+	busy.Value.Busy = quota.Busy{Names: []string{"org"}}
+	fle := newFleet(t, now, vmRow("one", "r1", 1), busy)
+	if !fle.Claims(now, 0) {
+		t.Fatal("does not claim the duty of a VM that is gone")
+	}
+	mine := holderRow("one.r1", 11)
+	mine.Value.Busy = quota.Busy{All: true}
+	change(fle, now, 11, mine)
+	if got := fle.Inherited(0); !got.Equal(busy.Value.Busy) {
+		t.Errorf("inherited %+v", got)
+	}
+	if !fle.Busy(0).All {
+		t.Errorf("the store holds %+v of the new holder", fle.Busy(0))
+	}
+	begun := holderRow("two.r2", 12)
+	begun.Value.Busy = quota.Busy{All: true}
+	change(fle, now, 12, begun)
+	later := now.Add(time.Minute)
+	if !fle.Claims(later, 0) || !fle.Inherited(0).All {
+		t.Errorf("inherited %+v from a holder that had just begun", fle.Inherited(0))
+	}
+}
--- a/core/gateway/knowledge.go
+++ b/core/gateway/knowledge.go
@@ -10,6 +10,7 @@
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/member"
+	"marigoldlug.example/core/quota"
 	"marigoldlug.example/core/registry"
 	"marigoldlug.example/core/table"
 )
@@ -320,7 +321,7 @@
 		}
 		name := fleet.DutyName(num)
 		mac.note("claim", "part", num, "before", mac.fleet.Holder(num))
-		mac.do(Write{Name: name, Row: fleet.Row{Holder: mac.set.Self.ID}, Revision: mac.fleet.Object(name)})
+		mac.do(Write{Name: name, Row: fleet.Row{Holder: mac.set.Self.ID, Busy: quota.Busy{All: true}}, Revision: mac.fleet.Object(name)})
 	}
 	if mac.follower.First() {
 		mac.sweep(now)
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -34,9 +34,8 @@
 	RetryShare  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
-	// QuotaWindow is the time over which the rate and burst of organisations
-	// are counted.
-	QuotaWindow time.Duration
+	// Quota are the terms under which organisations are counted.
+	Quota quota.Terms
 }
 
 // Settings are the values that an operator may choose for a VM.
@@ -84,7 +83,7 @@
 		placements: make(map[string]uint64),
 		granted:    make(map[string]uint64),
 	}
-	mac.tokens = quota.NewClient(rnd, mac.limit)
+	mac.tokens = quota.NewClient(rnd, set.Terms.Quota, mac.limit)
 	return mac
 }
 
@@ -168,8 +167,8 @@
 func (mac *Machine) reach() quota.Reach {
 	rea := quota.Reach{Servers: mac.fleet.Holders(), Vacant: mac.fleet.Vacant(), VMs: mac.fleet.View().Size()}
 	for num, id := range rea.Servers {
-		if mac.stopping && id == mac.set.Self.ID {
-			rea.Servers[num] = "" // This VM has given up the duty.
+		if mac.stopping && id == mac.set.Self.ID || mac.fleet.Ended(id) {
+			rea.Servers[num] = "" // Nobody serves, though the list names a holder.
 		}
 		if vmm, _ := mac.fleet.View().VM(id); vmm.FailureDomain == mac.set.Self.FailureDomain {
 			rea.First = num
@@ -187,11 +186,27 @@
 			mac.servers[num] = nil
 		case srv == nil && mac.config != nil && !mac.stopping && mac.fleet.Acts(now, num):
 			mac.note("serveTokens", "part", num, "proofAge", now.Since(mac.fleet.Proven()))
-			mac.servers[num] = quota.NewServer(now, mac.set.Terms.QuotaWindow, fleet.Duties, mac.limit)
+			mac.servers[num] = quota.NewServer(now, mac.set.Terms.Quota, fleet.Duties, mac.fleet.Inherited(num), mac.limit)
+		case srv != nil:
+			mac.stateBusy(now, num)
 		}
 	}
 }
 
+// stateBusy has the store hold which organisations may be granted all tokens of
+// a part that this VM serves.
+func (mac *Machine) stateBusy(now clock.Instant, num int) {
+	srv := mac.servers[num]
+	srv.SetStated(mac.fleet.Busy(num))
+	bus, due := srv.Want(now)
+	if !due || !mac.fleet.Acts(now, num) {
+		return
+	}
+	name := fleet.DutyName(num)
+	mac.note("busyOrganisations", "part", num, "all", bus.All, "names", bus.Names)
+	mac.do(Write{Name: name, Row: fleet.Row{Holder: mac.set.Self.ID, Busy: bus}, Revision: mac.fleet.Object(name)})
+}
+
 // limit returns the limit of an organisation; the zero limit is none.
 func (mac *Machine) limit(organisation string) (rate.Limit, bool) {
 	if mac.config == nil {
@@ -275,7 +290,7 @@
 		}
 		mac.servers[num] = nil
 		name := fleet.DutyName(num)
-		mac.do(Write{Name: name, Row: fleet.Row{Holder: mac.set.Self.ID, Released: true}, Revision: mac.fleet.Object(name)})
+		mac.do(Write{Name: name, Row: fleet.Row{Holder: mac.set.Self.ID, Released: true, Busy: mac.fleet.Busy(num)}, Revision: mac.fleet.Object(name)})
 	}
 	if listed, revision := mac.fleet.Listed(); listed {
 		mac.do(Delete{Name: fleet.VMName(mac.set.Name), Revision: revision})
@@ -399,4 +414,7 @@
 func (mac *Machine) View() member.View { return mac.fleet.View() }
 
 // SetTerms replaces the terms. Budgets that are open keep theirs.
-func (mac *Machine) SetTerms(trm Terms) { mac.set.Terms = trm }
+func (mac *Machine) SetTerms(trm Terms) {
+	mac.set.Terms = trm
+	mac.tokens.SetTerms(trm.Quota)
+}
--- a/core/gateway/machine_test.go
+++ b/core/gateway/machine_test.go
@@ -11,6 +11,7 @@
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/member"
+	"marigoldlug.example/core/quota"
 	"marigoldlug.example/core/rate"
 	"marigoldlug.example/core/registry"
 	"marigoldlug.example/core/request"
@@ -50,7 +51,7 @@
 }
 
 func terms() Terms {
-	return Terms{RevokeTime: 5 * time.Second, RetryShare: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second, QuotaWindow: 5 * time.Second}
+	return Terms{RevokeTime: 5 * time.Second, RetryShare: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second, Quota: quota.Terms{Window: 5 * time.Second, Excess: 0.1, Slack: 20}}
 }
 
 func newVM(t *testing.T) *vm {
@@ -69,7 +70,7 @@
 	}}})
 	var duties []table.Row[fleet.Row]
 	for num := range fleet.Duties {
-		duties = append(duties, table.Row[fleet.Row]{Name: fleet.DutyName(num), Revision: 6, Value: fleet.Row{Holder: self.ID}})
+		duties = append(duties, table.Row[fleet.Row]{Name: fleet.DutyName(num), Revision: 6, Value: fleet.Row{Holder: self.ID, Busy: quota.Busy{All: true}}})
 	}
 	vmm.step(FleetRead{Asked: vmm.now, News: table.Delta[fleet.Row]{Since: 5, Revision: 6, Rows: duties}})
 	vmm.config(1, content())
@@ -362,3 +363,23 @@
 		t.Errorf("callers are told to come back after %v to %v", soonest, latest)
 	}
 }
+
+// TestServersStateWhoIsBusy serves tokens for longer than a window and asks that
+// the store is to hold that no organisation is busy.
+func TestServersStateWhoIsBusy(t *testing.T) {
+	vmm := newVM(t).load()
+	stated := make(map[string]bool)
+	for _, act := range vmm.pass(time.Second) {
+		wri, ok := act.(Write)
+		if !ok {
+			continue
+		}
+		if wri.Row.Holder != vmm.mac.set.Self.ID || wri.Row.Busy.All || wri.Row.Busy.Has("org") || wri.Revision != 6 {
+			t.Errorf("%s is to hold %+v at revision %d", wri.Name, wri.Row, wri.Revision)
+		}
+		stated[wri.Name] = true
+	}
+	if len(stated) != fleet.Duties {
+		t.Errorf("%v are stated, want %d duties", stated, fleet.Duties)
+	}
+}
--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -16,23 +16,20 @@
 	// one that did not is not asked.
 	askTime    = 120 * time.Millisecond
 	silentTime = time.Second
+	// youngTime is how long after its start a VM takes it that servers begin
+	// to serve soon, as they do where many VMs start together.
+	youngTime = 2 * time.Second
 	// waitTime bounds how long a request waits for tokens.
 	waitTime = 300 * time.Millisecond
 	// tokenLife is how long granted tokens may be spent. What is spent late
 	// adds to what is granted later.
-	tokenLife = time.Second
+	tokenLife = 600 * time.Millisecond
 	// aheadTime is the demand for which a busy VM asks in advance.
 	aheadTime = 300 * time.Millisecond
 	// demandTime is the time constant of the estimate of the demand.
 	demandTime = 2 * time.Second
 	// quietTime bounds how long a VM refuses by itself after a refusal.
 	quietTime = 100 * time.Millisecond
-	// lonelyShare and lonelySpare size what the fleet may spend while VMs do
-	// not reach the server: a part of the rate, and a number of requests in
-	// lonelyWindow.
-	lonelyShare  = 0.08
-	lonelySpare  = 10.0
-	lonelyWindow = 5 * time.Second
 	// lonelyBegin is the time whose share is spent at once.
 	lonelyBegin = 100 * time.Millisecond
 	// vacantShare is the part of the rate that VMs may spend when it is known
@@ -60,8 +57,11 @@
 // not safe for concurrent use.
 type Client struct {
 	rnd    *rand.Rand
+	terms  Terms
 	limits func(organisation string) (rate.Limit, bool)
 	reach  Reach
+	// began is when the client was first used.
+	began clock.Instant
 	// silent has until when servers are not asked.
 	silent   map[string]clock.Instant
 	number   uint64
@@ -87,6 +87,9 @@
 	// retry the least time after which one of their servers has tokens.
 	tried map[int]bool
 	retry time.Duration
+	// again is when the requests that wait are asked for anew, once all servers
+	// have refused.
+	again clock.Instant
 	// quiet is until when requests are refused without asking.
 	quiet clock.Instant
 	// lonely holds what may be spent without the server, as of filled.
@@ -97,10 +100,13 @@
 }
 
 // NewClient returns a client that holds no tokens.
-func NewClient(rnd *rand.Rand, limits func(organisation string) (rate.Limit, bool)) *Client {
-	return &Client{rnd: rnd, limits: limits, silent: make(map[string]clock.Instant), accounts: make(map[string]*wallet)}
+func NewClient(rnd *rand.Rand, trm Terms, limits func(organisation string) (rate.Limit, bool)) *Client {
+	return &Client{rnd: rnd, terms: trm, limits: limits, silent: make(map[string]clock.Instant), accounts: make(map[string]*wallet)}
 }
 
+// SetTerms replaces the terms.
+func (cli *Client) SetTerms(trm Terms) { cli.terms = trm }
+
 // SetReach takes what is known of the server.
 func (cli *Client) SetReach(rea Reach) { cli.reach = rea }
 
@@ -135,7 +141,9 @@
 		return Decided{Request: request, RetryAfter: max(wal.quiet.Mono-now.Mono, time.Millisecond)}, true
 	}
 	if !cli.reachable(now) {
-		return cli.spendLonely(now, wal, lim, request), true
+		if dec := cli.spendLonely(now, wal, lim, request); dec.Admitted || !cli.awaited(now) {
+			return dec, true
+		}
 	}
 	wal.waiting = append(wal.waiting, waiter{request: request, since: now})
 	cli.ask(now, wal)
@@ -152,6 +160,14 @@
 	return false
 }
 
+// awaited reports whether a server is likely to begin to serve soon.
+func (cli *Client) awaited(now clock.Instant) bool {
+	if cli.began == (clock.Instant{}) {
+		cli.began = now
+	}
+	return cli.reach.Vacant || now.Since(cli.began) < youngTime
+}
+
 func (cli *Client) wallet(now clock.Instant, organisation string) *wallet {
 	wal := cli.accounts[organisation]
 	if wal == nil {
@@ -168,8 +184,7 @@
 	if cli.reach.Vacant {
 		return rate.PerSecond(float64(lim.Rate) * vacantShare / vms)
 	}
-	spare := lonelySpare / lonelyWindow.Seconds() * float64(rate.Request)
-	return rate.PerSecond(min(float64(lim.Rate)*lonelyShare+spare, float64(lim.Rate)*vacantShare) / vms)
+	return rate.PerSecond(min(float64(cli.terms.lonely(lim)), float64(lim.Rate)*vacantShare) / vms)
 }
 
 // spendLonely decides without the server. A time without it begins with a part
@@ -178,7 +193,7 @@
 // the servers are asked again.
 func (cli *Client) spendLonely(now clock.Instant, wal *wallet, lim rate.Limit, request uint64) Decided {
 	rat := cli.lonelyRate(lim)
-	if wal.filled == (clock.Instant{}) || now.Since(wal.filled) > lonelyWindow {
+	if wal.filled == (clock.Instant{}) || now.Since(wal.filled) > cli.terms.Window {
 		begin := rate.Tokens(float64(rat) * lonelyBegin.Seconds())
 		wal.lonely, wal.rest = begin+rate.Tokens(cli.rnd.Int64N(int64(rate.Request))), 0
 	} else {
@@ -219,9 +234,12 @@
 // ask asks for the next part, unless an ask is under way. Where all parts have
 // been asked for, the requests that wait are decided.
 func (cli *Client) ask(now clock.Instant, wal *wallet) {
-	if wal.open != 0 {
+	if wal.open != 0 || now.Before(wal.again) {
 		return
 	}
+	if wal.again != (clock.Instant{}) {
+		wal.again, wal.retry = clock.Instant{}, 0
+	}
 	cnt := len(cli.reach.Servers)
 	for off := range cnt {
 		part := (cli.reach.First + off) % cnt
@@ -239,11 +257,23 @@
 	cli.settle(now, wal)
 }
 
-// settle decides on the requests that wait once no server is left to ask.
+// settle decides on the requests that wait once no server is left to ask. Those
+// wait on for whom there will be tokens soon, or another server.
 func (cli *Client) settle(now clock.Instant, wal *wallet) {
-	retry := wal.retry
-	wal.retry = 0
 	clear(wal.tried)
+	waited := time.Duration(0)
+	if len(wal.waiting) > 0 {
+		waited = now.Since(wal.waiting[0].since)
+	}
+	if wal.retry > 0 && waited+wal.retry < waitTime {
+		wal.again = now.Add(wal.retry)
+		return
+	}
+	if wal.retry == 0 && waited < waitTime && cli.awaited(now) {
+		return
+	}
+	retry := wal.retry
+	wal.retry, wal.again = 0, clock.Instant{}
 	if retry > 0 {
 		cli.refuseWaiting(wal, retry)
 		wal.quiet = now.Add(min(retry, quietTime))
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -16,6 +16,9 @@
 	parts  = 3
 )
 
+// trm are the terms of the tests.
+var trm = Terms{Window: window, Excess: 0.1, Slack: 20}
+
 func limitOf(perSecond, burst float64) func(string) (rate.Limit, bool) {
 	return func(string) (rate.Limit, bool) {
 		return rate.Limit{Rate: rate.RequestsPerSecond(perSecond), Burst: rate.Requests(burst)}, true
@@ -27,6 +30,10 @@
 	now     clock.Instant
 	limits  func(string) (rate.Limit, bool)
 	servers [parts]*Server
+	// stated is what the store holds of each part's server.
+	stated [parts]Busy
+	// down is set while the store takes no writes.
+	down    bool
 	clients []*Client
 	// admitted has when requests were admitted.
 	admitted []time.Duration
@@ -37,8 +44,11 @@
 
 func newWorld(vms int, limits func(string) (rate.Limit, bool)) *world {
 	wld := &world{now: clock.At(time.Hour), limits: limits}
+	for num := range wld.stated {
+		wld.stated[num] = Busy{All: true}
+	}
 	for num := range vms {
-		wld.clients = append(wld.clients, NewClient(rand.New(rand.NewPCG(7, uint64(num))), limits))
+		wld.clients = append(wld.clients, NewClient(rand.New(rand.NewPCG(7, uint64(num))), trm, limits))
 	}
 	wld.reach([]string{"server-0", "server-1", "server-2"}, false)
 	return wld
@@ -56,7 +66,21 @@
 		nums = []int{0, 1, 2}
 	}
 	for _, num := range nums {
-		wld.servers[num] = NewServer(wld.now, window, parts, wld.limits)
+		wld.servers[num] = NewServer(wld.now, trm, parts, wld.stated[num], wld.limits)
+		wld.stated[num] = Busy{All: true}
+	}
+}
+
+// state has the store hold what the servers want.
+func (wld *world) state() {
+	for num, srv := range wld.servers {
+		if srv == nil {
+			continue
+		}
+		srv.SetStated(wld.stated[num])
+		if bus, due := srv.Want(wld.now); due {
+			wld.stated[num] = bus
+		}
 	}
 }
 
@@ -93,6 +117,9 @@
 
 func (wld *world) pass(dur time.Duration) {
 	wld.now = wld.now.Add(dur)
+	if !wld.down {
+		wld.state()
+	}
 	for _, cli := range wld.clients {
 		cli.Tick(wld.now)
 		wld.deliver(cli)
@@ -111,9 +138,10 @@
 	return most
 }
 
-// TestNoWindowExceedsTheLimit lets organisations ask for far more than they
-// may, while the server ends and others begin, or is not reached. The bound is
-// the stated one: the limit of a window, a tenth beside it and 20 requests.
+// TestNoWindowExceedsTheLimit lets organisations ask for little and for far more
+// than they may, by turns, while servers end, one or all, and others begin, or
+// are not reached, and while the store is away. The bound is the stated one: the
+// limit of a window, a tenth beside it and 20 requests.
 func TestNoWindowExceedsTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		per := float64(rapid.IntRange(2, 120).Draw(t, "rate"))
@@ -122,32 +150,115 @@
 		wld := newWorld(rapid.IntRange(3, 48).Draw(t, "vms"), limitOf(per, per))
 		wld.serve()
 		wld.pass(window)
-		flood := rapid.Float64Range(0.5, 8).Draw(t, "flood")
-		var gone [parts]int
-		for range 400 {
+		floods := []float64{rapid.Float64Range(0.3, 8).Draw(t, "flood"), rapid.Float64Range(0.3, 8).Draw(t, "otherFlood")}
+		gone, flood := [parts]int{}, 0
+		for range 600 {
 			wld.pass(50 * time.Millisecond)
-			for range int(per*flood*0.05 + rnd.Float64()) {
+			if rnd.IntN(100) == 0 {
+				flood = 1 - flood
+			}
+			if rnd.IntN(60) == 0 {
+				wld.down = !wld.down
+			}
+			for range int(per*floods[flood]*0.05 + rnd.Float64()) {
 				wld.request(rnd.IntN(len(wld.clients)))
 			}
+			all := rnd.IntN(300) == 0
 			for num := range gone {
 				switch {
-				case gone[num] == 0 && rnd.IntN(200) == 0:
+				case gone[num] == 0 && (all || rnd.IntN(200) == 0):
 					wld.servers[num], gone[num] = nil, 1+rnd.IntN(60)
 				case gone[num] > 1:
 					gone[num]--
-				case gone[num] == 1:
+				case gone[num] == 1 && !wld.down:
 					gone[num] = 0
 					wld.serve(num)
 				}
 			}
 		}
-		allowed := (per*window.Seconds()+per)*1.1 + 20
+		allowed := (per*window.Seconds()+per)*(1+trm.Excess) + trm.Slack
 		if most := wld.most(); float64(most) > allowed {
 			t.Fatalf("%d requests in a window, %v are allowed", most, allowed)
 		}
 	})
 }
 
+// TestCallersReturnAfterTheLossOfAll ends every VM while organisations ask for
+// half of their rate. Those who called meanwhile come at once as the VMs are
+// back, and more as usual.
+func TestCallersReturnAfterTheLossOfAll(t *testing.T) {
+	const (
+		per    = 20.0
+		demand = 0.5
+		step   = 50 * time.Millisecond
+		lost   = 1500 * time.Millisecond
+	)
+	wld := newWorld(32, limitOf(per, per))
+	wld.serve()
+	wld.pass(2 * window)
+	rnd := rand.New(rand.NewPCG(3, 4))
+	call := func(requests float64) (asked int) {
+		for range int(requests + rnd.Float64()) {
+			wld.request(rnd.IntN(len(wld.clients)))
+			asked++
+		}
+		return asked
+	}
+	for range 400 {
+		wld.pass(step)
+		call(demand * per * step.Seconds())
+	}
+	stated := wld.stated
+	wld = newWorld(32, limitOf(per, per))
+	wld.stated = stated
+	wld.reach([]string{"", "", ""}, true)
+	asked := call(demand * per * lost.Seconds())
+	for num := range 40 {
+		wld.pass(step)
+		if num == 3 {
+			wld.serve()
+			wld.reach([]string{"server-0", "server-1", "server-2"}, false)
+		}
+		asked += call(demand * per * step.Seconds())
+	}
+	wld.pass(waitTime)
+	if share := float64(len(wld.admitted)) / float64(asked); share < 0.95 {
+		t.Errorf("%.3f of %d requests were admitted in the first two seconds", share, asked)
+	}
+}
+
+// TestBusyOrganisationsAreStatedFirst lets an organisation ask for all it may
+// while the store takes no writes, and then again.
+func TestBusyOrganisationsAreStatedFirst(t *testing.T) {
+	const per = 60.0
+	wld := newWorld(6, limitOf(per, per))
+	wld.serve()
+	wld.pass(window + restInterval)
+	if bus := wld.stated[0]; bus.All || bus.Has("org") {
+		t.Fatalf("an organisation that asks for nothing is busy: %+v", bus)
+	}
+	flood := func(dur time.Duration) float64 {
+		before := len(wld.admitted)
+		for end := wld.now.Add(dur); wld.now.Before(end); {
+			wld.pass(50 * time.Millisecond)
+			for vmm := range wld.clients {
+				wld.request(vmm)
+			}
+		}
+		return float64(len(wld.admitted)-before) / dur.Seconds()
+	}
+	wld.down = true
+	flood(window)
+	if got := flood(window); got > per*1.2*(calmShare+0.05) {
+		t.Errorf("%.0f a second were admitted that the store did not allow", got)
+	}
+	wld.down = false
+	flood(window)
+	if got := flood(window); got < per {
+		t.Errorf("%.0f a second were admitted of an organisation that may have %v", got, per)
+	}
+}
+
 // TestRequestsWithinTheLimitAreAdmitted asks for 90% of the rate through many
 // VMs.
 func TestRequestsWithinTheLimitAreAdmitted(t *testing.T) {
--- a/core/quota/server.go
+++ b/core/quota/server.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// slotCount is the number of slots in which a window is counted.
+	// slotCount is the number of slots in which a window is counted. One more is
+	// kept, so that what is granted at the end of a slot counts for a whole window.
 	slotCount = 20
+	keptSlots = slotCount + 1
 	// startShare is the part of the rate that a server grants in its first
 	// window, in which it does not know what its predecessor has granted.
 	startShare = 0.8
@@ -22,17 +24,22 @@
 // than the rate yields in it and the burst. Only one VM at a time may serve a
 // part, which a lease on the platform ensures. It is not safe for concurrent use.
 type Server struct {
-	window   time.Duration
+	terms    Terms
 	limits   func(organisation string) (rate.Limit, bool)
 	began    clock.Instant
 	accounts map[string]*account
+	// before is what the predecessor stated. stated is what the store holds of
+	// this server, and wanted what it is to hold.
+	before, stated, wanted Busy
+	// weighed is when wanted was last weighed, and rested when it last changed.
+	weighed, rested clock.Instant
 }
 
 // account counts what one organisation was granted lately.
 type account struct {
 	limit rate.Limit
 	// slots has what was granted in the last window, by time; sum is all of it.
-	slots [slotCount]rate.Tokens
+	slots [keptSlots]rate.Tokens
 	sum   rate.Tokens
 	// slot is the number of the newest slot, counted from the server's start.
 	slot int64
@@ -46,14 +53,19 @@
 	promised clock.Instant
 }
 
-// NewServer returns a server that begins to serve now one of so many equal parts
-// and counts in windows of the given length.
-func NewServer(now clock.Instant, window time.Duration, parts int, limits func(organisation string) (rate.Limit, bool)) *Server {
+// NewServer returns a server that begins to serve now one of so many equal
+// parts. before is what its predecessor
+// stated; the store holds of the new one that all organisations may be busy.
+func NewServer(now clock.Instant, trm Terms, parts int, before Busy, limits func(organisation string) (rate.Limit, bool)) *Server {
 	part := func(organisation string) (rate.Limit, bool) {
 		lim, found := limits(organisation)
 		return rate.Limit{Rate: lim.Rate / rate.PerSecond(parts), Burst: lim.Burst / rate.Tokens(parts)}, found
 	}
-	return &Server{window: window, limits: part, began: now, accounts: make(map[string]*account)}
+	all := Busy{All: true}
+	return &Server{
+		terms: trm.part(parts), limits: part, began: now, accounts: make(map[string]*account),
+		before: before, stated: all, wanted: all, weighed: now, rested: now,
+	}
 }
 
 // Answer decides on an ask.
@@ -66,12 +78,13 @@
 	}
 	acc := srv.account(now, ask.Organisation, lim)
 	srv.fill(now, acc)
-	whole := max(int(min(srv.allowed(lim)-acc.sum, acc.ready)/rate.Request), 0)
+	most := srv.most(ask.Organisation, lim)
+	whole := max(int(min(most-acc.sum, acc.ready)/rate.Request), 0)
 	gra.Count = min(whole, ask.Need+ask.Ahead)
 	acc.add(rate.Tokens(gra.Count) * rate.Request)
 	acc.ready -= rate.Tokens(gra.Count) * rate.Request
 	if short := ask.Need - gra.Count; short > 0 {
-		gra.RetryAfter = acc.promise(now, srv.window, srv.allowed(lim), short)
+		gra.RetryAfter = acc.promise(now, srv.terms.Window, most, short)
 	}
 	return gra
 }
@@ -83,59 +96,76 @@
 
 // yield returns a share of what the rate yields in one window.
 func (srv *Server) yield(lim rate.Limit, share float64) rate.Tokens {
-	return rate.Tokens(float64(lim.Rate) * srv.window.Seconds() * share)
+	return rate.Tokens(float64(lim.Rate) * srv.terms.Window.Seconds() * share)
 }
 
 func (srv *Server) account(now clock.Instant, organisation string, lim rate.Limit) *account {
-	slot := int64(now.Since(srv.began) / (srv.window / slotCount))
 	acc := srv.accounts[organisation]
 	if acc == nil {
 		acc = &account{limit: lim, filled: srv.began}
-		srv.assume(acc)
+		srv.assume(acc, organisation)
 		srv.accounts[organisation] = acc
 	}
 	if acc.limit != lim {
 		acc.scale(float64(srv.allowed(lim)) / float64(srv.allowed(acc.limit)))
 		acc.limit = lim
 	}
-	acc.advance(slot)
+	acc.advance(srv.slotAt(now))
 	return acc
 }
 
+// slotAt returns the number of the slot of a time.
+func (srv *Server) slotAt(now clock.Instant) int64 {
+	return int64(now.Since(srv.began) / (srv.terms.Window / slotCount))
+}
+
 // fill adds to what may be granted at once.
 func (srv *Server) fill(now clock.Instant, acc *account) {
 	var gain rate.Tokens
-	even := rate.PerSecond(srv.allowed(acc.limit).Float() / srv.window.Seconds() * float64(rate.Request))
+	even := rate.PerSecond(srv.allowed(acc.limit).Float() / srv.terms.Window.Seconds() * float64(rate.Request))
 	gain, acc.rest = rate.Accrue(even, now.Since(acc.filled), acc.rest)
 	acc.filled = now
 	acc.ready = min(acc.ready+gain, max(acc.limit.Burst, rate.Request))
 }
 
 // assume fills the window before the server's start as if its predecessor had
-// granted all, most of it evenly and the rest at last.
-func (srv *Server) assume(acc *account) {
+// granted all that it might, as late as it might: most of what it granted
+// evenly, and the rest at last. What an organisation has left then it may have at
+// once: callers come back together after the loss of many VMs.
+func (srv *Server) assume(acc *account, organisation string) {
+	left := srv.allowed(acc.limit)
+	if !srv.before.Has(organisation) {
+		left = srv.part(acc.limit, assumedShare)
+	}
+	if !srv.before.All {
+		left -= srv.terms.opening(srv.allowed(acc.limit))
+	}
+	acc.ready = min(acc.limit.Burst, srv.allowed(acc.limit)-left)
 	each := srv.yield(acc.limit, startShare) / slotCount
-	for num := range acc.slots {
-		acc.slots[num] = each
+	last := srv.allowed(acc.limit) - each*(slotCount-1)
+	for num := range slotCount {
+		slot := (keptSlots - num) % keptSlots // The newest slot is the first.
+		acc.slots[slot] = min(left, last)
+		left -= acc.slots[slot]
+		acc.sum += acc.slots[slot]
+		last = each
 	}
-	acc.sum = each * slotCount
-	acc.add(srv.allowed(acc.limit) - acc.sum)
 }
 
 func (acc *account) add(tok rate.Tokens) {
-	acc.slots[acc.slot%slotCount] += tok
+	acc.slots[acc.slot%keptSlots] += tok
 	acc.sum += tok
 }
 
 // advance empties the slots that have left the window.
 func (acc *account) advance(slot int64) {
-	if slot-acc.slot >= slotCount {
-		acc.slots, acc.sum, acc.slot = [slotCount]rate.Tokens{}, 0, slot
+	if slot-acc.slot >= keptSlots {
+		acc.slots, acc.sum, acc.slot = [keptSlots]rate.Tokens{}, 0, slot
 		return
 	}
 	for acc.slot < slot {
 		acc.slot++
-		at := acc.slot % slotCount
+		at := acc.slot % keptSlots
 		acc.sum -= acc.slots[at]
 		acc.slots[at] = 0
 	}
--- a/lugd/pkg/driver/fleet_test.go
+++ b/lugd/pkg/driver/fleet_test.go
@@ -18,6 +18,7 @@
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/member"
+	"marigoldlug.example/core/quota"
 	"marigoldlug.example/core/registry"
 	"marigoldlug.example/core/table"
 )
@@ -201,7 +202,7 @@
 		name := fmt.Sprintf("vm-%d", num+1)
 		self := member.VM{ID: name + ".r", Address: name, FailureDomain: fmt.Sprintf("domain-%d", num%3+1), Capacity: 1}
 		set := gateway.Settings{Name: name, Self: self, Terms: gateway.Terms{
-			RevokeTime: 5 * time.Second, RetryShare: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second, QuotaWindow: 5 * time.Second,
+			RevokeTime: 5 * time.Second, RetryShare: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second, Quota: quota.Terms{Window: 5 * time.Second, Excess: 0.1, Slack: 20},
 		}}
 		dri := New(ctx, set, sto, newClock(func() time.Duration { return 0 }), noTally{}, log, 0)
 		dri.mac = gateway.New(set, rand.New(rand.NewPCG(uint64(num), 1)))
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -20,6 +20,7 @@
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/member"
+	"marigoldlug.example/core/quota"
 	"marigoldlug.example/lugd/pkg/certificate"
 	"marigoldlug.example/lugd/pkg/driver"
 	"marigoldlug.example/lugd/pkg/header"
@@ -126,7 +127,8 @@
 
 func terms(set Settings) gateway.Terms {
 	return gateway.Terms{
-		RevokeTime: set.RevokeTime, RetryShare: set.RetryShare, RetryExtra: set.RetryExtra, RetryWindow: set.RetryWindow, QuotaWindow: set.QuotaWindow,
+		RevokeTime: set.RevokeTime, RetryShare: set.RetryShare, RetryExtra: set.RetryExtra, RetryWindow: set.RetryWindow,
+		Quota: quota.Terms{Window: set.QuotaWindow, Excess: set.QuotaExcess, Slack: set.QuotaSlack},
 	}
 }
 
--- a/lugd/pkg/edge/settings.go
+++ b/lugd/pkg/edge/settings.go
@@ -47,6 +47,11 @@
 	// QuotaWindow is the time over which the rate and burst of organisations
 	// are counted.
 	QuotaWindow time.Duration
+	// QuotaExcess and QuotaSlack are what organisations may get beyond that in a
+	// window, as a share and as a number of requests, where VMs are lost or cut
+	// off.
+	QuotaExcess float64
+	QuotaSlack  float64
 	// StopTime is how long a planned stop may take.
 	StopTime time.Duration
 	// BalancerLag is how long the balancer takes to notice that a VM is not
@@ -76,6 +81,8 @@
 		RetryExtra:     20,
 		RetryWindow:    10 * time.Second,
 		QuotaWindow:    5 * time.Second,
+		QuotaExcess:    0.1,
+		QuotaSlack:     20,
 		StopTime:       10 * time.Second,
 		BalancerLag:    2200 * time.Millisecond,
 		HeaderBytes:    16 << 10,
@@ -155,6 +162,9 @@
 	if set.RetryShare < 0 || set.RetryExtra < 0 {
 		errs = append(errs, fmt.Errorf("retry-share: %v and retry-extra, %v, must not be negative", set.RetryShare, set.RetryExtra))
 	}
+	if set.QuotaExcess < 0 || set.QuotaSlack < 0 {
+		errs = append(errs, fmt.Errorf("quota-excess: %v and quota-slack, %v, must not be negative", set.QuotaExcess, set.QuotaSlack))
+	}
 	if set.HeaderBytes < 1<<10 || set.BodyBytes < 0 || set.MemoryMiB < 16 {
 		errs = append(errs, errors.New("max-header-bytes: the bounds of sizes are too low"))
 	}
@@ -237,6 +247,8 @@
 		number("retry-extra", "retries that the fleet may make beside retry-share in a retry-window", &set.RetryExtra),
 		duration("retry-window", "time over which retries are counted", &set.RetryWindow),
 		duration("quota-window", "time over which the rate and burst of organisations are counted", &set.QuotaWindow),
+		number("quota-excess", "what organisations may get beyond their limit in a quota-window where VMs are lost, as a share of it", &set.QuotaExcess),
+		number("quota-slack", "requests that organisations may get beside quota-excess in a quota-window", &set.QuotaSlack),
 		duration("stop-time", "how long a planned stop may take", &set.StopTime),
 		duration("balancer-lag", "time that the balancer takes to notice that a VM is not ready", &set.BalancerLag),
 		whole("max-header-bytes", "greatest size of the head of a request", &set.HeaderBytes),
--- a/lugd/pkg/peer/codec_test.go
+++ b/lugd/pkg/peer/codec_test.go
@@ -46,7 +46,7 @@
 		gateway.News{
 			Number: 1, Ages: gateway.Ages{Config: 1, Targets: 2, Fleet: 3, Contact: 4}, Version: 7, Config: gateway.NewConfig(7, content),
 			Targets: table.Delta[registry.Entry]{Whole: true, Since: 1, Revision: 2, Rows: []table.Row[registry.Entry]{{Name: "t", Revision: 2, Value: entry}}, Removed: []string{"u"}},
-			Fleet:   table.Delta[fleet.Row]{Since: 1, Revision: 2, Rows: []table.Row[fleet.Row]{{Name: "f", Revision: 2, Value: fleet.Row{VM: vmm, Name: "vm-1", Holder: "h", Released: true}}}},
+			Fleet:   table.Delta[fleet.Row]{Since: 1, Revision: 2, Rows: []table.Row[fleet.Row]{{Name: "f", Revision: 2, Value: fleet.Row{VM: vmm, Name: "vm-1", Holder: "h", Released: true, Busy: quota.Busy{Names: []string{"org"}}}}}},
 		},
 		gateway.News{Version: 8, Patch: &gateway.Patch{Base: 7, Version: 8, Change: config.Patch{
 			Changed: content, Organisations: []string{"p"}, Keys: []config.Digest{config.DigestOf("old")}, Routes: []string{"q"}, Services: []string{"u"},
--- a/lugd/pkg/peer/gateway.go
+++ b/lugd/pkg/peer/gateway.go
@@ -150,8 +150,13 @@
 	wrt.text(row.Name)
 	wrt.text(row.Holder)
 	wrt.boolean(row.Released)
+	wrt.boolean(row.Busy.All)
+	wrt.texts(row.Busy.Names)
 }
 
 func (rdr *reader) fleetRow() fleet.Row {
-	return fleet.Row{VM: rdr.vm(), Name: rdr.text(), Holder: rdr.text(), Released: rdr.boolean()}
+	return fleet.Row{
+		VM: rdr.vm(), Name: rdr.text(), Holder: rdr.text(), Released: rdr.boolean(),
+		Busy: quota.Busy{All: rdr.boolean(), Names: rdr.texts()},
+	}
 }
--- a/lugd/pkg/target/exchange.go
+++ b/lugd/pkg/target/exchange.go
@@ -114,12 +114,12 @@
 
 // sending returns how the sending of the request ended. It is not done where the
 // writer still waits for the caller's body; the head has been sent then.
-func (exc *exchange) sending() (err error, done bool) {
+func (exc *exchange) sending() (done bool, err error) {
 	select {
 	case err := <-exc.written:
-		return err, true
+		return true, err
 	case <-time.After(writerTime):
-		return nil, false
+		return false, nil
 	}
 }
 
@@ -129,7 +129,7 @@
 	exc.stop()
 	exc.cancel()
 	_ = exc.con.Close()
-	if werr, done := exc.sending(); done && werr != nil && exc.con.sent == 0 {
+	if done, werr := exc.sending(); done && werr != nil && exc.con.sent == 0 {
 		return &Error{Verdict: verdict.NotRun, Outcome: health.Failure, Err: fmt.Errorf("cannot send to target %s: %w", exc.con.address, werr)}
 	}
 	outcome := health.Failure
@@ -173,7 +173,7 @@
 	exc := bod.exchange
 	kept := false
 	if bod.whole && bod.reusable && exc.stop() {
-		err, done := exc.sending()
+		done, err := exc.sending()
 		kept = done && err == nil
 	}
 	if kept && exc.con.SetReadDeadline(time.Time{}) == nil {
