Send requests that may be repeated to a second target beside the first

The first attempt now goes on while a second one runs, from 0.8 deviations on (four fifths of sound answers have come by then), and the first answer is passed on; the other is cancelled at its target at once. A second attempt takes a free slot only and no place in a queue, and comes out of the fleet's budget only if there is a target for it; until now the budget was charged before. An attempt that fails while another runs ends nothing. Requests that cannot be repeated are sent as before. That an answer came while a target was asked for could send the request once more; such asks are now forgotten.

--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -121,7 +121,8 @@
 // Action is something that the driver is to do.
 type Action interface{ action() }
 
-// Dispatch sends a request to a target, and cancels the attempt before it.
+// Dispatch sends a request to a target. Earlier attempts go on unless they are
+// dropped.
 type Dispatch struct {
 	Request request.ID
 	// Attempt numbers the attempts of the request from 1.
@@ -139,6 +140,12 @@
 	Organisation string
 }
 
+// Drop ends an attempt of a request that goes on, and frees its answer.
+type Drop struct {
+	Request request.ID
+	Attempt int
+}
+
 // Relay passes the answer of an attempt to the caller.
 type Relay struct {
 	Request request.ID
@@ -187,6 +194,7 @@
 }
 
 func (Dispatch) action()   {}
+func (Drop) action()       {}
 func (Relay) action()      {}
 func (Refuse) action()     {}
 func (SetReading) action() {}
--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -19,6 +19,8 @@
 	minAttemptTime = 10 * time.Millisecond
 	// maxAttempts bounds the targets that one request is sent to.
 	maxAttempts = 6
+	// maxLive bounds the attempts of a request that are under way at a time.
+	maxLive = 2
 	// hurryPause is how long a request waits for its target where it could not
 	// be sent to another.
 	hurryPause = 200 * time.Millisecond
@@ -45,20 +47,17 @@
 	attempt  int
 	// placing is set while a target is asked for: by the ask with a number, sent
 	// at asked for a target of askedPart.
-	placing   bool
+	placing bool
+	// hedging is set where that is for an attempt beside another.
+	hedging   bool
 	ask       uint64
 	asked     clock.Instant
 	askedPart *part
 	// tried lists the targets not to try again.
-	tried  []string
-	target health.Target
-	// part is that of the target, ticket the number of the attempt there, and
-	// placer the VM that chose it, or empty.
-	part   *part
-	ticket uint64
-	placer string
-	began  clock.Instant
-	// patient is until when the attempt under way is waited for, if the request
+	tried []string
+	// live has the attempts under way, the oldest first, maxLive at most.
+	live []*attempt
+	// patient is until when the attempts under way are waited for, if the request
 	// may be repeated.
 	patient clock.Instant
 	// kept is the attempt of which it was noted that no other replaced it.
@@ -66,16 +65,29 @@
 	// sent counts the attempts that reached a target, and runs those of them
 	// that the target may have run.
 	sent, runs int
-	// running is set while an attempt is under way.
-	running bool
-	// answering is set once an answer is passed to the caller, and outcome is
-	// what that says of the target.
+	// answering is set once an answer is passed to the caller; its attempt is the
+	// only live one then, and outcome is what that says of the target.
 	answering bool
 	outcome   health.Outcome
 	// verdict is the worst of the attempts that ended.
 	verdict verdict.Verdict
 }
 
+// attempt is a request at a target.
+type attempt struct {
+	number int
+	target health.Target
+	// part is that of the target, ticket the number of the attempt there, and
+	// placer the VM that chose it, or empty.
+	part   *part
+	ticket uint64
+	placer string
+	began  clock.Instant
+}
+
+// running reports whether an attempt is under way.
+func (fli *flight) running() bool { return len(fli.live) > 0 }
+
 func (mac *Machine) arrived(now clock.Instant, req request.Request) {
 	fli, ref := mac.admit(now, req)
 	if ref != nil {
@@ -197,7 +209,7 @@
 // the verdict: only a request that has not run may be said to be refused.
 func (mac *Machine) refuse(fli *flight, ref request.Refusal) {
 	ref.Verdict = fli.verdict
-	if fli.running {
+	if fli.running() {
 		ref.Verdict = ref.Verdict.Worse(verdict.MayHaveRun)
 	}
 	failed := ref.Reason == request.TargetFailed || ref.Reason == request.TimedOut
@@ -230,43 +242,42 @@
 	switch {
 	case ref == nil:
 		mac.place(now, fli)
-	case fli.running:
+	case fli.running():
 		mac.keepAttempt(now, fli, string(ref.Reason))
 	default:
 		mac.refuse(fli, *ref)
 	}
 }
 
-// keepAttempt goes on with the attempt under way, which was to be replaced.
+// keepAttempt goes on with the attempts under way, beside which there was to be
+// another.
 func (mac *Machine) keepAttempt(now clock.Instant, fli *flight, reason string) {
 	fli.patient = now.Add(hurryPause)
 	if fli.kept == fli.attempt {
 		return
 	}
 	fli.kept = fli.attempt
+	last := fli.live[len(fli.live)-1]
 	mac.do(Note{Request: fli.ID, Event: "notSentAgain", Fields: []any{
-		"attempt", fli.attempt, "target", fli.target.ID, "reason", reason, "after", now.Since(fli.began),
+		"attempt", last.number, "target", last.target.ID, "reason", reason, "after", now.Since(last.began),
 	}})
 }
 
-// dispatch sends a request to the target that was chosen, in place of the
-// attempt under way, if any.
+// dispatch sends a request to the target that was chosen, beside the attempt
+// under way, if any.
 func (mac *Machine) dispatch(now clock.Instant, fli *flight, tgt health.Target, ans placement.Answer, placer string) {
-	if fli.running {
-		mac.endAttempt(now, fli, health.Overdue)
-		fli.verdict = fli.verdict.Worse(verdict.MayHaveRun)
-		fli.runs++
+	if len(fli.live) == maxLive {
+		mac.drop(now, fli, fli.live[0], health.Overdue)
 	}
 	left := fli.deadline.Mono - now.Mono
 	fli.attempt++
-	fli.target, fli.part, fli.ticket, fli.placer = tgt, fli.askedPart, fli.ask, placer
-	fli.running = true
-	fli.began = now
+	beside := len(fli.live)
+	fli.live = append(fli.live, &attempt{number: fli.attempt, target: tgt, part: fli.askedPart, ticket: fli.ask, placer: placer, began: now})
 	fli.patient = now.Add(ans.Patience)
 	fli.sent++
 	fli.tried = append(fli.tried, tgt.ID)
 	mac.do(Note{Request: fli.ID, Event: "dispatched", Fields: []any{
-		"attempt", fli.attempt, "target", tgt.ID, "route", fli.route.Name, "left", left, "placer", placer, "version", mac.version(),
+		"attempt", fli.attempt, "target", tgt.ID, "route", fli.route.Name, "left", left, "placer", placer, "beside", beside, "version", mac.version(),
 	}})
 	mac.do(Dispatch{
 		Request: fli.ID, Attempt: fli.attempt, Target: tgt, Service: fli.service, Timeout: left, Idempotent: fli.route.Idempotent,
@@ -279,41 +290,50 @@
 	return max(tgt.Connections/max(mac.fleet.View().Size(), 1), 1)
 }
 
-// current returns the flight whose attempt under way is the given one.
-func (mac *Machine) current(id request.ID, attempt int) *flight {
+// current returns the flight and its attempt with a number, or nil where that is
+// not under way.
+func (mac *Machine) current(id request.ID, number int) (*flight, *attempt) {
 	fli := mac.flights[id]
-	if fli == nil || !fli.running || fli.answering || fli.attempt != attempt {
-		return nil
+	if fli == nil || fli.answering {
+		return nil, nil
 	}
-	return fli
+	at := slices.IndexFunc(fli.live, func(att *attempt) bool { return att.number == number })
+	if at < 0 {
+		return nil, nil
+	}
+	return fli, fli.live[at]
 }
 
 func (mac *Machine) answered(now clock.Instant, evt Answered) {
-	fli := mac.current(evt.Request, evt.Attempt)
+	fli, att := mac.current(evt.Request, evt.Attempt)
 	if fli == nil {
 		return
 	}
 	ans := evt.Answer
 	if ans.Stranger {
-		mac.stranger(fli)
+		mac.stranger(att)
 	}
 	if ans.Shed || ans.Stranger {
 		outcome := health.Shed
 		if ans.Stranger {
 			outcome = health.Canceled
 		}
-		mac.wasShed(now, fli, outcome)
+		mac.wasShed(now, fli, att, outcome)
 		return
 	}
 	failed := ans.Status >= 500
-	if failed && fli.route.Idempotent && mac.mayRepeat(now, fli, verdict.MayHaveRun) {
-		mac.endAttempt(now, fli, health.Erred)
-		fli.verdict = fli.verdict.Worse(verdict.MayHaveRun)
-		fli.runs++
-		mac.next(now, fli, "the target failed")
+	if failed && fli.route.Idempotent && (len(fli.live) > 1 || mac.mayRepeat(now, fli)) {
+		mac.drop(now, fli, att, health.Erred)
+		mac.goOn(now, fli, "the target failed")
 		return
 	}
+	for _, other := range slices.Clone(fli.live) {
+		if other != att {
+			mac.drop(now, fli, other, health.Overdue)
+		}
+	}
 	fli.answering = true
+	mac.stopPlacing(fli)
 	fli.verdict = verdict.Answered
 	outcome := health.Success
 	if failed {
@@ -321,91 +341,108 @@
 	}
 	fli.outcome = outcome
 	mac.do(Note{Request: fli.ID, Event: "answered", Fields: []any{
-		"attempt", fli.attempt, "target", fli.target.ID, "status", ans.Status, "after", now.Since(fli.arrived),
+		"attempt", att.number, "target", att.target.ID, "status", ans.Status, "after", now.Since(fli.arrived),
 	}})
-	mac.do(Relay{Request: fli.ID, Attempt: fli.attempt})
+	mac.do(Relay{Request: fli.ID, Attempt: att.number})
 }
 
 // stranger notes that the target is no longer at its address.
-func (mac *Machine) stranger(fli *flight) {
-	mac.note("stranger", "target", fli.target.ID, "address", fli.target.Address)
-	fli.part.local.Stranger(fli.target.ID)
-	if fli.part.central != nil {
-		fli.part.central.Stranger(fli.target.ID)
+func (mac *Machine) stranger(att *attempt) {
+	mac.note("stranger", "target", att.target.ID, "address", att.target.Address)
+	att.part.local.Stranger(att.target.ID)
+	if att.part.central != nil {
+		att.part.central.Stranger(att.target.ID)
+	}
+}
+
+// goOn waits for the attempts that are left of a request, or has it placed anew.
+func (mac *Machine) goOn(now clock.Instant, fli *flight, detail string) {
+	if !fli.running() && !fli.placing {
+		mac.next(now, fli, detail)
 	}
 }
 
 // wasShed sends a request that its target refused to run to another target.
-func (mac *Machine) wasShed(now clock.Instant, fli *flight, outcome health.Outcome) {
-	mac.endAttempt(now, fli, outcome)
-	mac.do(Note{Request: fli.ID, Event: "shed", Fields: []any{"attempt", fli.attempt, "target", fli.target.ID}})
-	if mac.mayRepeat(now, fli, verdict.NotRun) {
-		mac.next(now, fli, "the targets are overloaded")
+func (mac *Machine) wasShed(now clock.Instant, fli *flight, att *attempt, outcome health.Outcome) {
+	mac.endAttempt(now, fli, att, outcome, verdict.NotRun)
+	mac.do(Drop{Request: fli.ID, Attempt: att.number})
+	mac.do(Note{Request: fli.ID, Event: "shed", Fields: []any{"attempt", att.number, "target", att.target.ID}})
+	if fli.running() || mac.mayRepeat(now, fli) {
+		mac.goOn(now, fli, "the targets are overloaded")
 		return
 	}
 	mac.refuse(fli, request.Refusal{Reason: request.Overloaded, Detail: "the targets are overloaded", RetryAfter: mac.usualReturn()})
 }
 
 func (mac *Machine) attemptFailed(now clock.Instant, evt AttemptFailed) {
-	fli := mac.current(evt.Request, evt.Attempt)
+	fli, att := mac.current(evt.Request, evt.Attempt)
 	if fli == nil {
 		return
 	}
 	if evt.Verdict == verdict.NotRun {
 		fli.sent-- // Nothing reached the target.
 	}
-	mac.endAttempt(now, fli, evt.Outcome)
+	mac.endAttempt(now, fli, att, evt.Outcome, evt.Verdict)
 	mac.do(Note{Request: fli.ID, Event: "attemptFailed", Fields: []any{
-		"attempt", fli.attempt, "target", fli.target.ID, "outcome", evt.Outcome, "verdict", evt.Verdict, "detail", evt.Detail,
+		"attempt", att.number, "target", att.target.ID, "outcome", evt.Outcome, "verdict", evt.Verdict, "detail", evt.Detail,
 	}})
 	reason := request.TargetFailed
 	if fli.deadline.Mono-now.Mono < minAttemptTime {
 		reason = request.TimedOut
 	}
 	// A request that its caller has given up gets no further attempt.
-	again := evt.Outcome != health.Canceled && (evt.Verdict == verdict.NotRun || fli.route.Idempotent) && mac.mayRepeat(now, fli, evt.Verdict)
-	fli.verdict = fli.verdict.Worse(evt.Verdict)
-	if evt.Verdict != verdict.NotRun {
-		fli.runs++
-	}
-	if again {
-		mac.next(now, fli, evt.Detail)
+	again := evt.Outcome != health.Canceled && (evt.Verdict == verdict.NotRun || fli.route.Idempotent) && mac.mayRepeat(now, fli)
+	if fli.running() || again {
+		mac.goOn(now, fli, evt.Detail)
 		return
 	}
 	mac.refuse(fli, request.Refusal{Reason: reason, Detail: evt.Detail})
 }
 
-// endAttempt closes the attempt under way.
-func (mac *Machine) endAttempt(now clock.Instant, fli *flight, outcome health.Outcome) {
-	fli.running = false
-	mac.reportEnd(now, fli.part, fli.ticket, fli.placer, outcome)
+// endAttempt closes an attempt with what it says of the target, and of the
+// request.
+func (mac *Machine) endAttempt(now clock.Instant, fli *flight, att *attempt, outcome health.Outcome, ver verdict.Verdict) {
+	fli.live = slices.DeleteFunc(fli.live, func(one *attempt) bool { return one == att })
+	fli.verdict = fli.verdict.Worse(ver)
+	if ver != verdict.NotRun {
+		fli.runs++
+	}
+	mac.reportEnd(now, att.part, att.ticket, att.placer, outcome)
 }
 
-// mayRepeat reports whether a request may be sent to another target after an
-// attempt with a verdict.
-func (mac *Machine) mayRepeat(now clock.Instant, fli *flight, ver verdict.Verdict) bool {
-	runs := fli.runs
-	if ver != verdict.NotRun {
-		runs++
+// drop ends an attempt of a request that goes on.
+func (mac *Machine) drop(now clock.Instant, fli *flight, att *attempt, outcome health.Outcome) {
+	mac.endAttempt(now, fli, att, outcome, verdict.MayHaveRun)
+	mac.do(Drop{Request: fli.ID, Attempt: att.number})
+}
+
+// endAll closes the attempts of a request that ends.
+func (mac *Machine) endAll(now clock.Instant, fli *flight, outcome health.Outcome) {
+	for _, att := range slices.Clone(fli.live) {
+		mac.endAttempt(now, fli, att, outcome, verdict.MayHaveRun)
 	}
+}
+
+// mayRepeat reports whether a request may be sent to a further target.
+func (mac *Machine) mayRepeat(now clock.Instant, fli *flight) bool {
+	runs := fli.runs + len(fli.live)
 	return runs < fli.route.MaxAttempts && fli.attempt < maxAttempts && fli.deadline.Mono-now.Mono >= minAttemptTime
 }
 
-// hurry sends idempotent requests whose targets take far too long to others,
-// and ends those whose time is over.
+// hurry sends idempotent requests whose targets take far too long to others as
+// well, and ends those whose time is over.
 func (mac *Machine) hurry(now clock.Instant) {
 	for _, id := range sortedFlights(mac.flights) {
 		fli := mac.flights[id]
-		if !fli.running || fli.answering {
+		if !fli.running() || fli.answering {
 			continue
 		}
 		if !now.Before(fli.deadline) {
-			mac.endAttempt(now, fli, health.Overdue)
-			fli.verdict = fli.verdict.Worse(verdict.MayHaveRun)
+			mac.endAll(now, fli, health.Overdue)
 			mac.refuse(fli, request.Refusal{Reason: request.TimedOut, Detail: "the target did not answer in time"})
 			continue
 		}
-		if fli.route.Idempotent && !fli.placing && !now.Before(fli.patient) && mac.mayRepeat(now, fli, verdict.MayHaveRun) {
+		if fli.route.Idempotent && !fli.placing && !now.Before(fli.patient) && mac.mayRepeat(now, fli) {
 			mac.next(now, fli, "the target did not answer in time")
 		}
 	}
@@ -429,7 +466,7 @@
 	if outcome == health.Success {
 		outcome = fli.outcome
 	}
-	mac.endAttempt(now, fli, outcome)
+	mac.endAll(now, fli, outcome)
 	delete(mac.flights, fli.ID)
 }
 
@@ -438,9 +475,7 @@
 	if fli == nil {
 		return
 	}
-	if fli.running {
-		mac.endAttempt(now, fli, health.Canceled)
-	}
+	mac.endAll(now, fli, health.Canceled)
 	mac.do(Note{Request: id, Event: "callerLeft", Fields: []any{"attempt", fli.attempt, "after", now.Since(fli.arrived)}})
 	mac.forget(fli)
 }
@@ -448,6 +483,6 @@
 // forget drops a request and what is awaited for it.
 func (mac *Machine) forget(fli *flight) {
 	mac.tokens.Cancel(fli.organisation, uint64(fli.ID))
-	delete(mac.asks, fli.ask)
+	mac.stopPlacing(fli)
 	delete(mac.flights, fli.ID)
 }
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -16,7 +16,6 @@
 	"marigoldlug.example/core/rate"
 	"marigoldlug.example/core/registry"
 	"marigoldlug.example/core/request"
-	"marigoldlug.example/core/verdict"
 )
 
 // TickInterval is how often the driver delivers Ticked.
@@ -305,10 +304,7 @@
 		if fli.answering {
 			continue
 		}
-		if fli.running {
-			mac.endAttempt(now, fli, health.Canceled)
-			fli.verdict = fli.verdict.Worse(verdict.MayHaveRun)
-		}
+		mac.endAll(now, fli, health.Canceled)
 		mac.refuse(fli, request.Refusal{Reason: request.TimedOut, Detail: "the VM stops and the target has not answered", RetryAfter: mac.usualReturn()})
 	}
 }
--- a/core/gateway/machine_test.go
+++ b/core/gateway/machine_test.go
@@ -284,6 +284,59 @@
 	}
 }
 
+// drops returns the numbers of the attempts that are ended while their request
+// goes on.
+func drops(acts []Action) (out []int) {
+	for _, act := range acts {
+		if dro, ok := act.(Drop); ok {
+			out = append(out, dro.Attempt)
+		}
+	}
+	return out
+}
+
+// TestSecondAttemptsRunBesideTheFirst lets reads take long, so that each is sent
+// to a second target too, and ends the attempts in different orders.
+func TestSecondAttemptsRunBesideTheFirst(t *testing.T) {
+	vmm := newVM(t).load()
+	both := func() (first, second Dispatch) {
+		first = vmm.mustDispatch(vmm.arrive("/read/x", key))
+		acts := vmm.pass(1200 * time.Millisecond)
+		second = vmm.mustDispatch(acts)
+		if ended := drops(acts); len(ended) > 0 || second.Request != first.Request || second.Target.ID == first.Target.ID {
+			t.Fatalf("after %+v got %+v, dropped %v", first, second, ended)
+		}
+		return first, second
+	}
+	first, second := both()
+	acts := vmm.step(Answered{Request: first.Request, Attempt: first.Attempt, Answer: Answer{Status: 200}})
+	if got := drops(acts); len(got) != 1 || got[0] != second.Attempt {
+		t.Errorf("once the first target answered %v were dropped", got)
+	}
+	vmm.step(RelayEnded{Request: first.Request, Outcome: health.Success})
+
+	first, second = both()
+	acts = vmm.step(AttemptFailed{Request: first.Request, Attempt: first.Attempt, Outcome: health.Failure, Verdict: verdict.MayHaveRun})
+	if ref, ended := refused(acts); ended {
+		t.Errorf("refused while the second target runs the request: %+v", ref)
+	}
+	acts = vmm.step(Answered{Request: second.Request, Attempt: second.Attempt, Answer: Answer{Status: 200}})
+	if rel, ok := acts[len(acts)-1].(Relay); !ok || rel.Attempt != second.Attempt {
+		t.Errorf("got %+v", acts)
+	}
+	vmm.step(RelayEnded{Request: second.Request, Outcome: health.Success})
+
+	first, second = both()
+	acts = vmm.step(Answered{Request: second.Request, Attempt: second.Attempt, Answer: Answer{Status: 500}})
+	if got := drops(acts); len(got) != 1 || got[0] != second.Attempt {
+		t.Errorf("once the second target failed %v were dropped", got)
+	}
+	vmm.step(CallerLeft{Request: first.Request})
+	if vmm.mac.Flights() != 0 {
+		t.Errorf("%d requests are left", vmm.mac.Flights())
+	}
+}
+
 func TestSplitFollowsTheWeights(t *testing.T) {
 	vmm := newVM(t).load()
 	cnt := make(map[string]int)
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -133,14 +133,16 @@
 	var list []placement.Running
 	for _, id := range sortedFlights(mac.flights) {
 		fli := mac.flights[id]
-		if !fli.running || fli.part != par {
-			continue
+		for _, att := range fli.live {
+			if att.part != par {
+				continue
+			}
+			att.placer = par.owner
+			list = append(list, placement.Running{
+				Service: par.service, Part: par.number, Number: att.ticket, Target: att.target.ID, Route: fli.route.Name,
+				Age: now.Since(att.began), Left: max(fli.deadline.Mono-now.Mono, 0),
+			})
 		}
-		fli.placer = par.owner
-		list = append(list, placement.Running{
-			Service: par.service, Part: par.number, Number: fli.ticket, Target: fli.target.ID, Route: fli.route.Name,
-			Age: now.Since(fli.began), Left: max(fli.deadline.Mono-now.Mono, 0),
-		})
 	}
 	if len(list) > 0 && par.owner != "" {
 		mac.send(now, par.owner, placement.Open{List: list})
@@ -221,7 +223,7 @@
 	}
 	par := mac.choosePart(svc)
 	mac.number++
-	fli.placing, fli.ask, fli.asked, fli.askedPart = true, mac.number, now, par
+	fli.placing, fli.ask, fli.asked, fli.askedPart, fli.hedging = true, mac.number, now, par, fli.running()
 	if par.owner == "" || now.Before(par.muted) {
 		mac.placeAlone(now, fli)
 		return
@@ -250,7 +252,7 @@
 
 func (mac *Machine) wish(now clock.Instant, fli *flight) placement.Wish {
 	return placement.Wish{
-		Route: fli.route.Name, Domain: mac.set.Self.FailureDomain, Idempotent: fli.route.Idempotent, Again: fli.sent > 0,
+		Route: fli.route.Name, Domain: mac.set.Self.FailureDomain, Idempotent: fli.route.Idempotent, Again: fli.sent > 0, Hedge: fli.hedging,
 		Aim: max(fli.aim.Mono-now.Mono, 0), Left: max(fli.deadline.Mono-now.Mono, 0), Tried: slices.Clone(fli.tried),
 		Rank: int(fli.priority),
 	}
@@ -311,12 +313,23 @@
 	mac.dispatch(now, fli, tgt, ans, placer)
 }
 
+// stopPlacing forgets the ask for a target, if one is under way. What is
+// answered to it is then given back.
+func (mac *Machine) stopPlacing(fli *flight) {
+	fli.placing = false
+	delete(mac.asks, fli.ask)
+}
+
 // unplaced decides on a request for which there is no target now.
 func (mac *Machine) unplaced(now clock.Instant, fli *flight, ans placement.Answer) {
-	if fli.running {
+	if fli.running() {
 		mac.keepAttempt(now, fli, string(ans.Reason))
 		return
 	}
+	if fli.hedging && mac.mayRepeat(now, fli) {
+		mac.next(now, fli, "no target has room") // The attempt beside it has ended.
+		return
+	}
 	ref := request.Refusal{Reason: request.Overloaded, RetryAfter: ans.RetryAfter, Detail: "the targets have no room in time"}
 	switch {
 	case ans.Reason == placement.NoTarget && fli.attempt > 0:
--- a/core/placement/latency.go
+++ b/core/placement/latency.go
@@ -21,10 +21,12 @@
 	// lostShare is the part of requests of sound targets that are never
 	// answered.
 	lostShare = 0.001
-	// The deviations above the usual time until which an answer is waited for, as
-	// long as the target seems sound and where it does not, and those for which
-	// time is left if a request is sent again.
+	// The deviations above the usual time until which an answer is waited for: of
+	// a second attempt, or where little is known; of a first one; and of one that
+	// tries a target that is likely sick. spareDevs are those for which time is
+	// left if a request is sent again.
 	patienceDevs = 2.3
+	hedgeDevs    = 0.8
 	trialDevs    = 0.5
 	spareDevs    = 1.3
 	// aimPart is the part of its aim that a request of an unknown route is
@@ -110,13 +112,17 @@
 	return max(left-lat.after(spareDevs, 1), left/2)
 }
 
-// patience returns the time that few requests of sound targets exceed.
-func (lat *latency) patience(slower float64) time.Duration { return lat.after(patienceDevs, slower) }
-
-// trialPatience returns the time that most requests do not exceed. Those that
-// try a target that is likely sick are not waited for longer.
-func (lat *latency) trialPatience(slower float64) time.Duration {
-	return lat.after(trialDevs, slower)
+// patience returns how long the answer of a request is waited for until another
+// target is sent it too: longer than most take, but not than they do at a target
+// that is likely sick, which a trial shows.
+func (lat *latency) patience(wis Wish, slower float64, trial bool) time.Duration {
+	switch {
+	case !lat.known() || wis.Again:
+		return lat.after(patienceDevs, slower)
+	case trial:
+		return lat.after(trialDevs, slower)
+	}
+	return lat.after(hedgeDevs, slower)
 }
 
 // after returns the time that lies a number of deviations above the usual one.
--- a/core/placement/message.go
+++ b/core/placement/message.go
@@ -20,8 +20,9 @@
 	// Domain is the failure domain from which the request is sent.
 	Domain     string
 	Idempotent bool
-	// Again is set where the request was sent to a target before.
-	Again bool
+	// Again is set where the request was sent to a target before, and Hedge where
+	// it still runs there.
+	Again, Hedge bool
 	// Aim is the time left in which an answer is of full use, and Left that in
 	// which it is of any.
 	Aim, Left time.Duration
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -196,31 +196,26 @@
 
 // Place chooses a target and counts the attempt, or says why there is none.
 func (pla *Placer) Place(now clock.Instant, tic Ticket, wis Wish) Answer {
-	if wis.Again {
-		if !pla.budget.Withdraw(now) {
-			return Answer{Number: tic.Number, Reason: NoRetry}
-		}
-	} else {
+	if !wis.Again {
 		pla.budget.Deposit(now)
 	}
 	lat := pla.latency(wis.Route, wis.Aim)
 	best, shortest := pla.choose(now, tic.VM, wis, lat)
 	switch {
+	case best.target != nil && wis.Again && !pla.budget.Withdraw(now):
+		return Answer{Number: tic.Number, Reason: NoRetry}
 	case best.target == nil && shortest < 0:
 		return Answer{Number: tic.Number, Reason: NoTarget}
 	case best.target == nil:
 		return Answer{Number: tic.Number, Reason: NoRoom, RetryAfter: max(shortest, time.Millisecond)}
 	}
 	tgt := best.target
-	patience, trial := lat.patience(tgt.pace(now)), tgt.suspected && len(tgt.running) == 0
-	if trial && lat.known() {
-		patience = lat.trialPatience(tgt.pace(now))
-	}
+	trial := tgt.suspected && len(tgt.running) == 0
 	pla.begin(now, &attempt{
 		ticket: tic, target: tgt, route: wis.Route, idempotent: wis.Idempotent, began: now, deadline: now.Add(wis.Left), wait: best.wait,
 		trial: trial,
 	})
-	return Answer{Number: tic.Number, Target: tgt.ID, Patience: min(best.wait+patience, lat.spare(wis.Left))}
+	return Answer{Number: tic.Number, Target: tgt.ID, Patience: min(best.wait+lat.patience(wis, tgt.pace(now), trial), lat.spare(wis.Left))}
 }
 
 func (pla *Placer) begin(now clock.Instant, att *attempt) {
@@ -239,6 +234,9 @@
 			continue
 		}
 		wait := tgt.wait(now, lat)
+		if wis.Hedge && wait > 0 {
+			continue // A second attempt beside the first takes no place that others need.
+		}
 		usual := time.Duration(float64(lat.usual()) * tgt.pace(now))
 		if len(tgt.running) >= tgt.room(wis.Rank) || lat.known() && lat.outlasts(wis.Left-wait, tgt.pace(now)) > hopeless {
 			if over := max(wait+usual-wis.Left, usual/time.Duration(max(tgt.Slots, 1))); shortest < 0 || over < shortest {
--- a/core/placement/placer_test.go
+++ b/core/placement/placer_test.go
@@ -66,12 +66,17 @@
 	next uint64
 
 	sent, lost, lostCareful, refused, late int
+	// repeated has those that can be repeated and were sent as often as needed,
+	// and inAim those of them that were answered within their aim.
+	repeated, inAim int
 }
 
 type playedEnd struct {
 	at      clock.Instant
 	ticket  Ticket
 	outcome health.Outcome
+	// then, if set, is called once the end is reported.
+	then func()
 }
 
 // targetCount is the number of targets that the tests play.
@@ -174,14 +179,21 @@
 			}
 		}
 		kept := ply.ends[:0]
+		var next []func()
 		for _, one := range ply.ends {
 			if ply.now.Before(one.at) {
 				kept = append(kept, one)
 				continue
 			}
 			ply.placer.Ended(ply.now, one.ticket, one.outcome)
+			if one.then != nil {
+				next = append(next, one.then)
+			}
 		}
 		ply.ends = kept
+		for _, then := range next {
+			then()
+		}
 		ply.placer.Tick(ply.now)
 		for count := perSecond * step.Seconds(); count > 0; count-- {
 			if ply.rnd.Float64() < count {
--- a/core/placement/trial_test.go
+++ b/core/placement/trial_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +12,109 @@
 	"marigoldlug.example/core/request"
 )
 
+// maxSends is the number of targets that a request that can be repeated is sent
+// to at most.
+const maxSends = 2
+
+// repeatable is a request that is sent to a second target where its answer does
+// not come, beside the first.
+type repeatable struct {
+	began    clock.Instant
+	tried    []string
+	answered bool
+	// ends free the slots of the attempts and report them.
+	ends []func()
+}
+
+// sendRepeatable places a request, and again as the placer says unless once is
+// set.
+func (ply *player) sendRepeatable(req *repeatable, once bool) {
+	ply.next++
+	tic := Ticket{VM: fmt.Sprintf("vm%02d", ply.rnd.IntN(48)), Number: ply.next}
+	passed := ply.now.Since(req.began)
+	again := len(req.tried) > 0
+	ans := ply.placer.Place(ply.now, tic, Wish{
+		Route: "reads", Domain: "a", Idempotent: true, Again: again, Hedge: again, Tried: req.tried,
+		Aim: max(ply.aim-passed, 0), Left: ply.deadline - passed,
+	})
+	if ans.Target == "" {
+		return
+	}
+	id := ans.Target
+	req.tried = append(req.tried, id)
+	ply.used[id] = ply.now
+	if until, sick := ply.sick[id]; sick && ply.now.Before(until) && ply.rnd.Float64() < 0.75 {
+		ply.ends = append(ply.ends, playedEnd{at: ply.now.Add(ply.deadline - passed), ticket: tic, outcome: health.Overdue})
+	} else {
+		end := ply.slotAt(id).Add(ply.lasts())
+		ply.busy[id] = append(ply.busy[id], end)
+		req.ends = append(req.ends, func() { ply.free(id, end) })
+		ply.ends = append(ply.ends, playedEnd{at: end, ticket: tic, outcome: health.Success, then: func() { ply.repeatableAnswered(req) }})
+	}
+	req.ends = append(req.ends, func() { ply.placer.Ended(ply.now, tic, health.Overdue) })
+	if once || len(req.tried) == maxSends {
+		return
+	}
+	ply.ends = append(ply.ends, playedEnd{at: ply.now.Add(ans.Patience), then: func() {
+		if !req.answered {
+			ply.sendRepeatable(req, once)
+		}
+	}})
+}
+
+// repeatableAnswered takes the first answer to a request, and ends the attempt
+// beside it.
+func (ply *player) repeatableAnswered(req *repeatable) {
+	if req.answered {
+		return
+	}
+	req.answered = true
+	if ply.now.Since(req.began) <= ply.aim {
+		ply.inAim++
+	}
+	for _, end := range req.ends {
+		end()
+	}
+}
+
+// free ends what runs at a target until end.
+func (ply *player) free(id string, end clock.Instant) {
+	at := slices.Index(ply.busy[id], end)
+	if at >= 0 && ply.now.Before(end) {
+		ply.busy[id][at] = ply.now
+	}
+}
+
+// TestSecondAttemptsServeCallers plays a service of long requests, all of which
+// can be repeated, while three tenths of its targets are sick: at a third of what
+// the targets can do, at a half, and at two thirds.
+func TestSecondAttemptsServeCallers(t *testing.T) {
+	const seeds = 6
+	for _, one := range []struct {
+		perSecond float64
+		// gain is by how much more requests are to be answered within their aim;
+		// below 0 it leaves room for the draw.
+		gain float64
+	}{{40, 0.05}, {60, 0.03}, {80, -0.01}} {
+		share := func(once bool) float64 {
+			sent, inAim := 0, 0
+			for seed := range uint64(seeds) {
+				ply := newPlayer(seed, lengthy)
+				ply.play(60*time.Second, one.perSecond, 0.3, func() string {
+					ply.repeated++
+					ply.sendRepeatable(&repeatable{began: ply.now}, once)
+					return ""
+				})
+				sent, inAim = sent+ply.repeated, inAim+ply.inAim
+			}
+			return float64(inAim) / float64(sent)
+		}
+		if once, twice := share(true), share(false); twice < once+one.gain {
+			t.Errorf("at %v a second %.3f were answered within their aim, %.3f without second attempts", one.perSecond, twice, once)
+		}
+	}
+}
+
 // TestTargetsThatStaySickAreTriedLess makes two of fifteen targets hang for half
 // a minute. Once they are sound they are used again before the users count them
 // as unused: within two seconds of the six after which they count as sound.
--- a/lugd/pkg/driver/driver.go
+++ b/lugd/pkg/driver/driver.go
@@ -18,9 +18,9 @@
 	"marigoldlug.example/lugd/pkg/peer"
 )
 
-// actionBuffer holds the actions of one request; an attempt yields one action
-// at a time.
-const actionBuffer = 8
+// actionBuffer holds the actions of one request that it has not carried out. An
+// event yields three at most, and few events come before those are.
+const actionBuffer = 32
 
 // transport sends messages to other VMs.
 type transport interface {
@@ -120,6 +120,8 @@
 	switch act := act.(type) {
 	case gateway.Dispatch:
 		dri.deliver(act.Request, act)
+	case gateway.Drop:
+		dri.deliver(act.Request, act)
 	case gateway.Relay:
 		dri.deliver(act.Request, act)
 	case gateway.Refuse:
--- a/lugd/pkg/http1/server_test.go
+++ b/lugd/pkg/http1/server_test.go
@@ -37,6 +37,19 @@
 	// seen has the requests that reached a target, in their order.
 	seen []string
 	left []request.ID
+	// canceled counts the attempts that were given up.
+	canceled int
+	// paths has the paths that targets have seen.
+	paths map[string]bool
+}
+
+// first reports whether a path is new to the targets.
+func (fks *fakes) first(path string) bool {
+	fks.mut.Lock()
+	defer fks.mut.Unlock()
+	was := fks.paths[path]
+	fks.paths[path] = true
+	return !was
 }
 
 // Begin dispatches every request but those below /refuse.
@@ -46,10 +59,16 @@
 	fks.next++
 	wai := make(chan gateway.Action, 8)
 	fks.waits[fks.next] = wai
-	if strings.HasPrefix(req.Path, "/refuse") {
+	dis := gateway.Dispatch{Request: fks.next, Attempt: 1, Timeout: 3 * time.Second, Organisation: "studio"}
+	switch {
+	case strings.HasPrefix(req.Path, "/refuse"):
 		wai <- gateway.Refuse{Request: fks.next, Refusal: request.Refusal{Reason: request.Overloaded, RetryAfter: 1500 * time.Millisecond}}
-	} else {
-		wai <- gateway.Dispatch{Request: fks.next, Attempt: 1, Timeout: 3 * time.Second, Organisation: "studio"}
+	case strings.HasPrefix(req.Path, "/twice"):
+		wai <- dis
+		dis.Attempt = 2
+		wai <- dis
+	default:
+		wai <- dis
 	}
 	return fks.next, wai
 }
@@ -60,6 +79,9 @@
 	defer fks.mut.Unlock()
 	switch evt := evt.(type) {
 	case gateway.Answered:
+		if evt.Attempt == 2 {
+			fks.waits[evt.Request] <- gateway.Drop{Request: evt.Request, Attempt: 1}
+		}
 		fks.waits[evt.Request] <- gateway.Relay{Request: evt.Request, Attempt: evt.Attempt}
 	case gateway.AttemptFailed:
 		fks.waits[evt.Request] <- gateway.Refuse{Request: evt.Request, Refusal: request.Refusal{Reason: request.TargetFailed, Verdict: evt.Verdict}}
@@ -104,6 +126,8 @@
 	fks.mut.Unlock()
 	pause := time.Duration(0)
 	switch {
+	case strings.HasPrefix(req.URL.Path, "/twice") && fks.first(req.URL.Path):
+		pause = time.Minute
 	case strings.HasPrefix(req.URL.Path, "/slow"):
 		pause = 200 * time.Millisecond
 	case strings.HasPrefix(req.URL.Path, "/hang"):
@@ -114,6 +138,9 @@
 	select {
 	case <-time.After(pause):
 	case <-ctx.Done():
+		fks.mut.Lock()
+		fks.canceled++
+		fks.mut.Unlock()
 		return nil, &target.Error{Verdict: verdict.MayHaveRun, Outcome: health.Canceled, Err: ctx.Err()}
 	}
 	held := []byte("answer to " + req.URL.Path)
@@ -138,7 +165,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	fks := &fakes{waits: make(map[request.ID]chan gateway.Action)}
+	fks := &fakes{waits: make(map[request.ID]chan gateway.Action), paths: make(map[string]bool)}
 	srv := New(Settings{
 		HeaderBytes: 4 << 10, BodyBytes: 1 << 10, HeaderTimeout: 150 * time.Millisecond, IdleTimeout: time.Second,
 		BodyTimeout: 150 * time.Millisecond, Memory: 1 << 20,
@@ -338,3 +365,28 @@
 		}
 	})
 }
+
+// TestAttemptsBesideEachOther sends a request to two targets, of which the first
+// hangs, and passes on what the second answers.
+func TestAttemptsBesideEachOther(t *testing.T) {
+	fix := newFixture(t)
+	fix.connect(t)
+	if _, err := io.WriteString(fix.con, "GET /twice HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	// Which of the two attempts comes first at the targets is left open; the
+	// fakes relay either.
+	if got := fix.read(1); !strings.HasPrefix(got, "200") {
+		t.Fatalf("got %q", got)
+	}
+	for range 100 {
+		fix.fks.mut.Lock()
+		canceled := fix.fks.canceled
+		fix.fks.mut.Unlock()
+		if canceled == 1 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("the other attempt goes on")
+}
--- a/lugd/pkg/http1/session.go
+++ b/lugd/pkg/http1/session.go
@@ -39,16 +39,20 @@
 	// waited is the time spent on attempts.
 	waited  time.Duration
 	results chan result
-	// cancel ends the attempt under way.
-	cancel context.CancelFunc
-	// answer is that of the attempt with the number attempt.
-	answer  *target.Answer
-	attempt int
-	route   string
+	// attempts has those under way and answered, by number.
+	attempts map[int]*attempt
+	route    string
 	// result is what became of the request.
 	result string
 }
 
+// attempt is a request that was sent to a target.
+type attempt struct {
+	cancel context.CancelFunc
+	// answer is nil until the target has answered.
+	answer *target.Answer
+}
+
 // result is the end of an attempt.
 type result struct {
 	attempt int
@@ -60,8 +64,8 @@
 
 func newSession(con *conn, req *http.Request, turn <-chan struct{}, next chan struct{}, last bool) *session {
 	return &session{
-		con: con, req: req, turn: turn, next: next, last: last, began: time.Now(), results: make(chan result, 1),
-		label: req.Header.Get(con.srv.names.Request),
+		con: con, req: req, turn: turn, next: next, last: last, began: time.Now(), results: make(chan result),
+		attempts: make(map[int]*attempt), label: req.Header.Get(con.srv.names.Request),
 	}
 }
 
@@ -85,19 +89,17 @@
 	defer func() { spanned(ses.result) }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ses.cancel = func() {}
+	defer ses.dropAll()
 	for {
 		select {
 		case act := <-actions:
 			if ses.act(ctx, act) {
-				ses.cancel()
 				return
 			}
 		case res := <-ses.results:
 			ses.ended(res)
 		case <-ctx.Done():
-			ses.cancel()
-			ses.dropAnswer()
+			ses.dropAll()
 			srv.decider.Step(gateway.CallerLeft{Request: id})
 			ses.observe("callerLeft")
 			return
@@ -133,16 +135,16 @@
 func (ses *session) act(ctx context.Context, act gateway.Action) bool {
 	switch act := act.(type) {
 	case gateway.Dispatch:
-		ses.dropAnswer()
-		ses.cancel()
 		ses.route = act.Route
 		ses.send(ctx, act)
 		return false
+	case gateway.Drop:
+		ses.drop(act.Attempt)
+		return false
 	case gateway.Relay:
-		ses.relay()
+		ses.relay(act.Attempt)
 	case gateway.Refuse:
-		ses.cancel()
-		ses.dropAnswer()
+		ses.dropAll()
 		ses.refuse(act.Refusal)
 	}
 	return true
@@ -151,8 +153,7 @@
 // send starts an attempt.
 func (ses *session) send(ctx context.Context, dis gateway.Dispatch) {
 	ctx, cancel := context.WithCancel(ctx)
-	ses.cancel = cancel
-	ses.attempt = dis.Attempt
+	ses.attempts[dis.Attempt] = &attempt{cancel: cancel}
 	began := time.Now()
 	cal := target.Call{
 		Address: dis.Target.Address, Idempotent: dis.Idempotent, Timeout: dis.Timeout, Connections: dis.Connections,
@@ -177,7 +178,8 @@
 
 // ended reports the end of an attempt to the decisions.
 func (ses *session) ended(res result) {
-	if res.attempt != ses.attempt {
+	att := ses.attempts[res.attempt]
+	if att == nil {
 		if res.answer != nil {
 			_ = res.answer.Body.Close()
 		}
@@ -186,13 +188,14 @@
 	srv := ses.con.srv
 	ses.waited += time.Since(res.began)
 	if res.failure != nil {
+		ses.drop(res.attempt)
 		srv.observer.Attempt(res.service, res.failure.Outcome)
 		srv.decider.Step(gateway.AttemptFailed{
 			Request: ses.id, Attempt: res.attempt, Outcome: res.failure.Outcome, Verdict: res.failure.Verdict, Detail: res.failure.Error(),
 		})
 		return
 	}
-	ses.answer = res.answer
+	att.answer = res.answer
 	ans := gateway.Answer{
 		Status:   res.answer.StatusCode,
 		Shed:     res.answer.StatusCode >= 400 && res.answer.Header.Get(srv.names.NotRun) != "",
@@ -213,18 +216,30 @@
 	return health.Success
 }
 
-func (ses *session) dropAnswer() {
-	if ses.answer != nil {
-		_ = ses.answer.Body.Close()
-		ses.answer = nil
+// drop ends an attempt and frees its answer.
+func (ses *session) drop(number int) {
+	att := ses.attempts[number]
+	if att == nil {
+		return
+	}
+	delete(ses.attempts, number)
+	if att.answer != nil {
+		_ = att.answer.Body.Close()
+	}
+	att.cancel()
+}
+
+func (ses *session) dropAll() {
+	for number := range ses.attempts {
+		ses.drop(number)
 	}
 }
 
 // relay passes the answer on. One that the target cuts short ends the caller's
 // connection, so that it is seen to be cut.
-func (ses *session) relay() {
-	defer ses.dropAnswer()
-	src := ses.answer
+func (ses *session) relay(number int) {
+	defer ses.drop(number)
+	src := ses.attempts[number].answer
 	hdr := src.Header.Clone()
 	header.RemoveHop(hdr)
 	hdr.Del("Trailer")
--- a/lugd/pkg/peer/placement.go
+++ b/lugd/pkg/peer/placement.go
@@ -52,6 +52,7 @@
 	wrt.text(wis.Domain)
 	wrt.boolean(wis.Idempotent)
 	wrt.boolean(wis.Again)
+	wrt.boolean(wis.Hedge)
 	wrt.duration(wis.Aim)
 	wrt.duration(wis.Left)
 	wrt.texts(wis.Tried)
@@ -89,7 +90,7 @@
 
 func (rdr *reader) wish() placement.Wish {
 	return placement.Wish{
-		Route: rdr.text(), Domain: rdr.text(), Idempotent: rdr.boolean(), Again: rdr.boolean(), Aim: rdr.duration(), Left: rdr.duration(),
+		Route: rdr.text(), Domain: rdr.text(), Idempotent: rdr.boolean(), Again: rdr.boolean(), Hedge: rdr.boolean(), Aim: rdr.duration(), Left: rdr.duration(),
 		Tried: rdr.texts(), Rank: int(rdr.whole()),
 	}
 }
