Have VMs that do not serve tokens yet say so

A VM that stands in the list as holder acts only once its list is proven. Whoever asked it before got no answer, took it for silent and left it alone for a second. Reads of the list of VMs were gathered for 0.25 s beside.

Ruled out: that servers begin late (0.05 to 0.3 s after their claims); links that are not open (the placements of the same VM were answered).

A VM that does not serve answers so, and is asked again after 0.1 s. The list of VMs is read 0.1 s after the last read.

--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -128,6 +128,7 @@
 		if dec.Alone {
 			detail = "the VM's own part of the organisation's rate is exceeded, and it reaches no server of tokens"
 		}
+		detail += fmt.Sprintf("; waited for %v", now.Since(fli.arrived).Round(time.Millisecond))
 		mac.refuse(fli, request.Refusal{Reason: request.RateExceeded, Detail: detail, RetryAfter: dec.RetryAfter})
 		return
 	}
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -144,22 +144,27 @@
 	}
 }
 
-// serveTokens answers an ask if this VM holds the duty; otherwise the asking VM
-// decides by itself.
+// serveTokens answers an ask.
 func (mac *Machine) serveTokens(now clock.Instant, from string, ask quota.Ask) {
-	if ask.Server < 0 || ask.Server >= fleet.Duties || mac.servers[ask.Server] == nil || !mac.fleet.Acts(now, ask.Server) {
+	gra := mac.grant(now, ask)
+	if from == mac.set.Self.ID {
+		mac.tokens.Granted(now, gra)
 		return
 	}
+	mac.do(Send{To: from, Message: gra})
+}
+
+// grant decides on an ask if this VM serves the part that is asked for.
+func (mac *Machine) grant(now clock.Instant, ask quota.Ask) quota.Grant {
+	if ask.Server < 0 || ask.Server >= fleet.Duties || mac.servers[ask.Server] == nil || !mac.fleet.Acts(now, ask.Server) {
+		return quota.Grant{Organisation: ask.Organisation, Number: ask.Number, Idle: true}
+	}
 	gra := mac.servers[ask.Server].Answer(now, ask)
 	mac.granted["granted"] += uint64(gra.Count)
 	if short := ask.Need - gra.Count; short > 0 {
 		mac.granted["refused"] += uint64(short)
 	}
-	if from == mac.set.Self.ID {
-		mac.tokens.Granted(now, gra)
-		return
-	}
-	mac.do(Send{To: from, Message: gra})
+	return gra
 }
 
 // reach returns what is known of the servers of tokens.
--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -16,11 +16,15 @@
 	// one that did not is not asked.
 	askTime    = 120 * time.Millisecond
 	silentTime = time.Second
+	// idleTime is the same of one that said that it does not serve yet.
+	idleTime = 100 * time.Millisecond
 	// youngTime is how long after its start a VM takes it that servers begin
 	// to serve soon, as they do where many VMs start together.
 	youngTime = 2 * time.Second
-	// waitTime bounds how long a request waits for tokens.
-	waitTime = 300 * time.Millisecond
+	// waitTime bounds how long a request waits for tokens, and awaitTime how long
+	// it does where a server is likely to begin to serve soon.
+	waitTime  = 300 * time.Millisecond
+	awaitTime = 600 * time.Millisecond
 	// tokenLife is how long granted tokens may be spent. What is spent late
 	// adds to what is granted later.
 	tokenLife = 600 * time.Millisecond
@@ -168,6 +172,14 @@
 	return cli.reach.Vacant || now.Since(cli.began) < youngTime
 }
 
+// patience returns how long requests wait for tokens.
+func (cli *Client) patience(now clock.Instant) time.Duration {
+	if cli.awaited(now) {
+		return awaitTime
+	}
+	return waitTime
+}
+
 func (cli *Client) wallet(now clock.Instant, organisation string) *wallet {
 	wal := cli.accounts[organisation]
 	if wal == nil {
@@ -265,11 +277,12 @@
 	if len(wal.waiting) > 0 {
 		waited = now.Since(wal.waiting[0].since)
 	}
-	if wal.retry > 0 && waited+wal.retry < waitTime {
+	patience := cli.patience(now)
+	if wal.retry > 0 && waited+wal.retry < patience {
 		wal.again = now.Add(wal.retry)
 		return
 	}
-	if wal.retry == 0 && waited < waitTime && cli.awaited(now) {
+	if wal.retry == 0 && waited < patience && cli.awaited(now) {
 		return
 	}
 	retry := wal.retry
@@ -312,6 +325,9 @@
 		cli.decide(Decided{Request: wal.waiting[0].request, Admitted: true})
 		wal.waiting = wal.waiting[1:]
 	}
+	if gra.Idle {
+		cli.leave(now, wal, idleTime)
+	}
 	if gra.RetryAfter > 0 {
 		wal.tried[wal.part] = true
 		if wal.retry == 0 || gra.RetryAfter < wal.retry {
@@ -342,20 +358,25 @@
 	}
 }
 
+// leave does not ask the server that was asked last for a pause.
+func (cli *Client) leave(now clock.Instant, wal *wallet, pause time.Duration) {
+	wal.tried[wal.part] = true
+	if wal.part < len(cli.reach.Servers) {
+		cli.silent[cli.reach.Servers[wal.part]] = now.Add(pause)
+	}
+}
+
 // Tick gives up servers that have not answered in time, and decides on requests
 // that have waited for too long.
 func (cli *Client) Tick(now clock.Instant) {
 	for organisation, wal := range cli.accounts {
 		if wal.open != 0 && now.Since(wal.asked) >= askTime {
 			wal.open = 0
-			wal.tried[wal.part] = true
-			if wal.part < len(cli.reach.Servers) {
-				cli.silent[cli.reach.Servers[wal.part]] = now.Add(silentTime)
-			}
+			cli.leave(now, wal, silentTime)
 		}
 		switch {
 		case len(wal.waiting) == 0:
-		case now.Since(wal.waiting[0].since) >= waitTime:
+		case now.Since(wal.waiting[0].since) >= cli.patience(now):
 			cli.settle(now, wal)
 		default:
 			cli.ask(now, wal)
--- a/core/quota/message.go
+++ b/core/quota/message.go
@@ -32,6 +32,9 @@
 	Count int
 	// RetryAfter is above 0 when the need was not met.
 	RetryAfter time.Duration
+	// Idle is set where the VM that was asked does not serve the part, or not
+	// yet.
+	Idle bool
 }
 
 func (Ask) quotaMessage()   {}
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -32,9 +32,10 @@
 	servers [parts]*Server
 	// stated is what the store holds of each part's server.
 	stated [parts]Busy
-	// down is set while the store takes no writes.
-	down    bool
-	clients []*Client
+	// down is set while the store takes no writes, and starting while VMs that
+	// are to serve say that they do not yet.
+	down, starting bool
+	clients        []*Client
 	// admitted has when requests were admitted.
 	admitted []time.Duration
 	next     uint64
@@ -107,8 +108,11 @@
 			case Decided:
 				wld.decided(out)
 			case Send:
-				if srv := wld.servers[out.Ask.Server]; srv != nil {
+				switch srv := wld.servers[out.Ask.Server]; {
+				case srv != nil:
 					cli.Granted(wld.now, srv.Answer(wld.now, out.Ask))
+				case wld.starting:
+					cli.Granted(wld.now, Grant{Organisation: out.Ask.Organisation, Number: out.Ask.Number, Idle: true})
 				}
 			}
 		}
@@ -215,9 +219,12 @@
 	asked := call(demand * per * lost.Seconds())
 	for num := range 40 {
 		wld.pass(step)
-		if num == 3 {
-			wld.serve()
+		switch num {
+		case 1:
+			wld.starting = true
 			wld.reach([]string{"server-0", "server-1", "server-2"}, false)
+		case 4:
+			wld.serve()
 		}
 		asked += call(demand * per * step.Seconds())
 	}
@@ -345,3 +352,21 @@
 		t.Errorf("the next callers are told to come back after %v, those before them after %v", third.RetryAfter, second.RetryAfter)
 	}
 }
+
+// TestServersThatAreNotReadyAreAskedAgain has VMs ask the only server just before
+// it begins to serve.
+func TestServersThatAreNotReadyAreAskedAgain(t *testing.T) {
+	wld := newWorld(1, limitOf(100, 100))
+	wld.stated[0] = Busy{}
+	wld.reach([]string{"server-0", "", ""}, false)
+	wld.starting = true
+	wld.request(0)
+	wld.pass(50 * time.Millisecond)
+	wld.serve(0)
+	for range 4 {
+		wld.pass(50 * time.Millisecond)
+	}
+	if len(wld.admitted) != 1 {
+		t.Errorf("%d requests were admitted 0.2 s after the server began", len(wld.admitted))
+	}
+}
--- a/lugd/pkg/driver/reader.go
+++ b/lugd/pkg/driver/reader.go
@@ -61,7 +61,7 @@
 var (
 	configPace  = pace{settle: settleTime, wait: feed.WatchTime, pause: lastPause}
 	targetsPace = pace{cheap: true, settle: settleTime, wait: 1500 * time.Millisecond, gather: 250 * time.Millisecond, pause: lastPause}
-	fleetPace   = pace{cheap: true, settle: settleTime, wait: time.Second, gather: 250 * time.Millisecond, pause: lastPause}
+	fleetPace   = pace{cheap: true, settle: settleTime, wait: time.Second, gather: 100 * time.Millisecond, pause: lastPause}
 
 	sparingConfigPace  = pace{settle: longSettleTime, wait: feed.WatchTime, pause: sparingPause}
 	sparingTargetsPace = pace{cheap: true, settle: longSettleTime, wait: 1500 * time.Millisecond, gather: 900 * time.Millisecond, pause: sparingPause}
--- a/lugd/pkg/peer/codec_test.go
+++ b/lugd/pkg/peer/codec_test.go
@@ -55,6 +55,7 @@
 		gateway.Pong{},
 		quota.Ask{Organisation: "o", Server: 2, Number: 1, Need: 2, Ahead: 3},
 		quota.Grant{Organisation: "o", Number: 1, Count: 2, RetryAfter: time.Second},
+		quota.Grant{Organisation: "o", Number: 1, Idle: true},
 		placement.Ask{Service: "s", Part: 1, Number: 2, Wish: wish},
 		placement.Answer{Number: 1, Target: "t", Patience: 2, RetryAfter: 3, Reason: placement.NoRoom},
 		placement.Ended{Ends: []placement.End{{Service: "s", Part: 1, Number: 2, Outcome: health.Erred}}},
--- a/lugd/pkg/peer/gateway.go
+++ b/lugd/pkg/peer/gateway.go
@@ -38,6 +38,7 @@
 		wrt.number(msg.Number)
 		wrt.whole(int64(msg.Count))
 		wrt.duration(msg.RetryAfter)
+		wrt.boolean(msg.Idle)
 	default:
 		return wrt.placement(msg)
 	}
@@ -57,7 +58,7 @@
 	case kindTokenAsk:
 		return quota.Ask{Organisation: rdr.text(), Server: int(rdr.whole()), Number: rdr.number(), Need: int(rdr.whole()), Ahead: int(rdr.whole())}
 	case kindTokenGrant:
-		return quota.Grant{Organisation: rdr.text(), Number: rdr.number(), Count: int(rdr.whole()), RetryAfter: rdr.duration()}
+		return quota.Grant{Organisation: rdr.text(), Number: rdr.number(), Count: int(rdr.whole()), RetryAfter: rdr.duration(), Idle: rdr.boolean()}
 	}
 	return rdr.placement(kind)
 }
