Let requests wait for a VM that has just started, and state fewer changes

Ruled out: to serve them from what another VM knows (it learns from others already; 0.1 to 0.3 s is what that takes).

A request waits for the configuration and the targets, 0.5 s at most, and its own time goes on meanwhile. That a refusal is said at once holds for what is known not to be served; here it is not. The tests ask for the same refusals after that time. Busy organisations are weighed every 2 s, at once where one was short, and those that are nearly busy are stated with the others.

--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -89,7 +89,16 @@
 func (fli *flight) running() bool { return len(fli.live) > 0 }
 
 func (mac *Machine) arrived(now clock.Instant, req request.Request) {
-	fli, ref := mac.admit(now, req)
+	if !mac.knows() {
+		mac.early = append(mac.early, early{request: req, arrived: now})
+		return
+	}
+	mac.take(now, now, req)
+}
+
+// take decides on a request that arrived at a time.
+func (mac *Machine) take(now, arrived clock.Instant, req request.Request) {
+	fli, ref := mac.admit(now, arrived, req)
 	if ref != nil {
 		mac.noteRefusal(fli, req.ID, *ref)
 		mac.do(Refuse{Request: req.ID, Refusal: *ref})
@@ -136,7 +145,7 @@
 }
 
 // admit finds the route and the organisation of a request.
-func (mac *Machine) admit(now clock.Instant, req request.Request) (*flight, *request.Refusal) {
+func (mac *Machine) admit(now, arrived clock.Instant, req request.Request) (*flight, *request.Refusal) {
 	if mac.config == nil {
 		return nil, &request.Refusal{Reason: request.NoConfiguration, Detail: "this VM has no configuration yet", RetryAfter: mac.usualReturn()}
 	}
@@ -144,9 +153,9 @@
 	if rou == nil {
 		return nil, &request.Refusal{Reason: request.NoRoute, Detail: "no route matches the host, path and method"}
 	}
-	fli := &flight{Request: req, route: rou, priority: rou.Priority, arrived: now, deadline: now.Add(rou.Timeout), aim: now.Add(rou.LatencyGoal)}
+	fli := &flight{Request: req, route: rou, priority: rou.Priority, arrived: arrived, deadline: arrived.Add(rou.Timeout), aim: arrived.Add(rou.LatencyGoal)}
 	if req.Timeout > 0 && (req.Timeout < rou.Timeout || rou.Timeout <= 0) {
-		fli.deadline = now.Add(req.Timeout)
+		fli.deadline = arrived.Add(req.Timeout)
 	}
 	fli.service = mac.chooseService(rou)
 	if rou.Access == config.AccessOpen {
@@ -472,6 +481,7 @@
 }
 
 func (mac *Machine) callerLeft(now clock.Instant, id request.ID) {
+	mac.early = slices.DeleteFunc(mac.early, func(ear early) bool { return ear.request.ID == id })
 	fli := mac.flights[id]
 	if fli == nil {
 		return
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -56,9 +56,12 @@
 	services map[string]*service
 	// number is that of the last ask for a placement, and asks has the requests
 	// for which an answer is awaited.
-	number   uint64
-	asks     map[uint64]request.ID
-	flights  map[request.ID]*flight
+	number  uint64
+	asks    map[uint64]request.ID
+	flights map[request.ID]*flight
+	// early has the requests that came before this VM knew the configuration and
+	// the targets, in the order of their arrival.
+	early    []early
 	stopping bool
 	actions  []Action
 	// placements and granted count answers as a placer and as a server of
@@ -233,6 +236,7 @@
 	}
 	mac.takeDuties(now)
 	mac.tokens.SetReach(mac.reach())
+	mac.admitEarly(now)
 	mac.follow(now)
 	mac.enlist(now)
 	mac.tickPlaces(now)
--- a/core/quota/busy.go
+++ b/core/quota/busy.go
@@ -17,13 +17,15 @@
 	assumedShare = 0.75
 	// busyShare and restShare are the parts from which an organisation is to be
 	// called busy, and below which it no longer is.
-	busyShare = 0.6
-	restShare = 0.45
+	busyShare = 0.65
+	restShare = 0.5
 	// weighInterval is the least time between two changes that a server wants
-	// stated, and restInterval that between two by which organisations are only
-	// taken out, so that those that come and go cost few writes.
-	weighInterval = 400 * time.Millisecond
-	restInterval  = 8 * time.Second
+	// stated, pressedInterval the same once an organisation was granted less for
+	// not being busy, and restInterval that between two by which organisations are
+	// only taken out, so that those that come and go cost few writes.
+	weighInterval   = 2 * time.Second
+	pressedInterval = 300 * time.Millisecond
+	restInterval    = 8 * time.Second
 	// maxBusy bounds the organisations that are named one by one.
 	maxBusy = 64
 )
@@ -60,10 +62,14 @@
 // Want returns what the store is to hold of this server, and whether it is to be
 // written now.
 func (srv *Server) Want(now clock.Instant) (want Busy, due bool) {
-	if now.Since(srv.weighed) < weighInterval {
+	interval := weighInterval
+	if srv.pressed {
+		interval = pressedInterval
+	}
+	if now.Since(srv.weighed) < interval {
 		return srv.wanted, false
 	}
-	srv.weighed = now
+	srv.weighed, srv.pressed = now, false
 	if now.Since(srv.began) >= srv.terms.Window {
 		// Until then the server does not know what its predecessor granted.
 		srv.weigh(now)
@@ -71,18 +77,18 @@
 	return srv.wanted, !srv.wanted.Equal(srv.stated)
 }
 
-// weigh decides anew which organisations are busy.
+// weigh decides anew which organisations are busy. Those that are nearly so are
+// stated with the others.
 func (srv *Server) weigh(now clock.Instant) {
 	var names []string
 	more := false
 	for name, acc := range srv.accounts {
 		acc.advance(srv.slotAt(now))
 		part := acc.sum.Float() / srv.allowed(acc.limit).Float()
-		was := !srv.wanted.All && srv.wanted.Has(name)
-		if part >= busyShare || was && part > restShare {
+		if part > restShare {
 			names = append(names, name)
-			more = more || !was
 		}
+		more = more || part >= busyShare && !srv.wanted.Has(name)
 	}
 	if !more && !srv.wanted.All && now.Since(srv.rested) < restInterval {
 		return
--- a/core/quota/server.go
+++ b/core/quota/server.go
@@ -33,6 +33,8 @@
 	before, stated, wanted Busy
 	// weighed is when wanted was last weighed, and rested when it last changed.
 	weighed, rested clock.Instant
+	// pressed is set once an organisation was granted less for not being busy.
+	pressed bool
 }
 
 // account counts what one organisation was granted lately.
@@ -84,6 +86,7 @@
 	acc.add(rate.Tokens(gra.Count) * rate.Request)
 	acc.ready -= rate.Tokens(gra.Count) * rate.Request
 	if short := ask.Need - gra.Count; short > 0 {
+		srv.pressed = srv.pressed || most < srv.allowed(lim)
 		gra.RetryAfter = acc.promise(now, srv.terms.Window, most, short)
 	}
 	return gra
