Let requests wait at young VMs only, and answer those that wait when a VM stops

A VM that starts while the store is away knows nothing for seconds, and would have held each request for 0.5 s to no use; and a stop ends 0.45 s after its last answers, so that a request that still waited could be left without any.

Requests wait in the first 2 s of a VM, then they are refused at once as before; a stop decides on those that wait. Tests for both.

--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -89,7 +89,7 @@
 func (fli *flight) running() bool { return len(fli.live) > 0 }
 
 func (mac *Machine) arrived(now clock.Instant, req request.Request) {
-	if !mac.knows() {
+	if !mac.knows() && mac.young(now) {
 		mac.early = append(mac.early, early{request: req, arrived: now})
 		return
 	}
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -61,7 +61,9 @@
 	flights map[request.ID]*flight
 	// early has the requests that came before this VM knew the configuration and
 	// the targets, in the order of their arrival.
-	early    []early
+	early []early
+	// began is when the first event came.
+	began    clock.Instant
 	stopping bool
 	actions  []Action
 	// placements and granted count answers as a placer and as a server of
@@ -92,6 +94,9 @@
 // Step takes one event and returns the actions that follow from it.
 func (mac *Machine) Step(now clock.Instant, evt Event) []Action {
 	mac.actions = nil
+	if mac.began == (clock.Instant{}) {
+		mac.began = now
+	}
 	switch evt := evt.(type) {
 	case Arrived:
 		mac.arrived(now, evt.Request)
@@ -308,6 +313,7 @@
 // refuseAll answers the requests that targets have not answered when the stop
 // must end, so that no caller is left without an answer.
 func (mac *Machine) refuseAll(now clock.Instant) {
+	mac.takeEarly(now)
 	for _, id := range sortedFlights(mac.flights) {
 		fli := mac.flights[id]
 		if fli.answering {
--- a/core/gateway/machine_test.go
+++ b/core/gateway/machine_test.go
@@ -174,6 +174,12 @@
 	if ref.Reason.Status() != 503 || ref.RetryAfter <= 0 {
 		t.Errorf("got status %d, retry after %v", ref.Reason.Status(), ref.RetryAfter)
 	}
+	// A VM that stops refuses what waits; one that has learned nothing for long
+	// refuses at once.
+	vmm.arrive("/read/x", key)
+	vmm.mustRefuse(vmm.step(StopEnds{}), request.NoConfiguration, verdict.NotRun)
+	vmm.wait(youngTime + TickInterval)
+	vmm.mustRefuse(vmm.arrive("/read/x", key), request.NoConfiguration, verdict.NotRun)
 }
 
 // TestEarlyRequestsAreServedOnceTheVMKnows sends requests to a VM that learns the
@@ -445,9 +451,9 @@
 func TestReturnsAreSpread(t *testing.T) {
 	vmm := newVM(t)
 	soonest, latest := time.Hour, time.Duration(0)
+	vmm.wait(youngTime + TickInterval)
 	for range 100 {
-		vmm.arrive("/read/x", key)
-		ref := vmm.mustRefuse(vmm.wait(earlyTime), request.NoConfiguration, verdict.NotRun)
+		ref := vmm.mustRefuse(vmm.arrive("/read/x", key), request.NoConfiguration, verdict.NotRun)
 		soonest, latest = min(soonest, ref.RetryAfter), max(latest, ref.RetryAfter)
 	}
 	if latest-soonest < 800*time.Millisecond || latest > latestReturn {
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -50,8 +50,8 @@
 	sickIdleTime   = 2500 * time.Millisecond
 	repeatableIdle = 0.6
 	// missFactor is by how much longer a target stays without requests for each
-	// trial that failed, up to maxMisses: what has been sick for long is likely
-	// to stay so.
+	// trial that failed but the first, up to maxMisses of them: what has been sick
+	// for long is likely to stay so.
 	missFactor = 1.4
 	maxMisses  = 3
 	// hopeless is the part of requests that would miss their deadlines from
