Replace attempts that hang in a full service

A service of which four targets were left was full of requests that hung: a second attempt takes a free slot only, so that there was none, and the first was waited for to the end of its time. Before second attempts ran beside the first, it was replaced at 2.3 deviations, which freed its slot.

Ruled out: a configuration that was not in force (the routes were known, their requests placed); the added routes as such (other requests of the service took 2.7 s instead of 0.6 s).

An attempt may be replaced at that limit again, by one that may queue. A hedge for which there is no slot is noted as noRoom, not noTarget.

The new test fails without the limit.

--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -58,8 +58,9 @@
 	// live has the attempts under way, the oldest first, maxLive at most.
 	live []*attempt
 	// patient is until when the attempts under way are waited for, if the request
-	// may be repeated.
-	patient clock.Instant
+	// may be repeated; then another may run beside them, and after limit in their
+	// place.
+	patient, limit clock.Instant
 	// kept is the attempt of which it was noted that no other replaced it.
 	kept int
 	// sent counts the attempts that reached a target, and runs those of them
@@ -274,16 +275,17 @@
 }
 
 // dispatch sends a request to the target that was chosen, beside the attempt
-// under way, if any.
+// under way, if any, or in its place. A service whose slots are all held by
+// requests that hang would else never be rid of them.
 func (mac *Machine) dispatch(now clock.Instant, fli *flight, tgt health.Target, ans placement.Answer, placer string) {
-	if len(fli.live) == maxLive {
+	for len(fli.live) > 0 && !fli.hedging || len(fli.live) == maxLive {
 		mac.drop(now, fli, fli.live[0], health.Overdue)
 	}
 	left := fli.deadline.Mono - now.Mono
 	fli.attempt++
 	beside := len(fli.live)
 	fli.live = append(fli.live, &attempt{number: fli.attempt, target: tgt, part: fli.askedPart, ticket: fli.ask, placer: placer, began: now})
-	fli.patient = now.Add(ans.Patience)
+	fli.patient, fli.limit = now.Add(ans.Patience), now.Add(ans.Limit)
 	fli.sent++
 	fli.tried = append(fli.tried, tgt.ID)
 	mac.do(Note{Request: fli.ID, Event: "dispatched", Fields: []any{
--- a/core/gateway/machine_test.go
+++ b/core/gateway/machine_test.go
@@ -304,12 +304,7 @@
 
 func TestIdempotentRequestsAreHurriedUnsafeOnesWaited(t *testing.T) {
 	vmm := newVM(t).load()
-	for range 20 { // Teaches how long requests last.
-		dis := vmm.mustDispatch(vmm.arrive("/read/x", key))
-		vmm.pass(100 * time.Millisecond)
-		vmm.step(Answered{Request: dis.Request, Attempt: dis.Attempt, Answer: Answer{Status: 200}})
-		vmm.step(RelayEnded{Request: dis.Request, Outcome: health.Success})
-	}
+	vmm.teach(100 * time.Millisecond)
 	read := vmm.mustDispatch(vmm.arrive("/read/x", key))
 	once := vmm.mustDispatch(vmm.arrive("/once/x", key))
 	acts := vmm.pass(1500 * time.Millisecond)
@@ -338,13 +333,52 @@
 	return out
 }
 
+// teach has reads answered after a time, so that it is known how long they last.
+func (vmm *vm) teach(took time.Duration) {
+	for range 20 {
+		dis := vmm.mustDispatch(vmm.arrive("/read/x", key))
+		vmm.pass(took)
+		vmm.step(Answered{Request: dis.Request, Attempt: dis.Attempt, Answer: Answer{Status: 200}})
+		vmm.step(RelayEnded{Request: dis.Request, Outcome: health.Success})
+	}
+}
+
+// passUntilDispatched lets time pass until a request is sent, and returns what
+// was done then.
+func (vmm *vm) passUntilDispatched(most time.Duration) []Action {
+	for end := vmm.now.Add(most); vmm.now.Before(end); {
+		acts := vmm.pass(TickInterval)
+		if _, sent := dispatched(acts); sent {
+			return acts
+		}
+	}
+	return nil
+}
+
+// TestHungAttemptsAreReplacedInAFullService fills every slot, so that a read
+// finds no place for a second attempt beside its first; it is moved later.
+func TestHungAttemptsAreReplacedInAFullService(t *testing.T) {
+	vmm := newVM(t).load()
+	vmm.teach(300 * time.Millisecond)
+	for range 12 { // The slots of four targets.
+		vmm.mustDispatch(vmm.arrive("/once/x", key))
+	}
+	first := vmm.mustDispatch(vmm.arrive("/read/x", key))
+	acts := vmm.passUntilDispatched(1800 * time.Millisecond)
+	second := vmm.mustDispatch(acts)
+	if got := drops(acts); second.Request != first.Request || len(got) != 1 || got[0] != first.Attempt {
+		t.Errorf("got %+v, dropped %v", second, got)
+	}
+}
+
 // TestSecondAttemptsRunBesideTheFirst lets reads take long, so that each is sent
 // to a second target too, and ends the attempts in different orders.
 func TestSecondAttemptsRunBesideTheFirst(t *testing.T) {
 	vmm := newVM(t).load()
+	vmm.teach(300 * time.Millisecond)
 	both := func() (first, second Dispatch) {
 		first = vmm.mustDispatch(vmm.arrive("/read/x", key))
-		acts := vmm.pass(1200 * time.Millisecond)
+		acts := vmm.passUntilDispatched(time.Second)
 		second = vmm.mustDispatch(acts)
 		if ended := drops(acts); len(ended) > 0 || second.Request != first.Request || second.Target.ID == first.Target.ID {
 			t.Fatalf("after %+v got %+v, dropped %v", first, second, ended)
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -223,7 +223,8 @@
 	}
 	par := mac.choosePart(svc)
 	mac.number++
-	fli.placing, fli.ask, fli.asked, fli.askedPart, fli.hedging = true, mac.number, now, par, fli.running()
+	fli.placing, fli.ask, fli.asked, fli.askedPart = true, mac.number, now, par
+	fli.hedging = fli.running() && now.Before(fli.limit)
 	if par.owner == "" || now.Before(par.muted) {
 		mac.placeAlone(now, fli)
 		return
--- a/core/placement/latency.go
+++ b/core/placement/latency.go
@@ -21,14 +21,14 @@
 	// lostShare is the part of requests of sound targets that are never
 	// answered.
 	lostShare = 0.001
-	// The deviations above the usual time until which an answer is waited for: of
-	// a second attempt, or where little is known; of a first one; and of one that
-	// tries a target that is likely sick. spareDevs are those for which time is
-	// left if a request is sent again.
-	patienceDevs = 2.3
-	hedgeDevs    = 0.8
-	trialDevs    = 0.5
-	spareDevs    = 1.3
+	// The deviations above the usual time until which an answer is waited for
+	// alone: that of a first attempt, and of one that tries a target that is
+	// likely sick. At limitDevs an attempt may be replaced by another. spareDevs
+	// are those for which time is left if a request is sent again.
+	hedgeDevs = 0.8
+	trialDevs = 0.5
+	limitDevs = 2.3
+	spareDevs = 1.3
 	// aimPart is the part of its aim that a request of an unknown route is
 	// taken to last.
 	aimPart = 0.35
@@ -118,7 +118,7 @@
 func (lat *latency) patience(wis Wish, slower float64, trial bool) time.Duration {
 	switch {
 	case !lat.known() || wis.Again:
-		return lat.after(patienceDevs, slower)
+		return lat.after(limitDevs, slower)
 	case trial:
 		return lat.after(trialDevs, slower)
 	}
--- a/core/placement/message.go
+++ b/core/placement/message.go
@@ -46,8 +46,9 @@
 	Number uint64
 	// Target is empty where the request is refused.
 	Target string
-	// Patience is how long the target takes at most where nothing is wrong.
-	Patience time.Duration
+	// Patience is how long the answer is waited for until another target may be
+	// sent the request too, and Limit until it may be sent it instead.
+	Patience, Limit time.Duration
 	// RetryAfter is when a refused request may come back.
 	RetryAfter time.Duration
 	// Reason says why a request is refused.
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -215,7 +215,10 @@
 		ticket: tic, target: tgt, route: wis.Route, idempotent: wis.Idempotent, began: now, deadline: now.Add(wis.Left), wait: best.wait,
 		trial: trial,
 	})
-	return Answer{Number: tic.Number, Target: tgt.ID, Patience: min(best.wait+lat.patience(wis, tgt.pace(now), trial), lat.spare(wis.Left))}
+	limit := min(best.wait+lat.after(limitDevs, tgt.pace(now)), lat.spare(wis.Left))
+	return Answer{
+		Number: tic.Number, Target: tgt.ID, Limit: limit, Patience: min(best.wait+lat.patience(wis, tgt.pace(now), trial), limit),
+	}
 }
 
 func (pla *Placer) begin(now clock.Instant, att *attempt) {
@@ -235,6 +238,7 @@
 		}
 		wait := tgt.wait(now, lat)
 		if wis.Hedge && wait > 0 {
+			shortest = max(shortest, 0)
 			continue // A second attempt beside the first takes no place that others need.
 		}
 		usual := time.Duration(float64(lat.usual()) * tgt.pace(now))
--- a/lugd/pkg/peer/codec_test.go
+++ b/lugd/pkg/peer/codec_test.go
@@ -57,7 +57,7 @@
 		quota.Grant{Organisation: "o", Number: 1, Count: 2, RetryAfter: time.Second},
 		quota.Grant{Organisation: "o", Number: 1, Idle: true},
 		placement.Ask{Service: "s", Part: 1, Number: 2, Wish: wish},
-		placement.Answer{Number: 1, Target: "t", Patience: 2, RetryAfter: 3, Reason: placement.NoRoom},
+		placement.Answer{Number: 1, Target: "t", Patience: 2, Limit: 4, RetryAfter: 3, Reason: placement.NoRoom},
 		placement.Ended{Ends: []placement.End{{Service: "s", Part: 1, Number: 2, Outcome: health.Erred}}},
 		placement.Open{List: []placement.Running{{Service: "s", Part: 1, Number: 2, Target: "t", Route: "r", Age: 3, Left: 4}}},
 	}
--- a/lugd/pkg/peer/placement.go
+++ b/lugd/pkg/peer/placement.go
@@ -18,6 +18,7 @@
 		wrt.number(msg.Number)
 		wrt.text(msg.Target)
 		wrt.duration(msg.Patience)
+		wrt.duration(msg.Limit)
 		wrt.duration(msg.RetryAfter)
 		wrt.text(string(msg.Reason))
 	case placement.Ended:
@@ -65,7 +66,7 @@
 		return placement.Ask{Service: rdr.text(), Part: int(rdr.whole()), Number: rdr.number(), Wish: rdr.wish()}
 	case kindPlaceAnswer:
 		return placement.Answer{
-			Number: rdr.number(), Target: rdr.text(), Patience: rdr.duration(), RetryAfter: rdr.duration(), Reason: placement.Reason(rdr.text()),
+			Number: rdr.number(), Target: rdr.text(), Patience: rdr.duration(), Limit: rdr.duration(), RetryAfter: rdr.duration(), Reason: placement.Reason(rdr.text()),
 		}
 	case kindPlaceEnded:
 		var msg placement.Ended
