Tell the placer of strangers, and leave retries beside second attempts

Four targets of another service had ended and their addresses gone to kilnops. Each VM found that out by itself, since a request that reached a stranger was reported to the placer as cancelled: 260 requests went to these four addresses, each up to four times, as the placer took them for idle.

A stranger is an outcome of its own; the placer does not use the target for 10 s then, and asks with one request again. Second attempts take 0.6 of the budget at most.

--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -322,15 +322,13 @@
 		return
 	}
 	ans := evt.Answer
-	if ans.Stranger {
-		mac.stranger(att)
-	}
-	if ans.Shed || ans.Stranger {
-		outcome := health.Shed
-		if ans.Stranger {
-			outcome = health.Canceled
-		}
-		mac.wasShed(now, fli, att, outcome)
+	switch {
+	case ans.Stranger:
+		mac.note("stranger", "target", att.target.ID, "address", att.target.Address)
+		mac.wasShed(now, fli, att, health.Stranger)
+		return
+	case ans.Shed:
+		mac.wasShed(now, fli, att, health.Shed)
 		return
 	}
 	failed := ans.Status >= 500
@@ -358,15 +356,6 @@
 	mac.do(Relay{Request: fli.ID, Attempt: att.number})
 }
 
-// stranger notes that the target is no longer at its address.
-func (mac *Machine) stranger(att *attempt) {
-	mac.note("stranger", "target", att.target.ID, "address", att.target.Address)
-	att.part.local.Stranger(att.target.ID)
-	if att.part.central != nil {
-		att.part.central.Stranger(att.target.ID)
-	}
-}
-
 // goOn waits for the attempts that are left of a request, or has it placed anew.
 func (mac *Machine) goOn(now clock.Instant, fli *flight, detail string) {
 	if !fli.running() && !fli.placing {
--- a/core/health/outcome.go
+++ b/core/health/outcome.go
@@ -26,11 +26,13 @@
 	Erred
 	// Overdue is an attempt that was ended because its answer took too long.
 	Overdue
+	// Stranger is an answer of another target, which has the address now.
+	Stranger
 )
 
 // String returns the name of the outcome used in metrics.
 func (out Outcome) String() string {
-	names := [...]string{"success", "failure", "unreachable", "shed", "canceled", "erred", "overdue"}
+	names := [...]string{"success", "failure", "unreachable", "shed", "canceled", "erred", "overdue", "stranger"}
 	if int(out) < len(names) {
 		return names[out]
 	}
--- a/core/placement/message.go
+++ b/core/placement/message.go
@@ -32,6 +32,19 @@
 	Rank int
 }
 
+// hedgeBudget is the part of the retries that second attempts may take while the
+// first runs. The rest is for requests that failed or were shed, and for those
+// that targets of other services get when an address is used again.
+const hedgeBudget = 0.6
+
+// budget returns the part of the retries that the request may take.
+func (wis Wish) budget() float64 {
+	if wis.Hedge {
+		return hedgeBudget
+	}
+	return 1
+}
+
 // Ask asks the placer of a part of a service for a target.
 type Ask struct {
 	Service string
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -54,6 +54,9 @@
 	// for long is likely to stay so.
 	missFactor = 1.4
 	maxMisses  = 3
+	// goneTime is how long a target is not used after another one answered at its
+	// address. Then one request asks again, unless its entry has changed.
+	goneTime = 10 * time.Second
 	// hopeless is the part of requests that would miss their deadlines from
 	// which none is sent.
 	hopeless = 0.85
@@ -202,7 +205,7 @@
 	lat := pla.latency(wis.Route, wis.Aim)
 	best, shortest := pla.choose(now, tic.VM, wis, lat)
 	switch {
-	case best.target != nil && wis.Again && !pla.budget.Withdraw(now):
+	case best.target != nil && wis.Again && !pla.budget.Withdraw(now, wis.budget()):
 		return Answer{Number: tic.Number, Reason: NoRetry}
 	case best.target == nil && shortest < 0:
 		return Answer{Number: tic.Number, Reason: NoTarget}
@@ -233,7 +236,7 @@
 	shortest = -1
 	for _, at := range pla.rnd.Perm(len(pla.targets)) {
 		tgt := pla.targets[at]
-		if tgt.gone || slices.Contains(wis.Tried, tgt.ID) {
+		if now.Before(tgt.gone) || slices.Contains(wis.Tried, tgt.ID) {
 			continue
 		}
 		wait := tgt.wait(now, lat)
@@ -327,6 +330,8 @@
 			factor = 1 // Others reach it; the path of this VM is at fault.
 		}
 		pla.blame(now, att, factor, 0, "unreachable")
+	case health.Stranger:
+		tgt.gone = now.Add(goneTime)
 	case health.Shed, health.Canceled:
 	}
 	pla.tell(now, tgt, outcome.String(), tic.VM)
@@ -402,13 +407,6 @@
 	att.target.running = slices.DeleteFunc(att.target.running, func(one *attempt) bool { return one == att })
 }
 
-// Stranger notes that another target answered at the address of one.
-func (pla *Placer) Stranger(id string) {
-	if tgt := pla.target(id); tgt != nil {
-		tgt.gone = true
-	}
-}
-
 // Open takes attempts under way that another placer began.
 func (pla *Placer) Open(now clock.Instant, vmm string, run Running) {
 	tic := Ticket{VM: vmm, Number: run.Number}
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -24,8 +24,9 @@
 	// misses counts the trials that failed since the last answer, up to
 	// maxMisses.
 	misses int
-	// gone is set once another target answered at the address.
-	gone bool
+	// gone is until when the target is not used, since another one answered at its
+	// address.
+	gone clock.Instant
 }
 
 // room returns the number of requests that a target is given at a time, less for
--- a/core/request/window.go
+++ b/core/request/window.go
@@ -49,10 +49,11 @@
 	win.requests[win.slot%windowSlots]++
 }
 
-// Withdraw takes one retry and reports whether that was allowed.
-func (win *Window) Withdraw(now clock.Instant) bool {
+// Withdraw takes one retry and reports whether that was allowed, up to a part of
+// all that are.
+func (win *Window) Withdraw(now clock.Instant, part float64) bool {
 	win.advance(now)
-	if float64(sum(win.retries)+1) > win.share*float64(sum(win.requests))+win.extra {
+	if float64(sum(win.retries)+1) > part*(win.share*float64(sum(win.requests))+win.extra) {
 		return false
 	}
 	win.retries[win.slot%windowSlots]++
