Send lost news again while other changes go on

A VM that others follow takes what they say that they hold only once nothing was sent to them for 0.8 s. While VMs stop in turn each change of their list put that off, so that a lost message was not noticed.

Ruled out: the store (all others had the version at 23.2 s); a wrong proof (news name versions, and prove nothing to a VM that holds less).

Each kind has an account of its own, and what was sent first and not confirmed for 0.8 s is sent again. In the test, with a change every 50 ms and one loss: version 1 and 3 VMs known after 1.5 s before; version 2 and all 30 now.

--- a/core/gateway/knowledge.go
+++ b/core/gateway/knowledge.go
@@ -34,9 +34,40 @@
 
 // follower is a VM that learns from this one.
 type follower struct {
-	asked clock.Instant
-	held  feed.Ask
-	sent  clock.Instant
+	asked                  clock.Instant
+	config, targets, fleet delivery
+}
+
+// delivery is what a follower is thought to hold of one kind of objects.
+type delivery struct {
+	// held is the revision that it holds if nothing sent to it was lost.
+	held uint64
+	// awaited is the revision that it is to hold for what was sent at since, 0
+	// where nothing is under way. Later changes do not put that off, else a loss
+	// would not be noticed while changes go on.
+	awaited uint64
+	since   clock.Instant
+}
+
+// sent notes that a change was sent.
+func (del *delivery) sent(now clock.Instant, revision uint64) {
+	if del.awaited == 0 {
+		del.awaited, del.since = revision, now
+	}
+}
+
+// said takes the revision that the follower says it holds, but for what may still
+// be under way to it.
+func (del *delivery) said(now clock.Instant, revision uint64) {
+	switch {
+	case del.awaited == 0 || now.Since(del.since) > resendTime && revision < del.awaited:
+		del.held, del.awaited = revision, 0
+	case revision >= del.awaited:
+		del.awaited = 0
+		if revision < del.held {
+			del.sent(now, del.held)
+		}
+	}
 }
 
 // knowledge is what a VM knows of the platform's objects, and from whom.
@@ -250,9 +281,9 @@
 		mac.followers[from] = fol
 	}
 	fol.asked = now
-	if now.Since(fol.sent) > resendTime {
-		fol.held = ask
-	}
+	fol.config.said(now, ask.Config)
+	fol.targets.said(now, ask.Targets)
+	fol.fleet.said(now, ask.Fleet)
 	if mac.config == nil {
 		return // There is nothing to tell; the VM asks elsewhere.
 	}
@@ -262,18 +293,25 @@
 func (mac *Machine) tell(now clock.Instant, to string, fol *follower, number uint64) {
 	news := News{
 		Number: number, Ages: mac.ages(now), Version: mac.version(),
-		Targets: mac.registry.Since(fol.held.Targets), Fleet: mac.fleet.Since(fol.held.Fleet),
+		Targets: mac.registry.Since(fol.targets.held), Fleet: mac.fleet.Since(fol.fleet.held),
 	}
-	if mac.version() > fol.held.Config {
-		news.Patch = mac.patch(fol.held.Config)
+	if mac.version() > fol.config.held {
+		news.Patch = mac.patch(fol.config.held)
 		if news.Patch == nil {
 			news.Config = mac.config
 		}
 	}
-	if news.Config != nil || news.Patch != nil || !news.Targets.Empty() || !news.Fleet.Empty() {
-		fol.sent = now
+	held := mac.Held()
+	if news.Config != nil || news.Patch != nil {
+		fol.config.sent(now, held.Config)
+	}
+	if !news.Targets.Empty() {
+		fol.targets.sent(now, held.Targets)
+	}
+	if !news.Fleet.Empty() {
+		fol.fleet.sent(now, held.Fleet)
 	}
-	fol.held = mac.Held()
+	fol.config.held, fol.targets.held, fol.fleet.held = held.Config, held.Targets, held.Fleet
 	mac.do(Send{To: to, Message: news})
 }
 
--- a/core/gateway/news_test.go
+++ b/core/gateway/news_test.go
@@ -156,3 +156,49 @@
 		t.Error("the lost configuration was not sent again")
 	}
 }
+
+// TestLostNewsAreSentAgainWhileOthersGoOn loses the message that brings a
+// configuration, and one that brings a VM, while the list of VMs changes all the
+// time.
+func TestLostNewsAreSentAgainWhileOthersGoOn(t *testing.T) {
+	twn := newTwins(t)
+	twn.config(1, manyRoutes("svc"))
+	twn.pass(2 * time.Second)
+	losses := 0
+	twn.lose = func(news News) bool {
+		first := news.Config != nil || news.Patch != nil
+		if !first || losses > 0 {
+			return false
+		}
+		losses++
+		return true
+	}
+	twn.config(2, manyRoutes("new"))
+	revision := uint64(5)
+	list := func(num int) {
+		revision++
+		name := fmt.Sprint("vm-", num)
+		row := table.Row[fleet.Row]{Name: fleet.VMName(name), Revision: revision, Value: fleet.Row{VM: member.VM{ID: name + ".r", FailureDomain: "b"}, Name: name}}
+		twn.carry(twn.source, twn.source.Step(twn.now, FleetRead{Asked: twn.now, News: table.Delta[fleet.Row]{Since: revision - 1, Revision: revision, Rows: []table.Row[fleet.Row]{row}}}))
+	}
+	for num := range 30 {
+		if num == 1 {
+			lost := twn.lose
+			twn.lose = func(news News) bool { return !news.Fleet.Empty() }
+			list(num)
+			twn.lose = lost
+		} else {
+			list(num)
+		}
+		twn.now = twn.now.Add(TickInterval)
+		twn.carry(twn.source, twn.source.Step(twn.now, ConfigRead{Asked: twn.now}))
+		twn.carry(twn.source, twn.source.Step(twn.now, Ticked{}))
+		twn.carry(twn.reader, twn.reader.Step(twn.now, Ticked{}))
+	}
+	if losses != 1 || twn.reader.version() != 2 {
+		t.Errorf("1.5 s after %d losses the reader holds version %d", losses, twn.reader.version())
+	}
+	if got := twn.reader.fleet.View().Size(); got < 30 {
+		t.Errorf("the reader knows %d VMs, want 30 at least", got)
+	}
+}
