Mend comments found on a last read

Cause: the whole change was read once more; a comment had lost its line breaks, one told of attempts that are replaced, and the fields of quota.Terms stated no invariants.

--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -61,7 +61,8 @@
 	// may be repeated; then another may run beside them, and after limit in their
 	// place.
 	patient, limit clock.Instant
-	// kept is the attempt of which it was noted that no other replaced it.
+	// kept is the attempt of which it was noted that there was no place for
+	// another.
 	kept int
 	// sent counts the attempts that reached a target, and runs those of them
 	// that the target may have run.
--- a/core/quota/server.go
+++ b/core/quota/server.go
@@ -55,9 +55,9 @@
 	promised clock.Instant
 }
 
-// NewServer returns a server that begins to serve now one of so many equal
-// parts. before is what its predecessor
-// stated; the store holds of the new one that all organisations may be busy.
+// NewServer returns a server that begins to serve now one of so many equal parts.
+// before is what its predecessor stated; the store holds of the new one that all
+// organisations may be busy.
 func NewServer(now clock.Instant, trm Terms, parts int, before Busy, limits func(organisation string) (rate.Limit, bool)) *Server {
 	part := func(organisation string) (rate.Limit, bool) {
 		lim, found := limits(organisation)
--- a/core/quota/terms.go
+++ b/core/quota/terms.go
@@ -20,7 +20,10 @@
 // make as many requests as their rate yields in it and their burst, a share of
 // that beyond it, and a number of requests. It is immutable.
 type Terms struct {
+	// Window is above 0.
 	Window time.Duration
+	// Excess is the share and Slack the number of requests beyond a limit in a
+	// window; neither is negative.
 	Excess float64
 	Slack  float64
 }
