Log why a VM stops, how its stop ended and whom a new run replaces

`stop` now has its cause, `stopped` how long it took and how many connections it cut, `enlist` the earlier run that is still listed. No logic is changed.

`enlist` is of no help here, as a VM that has begun to stop is off the list already.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -156,6 +156,16 @@
 	return row.Value.VM == fle.self, row.Revision
 }
 
+// Predecessor returns the ID of an earlier run of this VM that is still listed,
+// or "". A planned stop takes a run off the list.
+func (fle *Fleet) Predecessor() string {
+	row, _ := fle.rows.Get(VMName(fle.name))
+	if row.Value.VM == fle.self {
+		return ""
+	}
+	return row.Value.VM.ID
+}
+
 // Object returns the revision of the object with a name, 0 if there is none.
 func (fle *Fleet) Object(name string) uint64 {
 	row, _ := fle.rows.Get(name)
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -113,6 +113,13 @@
 	if listed, revision := fle.Listed(); listed || revision != 4 {
 		t.Errorf("listed %v at revision %d, want the entry of the earlier run at 4", listed, revision)
 	}
+	if got := fle.Predecessor(); got != "one.old" {
+		t.Errorf("the earlier run is %q", got)
+	}
+	change(fle, now, 11, vmRow("one", "r1", 11))
+	if got := fle.Predecessor(); got != "" {
+		t.Errorf("the listed run has the predecessor %q", got)
+	}
 }
 
 // TestClaimsRememberWhatWasStated takes a duty over twice: from a holder that
--- a/core/gateway/knowledge.go
+++ b/core/gateway/knowledge.go
@@ -351,6 +351,7 @@
 	listed, revision := mac.fleet.Listed()
 	if !listed && !mac.stopping && (mac.registered == (clock.Instant{}) || now.Since(mac.registered) >= registerInterval) {
 		mac.registered = now
+		mac.note("enlist", "replaces", mac.fleet.Predecessor())
 		mac.do(Write{Name: fleet.VMName(mac.set.Name), Row: fleet.Row{VM: mac.set.Self, Name: mac.set.Name}, Revision: revision})
 	}
 	for num := range fleet.Duties {
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -266,15 +266,27 @@
 		go func() { failed <- dmn.operators.Serve(dmn.listeners.operators) }()
 	}
 	dmn.log.WithFields(logrus.Fields{"vm": dmn.self.ID, "callers": dmn.set.CallerAddress, "peers": dmn.set.PeerAddress}).Info("start")
+	began := time.Now()
 	err := dmn.serve(ctx, reload, failed)
-	dmn.stop(work)
+	served := time.Since(began)
+	cut := dmn.stop(work, stopCause(ctx, err))
 	cancel()
 	dmn.cancel()
 	dmn.closePeers()
-	dmn.log.WithField("vm", dmn.self.ID).Info("stopped")
+	dmn.log.WithFields(logrus.Fields{
+		"vm": dmn.self.ID, "served": served.String(), "took": (time.Since(began) - served).String(), "cutConnections": cut,
+	}).Info("stopped")
 	return err
 }
 
+// stopCause tells why a VM stops: the end of its context, or an error.
+func stopCause(ctx context.Context, err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return context.Cause(ctx).Error()
+}
+
 // closePeers ends the connections to other VMs. One that is cut off is not
 // waited for.
 func (dmn *Daemon) closePeers() {
@@ -352,13 +364,13 @@
 
 // stop ends the service without cutting a request: the VM says that it is not
 // ready, serves on until the balancer has noticed, lets every request finish
-// and closes.
-func (dmn *Daemon) stop(ctx context.Context) {
+// and closes. It returns the number of connections that were cut after all.
+func (dmn *Daemon) stop(ctx context.Context, cause string) (cut int) {
 	set := dmn.settings()
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, set.StopTime-killMargin)
 	defer cancel()
-	dmn.log.WithFields(logrus.Fields{"connections": dmn.callers.Connections(), "stopTime": set.StopTime.String()}).Info("stop")
+	dmn.log.WithFields(logrus.Fields{"cause": cause, "connections": dmn.callers.Connections(), "stopTime": set.StopTime.String()}).Info("stop")
 	dmn.driver.Step(gateway.StopBegan{})
 	dmn.callers.Stop()
 	driver.Sleep(ctx, set.BalancerLag)
@@ -366,11 +378,13 @@
 	last := time.AfterFunc(set.StopTime-answerMargin-time.Since(began), func() { dmn.driver.Step(gateway.StopEnds{}) })
 	defer last.Stop()
 	if !dmn.callers.Drain(ctx) {
-		dmn.log.WithField("connections", dmn.callers.Connections()).Warn("requests are cut after the stop time")
+		cut = dmn.callers.Connections()
+		dmn.log.WithField("connections", cut).Warn("requests are cut after the stop time")
 	}
 	_ = dmn.ready.Close()
 	_ = dmn.operators.Close()
 	if err := dmn.tracer.Shutdown(ctx); err != nil {
 		dmn.log.WithError(err).Warn("the last spans were not exported")
 	}
+	return cut
 }
