Run a VM's program from one function

The entry of lugd moves to edge.Main, so that tests can run the program as it is, as a process of their own.

--- a/lugd/pkg/edge/command.go
+++ b/lugd/pkg/edge/command.go
@@ -13,6 +13,17 @@
 	"marigoldlug.example/lugd/pkg/logflags"
 )
 
+// Main runs the program of a VM and returns its exit code.
+func Main(wir Wiring, fileVariable string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := Command(wir, fileVariable, os.Stdout, os.Stdout).Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "lugd:", err)
+		return 1
+	}
+	return 0
+}
+
 // Command returns the command line of a VM whose settings file is named by the
 // environment variable fileVariable. It writes to out and logs to log.
 func Command(wir Wiring, fileVariable string, out, log io.Writer) *cli.Command {
@@ -87,8 +98,3 @@
 	}
 	return nil
 }
-
-// Context returns a context that ends with SIGTERM or an interrupt.
-func Context() (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-}
