Add a failing test: a reload of a stopping VM cuts its requests

The test runs lugd as a process, has targets work on six orders, sends SIGTERM and 0.1 s later SIGHUP.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,10 @@
 LINT_VERSION := v2.15.0
 LINT := $(TOOLS)/golangci-lint-$(LINT_VERSION)
 
+# The tests that KNOWN-RED.txt lists, "- test NAME:", are passed over.
+RED := $(shell sed -n 's/^- test \(Test[A-Za-z0-9]*\):.*/\1/p' KNOWN-RED.txt | paste -sd'|')
+SKIP := $(if $(RED),-skip '^($(RED))$$')
+
 .PHONY: all build build-alone test race lint format check-core check-link soak soak-proof soak-short fuzz quickstart ci
 
 all: build test
@@ -11,10 +15,10 @@
 	go build -ldflags=-linkmode=external -o target/ ./platform/cmd/... ./lugbench/cmd/...
 
 test:
-	go test $(MODULES:%=./%/...)
+	go test $(SKIP) $(MODULES:%=./%/...)
 
 race:
-	go test -race $(MODULES:%=./%/...)
+	go test -race $(SKIP) $(MODULES:%=./%/...)
 
 # Each module also builds by itself.
 build-alone:
--- a/lugbench/pkg/playground/playground.go
+++ b/lugbench/pkg/playground/playground.go
@@ -51,9 +51,11 @@
 
 // Playground is a small fleet with its surroundings.
 type Playground struct {
-	Store    *storefake.Store
-	Targets  []*targetfake.Target
-	Releases *release.Applier
+	Store *storefake.Store
+	// StoreAddress is where VMs reach the store.
+	StoreAddress string
+	Targets      []*targetfake.Target
+	Releases     *release.Applier
 	// Callers has the addresses at which VMs serve callers, Operators those at
 	// which they serve operators.
 	Callers, Operators []string
@@ -68,6 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
+	pgr.StoreAddress = address
 	for num := range set.Targets {
 		tgt := targetfake.New(fmt.Sprintf("worker-%d", num+1), "recipes", domain(num), 3, objects.Names(), pgr.Store)
 		tgt.SetFaults(targetfake.Faults{Latency: set.Latency})
@@ -159,6 +162,14 @@
 	return set, nil
 }
 
+// wiring joins VMs to the platform, as lugd does.
+func wiring() edge.Wiring {
+	return edge.Wiring{
+		Names:   objects.Names(),
+		Connect: func(address string, log logrus.FieldLogger) driver.Platform { return objects.New(address, log) },
+	}
+}
+
 func (pgr *Playground) startVM(ctx context.Context, num int, platform string, out io.Writer) error {
 	set, err := VMSettings(num, platform)
 	if err != nil {
@@ -168,10 +179,7 @@
 	if err != nil {
 		return err
 	}
-	dmn, err := edge.New(ctx, set, edge.Wiring{
-		Names:   objects.Names(),
-		Connect: func(address string, log logrus.FieldLogger) driver.Platform { return objects.New(address, log) },
-	}, lgs)
+	dmn, err := edge.New(ctx, set, wiring(), lgs)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/lugbench/pkg/playground/process_test.go
@@ -0,0 +1,230 @@
+package playground
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"marigoldlug.example/lugbench/pkg/targetfake"
+	"marigoldlug.example/lugd/pkg/edge"
+	"marigoldlug.example/platform/pkg/objects"
+)
+
+// programVariable makes this test program run as a VM.
+const programVariable = "LUGD_TEST_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(programVariable) != "" {
+		os.Exit(edge.Main(wiring(), objects.SettingsVariable))
+	}
+	os.Exit(m.Run())
+}
+
+// vmProcess is the only VM of a playground, as a process of its own.
+type vmProcess struct {
+	t   *testing.T
+	pgr *Playground
+	cmd *exec.Cmd
+	set edge.Settings
+	// file is the path of its settings.
+	file string
+	// logs is the end of the pipe at which its output is read.
+	logs *os.File
+
+	mut    sync.Mutex
+	output strings.Builder
+	// silent is set when its output is not to be read on.
+	silent bool
+
+	ended chan struct{}
+}
+
+// startProcess starts a VM before three targets that take the given time.
+func startProcess(t *testing.T, latency time.Duration) *vmProcess {
+	t.Helper()
+	pgr, err := Start(context.Background(), Settings{Targets: 3, Latency: latency, Log: io.Discard})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(pgr.Close)
+	set, err := VMSettings(0, pgr.StoreAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	prc := &vmProcess{t: t, pgr: pgr, set: set, file: filepath.Join(t.TempDir(), "settings"), ended: make(chan struct{})}
+	prc.writeSettings("")
+	prc.start()
+	return prc
+}
+
+// writeSettings replaces the settings file: the VM's settings, then more lines.
+func (prc *vmProcess) writeSettings(more string) {
+	prc.t.Helper()
+	set := prc.set
+	txt := fmt.Sprintf("name=%s\nfailure-domain=%s\ncaller-address=%s\nready-address=%s\npeer-address=%s\noperator-address=%s\nplatform-address=%s\nplain-text=%s\nbalancer-lag=%v\nstop-time=%v\n%s",
+		set.Name, set.FailureDomain, set.CallerAddress, set.ReadyAddress, set.PeerAddress, set.OperatorAddress, set.PlatformAddress,
+		strings.Join(set.PlainText, ","), set.BalancerLag, set.StopTime, more)
+	if err := os.WriteFile(prc.file, []byte(txt), 0o600); err != nil {
+		prc.t.Fatal(err)
+	}
+}
+
+func (prc *vmProcess) start() {
+	prc.t.Helper()
+	program, err := os.Executable()
+	if err != nil {
+		prc.t.Fatal(err)
+	}
+	logs, out, err := os.Pipe()
+	if err != nil {
+		prc.t.Fatal(err)
+	}
+	prc.logs = logs
+	prc.cmd = exec.Command(program, "run")
+	prc.cmd.Env = append(os.Environ(), programVariable+"=1", objects.SettingsVariable+"="+prc.file)
+	prc.cmd.Stdout, prc.cmd.Stderr = out, out
+	if err := prc.cmd.Start(); err != nil {
+		prc.t.Fatal(err)
+	}
+	_ = out.Close() // The process has its own.
+	go prc.readLogs()
+	go func() {
+		_ = prc.cmd.Wait() // How it ended is read from its state.
+		close(prc.ended)
+	}()
+	prc.t.Cleanup(func() {
+		_ = prc.cmd.Process.Kill() // It may have ended.
+		<-prc.ended
+		_ = logs.Close()
+	})
+}
+
+func (prc *vmProcess) readLogs() {
+	scn := bufio.NewScanner(prc.logs)
+	for scn.Scan() {
+		prc.mut.Lock()
+		prc.output.WriteString(scn.Text() + "\n")
+		silent := prc.silent
+		prc.mut.Unlock()
+		if silent {
+			return
+		}
+	}
+}
+
+// log returns what the process has written so far.
+func (prc *vmProcess) log() string {
+	prc.mut.Lock()
+	defer prc.mut.Unlock()
+	return prc.output.String()
+}
+
+func (prc *vmProcess) signal(sig syscall.Signal) {
+	_ = prc.cmd.Process.Signal(sig) // It may have ended.
+}
+
+// awaitReady waits until the VM takes callers.
+func (prc *vmProcess) awaitReady() {
+	prc.t.Helper()
+	if err := waitReady(context.Background(), prc.set.ReadyAddress); err != nil {
+		prc.t.Fatalf("%v; its log:\n%s", err, prc.log())
+	}
+}
+
+// awaitEnd waits for the end of the process and returns how it ended.
+func (prc *vmProcess) awaitEnd() string {
+	prc.t.Helper()
+	select {
+	case <-prc.ended:
+		return prc.cmd.ProcessState.String()
+	case <-time.After(prc.set.StopTime + time.Second):
+		return "still running"
+	}
+}
+
+// exitZero is how a process ends that was asked to.
+const exitZero = "exit status 0"
+
+// caller has a connection to the VM that it keeps.
+type caller struct {
+	raw    net.Conn
+	reader *bufio.Reader
+}
+
+// dial opens a connection of a caller.
+func (prc *vmProcess) dial() *caller {
+	prc.t.Helper()
+	raw, err := net.Dial("tcp", prc.set.CallerAddress)
+	if err != nil {
+		prc.t.Fatal(err)
+	}
+	prc.t.Cleanup(func() { _ = raw.Close() })
+	return &caller{raw: raw, reader: bufio.NewReader(raw)}
+}
+
+// send sends an order, which may run once only.
+func (cal *caller) send(id string) error {
+	nms := objects.Names()
+	_, err := fmt.Fprintf(cal.raw, "POST /orders/x HTTP/1.1\r\nHost: any\r\n%s: %s\r\n%s: %s\r\nAuthorization: Bearer %s\r\nContent-Length: 1\r\n\r\nx",
+		nms.Request, id, nms.Timeout, nms.ShowTimeout(requestTime), Key)
+	return err
+}
+
+// receive returns what is wrong with the answer to a request, or "".
+func (cal *caller) receive(id string) string {
+	if err := cal.raw.SetReadDeadline(time.Now().Add(2 * requestTime)); err != nil {
+		return err.Error()
+	}
+	rsp, err := http.ReadResponse(cal.reader, nil)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	raw, err := io.ReadAll(rsp.Body)
+	switch {
+	case err != nil:
+		return err.Error()
+	case rsp.StatusCode != http.StatusOK || string(raw) != targetfake.Answer(id):
+		return fmt.Sprintf("%s: %q", rsp.Status, raw)
+	}
+	return ""
+}
+
+// TestReloadOfAStoppingVMCutsNoRequest sends SIGHUP to a VM that stops while
+// targets work on its requests.
+func TestReloadOfAStoppingVMCutsNoRequest(t *testing.T) {
+	prc := startProcess(t, 800*time.Millisecond)
+	prc.awaitReady()
+	settle()
+	var callers []*caller
+	for num := range 6 {
+		cal := prc.dial()
+		if err := cal.send(fmt.Sprint("order-", num)); err != nil {
+			t.Fatal(err)
+		}
+		callers = append(callers, cal)
+	}
+	time.Sleep(200 * time.Millisecond)
+	prc.signal(syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond)
+	prc.signal(syscall.SIGHUP)
+	for num, cal := range callers {
+		if wrong := cal.receive(fmt.Sprint("order-", num)); wrong != "" {
+			t.Errorf("order-%d: %s", num, wrong)
+		}
+	}
+	if got := prc.awaitEnd(); got != exitZero {
+		t.Errorf("the VM ended with %q", got)
+	}
+}
