Take signals from the start of a process until it is gone

Cause: the goroutine that reloads settings ended with the context that begins the stop and gave SIGHUP back (signal.Stop), whose default action ends the process. In the same way SIGHUP ended a process that had not read its settings yet, and SIGQUIT and terminal signals had their default actions all along.

Now one place takes the signals first thing in the program and never gives them back. Reloads are taken over while the VM stops, too. SIGQUIT asks for a planned stop, as SIGTERM does; each signal is a line with the phase of the process.

Ruled out: a reload that shortens the stop (none reached it), a crash (no stack).

--- a/lugd/pkg/edge/command.go
+++ b/lugd/pkg/edge/command.go
@@ -5,57 +5,57 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
 	"marigoldlug.example/lugd/pkg/logflags"
 )
 
-// Main runs the program of a VM and returns its exit code.
+// Main runs the program of a VM whose settings file is named by the environment
+// variable fileVariable, and returns its exit code.
 func Main(wir Wiring, fileVariable string) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := Command(wir, fileVariable, os.Stdout, os.Stdout).Run(ctx, os.Args); err != nil {
+	sgs := takeSignals()
+	if err := command(wir, fileVariable, sgs, os.Stdout).Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "lugd:", err)
 		return 1
 	}
 	return 0
 }
 
-// Command returns the command line of a VM whose settings file is named by the
-// environment variable fileVariable. It writes to out and logs to log.
-func Command(wir Wiring, fileVariable string, out, log io.Writer) *cli.Command {
+// command returns the command line, which writes to out.
+func command(wir Wiring, fileVariable string, sgs *signals, out io.Writer) *cli.Command {
 	run := func(ctx context.Context, set Settings, path string, args []string) error {
-		rng := logflags.NewRing(log)
+		rng := logflags.NewRing(out)
 		defer rng.Close()
 		lgs, err := logflags.New(rng, set.LogFormat, set.LogVerbose)
 		if err != nil {
 			return err
 		}
+		log := lgs.Logger(logflags.Daemon)
+		log.Info("starting")
 		dmn, err := New(ctx, set, wir, lgs)
 		if err != nil {
 			return err
 		}
-		return dmn.Run(ctx, watchFile(ctx, path, args, lgs.Logger(logflags.Daemon)))
+		reload := watchFile(ctx, path, args, sgs.reload, dmn.signalled, log)
+		return dmn.Run(sgs.stopContext(dmn.signalled), reload)
 	}
 	return &cli.Command{
 		Name:   "lugd",
 		Usage:  "run one VM of the marigoldlug proxy fleet",
 		Writer: out,
 		Commands: []*cli.Command{
-			command("run", "serve until SIGTERM, then stop gracefully", fileVariable, run),
-			command("settings", "check the settings and print those in force", fileVariable, func(_ context.Context, set Settings, _ string, _ []string) error {
+			subcommand("run", "serve until SIGTERM, then stop gracefully", fileVariable, run),
+			subcommand("settings", "check the settings and print those in force", fileVariable, func(_ context.Context, set Settings, _ string, _ []string) error {
 				return show(out, set)
 			}),
 		},
 	}
 }
 
-// command returns a command that is given the settings of the file, of the
+// subcommand returns a command that is given the settings of the file, of the
 // environment and of its flags, of which the latter go first.
-func command(name, usage, fileVariable string, act func(ctx context.Context, set Settings, path string, args []string) error) *cli.Command {
+func subcommand(name, usage, fileVariable string, act func(ctx context.Context, set Settings, path string, args []string) error) *cli.Command {
 	return &cli.Command{
 		Name: name, Usage: usage, SkipFlagParsing: true,
 		Action: func(ctx context.Context, cmd *cli.Command) error {
--- a/lugd/pkg/edge/counter.go
+++ b/lugd/pkg/edge/counter.go
@@ -45,7 +45,8 @@
 	ctr.set.Attempt(service, outcome.String())
 }
 
-func (dmn *Daemon) register(met *metrics.Set) {
+func (dmn *Daemon) register() {
+	met := dmn.metrics
 	met.Gauge("config_version", "Version of the configuration in force.", func() float64 {
 		sta, _ := dmn.driver.Status()
 		return float64(sta.Version)
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -10,8 +10,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -75,9 +77,12 @@
 	ready     *http.Server
 	operators *http.Server
 	tracer    *trace.Tracer
+	metrics   *metrics.Set
 	listeners listeners
 	// cancel ends the work of the driver.
 	cancel context.CancelFunc
+	// phase holds a Phase, and only rises.
+	phase atomic.Int32
 
 	mut sync.Mutex
 	set Settings
@@ -103,6 +108,7 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	dmn.cancel = cancel
 	met := metrics.New()
+	dmn.metrics = met
 	dmn.driver = driver.New(work, gateway.Settings{
 		Name: set.Name, Self: dmn.self, Terms: terms(set),
 	}, wir.Connect(set.PlatformAddress, lgs.Logger(logflags.Platform)), driver.NewClock(), met, lgs.Logger(logflags.Machine), set.LogLinesPerSec)
@@ -119,9 +125,9 @@
 		DialTimeout: set.DialTimeout, IdlePerTarget: idlePerTarget, BodyPause: bodyPause,
 		Names: wir.Names, Hold: holdBytes, Unframed: true,
 	})
-	dmn.register(met)
+	dmn.register()
 	dmn.callers = http1.New(callerBounds(set, config.Bounds{}), wir.Names, dmn.driver, dmn.pool, &counter{set: met, tracer: dmn.tracer}, lgs.Logger(logflags.Caller))
-	dmn.serveOthers(met, lgs.Logger(logflags.Operator))
+	dmn.serveOthers(lgs.Logger(logflags.Operator))
 	return dmn, nil
 }
 
@@ -187,7 +193,7 @@
 	return nil
 }
 
-func (dmn *Daemon) serveOthers(met *metrics.Set, log logrus.FieldLogger) {
+func (dmn *Daemon) serveOthers(log logrus.FieldLogger) {
 	dmn.ready = &http.Server{Handler: http.HandlerFunc(dmn.answerReady), ReadHeaderTimeout: dmn.set.HeaderTimeout}
 	var operators http.Handler = operator.New(&fleet{dmn: dmn}, log)
 	if !dmn.set.plain(PlainOperators) {
@@ -195,7 +201,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", operators)
-	mux.Handle("GET /metrics", met.Handler())
+	mux.Handle("GET /metrics", dmn.metrics.Handler())
 	dmn.operators = &http.Server{Handler: mux, ReadHeaderTimeout: dmn.set.HeaderTimeout}
 }
 
@@ -251,7 +257,7 @@
 }
 
 // Run serves until ctx ends, then stops gracefully. A value on reload makes it
-// take over settings that may change while it runs.
+// take over settings that may change while it runs, also while it stops.
 func (dmn *Daemon) Run(ctx context.Context, reload <-chan Settings) error {
 	defer dmn.cancel()
 	go dmn.transport.Serve()
@@ -259,6 +265,7 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	go dmn.maintain(work)
+	go dmn.follow(work, reload)
 	failed := make(chan error, 3)
 	go func() { failed <- dmn.callers.Serve(dmn.listeners.callers) }()
 	go func() { failed <- dmn.ready.Serve(dmn.listeners.ready) }()
@@ -266,13 +273,16 @@
 		go func() { failed <- dmn.operators.Serve(dmn.listeners.operators) }()
 	}
 	dmn.log.WithFields(logrus.Fields{"vm": dmn.self.ID, "callers": dmn.set.CallerAddress, "peers": dmn.set.PeerAddress}).Info("start")
+	dmn.enter(Serving)
 	began := time.Now()
-	err := dmn.serve(ctx, reload, failed)
+	err := serve(ctx, failed)
+	dmn.enter(Stopping)
 	served := time.Since(began)
 	cut := dmn.stop(work, stopCause(ctx, err))
 	cancel()
 	dmn.cancel()
 	dmn.closePeers()
+	dmn.enter(Stopped)
 	dmn.log.WithFields(logrus.Fields{
 		"vm": dmn.self.ID, "served": served.String(), "took": (time.Since(began) - served).String(), "cutConnections": cut,
 	}).Info("stopped")
@@ -304,23 +314,42 @@
 // peerCloseTime bounds the closing of the connections to other VMs.
 const peerCloseTime = 100 * time.Millisecond
 
-// serve waits for the end of ctx, or of a listener, and takes over settings.
-func (dmn *Daemon) serve(ctx context.Context, reload <-chan Settings, failed <-chan error) error {
+// serve waits for the end of ctx, or of a listener.
+func serve(ctx context.Context, failed <-chan error) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		if err == nil || errors.Is(err, http.ErrServerClosed) {
+			return errors.New("a listener was closed")
+		}
+		return err
+	}
+}
+
+// follow takes over the settings that come on reload until ctx ends.
+func (dmn *Daemon) follow(ctx context.Context, reload <-chan Settings) {
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
-		case err := <-failed:
-			if err == nil || errors.Is(err, http.ErrServerClosed) {
-				return errors.New("a listener was closed")
-			}
-			return err
+			return
 		case set := <-reload:
 			dmn.reload(set)
 		}
 	}
 }
 
+func (dmn *Daemon) enter(pha Phase) { dmn.phase.Store(int32(pha)) }
+
+// Phase returns the phase of the process.
+func (dmn *Daemon) Phase() Phase { return Phase(dmn.phase.Load()) }
+
+// signalled notes a signal that the process got.
+func (dmn *Daemon) signalled(sig os.Signal) {
+	dmn.metrics.Event("signal")
+	dmn.log.WithFields(logrus.Fields{"signal": sig.String(), "phase": dmn.Phase().String()}).Info("signal")
+}
+
 // reload takes over the settings that may change while the VM runs.
 func (dmn *Daemon) reload(set Settings) {
 	if err := set.Check(); err != nil {
@@ -333,7 +362,8 @@
 	dmn.mut.Unlock()
 	dmn.driver.Machine(func(mac *gateway.Machine, _ clock.Instant) { mac.SetTerms(terms(set)) })
 	moved := old.CallerAddress != set.CallerAddress || old.ReadyAddress != set.ReadyAddress || old.PeerAddress != set.PeerAddress || old.PeerPublicAddress != set.PeerPublicAddress || old.Name != set.Name
-	dmn.log.WithField("needsRestart", moved).Info("reload")
+	dmn.metrics.Event("reload")
+	dmn.log.WithFields(logrus.Fields{"needsRestart": moved, "phase": dmn.Phase().String()}).Info("reload")
 }
 
 func (dmn *Daemon) settings() Settings {
--- a/lugd/pkg/edge/reload.go
+++ b/lugd/pkg/edge/reload.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,14 +12,11 @@
 // fileInterval is how often the settings file is compared with what was read.
 const fileInterval = 2 * time.Second
 
-// watchFile delivers the settings anew on SIGHUP, and when the file at path has
-// changed without it.
-func watchFile(ctx context.Context, path string, args []string, log logrus.FieldLogger) <-chan Settings {
+// watchFile delivers the settings anew on each signal of hup, which is told, and
+// when the file at path has changed without one.
+func watchFile(ctx context.Context, path string, args []string, hup <-chan os.Signal, tell func(sig os.Signal), log logrus.FieldLogger) <-chan Settings {
 	out := make(chan Settings)
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(hup)
 		tck := time.NewTicker(fileInterval)
 		defer tck.Stop()
 		before := content(path, log)
@@ -29,7 +24,8 @@
 			select {
 			case <-ctx.Done():
 				return
-			case <-hup:
+			case sig := <-hup:
+				tell(sig)
 			case <-tck.C:
 				if path == "" || bytes.Equal(content(path, log), before) {
 					continue
--- a/lugd/pkg/edge/settings_test.go
+++ b/lugd/pkg/edge/settings_test.go
@@ -67,7 +67,7 @@
 	writeSettings(t, path, goodSettings)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	sets := watchFile(ctx, path, nil, logrus.New())
+	sets := watchFile(ctx, path, nil, nil, nil, logrus.New())
 	time.Sleep(100 * time.Millisecond)
 	writeSettings(t, path, strings.Replace(goodSettings, "3s", "4s", 1))
 	select {
--- /dev/null
+++ b/lugd/pkg/edge/signals.go
@@ -0,0 +1,41 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// signals are those that operators and the platform send to the process. They
+// are taken from the start of the program until the process is gone: given back
+// to its default action, any of them would end the process in mid-request.
+type signals struct {
+	// stop asks for a planned stop, and reload for the settings to be read anew.
+	// Both hold one signal; more of a kind ask for nothing more.
+	stop, reload chan os.Signal
+}
+
+// takeSignals is called once in a process.
+func takeSignals() *signals {
+	sgs := &signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(sgs.stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGQUIT)
+	signal.Notify(sgs.reload, syscall.SIGHUP)
+	// A terminal must not halt a VM that serves callers.
+	signal.Ignore(syscall.SIGTSTP, syscall.SIGTTIN, syscall.SIGTTOU)
+	return sgs
+}
+
+// stopContext returns a context that ends with the first signal to stop. Each
+// one is told.
+func (sgs *signals) stopContext(tell func(sig os.Signal)) context.Context {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	go func() {
+		for sig := range sgs.stop {
+			tell(sig)
+			cancel(errors.New(sig.String()))
+		}
+	}()
+	return ctx
+}
