Read the revision of the configuration before its reading starts anew

A VM that begins to read the store while an earlier reading ends could read the revision to go on from while it was being written.

The revision is now taken with the machine's other revisions, under its mutex.

--- a/lugd/pkg/driver/reader.go
+++ b/lugd/pkg/driver/reader.go
@@ -99,7 +99,7 @@
 	}
 	ctx, cancel := context.WithCancel(dri.ctx)
 	dri.stopReading = cancel
-	held := dri.mac.Held()
+	held, since := dri.mac.Held(), dri.config
 	con, tgs, flt := configPace, targetsPace, fleetPace
 	// A VM that reads for itself asks for the configuration only until the
 	// platform answers.
@@ -111,7 +111,7 @@
 		reach()
 	}
 	dri.work.Go(func() {
-		read(ctx, dri, configKind, dri.platform.Config(), dri.config, con, func(asked clock.Instant, del table.Delta[*gateway.Config]) {
+		read(ctx, dri, configKind, dri.platform.Config(), since, con, func(asked clock.Instant, del table.Delta[*gateway.Config]) {
 			dri.tookConfig(asked, del)
 			reach()
 		})
