Go on without a reader of the logs, and test what arrives in every phase

A VM whose reader of logs went away was ended by its next line, with the requests of all its callers: a write to a broken standard output raises SIGPIPE, which Go's runtime takes as the end of the process unless told otherwise.

SIGPIPE is ignored now, writing fails and is counted (log_lines_dropped_total).

The table lugbench/pkg/playground/testdata/phases crosses starting, serving, stopping and ending with signals, settings, the store and the reader of logs, each twice or with others; every request that was taken must be answered, the process must exit with 0 within its stop time, and tell that it cut nothing. The process runs without the sleep that the race detector adds at its end, which would hide what is cut there.

--- /dev/null
+++ b/lugbench/pkg/playground/phases_test.go
@@ -0,0 +1,222 @@
+package playground
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"marigoldlug.example/lugbench/pkg/storefake"
+)
+
+// signalEvents are the signals that may reach a VM, by their names in the table.
+var signalEvents = map[string]syscall.Signal{
+	"hangup": syscall.SIGHUP, "terminate": syscall.SIGTERM, "interrupt": syscall.SIGINT, "quit": syscall.SIGQUIT,
+	"pipe": syscall.SIGPIPE, "user1": syscall.SIGUSR1, "user2": syscall.SIGUSR2, "alarm": syscall.SIGALRM,
+	"terminalStop": syscall.SIGTSTP, "childEnds": syscall.SIGCHLD,
+}
+
+// otherEvents are what else may happen to a VM.
+var otherEvents = map[string]func(prc *vmProcess){
+	"settingsChange": func(prc *vmProcess) { prc.writeSettings("retry-share=0.3\n") },
+	"settingsWrong":  func(prc *vmProcess) { prc.writeSettings("revoke-time=never\nnonsense=1\n") },
+	"settingsEmpty":  func(prc *vmProcess) { prc.replaceSettings("") },
+	"settingsGone":   func(prc *vmProcess) { _ = os.Remove(prc.file) }, // It may be gone.
+	"storeSilent":    func(prc *vmProcess) { prc.pgr.Store.SetFaults(storefake.Faults{Silent: true}) },
+	"storeReset":     func(prc *vmProcess) { prc.pgr.Store.SetFaults(storefake.Faults{Reset: true}) },
+	"storeBack":      func(prc *vmProcess) { prc.pgr.Store.SetFaults(storefake.Faults{}) },
+	"logReaderStops": (*vmProcess).stopReading,
+	"logReaderGone":  func(prc *vmProcess) { _ = prc.logs.Close() },
+}
+
+// smallPipe is the least size of a pipe, in bytes.
+const smallPipe = 4096
+
+// fillLine fills a pipe.
+const fillLine = "---------------------------------------------------------------\n"
+
+// stopReading leaves the pipe of the logs full.
+func (prc *vmProcess) stopReading() {
+	prc.mut.Lock()
+	prc.silent = true
+	prc.mut.Unlock()
+	go func() {
+		for range 4 * smallPipe / len(fillLine) {
+			if _, err := prc.out.WriteString(fillLine); err != nil {
+				return
+			}
+		}
+	}()
+	time.Sleep(20 * time.Millisecond)
+}
+
+// meet has events happen in quick succession, and reports whether one of them
+// asks the VM to stop.
+func (prc *vmProcess) meet(events []string) (stops bool) {
+	for _, name := range events {
+		if sig, found := signalEvents[name]; found {
+			prc.signal(sig)
+			stops = stops || sig == syscall.SIGTERM || sig == syscall.SIGINT || sig == syscall.SIGQUIT
+		} else {
+			otherEvents[name](prc)
+		}
+		time.Sleep(3 * time.Millisecond)
+	}
+	return stops
+}
+
+// mend ends what lasts of events, but for a reader of logs that is gone.
+func (prc *vmProcess) mend() {
+	prc.writeSettings("")
+	prc.pgr.Store.SetFaults(storefake.Faults{})
+}
+
+// orders are requests that are sent on connections which their callers keep.
+type orders struct {
+	prc     *vmProcess
+	callers []*caller
+	sent    int
+}
+
+// send sends one request on each connection.
+func (ors *orders) send() {
+	ors.prc.t.Helper()
+	ors.sent++
+	for num, cal := range ors.callers {
+		if err := cal.send(ors.id(num)); err != nil {
+			ors.prc.t.Errorf("%s was not taken: %v", ors.id(num), err)
+		}
+	}
+}
+
+func (ors *orders) id(num int) string { return fmt.Sprintf("order-%d-%d", num, ors.sent) }
+
+// receive expects the answers to what was sent last.
+func (ors *orders) receive() {
+	ors.prc.t.Helper()
+	for num, cal := range ors.callers {
+		if wrong := cal.receive(ors.id(num)); wrong != "" {
+			ors.prc.t.Errorf("%s: %s", ors.id(num), wrong)
+		}
+	}
+}
+
+// The times of a cell of the table.
+const (
+	cellLatency = 500 * time.Millisecond
+	// underWay is long enough for requests to reach targets.
+	underWay = 150 * time.Millisecond
+)
+
+// phaseRuns play events in a phase, up to the end of the process.
+var phaseRuns = map[string]func(prc *vmProcess, ors *orders, events []string){
+	"starting": func(prc *vmProcess, ors *orders, events []string) {
+		prc.awaitLog(`"starting"`)
+		if prc.meet(events) {
+			return
+		}
+		prc.mend()
+		prc.awaitReady()
+		settle()
+		ors.open()
+		ors.send()
+		ors.receive()
+		prc.signal(syscall.SIGTERM)
+	},
+	"serving": func(prc *vmProcess, ors *orders, events []string) {
+		ors.begin()
+		stops := prc.meet(events)
+		ors.receive()
+		if stops {
+			return
+		}
+		prc.mend()
+		settle()
+		ors.send()
+		ors.receive()
+		prc.signal(syscall.SIGTERM)
+	},
+	"stopping": func(prc *vmProcess, ors *orders, events []string) {
+		ors.begin()
+		prc.signal(syscall.SIGTERM)
+		time.Sleep(underWay)
+		prc.meet(events)
+		ors.receive()
+	},
+	"ending": func(prc *vmProcess, ors *orders, events []string) {
+		ors.begin()
+		prc.signal(syscall.SIGTERM)
+		ors.receive()
+		for {
+			select {
+			case <-prc.ended:
+				return
+			case <-time.After(time.Millisecond):
+				prc.meet(events)
+			}
+		}
+	},
+}
+
+// open opens the connections.
+func (ors *orders) open() {
+	for range 4 {
+		ors.callers = append(ors.callers, ors.prc.dial())
+	}
+}
+
+// begin has targets work on requests.
+func (ors *orders) begin() {
+	ors.prc.awaitReady()
+	settle()
+	ors.open()
+	ors.send()
+	time.Sleep(underWay)
+}
+
+// TestNothingThatArrivesInAnyPhaseCutsRequests plays testdata/phases.
+func TestNothingThatArrivesInAnyPhaseCutsRequests(t *testing.T) {
+	raw, err := os.ReadFile("testdata/phases")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(raw)) {
+		phase, events, found := strings.Cut(strings.TrimSpace(line), ": ")
+		if !found || strings.HasPrefix(phase, "#") {
+			continue
+		}
+		run := phaseRuns[phase]
+		t.Run(phase+"/"+events, func(t *testing.T) {
+			t.Parallel()
+			prc := startProcess(t, cellLatency)
+			run(prc, &orders{prc: prc}, strings.Fields(events))
+			if got := prc.awaitEnd(); got != exitZero {
+				t.Errorf("the process ended with %q", got)
+			}
+			if txt := prc.log(); strings.Contains(txt, `"msg":"stopped"`) && !strings.Contains(txt, `"cutConnections":0`) {
+				t.Error("connections were cut")
+			}
+			if t.Failed() {
+				t.Logf("its log:\n%s", prc.log())
+			}
+		})
+	}
+}
+
+// shrinkPipe makes the pipe of the logs fill quickly.
+func shrinkPipe(pipe *os.File) error {
+	raw, err := pipe.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var set error
+	err = raw.Control(func(fd uintptr) { _, set = unix.FcntlInt(fd, unix.F_SETPIPE_SZ, smallPipe) })
+	if err != nil {
+		return err
+	}
+	return set
+}
--- a/lugbench/pkg/playground/process_test.go
+++ b/lugbench/pkg/playground/process_test.go
@@ -39,8 +39,8 @@
 	set edge.Settings
 	// file is the path of its settings.
 	file string
-	// logs is the end of the pipe at which its output is read.
-	logs *os.File
+	// logs is the end of the pipe at which its output is read, and out the other.
+	logs, out *os.File
 
 	mut    sync.Mutex
 	output strings.Builder
@@ -75,6 +75,11 @@
 	txt := fmt.Sprintf("name=%s\nfailure-domain=%s\ncaller-address=%s\nready-address=%s\npeer-address=%s\noperator-address=%s\nplatform-address=%s\nplain-text=%s\nbalancer-lag=%v\nstop-time=%v\n%s",
 		set.Name, set.FailureDomain, set.CallerAddress, set.ReadyAddress, set.PeerAddress, set.OperatorAddress, set.PlatformAddress,
 		strings.Join(set.PlainText, ","), set.BalancerLag, set.StopTime, more)
+	prc.replaceSettings(txt)
+}
+
+func (prc *vmProcess) replaceSettings(txt string) {
+	prc.t.Helper()
 	if err := os.WriteFile(prc.file, []byte(txt), 0o600); err != nil {
 		prc.t.Fatal(err)
 	}
@@ -90,14 +95,17 @@
 	if err != nil {
 		prc.t.Fatal(err)
 	}
-	prc.logs = logs
+	if err := shrinkPipe(out); err != nil {
+		prc.t.Fatal(err)
+	}
+	prc.logs, prc.out = logs, out
 	prc.cmd = exec.Command(program, "run")
-	prc.cmd.Env = append(os.Environ(), programVariable+"=1", objects.SettingsVariable+"="+prc.file)
+	// The race detector would let the process live on for a second after its end.
+	prc.cmd.Env = append(os.Environ(), programVariable+"=1", objects.SettingsVariable+"="+prc.file, "GORACE=atexit_sleep_ms=0")
 	prc.cmd.Stdout, prc.cmd.Stderr = out, out
 	if err := prc.cmd.Start(); err != nil {
 		prc.t.Fatal(err)
 	}
-	_ = out.Close() // The process has its own.
 	go prc.readLogs()
 	go func() {
 		_ = prc.cmd.Wait() // How it ended is read from its state.
@@ -106,6 +114,7 @@
 	prc.t.Cleanup(func() {
 		_ = prc.cmd.Process.Kill() // It may have ended.
 		<-prc.ended
+		_ = out.Close()
 		_ = logs.Close()
 	})
 }
@@ -130,6 +139,18 @@
 	return prc.output.String()
 }
 
+// awaitLog waits until the process has written a text.
+func (prc *vmProcess) awaitLog(txt string) {
+	prc.t.Helper()
+	for range 500 {
+		if strings.Contains(prc.log(), txt) {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	prc.t.Fatalf("the VM never wrote %s", txt)
+}
+
 func (prc *vmProcess) signal(sig syscall.Signal) {
 	_ = prc.cmd.Process.Signal(sig) // It may have ended.
 }
@@ -138,17 +159,29 @@
 func (prc *vmProcess) awaitReady() {
 	prc.t.Helper()
 	if err := waitReady(context.Background(), prc.set.ReadyAddress); err != nil {
-		prc.t.Fatalf("%v; its log:\n%s", err, prc.log())
+		prc.t.Fatalf("%v; its log and stacks:\n%s", err, prc.dump())
 	}
 }
 
+// dump ends the process and returns its log with the stacks of its goroutines.
+func (prc *vmProcess) dump() string {
+	prc.mut.Lock()
+	prc.silent = false
+	prc.mut.Unlock()
+	go prc.readLogs()
+	prc.signal(syscall.SIGABRT)
+	<-prc.ended
+	time.Sleep(100 * time.Millisecond) // For the rest of its output.
+	return prc.log()
+}
+
 // awaitEnd waits for the end of the process and returns how it ended.
 func (prc *vmProcess) awaitEnd() string {
 	prc.t.Helper()
 	select {
 	case <-prc.ended:
 		return prc.cmd.ProcessState.String()
-	case <-time.After(prc.set.StopTime + time.Second):
+	case <-time.After(prc.set.StopTime):
 		return "still running"
 	}
 }
--- a/lugd/pkg/edge/command.go
+++ b/lugd/pkg/edge/command.go
@@ -37,6 +37,7 @@
 		if err != nil {
 			return err
 		}
+		dmn.metrics.Counter("log_lines_dropped_total", "Log lines that found no room or no reader.", func() float64 { return float64(rng.Dropped()) })
 		reload := watchFile(ctx, path, args, sgs.reload, dmn.signalled, log)
 		return dmn.Run(sgs.stopContext(dmn.signalled), reload)
 	}
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -272,7 +272,8 @@
 	if dmn.listeners.operators != nil {
 		go func() { failed <- dmn.operators.Serve(dmn.listeners.operators) }()
 	}
-	dmn.log.WithFields(logrus.Fields{"vm": dmn.self.ID, "callers": dmn.set.CallerAddress, "peers": dmn.set.PeerAddress}).Info("start")
+	set := dmn.settings()
+	dmn.log.WithFields(logrus.Fields{"vm": dmn.self.ID, "callers": set.CallerAddress, "peers": set.PeerAddress}).Info("start")
 	dmn.enter(Serving)
 	began := time.Now()
 	err := serve(ctx, failed)
--- a/lugd/pkg/edge/signals.go
+++ b/lugd/pkg/edge/signals.go
@@ -22,6 +22,9 @@
 	sgs := &signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
 	signal.Notify(sgs.stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGQUIT)
 	signal.Notify(sgs.reload, syscall.SIGHUP)
+	// Whoever reads the logs may leave; writing to them must fail, not end the
+	// process.
+	signal.Ignore(syscall.SIGPIPE)
 	// A terminal must not halt a VM that serves callers.
 	signal.Ignore(syscall.SIGTSTP, syscall.SIGTTIN, syscall.SIGTTOU)
 	return sgs
