Write nothing past the logs while a VM runs

A VM stopped taking over settings for good where new settings were wrong and the reader of its logs had stopped reading: the library of the command line wrote its hints on usage to standard output, and the goroutine that reloads waited there. Hints of some 50 lines also stood between the structured lines. Libraries that log by themselves (net/http, traces) could wait in the same way, while they serve.

Hints go nowhere at a reload, the error is logged as before, and what libraries write is logged by the ring that waits for nobody.

Evidence: the table of phases now also asks that a VM still takes over settings after what came, and that every line is JSON.

--- a/lugbench/pkg/playground/phases_test.go
+++ b/lugbench/pkg/playground/phases_test.go
@@ -1,7 +1,10 @@
 package playground
 
 import (
+	"bufio"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"strings"
 	"syscall"
@@ -135,6 +138,7 @@
 			return
 		}
 		prc.mend()
+		prc.expectReload()
 		settle()
 		ors.send()
 		ors.receive()
@@ -162,6 +166,49 @@
 	},
 }
 
+// expectReload expects that a signal still makes the VM read its settings.
+func (prc *vmProcess) expectReload() {
+	prc.t.Helper()
+	before := prc.reloads()
+	prc.signal(syscall.SIGHUP)
+	for range 100 {
+		if prc.reloads() > before {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	prc.t.Errorf("the settings are not taken over any more")
+}
+
+// reloads returns how often the VM has taken over settings.
+func (prc *vmProcess) reloads() (count int) {
+	prc.t.Helper()
+	rsp, err := http.Get("http://" + prc.set.OperatorAddress + "/metrics")
+	if err != nil {
+		prc.t.Fatal(err)
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	scn := bufio.NewScanner(rsp.Body)
+	for scn.Scan() {
+		if rest, found := strings.CutPrefix(scn.Text(), `marigoldlug_events_total{event="reload"} `); found {
+			if _, err := fmt.Sscan(rest, &count); err != nil {
+				prc.t.Fatal(err)
+			}
+		}
+	}
+	return count
+}
+
+// checkLog expects lines of JSON and nothing else.
+func (prc *vmProcess) checkLog() {
+	prc.t.Helper()
+	for line := range strings.Lines(prc.log()) {
+		if line != fillLine && !json.Valid([]byte(line)) {
+			prc.t.Errorf("the VM wrote %q", line)
+		}
+	}
+}
+
 // open opens the connections.
 func (ors *orders) open() {
 	for range 4 {
@@ -197,6 +244,7 @@
 			if got := prc.awaitEnd(); got != exitZero {
 				t.Errorf("the process ended with %q", got)
 			}
+			prc.checkLog()
 			if txt := prc.log(); strings.Contains(txt, `"msg":"stopped"`) && !strings.Contains(txt, `"cutConnections":0`) {
 				t.Error("connections were cut")
 			}
--- a/lugd/pkg/edge/command.go
+++ b/lugd/pkg/edge/command.go
@@ -4,9 +4,13 @@
 	"context"
 	"fmt"
 	"io"
+	stdlog "log"
 	"os"
+	"strings"
 
+	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
+	"go.opentelemetry.io/otel"
 
 	"marigoldlug.example/lugd/pkg/logflags"
 )
@@ -32,6 +36,7 @@
 			return err
 		}
 		log := lgs.Logger(logflags.Daemon)
+		logLibraries(log)
 		log.Info("starting")
 		dmn, err := New(ctx, set, wir, lgs)
 		if err != nil {
@@ -54,6 +59,23 @@
 	}
 }
 
+// logLibraries has what libraries would write to standard error logged, so that
+// it is structured and waits for no reader.
+func logLibraries(log logrus.FieldLogger) {
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(lineWriter{log: log})
+	otel.SetErrorHandler(otel.ErrorHandlerFunc(func(err error) { log.WithError(err).Warn("traces") }))
+}
+
+// lineWriter logs each line that a library writes.
+type lineWriter struct{ log logrus.FieldLogger }
+
+// Write never fails.
+func (wrt lineWriter) Write(line []byte) (int, error) {
+	wrt.log.WithField("line", strings.TrimSpace(string(line))).Warn("library")
+	return len(line), nil
+}
+
 // subcommand returns a command that is given the settings of the file, of the
 // environment and of its flags, of which the latter go first.
 func subcommand(name, usage, fileVariable string, act func(ctx context.Context, set Settings, path string, args []string) error) *cli.Command {
@@ -61,7 +83,7 @@
 		Name: name, Usage: usage, SkipFlagParsing: true,
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			path := os.Getenv(fileVariable)
-			set, err := load(ctx, path, cmd.Args().Slice())
+			set, err := load(path, cmd.Args().Slice(), cmd.Root().Writer)
 			if err != nil {
 				return err
 			}
@@ -70,8 +92,8 @@
 	}
 }
 
-// load reads the settings.
-func load(ctx context.Context, path string, args []string) (Settings, error) {
+// load reads the settings. Help and hints on usage go to out.
+func load(path string, args []string, out io.Writer) (Settings, error) {
 	set := DefaultSettings()
 	all := []string{"lugd"}
 	if path != "" {
@@ -82,8 +104,12 @@
 		all = append(all, lines...)
 	}
 	all = append(all, args...)
-	cmd := &cli.Command{Name: "lugd", Flags: set.Flags(), Action: func(context.Context, *cli.Command) error { return nil }}
-	if err := cmd.Run(ctx, all); err != nil {
+	cmd := &cli.Command{
+		Name: "lugd", Usage: "settings of a VM", Flags: set.Flags(), Writer: out, ErrWriter: out,
+		Action: func(context.Context, *cli.Command) error { return nil },
+	}
+	// In the context of another command it would write where that one does.
+	if err := cmd.Run(context.Background(), all); err != nil {
 		return set, err
 	}
 	return set, set.Check()
--- /dev/null
+++ b/lugd/pkg/edge/command_test.go
@@ -0,0 +1,33 @@
+package edge
+
+import (
+	"bytes"
+	"errors"
+	stdlog "log"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel"
+)
+
+func TestLinesOfLibrariesAreLogged(t *testing.T) {
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	flags := stdlog.Flags()
+	t.Cleanup(func() {
+		stdlog.SetOutput(os.Stderr)
+		stdlog.SetFlags(flags)
+	})
+	logLibraries(log)
+	stdlog.Print("http: a complaint")
+	otel.Handle(errors.New("no endpoint"))
+	for _, want := range []string{`"line":"http: a complaint"`, `"error":"no endpoint"`} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%s is not in %q", want, out.String())
+		}
+	}
+}
--- a/lugd/pkg/edge/reload.go
+++ b/lugd/pkg/edge/reload.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"os"
 	"time"
 
@@ -32,7 +33,7 @@
 				}
 			}
 			before = content(path, log)
-			set, err := load(ctx, path, args)
+			set, err := load(path, args, io.Discard)
 			if err != nil {
 				log.WithError(err).Error("the new settings are wrong; the old ones stay in force")
 				continue
--- a/lugd/pkg/edge/settings_test.go
+++ b/lugd/pkg/edge/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math"
 	"os"
 	"path/filepath"
@@ -48,15 +49,15 @@
 func TestFlagsGoBeforeTheEnvironmentAndThatBeforeTheFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings")
 	writeSettings(t, path, goodSettings)
-	set, err := load(context.Background(), path, nil)
+	set, err := load(path, nil, io.Discard)
 	if err != nil || set.Name != "vm-1" || set.RevokeTime != 3*time.Second || set.RetryWindow != 10*time.Second {
 		t.Fatalf("got %+v, %v", set, err)
 	}
-	if set, err = load(context.Background(), path, []string{"--revoke-time=7s"}); err != nil || set.RevokeTime != 7*time.Second {
+	if set, err = load(path, []string{"--revoke-time=7s"}, io.Discard); err != nil || set.RevokeTime != 7*time.Second {
 		t.Errorf("got %v, %v", set.RevokeTime, err)
 	}
 	writeSettings(t, path, goodSettings+"nonsense\n")
-	if _, err := load(context.Background(), path, nil); err == nil || !strings.Contains(err.Error(), "line 11") {
+	if _, err := load(path, nil, io.Discard); err == nil || !strings.Contains(err.Error(), "line 11") {
 		t.Errorf("got %v", err)
 	}
 }
