Take over every change of the settings file, once it is written whole

A VM kept old settings for good if its file changed, without a signal, between the first read and the moment at which the VM began to watch it; and it took over half of a file that was being written as the signal came, with defaults in place of the rest, a stop-time longer than the platform's among them.

A source of settings now remembers what it parsed, compares with that, and waits at a reload until the file stays the same for 50 ms.

Evidence: TestFileChangedBeforeItIsWatchedIsTakenOver failed before ("the change was not seen"); TestHalfWrittenFileIsNotTakenOver fails without the wait ("revoke-time 5s, want 4s"). The two tests of files are otherwise as before, on the new type.

--- a/lugd/pkg/edge/command.go
+++ b/lugd/pkg/edge/command.go
@@ -28,7 +28,7 @@
 
 // command returns the command line, which writes to out.
 func command(wir Wiring, fileVariable string, sgs *signals, out io.Writer) *cli.Command {
-	run := func(ctx context.Context, set Settings, path string, args []string) error {
+	run := func(ctx context.Context, set Settings, src *source) error {
 		rng := logflags.NewRing(out)
 		defer rng.Close()
 		lgs, err := logflags.New(rng, set.LogFormat, set.LogVerbose)
@@ -43,7 +43,7 @@
 			return err
 		}
 		dmn.metrics.Counter("log_lines_dropped_total", "Log lines that found no room or no reader.", func() float64 { return float64(rng.Dropped()) })
-		reload := watchFile(ctx, path, args, sgs.reload, dmn.signalled, log)
+		reload := src.watch(ctx, sgs.reload, dmn.signalled, log)
 		return dmn.Run(sgs.stopContext(dmn.signalled), reload)
 	}
 	return &cli.Command{
@@ -52,7 +52,7 @@
 		Writer: out,
 		Commands: []*cli.Command{
 			subcommand("run", "serve until SIGTERM, then stop gracefully", fileVariable, run),
-			subcommand("settings", "check the settings and print those in force", fileVariable, func(_ context.Context, set Settings, _ string, _ []string) error {
+			subcommand("settings", "check the settings and print those in force", fileVariable, func(_ context.Context, set Settings, _ *source) error {
 				return show(out, set)
 			}),
 		},
@@ -78,43 +78,20 @@
 
 // subcommand returns a command that is given the settings of the file, of the
 // environment and of its flags, of which the latter go first.
-func subcommand(name, usage, fileVariable string, act func(ctx context.Context, set Settings, path string, args []string) error) *cli.Command {
+func subcommand(name, usage, fileVariable string, act func(ctx context.Context, set Settings, src *source) error) *cli.Command {
 	return &cli.Command{
 		Name: name, Usage: usage, SkipFlagParsing: true,
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			path := os.Getenv(fileVariable)
-			set, err := load(path, cmd.Args().Slice(), cmd.Root().Writer)
+			src := &source{path: os.Getenv(fileVariable), args: cmd.Args().Slice()}
+			set, err := src.load(cmd.Root().Writer)
 			if err != nil {
 				return err
 			}
-			return act(ctx, set, path, cmd.Args().Slice())
+			return act(ctx, set, src)
 		},
 	}
 }
 
-// load reads the settings. Help and hints on usage go to out.
-func load(path string, args []string, out io.Writer) (Settings, error) {
-	set := DefaultSettings()
-	all := []string{"lugd"}
-	if path != "" {
-		lines, err := readFile(path)
-		if err != nil {
-			return set, fmt.Errorf("cannot read the settings: %w", err)
-		}
-		all = append(all, lines...)
-	}
-	all = append(all, args...)
-	cmd := &cli.Command{
-		Name: "lugd", Usage: "settings of a VM", Flags: set.Flags(), Writer: out, ErrWriter: out,
-		Action: func(context.Context, *cli.Command) error { return nil },
-	}
-	// In the context of another command it would write where that one does.
-	if err := cmd.Run(context.Background(), all); err != nil {
-		return set, err
-	}
-	return set, set.Check()
-}
-
 func show(out io.Writer, set Settings) error {
 	for _, flg := range set.Flags() {
 		if doc, ok := flg.(cli.DocGenerationFlag); ok {
--- a/lugd/pkg/edge/reload.go
+++ b/lugd/pkg/edge/reload.go
@@ -8,19 +8,95 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"marigoldlug.example/lugd/pkg/driver"
+)
+
+const (
+	// fileInterval is how often the settings file is compared with what was read.
+	fileInterval = 2 * time.Second
+	// fileSettleTime is how long a changed file must stay the same before it is
+	// taken to be written whole, and fileSettleTries bounds the wait for that.
+	fileSettleTime  = 50 * time.Millisecond
+	fileSettleTries = 10
 )
 
-// fileInterval is how often the settings file is compared with what was read.
-const fileInterval = 2 * time.Second
+// source is where the settings of a process come from: a file, and flags that go
+// before it.
+type source struct {
+	// path is empty where there is no file.
+	path string
+	args []string
+	// content is what the file held when it was last read.
+	content []byte
+}
+
+// load reads the settings. Help and hints on usage go to out.
+func (src *source) load(out io.Writer) (Settings, error) {
+	set := DefaultSettings()
+	lines, err := src.read()
+	if err != nil {
+		return set, err
+	}
+	cmd := &cli.Command{
+		Name: "lugd", Usage: "settings of a VM", Flags: set.Flags(), Writer: out, ErrWriter: out,
+		Action: func(context.Context, *cli.Command) error { return nil },
+	}
+	all := append([]string{"lugd"}, lines...)
+	// In the context of another command it would write where that one does.
+	if err := cmd.Run(context.Background(), append(all, src.args...)); err != nil {
+		return set, err
+	}
+	return set, set.Check()
+}
+
+// read returns the settings of the file as flags.
+func (src *source) read() ([]string, error) {
+	src.content = nil
+	if src.path == "" {
+		return nil, nil
+	}
+	raw, err := os.ReadFile(src.path)
+	if err != nil {
+		return nil, err
+	}
+	src.content = raw
+	return parseFile(src.path, raw)
+}
 
-// watchFile delivers the settings anew on each signal of hup, which is told, and
-// when the file at path has changed without one.
-func watchFile(ctx context.Context, path string, args []string, hup <-chan os.Signal, tell func(sig os.Signal), log logrus.FieldLogger) <-chan Settings {
+// changed reports whether the file holds something else than what was read.
+func (src *source) changed() bool {
+	if src.path == "" {
+		return false
+	}
+	raw, err := os.ReadFile(src.path)
+	if err != nil {
+		raw = nil // That it cannot be read is told when it is loaded.
+	}
+	return !bytes.Equal(raw, src.content)
+}
+
+// reload reads the settings anew, once the file stays the same.
+func (src *source) reload(ctx context.Context) (Settings, error) {
+	set, err := src.load(io.Discard)
+	for range fileSettleTries {
+		driver.Sleep(ctx, fileSettleTime)
+		if !src.changed() {
+			break
+		}
+		set, err = src.load(io.Discard)
+	}
+	return set, err
+}
+
+// watch delivers the settings anew on each signal of hup, which is told, and when
+// the file has changed without one.
+func (src *source) watch(ctx context.Context, hup <-chan os.Signal, tell func(sig os.Signal), log logrus.FieldLogger) <-chan Settings {
 	out := make(chan Settings)
 	go func() {
 		tck := time.NewTicker(fileInterval)
 		defer tck.Stop()
-		before := content(path, log)
 		for {
 			select {
 			case <-ctx.Done():
@@ -28,12 +104,11 @@
 			case sig := <-hup:
 				tell(sig)
 			case <-tck.C:
-				if path == "" || bytes.Equal(content(path, log), before) {
+				if !src.changed() {
 					continue
 				}
 			}
-			before = content(path, log)
-			set, err := load(path, args, io.Discard)
+			set, err := src.reload(ctx)
 			if err != nil {
 				log.WithError(err).Error("the new settings are wrong; the old ones stay in force")
 				continue
@@ -46,15 +121,3 @@
 	}()
 	return out
 }
-
-// content returns what the file holds, nothing where it cannot be read.
-func content(path string, log logrus.FieldLogger) []byte {
-	if path == "" {
-		return nil
-	}
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		log.WithError(err).Warn("cannot read the settings file")
-	}
-	return raw
-}
--- a/lugd/pkg/edge/settings.go
+++ b/lugd/pkg/edge/settings.go
@@ -3,12 +3,10 @@
 package edge
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"math"
 	"net/netip"
-	"os"
 	"slices"
 	"strings"
 	"time"
@@ -265,18 +263,14 @@
 	}
 }
 
-// readFile returns the settings of a file as flags. Its lines have the form
+// parseFile returns the settings of a file as flags. Its lines have the form
 // name=value; empty lines and those that begin with # are skipped.
-func readFile(path string) ([]string, error) {
-	src, err := os.Open(path)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = src.Close() }()
+func parseFile(path string, raw []byte) ([]string, error) {
 	var args []string
-	scn := bufio.NewScanner(src)
-	for num := 1; scn.Scan(); num++ {
-		line := strings.TrimSpace(scn.Text())
+	num := 0
+	for line := range strings.Lines(string(raw)) {
+		num++
+		line = strings.TrimSpace(line)
 		if line == "" || strings.HasPrefix(line, "#") {
 			continue
 		}
@@ -288,5 +282,5 @@
 			args = append(args, "--"+strings.TrimSpace(name)+"="+val)
 		}
 	}
-	return args, scn.Err()
+	return args, nil
 }
--- a/lugd/pkg/edge/settings_test.go
+++ b/lugd/pkg/edge/settings_test.go
@@ -1,12 +1,12 @@
 package edge
 
 import (
-	"context"
 	"io"
 	"math"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -49,34 +49,73 @@
 func TestFlagsGoBeforeTheEnvironmentAndThatBeforeTheFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings")
 	writeSettings(t, path, goodSettings)
-	set, err := load(path, nil, io.Discard)
+	set, err := (&source{path: path}).load(io.Discard)
 	if err != nil || set.Name != "vm-1" || set.RevokeTime != 3*time.Second || set.RetryWindow != 10*time.Second {
 		t.Fatalf("got %+v, %v", set, err)
 	}
-	if set, err = load(path, []string{"--revoke-time=7s"}, io.Discard); err != nil || set.RevokeTime != 7*time.Second {
+	if set, err = (&source{path: path, args: []string{"--revoke-time=7s"}}).load(io.Discard); err != nil || set.RevokeTime != 7*time.Second {
 		t.Errorf("got %v, %v", set.RevokeTime, err)
 	}
 	writeSettings(t, path, goodSettings+"nonsense\n")
-	if _, err := load(path, nil, io.Discard); err == nil || !strings.Contains(err.Error(), "line 11") {
+	if _, err := (&source{path: path}).load(io.Discard); err == nil || !strings.Contains(err.Error(), "line 11") {
 		t.Errorf("got %v", err)
 	}
 }
 
-// TestChangedFileIsTakenOver changes the file without a signal.
-func TestChangedFileIsTakenOver(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "settings")
+// watched returns a source whose file has been read, and the settings that it
+// delivers afterwards, also at a value on hup.
+func watched(t *testing.T, meanwhile func(path string)) (path string, hup chan<- os.Signal, sets <-chan Settings) {
+	t.Helper()
+	path = filepath.Join(t.TempDir(), "settings")
 	writeSettings(t, path, goodSettings)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	sets := watchFile(ctx, path, nil, nil, nil, logrus.New())
-	time.Sleep(100 * time.Millisecond)
-	writeSettings(t, path, strings.Replace(goodSettings, "3s", "4s", 1))
+	src := &source{path: path}
+	if _, err := src.load(io.Discard); err != nil {
+		t.Fatal(err)
+	}
+	meanwhile(path)
+	sgs := make(chan os.Signal, 1)
+	return path, sgs, src.watch(t.Context(), sgs, func(os.Signal) {}, logrus.New())
+}
+
+// expectRevokeTime expects settings to be delivered.
+func expectRevokeTime(t *testing.T, sets <-chan Settings, want time.Duration) {
+	t.Helper()
 	select {
 	case set := <-sets:
-		if set.RevokeTime != 4*time.Second {
-			t.Errorf("got %v", set.RevokeTime)
+		if set.RevokeTime != want {
+			t.Errorf("revoke-time %v, want %v", set.RevokeTime, want)
 		}
 	case <-time.After(3 * fileInterval):
 		t.Error("the change was not seen")
 	}
 }
+
+var changedSettings = strings.Replace(goodSettings, "3s", "4s", 1)
+
+// TestChangedFileIsTakenOver changes the file without a signal.
+func TestChangedFileIsTakenOver(t *testing.T) {
+	t.Parallel()
+	path, _, sets := watched(t, func(string) {})
+	time.Sleep(100 * time.Millisecond)
+	writeSettings(t, path, changedSettings)
+	expectRevokeTime(t, sets, 4*time.Second)
+}
+
+func TestFileChangedBeforeItIsWatchedIsTakenOver(t *testing.T) {
+	t.Parallel()
+	_, _, sets := watched(t, func(path string) { writeSettings(t, path, changedSettings) })
+	expectRevokeTime(t, sets, 4*time.Second)
+}
+
+// TestHalfWrittenFileIsNotTakenOver signals while only the settings that must be
+// given are written.
+func TestHalfWrittenFileIsNotTakenOver(t *testing.T) {
+	t.Parallel()
+	path, hup, sets := watched(t, func(string) {})
+	half, _, _ := strings.Cut(goodSettings, "revoke-time")
+	writeSettings(t, path, half)
+	hup <- syscall.SIGHUP
+	time.Sleep(fileSettleTime / 2)
+	writeSettings(t, path, changedSettings)
+	expectRevokeTime(t, sets, 4*time.Second)
+}
