Give up duties and the listing as long as a stopping VM has them

What callers see: a duty to serve tokens whose release fails stays unserved until its holder is taken off the list and the lease has ended (5 s), so that callers within their rate are refused with 429; a VM that is still listed after its end is asked as a placer, which costs each request 60 ms until others take it off (3.5 s).

Cause: the list and the duties were given up once, in the step that began the stop. A write made before the stop that takes effect during it (a listing, a claim, a change of who is busy), a release that conflicts with one, and a change that the store refused or lost were never looked at again. This was known of releases and left open.

Now a VM that stops gives up whatever the list says that it has: at the start of the stop and at each tick, once for each revision of an object and again after 0.5 s.

Evidence: TestStopAndTheStore, twelve orders of events, of which seven failed: starting, its listing lands while stopping: wrote "", want "delist vm.vm at 6" stop begins twice: wrote all releases and the delisting a second time, want "" the store does not take the delisting: wrote "", want "delist vm.vm at 2" its row was written again: wrote "", want "delist vm.vm at 8" a release loses to a change of who is busy: wrote "", want "release (org) duty.quota-1 at 7" the store takes all but one release: wrote "", want "release duty.quota-0 at 6" a claim lands late: wrote "", want "release duty.quota-2 at 8" All pass now, with -race.

Ruled out: the store regained while stopping does not list the VM again, and no duty is claimed; these cases passed before.

--- a/core/gateway/knowledge.go
+++ b/core/gateway/knowledge.go
@@ -343,18 +343,23 @@
 	}
 }
 
-// enlist has this VM listed, and takes silent VMs of its failure domain off.
+// enlist has this VM listed while it does not stop, and takes silent VMs of its
+// failure domain off.
 func (mac *Machine) enlist(now clock.Instant) {
 	if mac.fleet.Revision() == 0 {
 		return
 	}
+	if mac.stopping {
+		mac.giveUp(now)
+		return
+	}
 	listed, revision := mac.fleet.Listed()
-	if !listed && !mac.stopping && (mac.registered == (clock.Instant{}) || now.Since(mac.registered) >= registerInterval) {
+	if !listed && (mac.registered == (clock.Instant{}) || now.Since(mac.registered) >= registerInterval) {
 		mac.registered = now
 		mac.do(Write{Name: fleet.VMName(mac.set.Name), Row: fleet.Row{VM: mac.set.Self, Name: mac.set.Name}, Revision: revision})
 	}
 	for num := range fleet.Duties {
-		if mac.stopping || !mac.fleet.Claims(now, num) {
+		if !mac.fleet.Claims(now, num) {
 			continue
 		}
 		name := fleet.DutyName(num)
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -9,7 +9,6 @@
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
-	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/placement"
 	"marigoldlug.example/core/quota"
@@ -65,7 +64,10 @@
 	// began is when the first event came.
 	began    clock.Instant
 	stopping bool
-	actions  []Action
+	// givenUp has the objects of the fleet that this VM has asked the store to
+	// take from it because it stops.
+	givenUp map[string]givenUp
+	actions []Action
 	// placements and granted count answers as a placer and as a server of
 	// tokens by outcome.
 	placements, granted map[string]uint64
@@ -83,6 +85,7 @@
 		services: make(map[string]*service),
 		asks:     make(map[uint64]request.ID),
 		flights:  make(map[request.ID]*flight),
+		givenUp:  make(map[string]givenUp),
 
 		placements: make(map[string]uint64),
 		granted:    make(map[string]uint64),
@@ -116,7 +119,7 @@
 	case Ticked:
 		mac.ticked(now)
 	case StopBegan:
-		mac.stop()
+		mac.stop(now)
 	case StopEnds:
 		mac.refuseAll(now)
 	default:
@@ -293,37 +296,6 @@
 	}
 }
 
-// stop begins a planned stop: duties are given up and the VM is delisted.
-func (mac *Machine) stop() {
-	mac.stopping = true
-	mac.tokens.SetReach(mac.reach())
-	for num := range mac.servers {
-		if mac.fleet.Holder(num) != mac.set.Self.ID {
-			continue
-		}
-		mac.servers[num] = nil
-		name := fleet.DutyName(num)
-		mac.do(Write{Name: name, Row: fleet.Row{Holder: mac.set.Self.ID, Released: true, Busy: mac.fleet.Busy(num)}, Revision: mac.fleet.Object(name)})
-	}
-	if listed, revision := mac.fleet.Listed(); listed {
-		mac.do(Delete{Name: fleet.VMName(mac.set.Name), Revision: revision})
-	}
-}
-
-// refuseAll answers the requests that targets have not answered when the stop
-// must end, so that no caller is left without an answer.
-func (mac *Machine) refuseAll(now clock.Instant) {
-	mac.takeEarly(now)
-	for _, id := range sortedFlights(mac.flights) {
-		fli := mac.flights[id]
-		if fli.answering {
-			continue
-		}
-		mac.endAll(now, fli, health.Canceled)
-		mac.refuse(fli, request.Refusal{Reason: request.TimedOut, Detail: "the VM stops and the target has not answered", RetryAfter: mac.usualReturn()})
-	}
-}
-
 // sweepable returns the VMs that this one takes off the list when they are
 // silent: those of its failure domain, and the first of the next one.
 func (mac *Machine) sweepable() []member.VM {
--- /dev/null
+++ b/core/gateway/stop_test.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"marigoldlug.example/core/fleet"
+	"marigoldlug.example/core/member"
+	"marigoldlug.example/core/quota"
+	"marigoldlug.example/core/table"
+)
+
+// written returns what a machine asks of the store, in words.
+func written(acts []Action) string {
+	var out []string
+	for _, act := range acts {
+		switch act := act.(type) {
+		case Delete:
+			out = append(out, fmt.Sprintf("delist %s at %d", act.Name, act.Revision))
+		case Write:
+			what := "state"
+			switch {
+			case act.Row.Holder == "":
+				what = "list"
+			case act.Row.Released && act.Row.Busy.All:
+				what = "release"
+			case act.Row.Released:
+				what = "release (" + strings.Join(act.Row.Busy.Names, " ") + ")"
+			}
+			out = append(out, fmt.Sprintf("%s %s at %d", what, act.Name, act.Revision))
+		}
+	}
+	return strings.Join(out, ", ")
+}
+
+// dutyRow says who holds a duty.
+func dutyRow(num int, row fleet.Row, revision uint64) table.Row[fleet.Row] {
+	return table.Row[fleet.Row]{Name: fleet.DutyName(num), Revision: revision, Value: row}
+}
+
+// ownRow lists the VM of the tests.
+func (vmm *vm) ownRow(revision uint64) table.Row[fleet.Row] {
+	return table.Row[fleet.Row]{Name: fleet.VMName("vm"), Revision: revision, Value: fleet.Row{VM: vmm.mac.set.Self, Name: "vm"}}
+}
+
+// otherRow lists another VM.
+func otherRow(revision uint64) table.Row[fleet.Row] {
+	return table.Row[fleet.Row]{Name: fleet.VMName("other"), Revision: revision, Value: fleet.Row{
+		VM: member.VM{ID: "other.r", Address: "127.0.0.1:2", FailureDomain: "a"}, Name: "other",
+	}}
+}
+
+// list has the VM read a newer list of the fleet, and lets a tick pass.
+func (vmm *vm) list(since, revision uint64, rows ...table.Row[fleet.Row]) []Action {
+	acts := vmm.step(FleetRead{Asked: vmm.now, News: table.Delta[fleet.Row]{Since: since, Revision: revision, Rows: rows}})
+	return append(acts, vmm.wait(TickInterval)...)
+}
+
+// released has the VM read that its duties are free.
+func (vmm *vm) released() {
+	var rows []table.Row[fleet.Row]
+	for num := range fleet.Duties {
+		rows = append(rows, dutyRow(num, fleet.Row{Holder: vmm.mac.set.Self.ID, Released: true}, 7))
+	}
+	vmm.list(6, 7, rows...)
+}
+
+// TestStopAndTheStore plays what the store may answer, and when, to a VM that
+// stops: whatever the list says, a VM that stops gives up what the list says that
+// it has.
+func TestStopAndTheStore(t *testing.T) {
+	self := newVM(t).mac.set.Self.ID
+	for _, one := range []struct {
+		name string
+		play func(vmm *vm) []Action
+		want string
+	}{
+		{"starting, before anything is known", func(vmm *vm) []Action {
+			return append(vmm.step(StopBegan{}), vmm.wait(time.Second)...)
+		}, ""},
+		{"starting, the list comes while stopping", func(vmm *vm) []Action {
+			acts := vmm.step(StopBegan{})
+			acts = append(acts, vmm.step(FleetRead{Asked: vmm.now, News: table.Delta[fleet.Row]{Whole: true, Revision: 5, Rows: []table.Row[fleet.Row]{otherRow(3)}}})...)
+			return append(acts, vmm.wait(3*time.Second)...)
+		}, ""},
+		{"starting, its listing lands while stopping", func(vmm *vm) []Action {
+			vmm.step(FleetRead{Asked: vmm.now, News: table.Delta[fleet.Row]{Whole: true, Revision: 5, Rows: []table.Row[fleet.Row]{otherRow(3)}}})
+			if got := written(vmm.wait(TickInterval)); got != "list vm.vm at 0" {
+				t.Fatalf("wrote %q at its start", got)
+			}
+			vmm.step(StopBegan{})
+			return vmm.list(5, 6, vmm.ownRow(6))
+		}, "delist vm.vm at 6"},
+		{"serving, stop begins twice", func(vmm *vm) []Action {
+			vmm.load().step(StopBegan{})
+			return append(vmm.step(StopBegan{}), vmm.wait(TickInterval)...)
+		}, ""},
+		{"stopping, the store does not take the delisting", func(vmm *vm) []Action {
+			vmm.load().step(StopBegan{})
+			vmm.released()
+			return vmm.wait(giveUpInterval + TickInterval)
+		}, "delist vm.vm at 2"},
+		{"stopping, its row was written again", func(vmm *vm) []Action {
+			vmm.load().step(StopBegan{})
+			vmm.released()
+			return vmm.list(7, 8, vmm.ownRow(8))
+		}, "delist vm.vm at 8"},
+		{"stopping, a release loses to a change of who is busy", func(vmm *vm) []Action {
+			vmm.load().step(StopBegan{})
+			return vmm.list(6, 7, dutyRow(1, fleet.Row{Holder: self, Busy: quota.Busy{Names: []string{"org"}}}, 7))
+		}, "release (org) duty.quota-1 at 7"},
+		{"stopping, the store takes all but one release", func(vmm *vm) []Action {
+			vmm.load().step(StopBegan{})
+			free := fleet.Row{Holder: self, Released: true}
+			vmm.step(FleetRead{Asked: vmm.now, News: table.Delta[fleet.Row]{
+				Since: 6, Revision: 7, Rows: []table.Row[fleet.Row]{dutyRow(1, free, 7), dutyRow(2, free, 7)}, Removed: []string{fleet.VMName("vm")},
+			}})
+			return vmm.wait(giveUpInterval + TickInterval)
+		}, "release duty.quota-0 at 6"},
+		{"stopping, a claim lands late", func(vmm *vm) []Action {
+			vmm.load().step(StopBegan{})
+			vmm.released()
+			return vmm.list(7, 8, dutyRow(2, fleet.Row{Holder: self, Busy: quota.Busy{All: true}}, 8))
+		}, "release duty.quota-2 at 8"},
+		{"stopping, a duty falls vacant", func(vmm *vm) []Action {
+			vmm.load().step(StopBegan{})
+			vmm.released()
+			vmm.step(FleetRead{Asked: vmm.now, News: table.Delta[fleet.Row]{Since: 7, Revision: 8, Removed: []string{fleet.VMName("vm")}}})
+			return vmm.wait(3 * time.Second)
+		}, ""},
+		{"stopping, the store is regained", func(vmm *vm) []Action {
+			vmm.load().step(StopBegan{})
+			vmm.wait(8 * time.Second)
+			vmm.step(FleetRead{Asked: vmm.now, News: table.Delta[fleet.Row]{Whole: true, Revision: 9, Rows: []table.Row[fleet.Row]{otherRow(3)}}})
+			return vmm.wait(3 * time.Second)
+		}, ""},
+		{"stopping, another run of the VM is listed", func(vmm *vm) []Action {
+			vmm.load().step(StopBegan{})
+			vmm.released()
+			row := vmm.ownRow(8)
+			row.Value.VM.ID = "vm.next"
+			return append(vmm.list(7, 8, row), vmm.wait(2*time.Second)...)
+		}, ""},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			if got := written(one.play(newVM(t))); got != one.want {
+				t.Errorf("wrote %q, want %q", got, one.want)
+			}
+		})
+	}
+}
