Refuse what a VM reads after the last moment of its stop

What callers see: a request whose body ends after the last moment of a stop (0.6 s before the process ends) was sent to a target and cut by the end of the process. An order is lost then: it may have run, and the caller cannot send it again.

Cause: StopEnds refused the requests of that instant. Later ones were treated as in any other phase, though no target can answer them in time.

Now the machine remembers that the stop has ended; what would run is refused with 503 and a time to return, what is at fault (no route, no key) as before, and nothing waits for a configuration any more.

Evidence: TestNoRequestRunsOnceAStopHasEnded; before: a_request_without_a_key: sent to t3 a_request_with_a_key: sent to t1 passes now, with -race. TestLateAnswersOfVMsRunNothing and TestLateAnswersOfTargetsChangeNothing cover what is answered after the last moment, also twice; they passed before.

--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -91,7 +91,7 @@
 func (fli *flight) running() bool { return len(fli.live) > 0 }
 
 func (mac *Machine) arrived(now clock.Instant, req request.Request) {
-	if !mac.knows() && mac.young(now) {
+	if !mac.knows() && mac.young(now) && !mac.ended {
 		mac.early = append(mac.early, early{request: req, arrived: now})
 		return
 	}
@@ -101,6 +101,9 @@
 // take decides on a request that arrived at a time.
 func (mac *Machine) take(now, arrived clock.Instant, req request.Request) {
 	fli, ref := mac.admit(now, arrived, req)
+	if ref == nil && mac.ended {
+		ref = &request.Refusal{Reason: request.Overloaded, Detail: "the VM stops", RetryAfter: mac.usualReturn()}
+	}
 	if ref != nil {
 		mac.noteRefusal(fli, req.ID, *ref)
 		mac.do(Refuse{Request: req.ID, Refusal: *ref})
--- a/core/gateway/stop.go
+++ b/core/gateway/stop.go
@@ -57,8 +57,10 @@
 }
 
 // refuseAll answers the requests that targets have not answered when the stop
-// must end, so that no caller is left without an answer.
+// must end, so that no caller is left without an answer. What is read later is
+// refused too, since no target can answer it in time.
 func (mac *Machine) refuseAll(now clock.Instant) {
+	mac.ended = true
 	mac.takeEarly(now)
 	for _, id := range sortedFlights(mac.flights) {
 		fli := mac.flights[id]
--- /dev/null
+++ b/core/gateway/stopends_test.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"marigoldlug.example/core/fleet"
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/placement"
+	"marigoldlug.example/core/quota"
+	"marigoldlug.example/core/request"
+	"marigoldlug.example/core/table"
+	"marigoldlug.example/core/verdict"
+)
+
+// TestNoRequestRunsOnceAStopHasEnded plays what may arrive after the last moment
+// of a stop: requests that were being read, and answers to asks whose requests
+// were refused.
+func TestNoRequestRunsOnceAStopHasEnded(t *testing.T) {
+	for _, one := range []struct {
+		name, path string
+		key        string
+		reason     request.Reason
+	}{
+		{"a request without a key", "/open/x", "", request.Overloaded},
+		{"a request with a key", "/once/x", key, request.Overloaded},
+		{"a request for no route", "/nowhere/x", "", request.NoRoute},
+		{"a request with a wrong key", "/once/x", "wrong", request.UnknownKey},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			vmm := newVM(t).load()
+			vmm.step(StopBegan{})
+			vmm.pass(4 * time.Second)
+			vmm.step(StopEnds{})
+			acts := vmm.arrive(one.path, one.key)
+			if dis, sent := dispatched(acts); sent {
+				t.Fatalf("sent to %s", dis.Target.ID)
+			}
+			ref := vmm.mustRefuse(acts, one.reason, verdict.NotRun)
+			if one.reason == request.Overloaded && ref.RetryAfter <= 0 {
+				t.Error("the caller is not told when to come back")
+			}
+			if _, sent := dispatched(vmm.wait(time.Second)); sent || vmm.mac.Flights() != 0 {
+				t.Error("the request goes on")
+			}
+		})
+	}
+}
+
+// TestNothingWaitsAtAVMThatStoppedBeforeItKnew ends the stop of a VM that knows
+// nothing yet; a request that is read then is refused at once.
+func TestNothingWaitsAtAVMThatStoppedBeforeItKnew(t *testing.T) {
+	vmm := newVM(t)
+	vmm.step(StopBegan{})
+	vmm.step(StopEnds{})
+	vmm.mustRefuse(vmm.arrive("/once/x", key), request.NoConfiguration, verdict.NotRun)
+}
+
+// ledByOther has another VM place requests and serve tokens.
+func (vmm *vm) ledByOther() *vm {
+	rows := []table.Row[fleet.Row]{otherRow(7)}
+	for num := range fleet.Duties {
+		rows = append(rows, dutyRow(num, fleet.Row{Holder: "other.r"}, 7))
+	}
+	vmm.step(FleetRead{Asked: vmm.now, News: table.Delta[fleet.Row]{Whole: true, Revision: 7, Rows: rows}})
+	vmm.wait(TickInterval)
+	return vmm
+}
+
+// asks returns the messages for another VM.
+func asks(acts []Action) (out []any) {
+	for _, act := range acts {
+		if snd, ok := act.(Send); ok {
+			out = append(out, snd.Message)
+		}
+	}
+	return out
+}
+
+// TestLateAnswersOfVMsRunNothing ends a stop while a request waits for its placer,
+// and one for tokens. What the other VM answers then, also twice, runs neither, and
+// the place is given back.
+func TestLateAnswersOfVMsRunNothing(t *testing.T) {
+	vmm := newVM(t).load().ledByOther()
+	place, ok := asks(vmm.arrive("/open/x", ""))[0].(placement.Ask)
+	if !ok {
+		t.Fatal("the placer is not asked")
+	}
+	tokens, ok := asks(vmm.arrive("/once/x", key))[0].(quota.Ask)
+	if !ok {
+		t.Fatal("the server of tokens is not asked")
+	}
+	vmm.step(StopBegan{})
+	for _, act := range vmm.step(StopEnds{}) {
+		if ref, ok := act.(Refuse); ok && (ref.Refusal.Verdict != verdict.NotRun || ref.Refusal.Reason.Status() != 503) {
+			t.Errorf("refused with %+v", ref.Refusal)
+		}
+	}
+	if vmm.mac.Flights() != 0 {
+		t.Fatal("a request was not refused")
+	}
+	for range 2 {
+		acts := vmm.step(Received{From: "other.r", Message: placement.Answer{Number: place.Number, Target: "t0"}})
+		acts = append(acts, vmm.step(Received{From: "other.r", Message: quota.Grant{Organisation: "org", Number: tokens.Number, Count: 1}})...)
+		if _, sent := dispatched(acts); sent {
+			t.Error("a refused request runs")
+		}
+		if back, ok := asks(acts)[0].(placement.Ended); !ok || back.Ends[0].Number != place.Number || back.Ends[0].Outcome != health.Canceled {
+			t.Errorf("the placer is told %+v", asks(acts))
+		}
+	}
+}
+
+// TestLateAnswersOfTargetsChangeNothing refuses a request that runs at a target at
+// the end of a stop; what becomes of the attempt afterwards, also twice, changes
+// nothing.
+func TestLateAnswersOfTargetsChangeNothing(t *testing.T) {
+	vmm := newVM(t).load()
+	dis := vmm.mustDispatch(vmm.arrive("/once/x", key))
+	vmm.step(StopBegan{})
+	vmm.step(StopEnds{})
+	for _, evt := range []Event{
+		Answered{Request: dis.Request, Attempt: dis.Attempt, Answer: Answer{Status: 200}},
+		Answered{Request: dis.Request, Attempt: dis.Attempt, Answer: Answer{Status: 503, Shed: true}},
+		AttemptFailed{Request: dis.Request, Attempt: dis.Attempt, Verdict: verdict.NotRun},
+		RelayEnded{Request: dis.Request},
+		CallerLeft{Request: dis.Request},
+		StopEnds{},
+	} {
+		for range 2 {
+			acts := slices.DeleteFunc(vmm.step(evt), func(act Action) bool {
+				_, note := act.(Note)
+				return note
+			})
+			if len(acts) > 0 {
+				t.Errorf("%T leads to %v", evt, acts)
+			}
+		}
+	}
+}
