Claim a released duty though its former holder is still listed

What callers see: where the store takes the release of a duty and not the delisting of the VM that stops (it turns some calls away, or an answer is lost), a third of the tokens is served by nobody until others take the VM off the list, 3.5 s or more later.

Cause: the VM that is to hold a duty was chosen from all that are listed, so it was the one that had just released it, which claims nothing since it stops.

Now that VM is left out for the duty that it released.

Evidence: TestReleasedDutyIsClaimedWhileItsHolderIsListed; before, with two and with three VMs, only the VM that had released the duty was to claim it: one.r1 claims the duty that one.r1 released passes now, with -race.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -233,9 +234,17 @@
 }
 
 // candidate returns the VM that is to hold a duty: the first of a failure domain
-// of its own, as far as there are enough.
+// of its own, as far as there are enough. A VM that has released the duty stops,
+// though it may still be listed.
 func (fle *Fleet) candidate(num int) string {
+	row, _ := fle.rows.Get(DutyName(num))
 	domains := fle.view.Domains()
-	vms := fle.view.Domain(domains[num%len(domains)])
-	return member.Ranked(vms, DutyName(num), 1)[0].ID
+	for off := range domains {
+		vms := slices.Clone(fle.view.Domain(domains[(num+off)%len(domains)]))
+		vms = slices.DeleteFunc(vms, func(vmm member.VM) bool { return row.Value.Released && vmm.ID == row.Value.Holder })
+		if first := member.Ranked(vms, DutyName(num), 1); len(first) > 0 {
+			return first[0].ID
+		}
+	}
+	return ""
 }
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -72,6 +72,46 @@
 	}
 }
 
+// TestReleasedDutyIsClaimedWhileItsHolderIsListed has the VM that ranks first for a
+// duty release it and stay on the list, as it does where the store takes the release
+// and not the delisting. Another VM is to claim the duty, and acts at once.
+func TestReleasedDutyIsClaimedWhileItsHolderIsListed(t *testing.T) {
+	now := clock.At(time.Hour)
+	for _, others := range []int{1, 2} {
+		vms := []table.Row[Row]{vmRow("one", "r1", 1), vmRow("two", "r1", 2), vmRow("three", "r1", 3)}
+		first := newFleet(t, now, vms[:others+1]...).candidate(0)
+		released := holderRow(first, 11)
+		released.Value.Released = true
+		claims := 0
+		for _, row := range vms[:others+1] {
+			fle := New(row.Value.VM, row.Value.Name)
+			fle.Prove(now)
+			fle.Apply(now, table.Delta[Row]{Whole: true, Revision: 11, Rows: append([]table.Row[Row]{released}, vms[:others+1]...)})
+			if !fle.Claims(now, 0) {
+				continue
+			}
+			claims++
+			change(fle, now, 12, holderRow(row.Value.VM.ID, 12))
+			if row.Value.VM.ID == first || !fle.Acts(now, 0) {
+				t.Errorf("%s claims the duty that %s released, and acts: %v", row.Value.VM.ID, first, fle.Acts(now, 0))
+			}
+		}
+		if claims != 1 {
+			t.Errorf("%d of %d VMs claim the duty", claims, others+1)
+		}
+	}
+}
+
+// TestNobodyClaimsWhereOnlyTheReleaserIsListed has the only VM release its duty.
+func TestNobodyClaimsWhereOnlyTheReleaserIsListed(t *testing.T) {
+	now := clock.At(time.Hour)
+	released := holderRow("one.r1", 3)
+	released.Value.Released = true
+	if newFleet(t, now, vmRow("one", "r1", 1), released).Claims(now, 0) {
+		t.Error("a VM claims the duty that it has released")
+	}
+}
+
 // TestSuccessorOfEndedProcessActsAtOnce replaces the holder's process, which
 // shows that the old one has ended.
 func TestSuccessorOfEndedProcessActsAtOnce(t *testing.T) {
