Release duties before the VM that stops leaves the list

What callers see: of the three servers of tokens one falls silent for 5 s after its planned stop, where the store takes the delisting sooner than the release; a third of the tokens is not granted and callers within their rate get 429.

Cause: release and delisting were sent at the same moment over connections of their own. A duty whose holder is not listed is claimed on condition of its revision: a claim that comes before the release makes the release fail, and who claimed it waits until the lease of the former holder has ended, since it was never released.

Now a VM that stops is delisted once the list says that it holds no duty, and after 1.2 s in any case (two asks of the store). Released duties are claimed while it is still listed (commit before), so this costs no time.

Evidence: TestStopAndTheStore; before: serving, stop begins: wrote "release ..., delist vm.vm at 2", want the releases alone stopping, the store takes the releases: wrote "", want "delist vm.vm at 2" stopping, the store takes no release for long: wrote "", want "delist vm.vm at 2" pass now, with -race; playground and driver tests pass.

TestStopGivesUpTheDutyAndTheListing demanded the delisting in the step in which the stop begins, which is the fault. It now demands all three releases there (it looked at the last one only), no delisting before they are in the list, and the delisting in the same tick after that.

--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -64,6 +64,8 @@
 	// began is when the first event came.
 	began    clock.Instant
 	stopping bool
+	// stopBegan is when the planned stop began.
+	stopBegan clock.Instant
 	// ended is set in the last moment of a stop, after which no request is sent.
 	ended bool
 	// givenUp has the objects of the fleet that this VM has asked the store to
--- a/core/gateway/machine_test.go
+++ b/core/gateway/machine_test.go
@@ -463,19 +463,28 @@
 	}
 }
 
+// TestStopGivesUpTheDutyAndTheListing stops a VM that holds every duty: it releases
+// each at once, and is delisted as soon as the list says that they are free.
 func TestStopGivesUpTheDutyAndTheListing(t *testing.T) {
 	vmm := newVM(t).load()
-	released, delisted := false, false
+	released := 0
 	for _, act := range vmm.step(StopBegan{}) {
 		switch act := act.(type) {
 		case Write:
-			released = act.Name == fleet.DutyName(2) && act.Row.Released
+			if act.Name == fleet.DutyName(released) && act.Row.Released {
+				released++
+			}
 		case Delete:
-			delisted = act.Name == fleet.VMName("vm")
+			t.Error("delisted before the duties were free")
 		}
 	}
-	if !released || !delisted || vmm.mac.Ready() {
-		t.Errorf("released %v, delisted %v, ready %v", released, delisted, vmm.mac.Ready())
+	delisted := false
+	for _, act := range vmm.released() {
+		del, ok := act.(Delete)
+		delisted = delisted || ok && del.Name == fleet.VMName("vm")
+	}
+	if released != fleet.Duties || !delisted || vmm.mac.Ready() {
+		t.Errorf("released %d, delisted %v, ready %v", released, delisted, vmm.mac.Ready())
 	}
 	vmm.mustDispatch(vmm.arrive("/read/x", key)) // Requests that still come are served.
 }
--- a/core/gateway/stop.go
+++ b/core/gateway/stop.go
@@ -9,9 +9,14 @@
 	"marigoldlug.example/core/request"
 )
 
-// giveUpInterval is how long the store may take until a VM that stops asks it
-// again to take the VM off the list or a duty from it.
-const giveUpInterval = 500 * time.Millisecond
+const (
+	// giveUpInterval is how long the store may take until a VM that stops asks it
+	// again to take the VM off the list or a duty from it.
+	giveUpInterval = 500 * time.Millisecond
+	// delistTime is how long a VM that stops is still listed while the list says
+	// that it holds a duty: long enough to ask the store twice.
+	delistTime = 1200 * time.Millisecond
+)
 
 // givenUp is an object of the fleet that the store was asked to change.
 type givenUp struct {
@@ -22,23 +27,35 @@
 
 // stop begins a planned stop.
 func (mac *Machine) stop(now clock.Instant) {
-	mac.stopping = true
+	if !mac.stopping {
+		mac.stopping, mac.stopBegan = true, now
+	}
 	mac.tokens.SetReach(mac.reach())
 	mac.giveUp(now)
 }
 
-// giveUp gives up the duties that the list says this VM holds, and its place on
+// giveUp gives up the duties that the list says this VM holds, and then its place on
 // the list. A VM that stops does so whenever the list says so: a write made before
-// the stop may take effect during it, and the store may refuse or lose a change.
+// the stop may take effect during it, and the store may refuse or lose a change. The
+// duties go first: one whose holder is no longer listed is claimed, and who claims
+// it before its release waits until the lease has ended.
 func (mac *Machine) giveUp(now clock.Instant) {
 	self := mac.set.Self.ID
+	holds := false
 	for num := range fleet.Duties {
 		name := fleet.DutyName(num)
-		if revision := mac.fleet.Object(name); mac.fleet.Holder(num) == self && mac.mayGiveUp(now, name, revision) {
+		if mac.fleet.Holder(num) != self {
+			continue
+		}
+		holds = true
+		if revision := mac.fleet.Object(name); mac.mayGiveUp(now, name, revision) {
 			mac.servers[num] = nil
 			mac.do(Write{Name: name, Row: fleet.Row{Holder: self, Released: true, Busy: mac.fleet.Busy(num)}, Revision: revision})
 		}
 	}
+	if holds && now.Since(mac.stopBegan) < delistTime {
+		return
+	}
 	name := fleet.VMName(mac.set.Name)
 	if listed, revision := mac.fleet.Listed(); listed && mac.mayGiveUp(now, name, revision) {
 		mac.do(Delete{Name: name, Revision: revision})
--- a/core/gateway/stop_test.go
+++ b/core/gateway/stop_test.go
@@ -59,12 +59,12 @@
 }
 
 // released has the VM read that its duties are free.
-func (vmm *vm) released() {
+func (vmm *vm) released() []Action {
 	var rows []table.Row[fleet.Row]
 	for num := range fleet.Duties {
 		rows = append(rows, dutyRow(num, fleet.Row{Holder: vmm.mac.set.Self.ID, Released: true}, 7))
 	}
-	vmm.list(6, 7, rows...)
+	return vmm.list(6, 7, rows...)
 }
 
 // TestStopAndTheStore plays what the store may answer, and when, to a VM that
@@ -93,6 +93,23 @@
 			vmm.step(StopBegan{})
 			return vmm.list(5, 6, vmm.ownRow(6))
 		}, "delist vm.vm at 6"},
+		{"serving, stop begins", func(vmm *vm) []Action {
+			return append(vmm.load().step(StopBegan{}), vmm.wait(TickInterval)...)
+		}, "release duty.quota-0 at 6, release duty.quota-1 at 6, release duty.quota-2 at 6"},
+		{"stopping, the store takes the releases", func(vmm *vm) []Action {
+			vmm.load().step(StopBegan{})
+			return vmm.released()
+		}, "delist vm.vm at 2"},
+		{"stopping, the store does not take the releases", func(vmm *vm) []Action {
+			vmm.load().step(StopBegan{})
+			vmm.wait(giveUpInterval + TickInterval)
+			return vmm.wait(delistTime - 2*giveUpInterval)
+		}, ""},
+		{"stopping, the store takes no release for long", func(vmm *vm) []Action {
+			vmm.load().step(StopBegan{})
+			vmm.wait(2*giveUpInterval + TickInterval)
+			return vmm.wait(delistTime - 2*giveUpInterval)
+		}, "delist vm.vm at 2"},
 		{"serving, stop begins twice", func(vmm *vm) []Action {
 			vmm.load().step(StopBegan{})
 			return append(vmm.step(StopBegan{}), vmm.wait(TickInterval)...)
