Ask the VM that serves tokens now, whatever the one before it did

What callers see: when a server of tokens leaves while it is asked, or says that it no longer serves, the VM that serves its part since is not asked for 1 s (0.1 s); with one part served, callers are admitted or refused by the VM's own small share meanwhile.

Cause: the silence was put to the part's server of the moment, not to the VM that had been asked.

Evidence: TestSuccessorsOfServersAreAsked; before, in both cases: new is not asked: [] passes now, with -race.

--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -82,11 +82,12 @@
 	demand  float64
 	counted clock.Instant
 	waiting []waiter
-	// asked is when the ask numbered open was sent, for part; open is 0 where
-	// none is.
-	asked clock.Instant
-	open  uint64
-	part  int
+	// asked is when the ask numbered open was sent, for part to server; open is 0
+	// where none is.
+	asked  clock.Instant
+	open   uint64
+	part   int
+	server string
 	// tried has the parts that were asked for since requests began to wait, and
 	// retry the least time after which one of their servers has tokens.
 	tried map[int]bool
@@ -260,7 +261,7 @@
 			continue
 		}
 		cli.number++
-		wal.open, wal.asked, wal.part = cli.number, now, part
+		wal.open, wal.asked, wal.part, wal.server = cli.number, now, part, id
 		cli.outputs = append(cli.outputs, Send{To: id, Ask: Ask{
 			Organisation: wal.organisation, Server: part, Number: cli.number, Need: len(wal.waiting), Ahead: wal.ahead(),
 		}})
@@ -358,11 +359,12 @@
 	}
 }
 
-// leave does not ask the server that was asked last for a pause.
+// leave does not ask the server that was asked last for a pause. Another VM may
+// serve its part by now; that one may be asked.
 func (cli *Client) leave(now clock.Instant, wal *wallet, pause time.Duration) {
-	wal.tried[wal.part] = true
-	if wal.part < len(cli.reach.Servers) {
-		cli.silent[cli.reach.Servers[wal.part]] = now.Add(pause)
+	cli.silent[wal.server] = now.Add(pause)
+	if wal.part < len(cli.reach.Servers) && cli.reach.Servers[wal.part] == wal.server {
+		wal.tried[wal.part] = true
 	}
 }
 
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -384,3 +384,43 @@
 		t.Errorf("%d requests were admitted 0.2 s after the server began", len(wld.admitted))
 	}
 }
+
+// TestSuccessorsOfServersAreAsked lets a server leave while it is asked: what it says
+// later, or does not say, tells nothing of the VM that serves its part now.
+func TestSuccessorsOfServersAreAsked(t *testing.T) {
+	for _, one := range []struct {
+		name  string
+		leave func(cli *Client, now clock.Instant, ask Ask)
+	}{
+		{"it does not answer", func(cli *Client, now clock.Instant, _ Ask) { cli.Tick(now.Add(askTime)) }},
+		{"it says that it does not serve", func(cli *Client, now clock.Instant, ask Ask) {
+			cli.Granted(now, Grant{Organisation: ask.Organisation, Number: ask.Number, Idle: true})
+		}},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			wld := newWorld(1, limitOf(100, 100))
+			cli := wld.clients[0]
+			wld.reach([]string{"", "", ""}, false)
+			wld.pass(2 * youngTime)
+			wld.reach([]string{"old", "", ""}, false)
+			cli.Admit(wld.now, "org", 1)
+			ask := asked(t, cli, "old")
+			wld.reach([]string{"new", "", ""}, false)
+			one.leave(cli, wld.now, ask)
+			asked(t, cli, "new")
+		})
+	}
+}
+
+// asked returns the ask that was sent to a server.
+func asked(t *testing.T, cli *Client, server string) Ask {
+	t.Helper()
+	outs := cli.Take()
+	for _, out := range outs {
+		if snd, ok := out.(Send); ok && snd.To == server {
+			return snd.Ask
+		}
+	}
+	t.Fatalf("%s is not asked: %+v", server, outs)
+	return Ask{}
+}
