Ask a new placer though the one before it did not answer

What callers see: for 0.4 s after a placer has ended without an answer, VMs that already know its successor do not ask it and place requests by what they alone have seen, which sends more of them to sick targets.

Cause: the silence of an ask was put to the part's placer of the moment, not to the VM that had been asked.

Evidence: TestSuccessorOfASilentPlacerIsAsked; before: listed_before_the_ask_is_given_up: the new placer is not asked passes now, with -race.

--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -46,13 +46,14 @@
 	deadline clock.Instant
 	attempt  int
 	// placing is set while a target is asked for: by the ask with a number, sent
-	// at asked for a target of askedPart.
+	// at asked to askedOwner for a target of askedPart.
 	placing bool
 	// hedging is set where that is for an attempt beside another.
-	hedging   bool
-	ask       uint64
-	asked     clock.Instant
-	askedPart *part
+	hedging    bool
+	ask        uint64
+	asked      clock.Instant
+	askedOwner string
+	askedPart  *part
 	// tried lists the targets not to try again.
 	tried []string
 	// live has the attempts under way, the oldest first, maxLive at most.
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -223,7 +223,7 @@
 	}
 	par := mac.choosePart(svc)
 	mac.number++
-	fli.placing, fli.ask, fli.asked, fli.askedPart = true, mac.number, now, par
+	fli.placing, fli.ask, fli.asked, fli.askedOwner, fli.askedPart = true, mac.number, now, par.owner, par
 	fli.hedging = fli.running() && now.Before(fli.limit)
 	if par.owner == "" || now.Before(par.muted) {
 		mac.placeAlone(now, fli)
@@ -359,11 +359,7 @@
 		if !fli.placing || now.Since(fli.asked) < placeTime {
 			continue
 		}
-		par := fli.askedPart
-		if !now.Before(par.muted) {
-			mac.note("placerSilent", "service", par.service, "part", par.number, "vm", par.owner)
-		}
-		par.muted = now.Add(muteTime)
+		mac.mute(now, fli.askedPart, fli.askedOwner)
 		delete(mac.asks, fli.ask)
 		mac.placeAlone(now, fli)
 	}
@@ -386,6 +382,18 @@
 	}
 }
 
+// mute does not ask the placer of a part for a while that did not answer. Another
+// VM may be its placer by now; that one is asked.
+func (mac *Machine) mute(now clock.Instant, par *part, owner string) {
+	if par.owner != owner {
+		return
+	}
+	if !now.Before(par.muted) {
+		mac.note("placerSilent", "service", par.service, "part", par.number, "vm", owner)
+	}
+	par.muted = now.Add(muteTime)
+}
+
 func sortedNames[T any](objs map[string]T) []string {
 	names := make([]string, 0, len(objs))
 	for name := range objs {
