Place requests alone where the placer knows no target yet

What callers see: 503 "no target is registered" at VMs that know the targets, as long as the VM that places the service has just started and does not. A VM is listed, and with that asked to place requests, as soon as it has read the list of VMs; the configuration and the targets may come later, by seconds where the store is slow or turns it away.

Cause: a placer that does not know a part, or no target of it, answered as if there were none.

Now it says that it does not know, and the VM that asked places the request by what it knows itself, as it does where the placer is silent. What is refused for no target is said by a VM that has looked at its own list.

Evidence: TestPlacerThatKnowsNoTargets; before, in its three cases: no attempt: refused [reason noTarget detail no target is registered ... attempts 0] passes now, with -race. TestNoTargetIsRefused: where nobody knows a target the request is refused with 503 as before.

--- a/core/gateway/peers_test.go
+++ b/core/gateway/peers_test.go
@@ -5,7 +5,10 @@
 
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/placement"
+	"marigoldlug.example/core/registry"
+	"marigoldlug.example/core/request"
 	"marigoldlug.example/core/table"
+	"marigoldlug.example/core/verdict"
 )
 
 // restartOther lists another run of the VM that places requests.
@@ -54,3 +57,46 @@
 		})
 	}
 }
+
+// TestPlacerThatKnowsNoTargets asks a VM for a place that has just started, knows
+// the configuration but no target, or knows other targets. It does not speak for the
+// fleet: the VM that asks places the request by what it knows itself.
+func TestPlacerThatKnowsNoTargets(t *testing.T) {
+	for _, one := range []struct {
+		name string
+		know func(placer *vm)
+	}{
+		{"it knows nothing", func(*vm) {}},
+		{"it knows the configuration", func(placer *vm) { placer.config(1, content()) }},
+		{"it knows targets of another service", func(placer *vm) {
+			placer.config(1, content())
+			placer.step(TargetsRead{Asked: placer.now, News: table.Delta[registry.Entry]{Whole: true, Revision: 9, Rows: []table.Row[registry.Entry]{
+				{Name: "t4", Revision: 5, Value: registry.Entry{Service: "new", Address: "10.0.0.4:80", FailureDomain: "a", Slots: 3}},
+			}}})
+		}},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			placer := newVM(t)
+			one.know(placer)
+			vmm := newVM(t).load().ledByOther()
+			ask := asks(vmm.arrive("/open/x", ""))[0]
+			answers := asks(placer.step(Received{From: "asker.r", Message: ask}))
+			if len(answers) != 1 {
+				t.Fatalf("the placer answers %v", answers)
+			}
+			vmm.mustDispatch(vmm.step(Received{From: "other.r", Message: answers[0]}))
+		})
+	}
+}
+
+// TestNoTargetIsRefused asks for a place where neither VM knows a target.
+func TestNoTargetIsRefused(t *testing.T) {
+	placer := newVM(t)
+	vmm := newVM(t)
+	vmm.config(1, content())
+	vmm.step(TargetsRead{Asked: vmm.now, News: table.Delta[registry.Entry]{Whole: true, Revision: 9}})
+	vmm.ledByOther()
+	ask := asks(vmm.arrive("/open/x", ""))[0]
+	answers := asks(placer.step(Received{From: "asker.r", Message: ask}))
+	vmm.mustRefuse(vmm.step(Received{From: "other.r", Message: answers[0]}), request.NoTarget, verdict.NotRun)
+}
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -179,8 +179,8 @@
 func (mac *Machine) placementReceived(now clock.Instant, from string, msg placement.Message) {
 	switch msg := msg.(type) {
 	case placement.Ask:
-		ans := placement.Answer{Number: msg.Number, Reason: placement.NoTarget}
-		if par := mac.partAt(msg.Service, msg.Part); par != nil {
+		ans := placement.Answer{Number: msg.Number, Reason: placement.Unknown}
+		if par := mac.partAt(msg.Service, msg.Part); par != nil && len(par.targets) > 0 {
 			ans = mac.centralOf(now, par).Place(now, placement.Ticket{VM: from, Number: msg.Number}, msg.Wish)
 		}
 		mac.countPlacement(msg.Wish, ans)
@@ -300,6 +300,10 @@
 // it. placer is empty where the VM placed the request itself.
 func (mac *Machine) settle(now clock.Instant, fli *flight, ans placement.Answer, placer string) {
 	fli.placing = false
+	if ans.Reason == placement.Unknown {
+		mac.placeAlone(now, fli) // A placer that has just started may know less.
+		return
+	}
 	if ans.Target == "" {
 		mac.unplaced(now, fli, ans)
 		return
--- a/core/placement/message.go
+++ b/core/placement/message.go
@@ -110,4 +110,7 @@
 	NoTarget Reason = "noTarget"
 	NoRoom   Reason = "noRoom"
 	NoRetry  Reason = "noRetry"
+	// Unknown is the reason where the VM that was asked knows no target of the part,
+	// which says nothing of what others know.
+	Unknown Reason = "unknown"
 )
