Give callers that wait for leave the whole time for their bodies

What callers see: 408 for a request with Expect: 100-continue that was sent behind one that takes longer than a body may.

Cause: the time for the body ran while the answers before the leave were awaited, in which the caller sends nothing.

Evidence: TestExpectingCallersWaitForTheirTurn; before: got "408 close". Passes now, with -race. TestCallersOfAStoppingVM covers what callers do on kept connections around a stop, eleven cases; these passed before.

--- a/lugd/pkg/http1/conn.go
+++ b/lugd/pkg/http1/conn.go
@@ -311,9 +311,6 @@
 	if req.ContentLength > set.BodyBytes {
 		return errBodyTooLarge
 	}
-	if err := con.raw.SetReadDeadline(time.Now().Add(set.BodyTimeout)); err != nil {
-		return err
-	}
 	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
 		con.wait.Wait() // Earlier answers go first.
 		if _, err := io.WriteString(con.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
@@ -321,6 +318,10 @@
 			return err
 		}
 	}
+	// A caller that waits for leave sends nothing before.
+	if err := con.raw.SetReadDeadline(time.Now().Add(set.BodyTimeout)); err != nil {
+		return err
+	}
 	var buf bytes.Buffer
 	if _, err := io.Copy(&buf, &meter{src: io.LimitReader(req.Body, set.BodyBytes+1), srv: con.srv, limit: set.Memory}); err != nil {
 		con.srv.held.Add(-int64(buf.Len()))
--- /dev/null
+++ b/lugd/pkg/http1/phases_test.go
@@ -0,0 +1,108 @@
+package http1
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+)
+
+// drain begins the end of a stop and returns what tells whether all connections
+// were closed in time.
+func (fix *fixture) drain(most time.Duration) <-chan bool {
+	done := make(chan bool, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), most)
+		defer cancel()
+		done <- fix.srv.Drain(ctx)
+	}()
+	time.Sleep(20 * time.Millisecond) // Lets it reach every connection.
+	return done
+}
+
+// put sends bytes over the connection, with line ends of HTTP.
+func (fix *fixture) put(t *testing.T, txt string) {
+	t.Helper()
+	if _, err := io.WriteString(fix.con, strings.ReplaceAll(txt, "\n", "\r\n")); err != nil {
+		t.Fatal(err)
+	}
+}
+
+const (
+	slowRequest = "GET /slow/1 HTTP/1.1\nHost: h\n\n"
+	nextRequest = "GET /x HTTP/1.1\nHost: h\n\n"
+	postHead    = "POST /x HTTP/1.1\nHost: h\nContent-Length: 4\n"
+)
+
+// TestCallersOfAStoppingVM plays what a caller may do on a connection that it keeps
+// while the VM stops. "wait" lets time pass, "drain" ends the time in which the
+// balancer notices; other steps are sent.
+func TestCallersOfAStoppingVM(t *testing.T) {
+	const wait, stop, drain = "wait", "stop", "drain"
+	slow, next, posted := "200 \"answer to /slow/1\"", "200 \"answer to /x\"", "200 \"answer to /x\" close\n"
+	for _, one := range []struct {
+		name  string
+		steps []string
+		want  string
+	}{
+		{"idle when the stop begins, sends then", []string{stop, nextRequest}, next + " close\n"},
+		{"idle when the listener closes", []string{stop, drain}, "no answer\n"},
+		{"sent when the stop begins", []string{slowRequest, wait, stop}, slow + " close\n"},
+		{"sent when the listener closes", []string{slowRequest, wait, stop, drain}, slow + " close\n"},
+		{"several sent at once when the listener closes", []string{slowRequest + nextRequest, wait, stop, drain}, slow + "\n" + next + " close\n"},
+		{"sends another behind one under way after the listener closed", []string{slowRequest, wait, stop, drain, nextRequest}, slow + " close\n"},
+		{"sends the rest of a head after the listener closed", []string{nextRequest[:10], wait, stop, drain, nextRequest[10:]}, next + " close\n"},
+		{"sends the body after the listener closed", []string{postHead + "\n", wait, stop, drain, "body"}, posted},
+		{"sends a body and another request after the listener closed", []string{postHead + "\n", wait, stop, drain, "body" + nextRequest}, posted},
+		{"sends half a body and nothing more", []string{postHead + "\nbo", wait, stop, drain}, "408 close\n"},
+		{"waits for leave to send its body", []string{postHead + "Expect: 100-continue\n\n", wait, stop, drain, "body"}, "100\n" + posted},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			t.Parallel()
+			fix := newFixture(t)
+			fix.connect(t)
+			fix.put(t, nextRequest) // The connection is kept.
+			if got := fix.read(1); got != next+"\n" {
+				t.Fatalf("got %q", got)
+			}
+			var done <-chan bool
+			for _, stp := range one.steps {
+				switch stp {
+				case wait:
+					time.Sleep(50 * time.Millisecond)
+				case stop:
+					fix.srv.Stop()
+				case drain:
+					done = fix.drain(2 * time.Second)
+				default:
+					fix.put(t, stp)
+				}
+			}
+			if got := fix.read(strings.Count(one.want, "\n")); got != one.want {
+				t.Errorf("got %q, want %q", got, one.want)
+			}
+			if done == nil {
+				done = fix.drain(2 * time.Second)
+			}
+			if !<-done {
+				t.Error("a connection is left")
+			}
+		})
+	}
+}
+
+// TestExpectingCallersWaitForTheirTurn sends a request that waits for leave to send
+// its body behind one that takes longer than a body may.
+func TestExpectingCallersWaitForTheirTurn(t *testing.T) {
+	fix := newFixture(t)
+	fix.connect(t)
+	fix.put(t, slowRequest+postHead+"Expect: 100-continue\n\n")
+	if got := fix.read(2); got != "200 \"answer to /slow/1\"\n100\n" {
+		t.Fatalf("got %q", got)
+	}
+	fix.put(t, "body")
+	if got := fix.read(1); got != "200 \"answer to /x\"\n" {
+		t.Errorf("got %q", got)
+	}
+}
