Let callers read the last answer before the connection closes

What callers see: a caller that sends several requests at a time gets an answer cut by a reset where the answer says that it is the last (in every planned stop, and where the caller asked for it) and further requests are on their way.

Cause: the connection was closed as soon as the last answer was handed to the kernel. A connection closed with unread bytes, or to which bytes come afterwards, is reset, and what of the answer has not arrived by then is lost.

Now the VM ends its own direction first, reads on and drops what it reads until the caller closes, 0.4 s at most: less than a VM that stops has left after its last answers (0.45 s), so that this is not taken for a cut. That was done after refusals of what is no request already, over TLS too now.

--- a/lugd/pkg/http1/conn.go
+++ b/lugd/pkg/http1/conn.go
@@ -101,10 +101,20 @@
 		}
 	}
 	con.wait.Wait()
+	if con.wasTold() && con.ctx.Err() == nil {
+		con.lingerClose()
+	}
 	con.left()
 	_ = con.raw.Close()
 }
 
+// wasTold reports whether an answer has said that it is the last.
+func (con *conn) wasTold() bool {
+	con.mut.Lock()
+	defer con.mut.Unlock()
+	return con.told
+}
+
 // begin counts a request and reports whether it is the last of the connection.
 func (con *conn) begin(req *http.Request) bool {
 	con.mut.Lock()
@@ -419,17 +429,18 @@
 	con.lingerClose()
 }
 
-// lingerClose lets the caller read the last answer before its unread bytes
-// reset the connection.
+// lingerClose lets the caller read the last answer before bytes that nobody reads
+// reset the connection, which would cut what is still on its way.
 func (con *conn) lingerClose() {
-	if tcp, ok := con.raw.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
+	if half, ok := con.raw.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
 	}
 	_ = con.raw.SetReadDeadline(time.Now().Add(lingerTime))
 	_, _ = io.Copy(io.Discard, io.LimitReader(con.raw, lingerBytes))
 }
 
 const (
-	lingerTime  = 500 * time.Millisecond
+	// lingerTime is shorter than a VM that stops has left after its last answers.
+	lingerTime  = 400 * time.Millisecond
 	lingerBytes = 1 << 20
 )
--- a/lugd/pkg/http1/phases_test.go
+++ b/lugd/pkg/http1/phases_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -141,3 +143,76 @@
 		t.Errorf("got %q", got)
 	}
 }
+
+// count reads a long answer and returns its length in bytes, and whether it says
+// that it is the last.
+func (fix *fixture) count(t *testing.T) (length int, last bool) {
+	t.Helper()
+	_ = fix.con.SetReadDeadline(time.Now().Add(5 * time.Second))
+	rsp, err := http.ReadResponse(fix.src, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.Copy(io.Discard, rsp.Body)
+	_ = rsp.Body.Close()
+	if err != nil {
+		t.Errorf("the answer is cut: %v", err)
+	}
+	return int(got), rsp.Close
+}
+
+// TestAnswersSurviveWhatFollowsThem sends further requests behind one whose answer
+// says that it is the last, and then reads the answer, of which the connection holds
+// a part on its way or the whole.
+func TestAnswersSurviveWhatFollowsThem(t *testing.T) {
+	for _, one := range []struct {
+		name  string
+		mib   int
+		stop  bool
+		first string
+	}{
+		{"the VM stops and has sent a part", 16, true, ""},
+		{"the VM stops and has sent the whole", 1, true, ""},
+		{"the caller wanted it and the VM has sent a part", 16, false, "Connection: close\n"},
+		{"the caller wanted it and the VM has sent the whole", 1, false, "Connection: close\n"},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			t.Parallel()
+			fix := newFixture(t)
+			fix.connect(t)
+			if one.stop {
+				fix.srv.Stop()
+			}
+			fix.put(t, fmt.Sprintf("GET /long/%d HTTP/1.1\nHost: h\n%s\n", one.mib, one.first))
+			time.Sleep(50 * time.Millisecond) // The answer fills what the connection holds.
+			for range 3 {
+				fix.put(t, nextRequest)
+				time.Sleep(5 * time.Millisecond)
+			}
+			if got, last := fix.count(t); got != one.mib<<20 || !last {
+				t.Errorf("got %d of %d bytes, close %v", got, one.mib<<20, last)
+			}
+		})
+	}
+}
+
+// TestRequestsBehindAnAnswerThatHadBegunAreAnswered stops while an answer is written
+// that began before and does not say that it is the last.
+func TestRequestsBehindAnAnswerThatHadBegunAreAnswered(t *testing.T) {
+	fix := newFixture(t)
+	fix.connect(t)
+	fix.put(t, "GET /long/16 HTTP/1.1\nHost: h\n\n")
+	time.Sleep(100 * time.Millisecond)
+	fix.srv.Stop()
+	done := fix.drain(2 * time.Second)
+	fix.put(t, nextRequest)
+	if got, last := fix.count(t); got != 16<<20 || last {
+		t.Fatalf("got %d bytes, close %v", got, last)
+	}
+	if got := fix.read(1); got != "200 \"answer to /x\" close\n" {
+		t.Errorf("got %q", got)
+	}
+	if !<-done {
+		t.Error("a connection is left")
+	}
+}
--- a/lugd/pkg/http1/server_test.go
+++ b/lugd/pkg/http1/server_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -144,6 +145,9 @@
 		return nil, &target.Error{Verdict: verdict.MayHaveRun, Outcome: health.Canceled, Err: ctx.Err()}
 	}
 	held := []byte("answer to " + req.URL.Path)
+	if mib, err := strconv.Atoi(strings.TrimPrefix(req.URL.Path, "/long/")); err == nil {
+		held = make([]byte, mib<<20)
+	}
 	rsp := &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Keep-Alive": {"timeout=5"}}, Body: io.NopCloser(strings.NewReader("")), ContentLength: int64(len(held))}
 	if strings.HasPrefix(req.URL.Path, "/cut") {
 		rsp.ContentLength = 1000
