--- /dev/null
+++ b/core/gateway/phases_test.go
@@ -0,0 +1,269 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"marigoldlug.example/core/feed"
+	"marigoldlug.example/core/fleet"
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/placement"
+	"marigoldlug.example/core/quota"
+	"marigoldlug.example/core/registry"
+	"marigoldlug.example/core/table"
+	"marigoldlug.example/core/verdict"
+)
+
+// phases bring a VM into each phase of its life. It holds every duty while it
+// serves.
+var phases = []struct {
+	name string
+	// stopping is set where a stop has begun.
+	stopping bool
+	reach    func(vmm *vm)
+}{
+	{"starting", false, func(*vm) {}},
+	{"serving", false, func(vmm *vm) { vmm.load() }},
+	{"stopping", true, func(vmm *vm) { vmm.load().step(StopBegan{}) }},
+	{"delisted", true, func(vmm *vm) {
+		vmm.load().step(StopBegan{})
+		vmm.released()
+		vmm.step(FleetRead{Asked: vmm.now, News: table.Delta[fleet.Row]{Since: 7, Revision: 8, Removed: []string{fleet.VMName("vm")}}})
+		vmm.wait(TickInterval)
+	}},
+	{"in its last moments", true, func(vmm *vm) {
+		vmm.load().step(StopBegan{})
+		vmm.step(StopEnds{})
+	}},
+}
+
+// said returns in words what a VM answers to another.
+func said(acts []Action) string {
+	var out []string
+	for _, msg := range asks(acts) {
+		switch msg := msg.(type) {
+		case News:
+			out = append(out, fmt.Sprintf("news of version %d", msg.Version))
+		case Pong:
+			out = append(out, "pong")
+		case quota.Grant:
+			out = append(out, fmt.Sprintf("%d tokens, idle %v", msg.Count, msg.Idle))
+		case placement.Answer:
+			out = append(out, fmt.Sprintf("placed %v %s", msg.Target != "", msg.Reason))
+		default:
+			out = append(out, fmt.Sprintf("%T", msg))
+		}
+	}
+	return strings.Join(out, ", ")
+}
+
+// TestWhatOtherVMsAreToldInEachPhase delivers each message of another VM, twice, in
+// each phase of a VM. One that stops serves its followers and places requests until
+// its end, but grants no token from the moment at which it may release its duties.
+func TestWhatOtherVMsAreToldInEachPhase(t *testing.T) {
+	place := placement.Ask{Service: "svc", Number: 1, Wish: placement.Wish{Route: "read", Domain: "a", Idempotent: true, Aim: time.Second, Left: 2 * time.Second}}
+	for _, one := range []struct {
+		name    string
+		message any
+		// want has what is said in each phase.
+		want [5]string
+	}{
+		{"a follower asks", feed.Ask{Number: 1}, [5]string{"", "news of version 1", "news of version 1", "news of version 1", "news of version 1"}},
+		{"a VM asks whether it lives", Ping{}, [5]string{"pong", "pong", "pong", "pong", "pong"}},
+		{"a VM says that it lives", Pong{}, [5]string{}},
+		{"tokens are asked for", quota.Ask{Organisation: "org", Number: 1, Need: 1}, [5]string{
+			"0 tokens, idle true", "1 tokens, idle false", "0 tokens, idle true", "0 tokens, idle true", "0 tokens, idle true",
+		}},
+		{"tokens of no part are asked for", quota.Ask{Organisation: "org", Server: 7, Number: 1, Need: 1}, [5]string{
+			"0 tokens, idle true", "0 tokens, idle true", "0 tokens, idle true", "0 tokens, idle true", "0 tokens, idle true",
+		}},
+		{"a place is asked for", place, [5]string{"placed false unknown", "placed true ", "placed true ", "placed true ", "placed true "}},
+		{"tokens come that nobody asked for", quota.Grant{Organisation: "org", Number: 9, Count: 5}, [5]string{}},
+		{"a place comes that nobody asked for", placement.Answer{Number: 9}, [5]string{}},
+		{"attempts are reported", placement.Open{List: []placement.Running{{Service: "svc", Number: 1, Target: "t0", Route: "read", Left: time.Second}}}, [5]string{}},
+		{"ends are reported", placement.Ended{Ends: []placement.End{{Service: "svc", Number: 1, Outcome: health.Success}}}, [5]string{}},
+		{"news come that nobody asked for", News{Number: 9, Version: 0}, [5]string{}},
+		{"news come that skip some", News{Version: 1, Targets: table.Delta[registry.Entry]{Since: 90, Revision: 91}}, [5]string{}},
+	} {
+		for num, phs := range phases {
+			t.Run(one.name+"/"+phs.name, func(t *testing.T) {
+				vmm := newVM(t)
+				phs.reach(vmm)
+				for range 2 {
+					acts := vmm.step(Received{From: "other.r", Message: one.message})
+					if got := said(acts); got != one.want[num] {
+						t.Errorf("said %q, want %q", got, one.want[num])
+					}
+				}
+				acts := append(vmm.step(PeerGone{ID: "other.r"}), vmm.wait(TickInterval)...)
+				if phs.stopping == vmm.mac.Ready() && vmm.mac.Config() != nil {
+					t.Errorf("ready %v", vmm.mac.Ready())
+				}
+				if _, sent := dispatched(acts); sent {
+					t.Error("a request is sent that nobody made")
+				}
+			})
+		}
+	}
+}
+
+// targetChange is what becomes of the entry of a target.
+type targetChange struct {
+	name string
+	// rows and removed change the entry of t0.
+	rows    []table.Row[registry.Entry]
+	removed []string
+	// stays is set where the target may be sent further requests.
+	stays bool
+}
+
+func targetChanges() []targetChange {
+	row := func(ent registry.Entry) []table.Row[registry.Entry] {
+		return []table.Row[registry.Entry]{{Name: "t0", Revision: 10, Value: ent}}
+	}
+	ent := registry.Entry{Service: "svc", Address: "10.0.0.0:80", FailureDomain: "a", Slots: 3}
+	leaving, moved, again, away := ent, ent, ent, ent
+	leaving.Leaving = true
+	again.Born = time.UnixMilli(1)
+	moved.Born, moved.Address = time.UnixMilli(1), "10.0.0.9:80"
+	away.Service = "new"
+	return []targetChange{
+		{"stays", nil, nil, true},
+		{"leaves", row(leaving), nil, false},
+		{"is gone", nil, []string{"t0"}, false},
+		{"is back under its ID", row(again), nil, true},
+		{"is back under its ID at another address", row(moved), nil, true},
+		{"is back under its ID for another service", row(away), nil, false},
+	}
+}
+
+// TestTargetsThatChangeUnderARequest changes the entry of a target while a request
+// runs there, in a VM that serves and in one that stops. What the target answers is
+// passed on once, whatever has become of its entry; a failure is the request's own
+// affair; and further requests go where the entry allows.
+func TestTargetsThatChangeUnderARequest(t *testing.T) {
+	for _, stopping := range []bool{false, true} {
+		for _, chg := range targetChanges() {
+			t.Run(fmt.Sprintf("stopping %v/%s", stopping, chg.name), func(t *testing.T) {
+				vmm := newVM(t).load()
+				dis := vmm.mustDispatch(vmm.arrive("/once/x", key))
+				for dis.Target.ID != "t0" {
+					vmm.step(Answered{Request: dis.Request, Attempt: dis.Attempt, Answer: Answer{Status: 200}})
+					vmm.step(RelayEnded{Request: dis.Request})
+					vmm.pass(TickInterval)
+					dis = vmm.mustDispatch(vmm.arrive("/once/x", key))
+				}
+				if stopping {
+					vmm.step(StopBegan{})
+				}
+				vmm.step(TargetsRead{Asked: vmm.now, News: table.Delta[registry.Entry]{Since: 9, Revision: 10, Rows: chg.rows, Removed: chg.removed}})
+				vmm.wait(TickInterval)
+				relays := 0
+				for range 2 {
+					for _, act := range vmm.step(Answered{Request: dis.Request, Attempt: dis.Attempt, Answer: Answer{Status: 200}}) {
+						if _, ok := act.(Relay); ok {
+							relays++
+						}
+					}
+				}
+				if relays != 1 {
+					t.Errorf("the answer is passed on %d times", relays)
+				}
+				vmm.step(RelayEnded{Request: dis.Request})
+				used := false
+				for range 40 {
+					vmm.now = vmm.now.Add(10 * time.Millisecond)
+					next, sent := dispatched(vmm.arrive("/open/x", ""))
+					used = used || sent && next.Target.ID == "t0"
+					vmm.step(Answered{Request: next.Request, Attempt: next.Attempt, Answer: Answer{Status: 200}})
+					vmm.step(RelayEnded{Request: next.Request})
+				}
+				_, known := vmm.mac.services["svc"].parts[0].local.Target("t0")
+				if known != chg.stays || used && !chg.stays {
+					t.Errorf("the target may be used: %v, want %v; it is: %v", known, chg.stays, used)
+				}
+			})
+		}
+	}
+}
+
+// TestTargetsThatChangeUnderAnAsk changes the entry of a target between the ask for a
+// place and its answer, which names the target.
+func TestTargetsThatChangeUnderAnAsk(t *testing.T) {
+	for _, chg := range targetChanges() {
+		t.Run(chg.name, func(t *testing.T) {
+			vmm := newVM(t).load().ledByOther()
+			ask, ok := asks(vmm.arrive("/open/x", ""))[0].(placement.Ask)
+			if !ok {
+				t.Fatal("the placer is not asked")
+			}
+			vmm.step(StopBegan{})
+			vmm.step(TargetsRead{Asked: vmm.now, News: table.Delta[registry.Entry]{Since: 9, Revision: 10, Rows: chg.rows, Removed: chg.removed}})
+			dis := vmm.mustDispatch(vmm.step(Received{From: "other.r", Message: placement.Answer{
+				Number: ask.Number, Target: "t0", Patience: time.Second, Limit: time.Second,
+			}}))
+			if (dis.Target.ID == "t0") != chg.stays {
+				t.Errorf("sent to %s", dis.Target.ID)
+			}
+			if chg.rows != nil && chg.stays && dis.Target.Address != chg.rows[0].Value.Address {
+				t.Errorf("sent to the former address %s", dis.Target.Address)
+			}
+		})
+	}
+}
+
+// TestTargetsThatFailWhileTheVMStops fails an attempt in each way while the VM stops.
+// What has not run, or may be repeated, is sent to another target, the rest refused
+// with the truth.
+func TestTargetsThatFailWhileTheVMStops(t *testing.T) {
+	for _, one := range []struct {
+		name  string
+		path  string
+		event func(dis Dispatch) Event
+		again bool
+	}{
+		{"an order is not sent", "/once/x", func(dis Dispatch) Event {
+			return AttemptFailed{Request: dis.Request, Attempt: dis.Attempt, Verdict: verdict.NotRun, Outcome: health.Unreachable}
+		}, true},
+		{"an order is cut", "/once/x", func(dis Dispatch) Event {
+			return AttemptFailed{Request: dis.Request, Attempt: dis.Attempt, Verdict: verdict.MayHaveRun, Outcome: health.Failure}
+		}, false},
+		{"an order is shed", "/once/x", func(dis Dispatch) Event {
+			return Answered{Request: dis.Request, Attempt: dis.Attempt, Answer: Answer{Status: 503, Shed: true}}
+		}, true},
+		{"an order meets a stranger", "/once/x", func(dis Dispatch) Event {
+			return Answered{Request: dis.Request, Attempt: dis.Attempt, Answer: Answer{Status: 421, Shed: true, Stranger: true}}
+		}, true},
+		{"a read is cut", "/read/x", func(dis Dispatch) Event {
+			return AttemptFailed{Request: dis.Request, Attempt: dis.Attempt, Verdict: verdict.MayHaveRun, Outcome: health.Failure}
+		}, true},
+		{"a read fails", "/read/x", func(dis Dispatch) Event {
+			return Answered{Request: dis.Request, Attempt: dis.Attempt, Answer: Answer{Status: 500}}
+		}, true},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			vmm := newVM(t).load()
+			dis := vmm.mustDispatch(vmm.arrive(one.path, key))
+			vmm.step(StopBegan{})
+			acts := vmm.step(one.event(dis))
+			next, again := dispatched(acts)
+			if again != one.again || again && next.Target.ID == dis.Target.ID {
+				t.Fatalf("sent again: %v, to %q after %q", again, next.Target.ID, dis.Target.ID)
+			}
+			if !again {
+				if ref, ok := refused(acts); !ok || ref.Verdict != verdict.MayHaveRun || ref.Reason.Status() != 502 {
+					t.Errorf("refused with %+v", ref)
+				}
+			}
+			if again, sent := dispatched(vmm.step(one.event(dis))); sent {
+				t.Errorf("what is said twice sends the request to %s", again.Target.ID)
+			}
+			vmm.step(StopEnds{})
+			if vmm.mac.Flights() != 0 {
+				t.Error("a caller is left without an answer")
+			}
+		})
+	}
+}
