See callers leave also while no request is read

What callers see: nothing; targets see requests that are worked on for a caller that has left, up to their deadline, and the slots they hold are missing to others. It happens where a connection has 16 requests under way and more behind them, and where a caller waits behind other requests for leave to send its body.

Cause: the leaving of a caller is seen by reading, and in these two places the server waited without reading.

Now it reads on into its buffer there, as it does into nothing where no further request is taken. Beyond the length of the buffer (a head and 1 KiB) the leaving is not seen until an answer makes room.

Evidence: TestCallersThatLeaveWhileNothingIsRead; before: for an answer of many requests: 0 requests are given up, want 16 for earlier answers, to give leave for a body: 0 requests are given up, want 1 All tests of the package pass 20 times with -race, and 3 times beside six busy processes; those of messages queued in lugd/pkg/peer twice beside them.

--- a/lugd/pkg/http1/conn.go
+++ b/lugd/pkg/http1/conn.go
@@ -76,7 +76,7 @@
 	turn := make(chan struct{})
 	close(turn)
 	for {
-		con.slots <- struct{}{}
+		con.awaitSlot()
 		req, err := con.next()
 		if err != nil {
 			con.refuse(turn, err)
@@ -158,6 +158,51 @@
 // request is read. What is sent all the same counts as unread, and only then.
 func (con *conn) readsNoMore() bool { return con.told || con.closing && con.unwritten > 0 }
 
+// awaitSlot waits until a further request may run.
+func (con *conn) awaitSlot() {
+	select {
+	case con.slots <- struct{}{}:
+		return
+	default:
+	}
+	taken := make(chan struct{})
+	go func() {
+		con.slots <- struct{}{}
+		close(taken)
+	}()
+	con.readAhead(taken)
+}
+
+// awaitAnswers waits until every request that was read is answered.
+func (con *conn) awaitAnswers() {
+	done := make(chan struct{})
+	go func() {
+		con.wait.Wait()
+		close(done)
+	}()
+	con.readAhead(done)
+}
+
+// readAhead reads into the buffer until done is closed, so that the leaving of the
+// caller is seen while no request is taken.
+func (con *conn) readAhead(done <-chan struct{}) {
+	_ = con.raw.SetReadDeadline(time.Time{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		<-done
+		_ = con.raw.SetReadDeadline(time.Now())
+	}()
+	var err error
+	for err == nil {
+		_, err = con.reader.Peek(con.reader.Buffered() + 1)
+	}
+	if !isTimeout(err) && !errors.Is(err, bufio.ErrBufferFull) {
+		con.left()
+	}
+	<-ended
+}
+
 // watch waits until the caller leaves or every request is answered.
 func (con *conn) watch() {
 	done := make(chan struct{})
@@ -194,6 +239,9 @@
 // next reads the next request whole. Once it returns an error other than
 // errIdle the caller has left or sent something that is no request.
 func (con *conn) next() (*http.Request, error) {
+	if err := con.ctx.Err(); err != nil {
+		return nil, err
+	}
 	if err := con.awaitFirst(); err != nil {
 		return nil, err
 	}
@@ -333,7 +381,10 @@
 		return errBodyTooLarge
 	}
 	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
-		con.wait.Wait() // Earlier answers go first.
+		con.awaitAnswers() // Earlier answers go first.
+		if err := con.ctx.Err(); err != nil {
+			return err
+		}
 		if _, err := io.WriteString(con.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			con.left()
 			return err
--- a/lugd/pkg/http1/phases_test.go
+++ b/lugd/pkg/http1/phases_test.go
@@ -216,3 +216,38 @@
 		t.Error("a connection is left")
 	}
 }
+
+// TestCallersThatLeaveWhileNothingIsRead leaves while the server waits with reading,
+// and looks whether the requests under way are given up.
+func TestCallersThatLeaveWhileNothingIsRead(t *testing.T) {
+	hang := "GET /hang HTTP/1.1\nHost: h\n\n"
+	for _, one := range []struct {
+		name, sent string
+		left       int
+	}{
+		{"for the next request", hang, 1},
+		{"for earlier answers, to give leave for a body", hang + postHead + "Expect: 100-continue\n\n", 1},
+		{"for an answer of many requests", strings.Repeat(hang, maxPipelined+2), maxPipelined},
+		{"for the last answer", "GET /hang HTTP/1.1\nHost: h\nConnection: close\n\n", 1},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			t.Parallel()
+			fix := newFixture(t)
+			fix.connect(t)
+			fix.put(t, one.sent)
+			time.Sleep(50 * time.Millisecond)
+			_ = fix.con.Close()
+			left := 0
+			for range 40 {
+				time.Sleep(10 * time.Millisecond)
+				fix.fks.mut.Lock()
+				left = len(fix.fks.left)
+				fix.fks.mut.Unlock()
+				if left == one.left {
+					return
+				}
+			}
+			t.Errorf("%d requests are given up, want %d", left, one.left)
+		})
+	}
+}
