Play a stop of a server of tokens with a store that fails

lugd/pkg/driver: nine VMs in virtual time; one that holds a duty stops while the store answers, is down for 1 s, turns the first releases away, or the first delistings.

--- a/lugd/pkg/driver/fleet_test.go
+++ b/lugd/pkg/driver/fleet_test.go
@@ -35,6 +35,9 @@
 	paid    int
 	fleet   *table.Table[fleet.Row]
 	changed chan struct{}
+	// refuses reports whether a write of an object is turned away; nil where none
+	// is.
+	refuses func(name string) bool
 }
 
 func newMemoryStore() *memoryStore {
@@ -85,6 +88,9 @@
 	}
 	sto.mut.Lock()
 	defer sto.mut.Unlock()
+	if sto.refuses != nil && sto.refuses(name) {
+		return errDown
+	}
 	if row, _ := sto.fleet.Get(name); row.Revision != revision {
 		return fmt.Errorf("%s has revision %d, not %d", name, row.Revision, revision)
 	}
@@ -167,6 +173,8 @@
 	mut     sync.Mutex
 	drivers map[string]*Driver
 	delay   time.Duration
+	// noted is told of what the machines note; nil where nothing is kept.
+	noted func(vm, event string)
 }
 
 // wire is the transport of one VM.
@@ -186,10 +194,20 @@
 	})
 }
 
-// noTally counts nothing.
-type noTally struct{}
+// noTally counts nothing, and tells the network of events.
+type noTally struct {
+	net *network
+	vm  string
+}
+
+// Event implements tally.
+func (tly noTally) Event(name string) {
+	if tly.net.noted != nil {
+		tly.net.noted(tly.vm, name)
+	}
+}
 
-func (noTally) Event(string)                        {}
+// PlatformCall implements tally.
 func (noTally) PlatformCall(string, string, string) {}
 
 // startFleet runs VMs of three failure domains until ctx ends, each a pause
@@ -204,7 +222,7 @@
 		set := gateway.Settings{Name: name, Self: self, Terms: gateway.Terms{
 			RevokeTime: 5 * time.Second, RetryShare: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second, Quota: quota.Terms{Window: 5 * time.Second, Excess: 0.1, Slack: 20},
 		}}
-		dri := New(ctx, set, sto, newClock(func() time.Duration { return 0 }), noTally{}, log, 0)
+		dri := New(ctx, set, sto, newClock(func() time.Duration { return 0 }), noTally{net: net, vm: self.ID}, log, 0)
 		dri.mac = gateway.New(set, rand.New(rand.NewPCG(uint64(num), 1)))
 		dri.SetTransport(wire{net: net, from: self.ID})
 		net.mut.Lock()
--- /dev/null
+++ b/lugd/pkg/driver/stop_test.go
@@ -0,0 +1,87 @@
+package driver
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"marigoldlug.example/core/fleet"
+	"marigoldlug.example/core/gateway"
+)
+
+// TestStopOfAServerOfTokens stops a VM that holds a duty, in virtual time, while the
+// store does one thing or another. Another VM is to serve its part, and the list is to
+// be rid of the VM before it ends.
+func TestStopOfAServerOfTokens(t *testing.T) {
+	const (
+		vms = 9
+		// stopTime is the shortest stop: the time in which the balancer notices.
+		stopTime = 2200 * time.Millisecond
+	)
+	for _, one := range []struct {
+		name string
+		// down is how long the store is down from the begin of the stop.
+		down time.Duration
+		// refuses reports whether the store turns a write away, some time after the
+		// stop began.
+		refuses func(name string, since time.Duration) bool
+		// most is how long the part may be served by nobody.
+		most time.Duration
+	}{
+		{"the store answers", 0, nil, 600 * time.Millisecond},
+		{"it is down when the stop begins", time.Second, nil, 2 * time.Second},
+		{"it turns the first releases away", 0, func(name string, since time.Duration) bool {
+			return strings.HasPrefix(name, "duty.") && since < 400*time.Millisecond
+		}, 1200 * time.Millisecond},
+		{"it turns the first delistings away", 0, func(name string, since time.Duration) bool {
+			return strings.HasPrefix(name, "vm.") && since < time.Second
+		}, 600 * time.Millisecond},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				sto := newMemoryStore()
+				var mut sync.Mutex
+				served := make(map[string]time.Time)
+				net := &network{delay: time.Millisecond, noted: func(vm, event string) {
+					mut.Lock()
+					defer mut.Unlock()
+					if event == "serveTokens" {
+						served[vm] = time.Now()
+					}
+				}}
+				startFleet(ctx, sto, net, vms, 20*time.Millisecond)
+				time.Sleep(4 * time.Second)
+				sto.mut.Lock()
+				row, _ := sto.fleet.Get(fleet.DutyName(0))
+				holder, began := row.Value.Holder, time.Now()
+				sto.refuses = func(name string) bool { return one.refuses != nil && one.refuses(name, time.Since(began)) }
+				sto.mut.Unlock()
+				if holder == "" {
+					t.Fatal("nobody holds the duty")
+				}
+				sto.setDown(one.down > 0)
+				net.drivers[holder].Step(gateway.StopBegan{})
+				time.Sleep(one.down)
+				sto.setDown(false)
+				time.Sleep(stopTime - one.down)
+				sto.mut.Lock()
+				defer sto.mut.Unlock()
+				if row, listed := sto.fleet.Get(fleet.VMName(strings.TrimSuffix(holder, ".r"))); listed {
+					t.Errorf("the VM is still listed: %+v", row)
+				}
+				mut.Lock()
+				defer mut.Unlock()
+				row, _ = sto.fleet.Get(fleet.DutyName(0))
+				at, serves := served[row.Value.Holder]
+				if row.Value.Holder == holder || !serves || at.Sub(began) > one.most {
+					t.Errorf("%s holds the duty of %s, and serves after %v: %v", row.Value.Holder, holder, at.Sub(began), serves)
+				}
+			})
+		})
+	}
+}
