--- a/lugd/pkg/target/pool_test.go
+++ b/lugd/pkg/target/pool_test.go
@@ -270,3 +270,50 @@
 		t.Errorf("%d connections for five requests one after the other", tgt.conns)
 	}
 }
+
+// TestAnswersOfAttemptsThatEndedReachNobody gives attempts up while the target works,
+// as at the end of a stop: before the head of the answer, and in its body. What the
+// target sends then belongs to no later request, and a connection that is kept for
+// later ones carries them all the same.
+func TestAnswersOfAttemptsThatEndedReachNobody(t *testing.T) {
+	for _, act := range []string{"hang", "cut-length", "two-answers", "answer-then-close"} {
+		t.Run(act, func(t *testing.T) {
+			tgt := newScriptedTarget(t)
+			pol := New(Settings{DialTimeout: time.Second, IdlePerTarget: 4, BodyPause: time.Second, Hold: 1 << 10})
+			cal := Call{Address: tgt.lis.Addr().String(), Timeout: time.Second, Connections: 4}
+			request := func(name string) *http.Request {
+				req, err := http.NewRequest(http.MethodGet, "http://"+cal.Address+"/", http.NoBody)
+				if err != nil {
+					t.Fatal(err)
+				}
+				req.Header.Set("Name", name)
+				return req
+			}
+			tgt.mut.Lock()
+			tgt.actions = []string{act}
+			tgt.mut.Unlock()
+			ctx, cancel := context.WithCancel(t.Context())
+			time.AfterFunc(50*time.Millisecond, cancel)
+			ans, fail := pol.Send(ctx, cal, request("ended"))
+			if fail != nil && fail.Verdict != verdict.MayHaveRun {
+				t.Errorf("the verdict is %v", fail.Verdict)
+			}
+			if ans != nil {
+				_ = ans.Body.Close()
+			}
+			<-ctx.Done()
+			next, fail := pol.Send(t.Context(), cal, request("next"))
+			if fail != nil {
+				t.Fatal(fail)
+			}
+			if string(next.Held) != "done" {
+				t.Errorf("the next request got %q", next.Held)
+			}
+			tgt.mut.Lock()
+			defer tgt.mut.Unlock()
+			if tgt.heads["ended"] != 1 || tgt.heads["next"] != 1 {
+				t.Errorf("the target has seen %v", tgt.heads)
+			}
+		})
+	}
+}
