--- a/lugd/pkg/http1/phases_test.go
+++ b/lugd/pkg/http1/phases_test.go
@@ -224,11 +224,19 @@
 	for _, one := range []struct {
 		name, sent string
 		left       int
+		// stop is set where the server closes connections by then, and half where the
+		// caller ends its half only.
+		stop, half bool
 	}{
-		{"for the next request", hang, 1},
-		{"for earlier answers, to give leave for a body", hang + postHead + "Expect: 100-continue\n\n", 1},
-		{"for an answer of many requests", strings.Repeat(hang, maxPipelined+2), maxPipelined},
-		{"for the last answer", "GET /hang HTTP/1.1\nHost: h\nConnection: close\n\n", 1},
+		{"for the next request", hang, 1, false, false},
+		{"for the next request, by half", hang, 1, false, true},
+		{"for the next request, after the listener closed", hang, 1, true, false},
+		{"for earlier answers, to give leave for a body", hang + postHead + "Expect: 100-continue\n\n", 1, false, false},
+		{"for earlier answers, after the listener closed", hang + postHead + "Expect: 100-continue\n\n", 1, true, false},
+		{"for an answer of many requests", strings.Repeat(hang, maxPipelined+2), maxPipelined, false, false},
+		{"for an answer of many requests, after the listener closed", strings.Repeat(hang, maxPipelined+2), maxPipelined, true, false},
+		{"for the last answer", "GET /hang HTTP/1.1\nHost: h\nConnection: close\n\n", 1, false, false},
+		{"for the last answer, after the listener closed", "GET /hang HTTP/1.1\nHost: h\nConnection: close\n\n", 1, true, false},
 	} {
 		t.Run(one.name, func(t *testing.T) {
 			t.Parallel()
@@ -236,7 +244,15 @@
 			fix.connect(t)
 			fix.put(t, one.sent)
 			time.Sleep(50 * time.Millisecond)
-			_ = fix.con.Close()
+			if one.stop {
+				fix.srv.Stop()
+				fix.drain(2 * time.Second)
+			}
+			if tcp, ok := fix.con.(*net.TCPConn); ok && one.half {
+				_ = tcp.CloseWrite()
+			} else {
+				_ = fix.con.Close()
+			}
 			left := 0
 			for range 40 {
 				time.Sleep(10 * time.Millisecond)
