--- a/lugd/pkg/http1/phases_test.go
+++ b/lugd/pkg/http1/phases_test.go
@@ -12,12 +12,15 @@
 	"time"
 )
 
+// drainTime is how long the end of a stop may take in the tests.
+const drainTime = 2 * time.Second
+
 // drain begins the end of a stop and returns what tells whether all connections
 // were closed in time.
-func (fix *fixture) drain(most time.Duration) <-chan bool {
+func (fix *fixture) drain() <-chan bool {
 	done := make(chan bool, 1)
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), most)
+		ctx, cancel := context.WithTimeout(context.Background(), drainTime)
 		defer cancel()
 		done <- fix.srv.Drain(ctx)
 	}()
@@ -78,7 +81,7 @@
 				case stop:
 					fix.srv.Stop()
 				case drain:
-					done = fix.drain(2 * time.Second)
+					done = fix.drain()
 				default:
 					fix.put(t, stp)
 				}
@@ -87,7 +90,7 @@
 				t.Errorf("got %q, want %q", got, one.want)
 			}
 			if done == nil {
-				done = fix.drain(2 * time.Second)
+				done = fix.drain()
 			}
 			if !<-done {
 				t.Error("a connection is left")
@@ -204,7 +207,7 @@
 	fix.put(t, "GET /long/16 HTTP/1.1\nHost: h\n\n")
 	time.Sleep(100 * time.Millisecond)
 	fix.srv.Stop()
-	done := fix.drain(2 * time.Second)
+	done := fix.drain()
 	fix.put(t, nextRequest)
 	if got, last := fix.count(t); got != 16<<20 || last {
 		t.Fatalf("got %d bytes, close %v", got, last)
@@ -246,7 +249,7 @@
 			time.Sleep(50 * time.Millisecond)
 			if one.stop {
 				fix.srv.Stop()
-				fix.drain(2 * time.Second)
+				fix.drain()
 			}
 			if tcp, ok := fix.con.(*net.TCPConn); ok && one.half {
 				_ = tcp.CloseWrite()
