--- a/core/gateway/flight.go
+++ b/core/gateway/flight.go
@@ -46,13 +46,14 @@
 	deadline clock.Instant
 	attempt  int
 	// placing is set while a target is asked for: by the ask with a number, sent
-	// at asked for a target of askedPart.
+	// at asked to askedOwner for a target of askedPart.
 	placing bool
 	// hedging is set where that is for an attempt beside another.
-	hedging   bool
-	ask       uint64
-	asked     clock.Instant
-	askedPart *part
+	hedging    bool
+	ask        uint64
+	asked      clock.Instant
+	askedOwner string
+	askedPart  *part
 	// tried lists the targets not to try again.
 	tried []string
 	// live has the attempts under way, the oldest first, maxLive at most.
@@ -91,7 +92,7 @@
 func (fli *flight) running() bool { return len(fli.live) > 0 }
 
 func (mac *Machine) arrived(now clock.Instant, req request.Request) {
-	if !mac.knows() && mac.young(now) {
+	if !mac.knows() && mac.young(now) && !mac.ended {
 		mac.early = append(mac.early, early{request: req, arrived: now})
 		return
 	}
@@ -101,6 +102,9 @@
 // take decides on a request that arrived at a time.
 func (mac *Machine) take(now, arrived clock.Instant, req request.Request) {
 	fli, ref := mac.admit(now, arrived, req)
+	if ref == nil && mac.ended {
+		ref = &request.Refusal{Reason: request.Overloaded, Detail: "the VM stops", RetryAfter: mac.usualReturn()}
+	}
 	if ref != nil {
 		mac.noteRefusal(fli, req.ID, *ref)
 		mac.do(Refuse{Request: req.ID, Refusal: *ref})
--- a/lugd/pkg/http1/conn.go
+++ b/lugd/pkg/http1/conn.go
@@ -50,10 +50,14 @@
 	mut sync.Mutex
 	// open counts the requests that are not answered.
 	open int
+	// unwritten counts those of which the answer has not begun.
+	unwritten int
 	// reading is set once a byte of the next request has arrived.
 	reading bool
-	// closing is set when no further request is to be read.
+	// closing is set when the connection is to close once it is idle.
 	closing bool
+	// told is set once an answer has said that it is the last.
+	told bool
 }
 
 func newConn(srv *Server, raw net.Conn) *conn {
@@ -72,7 +76,7 @@
 	turn := make(chan struct{})
 	close(turn)
 	for {
-		con.slots <- struct{}{}
+		con.awaitSlot()
 		req, err := con.next()
 		if err != nil {
 			con.refuse(turn, err)
@@ -97,15 +101,26 @@
 		}
 	}
 	con.wait.Wait()
+	if con.wasTold() && con.ctx.Err() == nil {
+		con.lingerClose()
+	}
 	con.left()
 	_ = con.raw.Close()
 }
 
+// wasTold reports whether an answer has said that it is the last.
+func (con *conn) wasTold() bool {
+	con.mut.Lock()
+	defer con.mut.Unlock()
+	return con.told
+}
+
 // begin counts a request and reports whether it is the last of the connection.
 func (con *conn) begin(req *http.Request) bool {
 	con.mut.Lock()
 	defer con.mut.Unlock()
 	con.open++
+	con.unwritten++
 	con.reading = false
 	return req.Close || req.ProtoMajor == 1 && req.ProtoMinor == 0
 }
@@ -114,14 +129,8 @@
 	con.mut.Lock()
 	defer con.mut.Unlock()
 	con.open--
-	if con.open == 0 {
-		if con.closing && !con.reading {
-			_ = con.raw.SetReadDeadline(time.Now())
-			return
-		}
-		if !con.reading {
-			con.setIdleDeadline()
-		}
+	if con.open == 0 && !con.reading {
+		con.setIdleDeadline()
 	}
 }
 
@@ -131,12 +140,67 @@
 	defer con.mut.Unlock()
 	con.closing = true
 	if con.open == 0 && !con.reading {
-		_ = con.raw.SetReadDeadline(time.Now())
+		con.setIdleDeadline()
 	}
 }
 
+// setIdleDeadline bounds how long the connection stays idle: not at all if it is
+// to close.
 func (con *conn) setIdleDeadline() {
-	_ = con.raw.SetReadDeadline(time.Now().Add(con.srv.Settings().IdleTimeout + idleSlack))
+	left := con.srv.Settings().IdleTimeout + idleSlack
+	if con.closing || con.told {
+		left = 0
+	}
+	_ = con.raw.SetReadDeadline(time.Now().Add(left))
+}
+
+// readsNoMore reports whether an answer has said, or will say, that no further
+// request is read. What is sent all the same counts as unread, and only then.
+func (con *conn) readsNoMore() bool { return con.told || con.closing && con.unwritten > 0 }
+
+// awaitSlot waits until a further request may run.
+func (con *conn) awaitSlot() {
+	select {
+	case con.slots <- struct{}{}:
+		return
+	default:
+	}
+	taken := make(chan struct{})
+	go func() {
+		con.slots <- struct{}{}
+		close(taken)
+	}()
+	con.readAhead(taken)
+}
+
+// awaitAnswers waits until every request that was read is answered.
+func (con *conn) awaitAnswers() {
+	done := make(chan struct{})
+	go func() {
+		con.wait.Wait()
+		close(done)
+	}()
+	con.readAhead(done)
+}
+
+// readAhead reads into the buffer until done is closed, so that the leaving of the
+// caller is seen while no request is taken.
+func (con *conn) readAhead(done <-chan struct{}) {
+	_ = con.raw.SetReadDeadline(time.Time{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		<-done
+		_ = con.raw.SetReadDeadline(time.Now())
+	}()
+	var err error
+	for err == nil {
+		_, err = con.reader.Peek(con.reader.Buffered() + 1)
+	}
+	if !isTimeout(err) && !errors.Is(err, bufio.ErrBufferFull) {
+		con.left()
+	}
+	<-ended
 }
 
 // watch waits until the caller leaves or every request is answered.
@@ -175,6 +239,9 @@
 // next reads the next request whole. Once it returns an error other than
 // errIdle the caller has left or sent something that is no request.
 func (con *conn) next() (*http.Request, error) {
+	if err := con.ctx.Err(); err != nil {
+		return nil, err
+	}
 	if err := con.awaitFirst(); err != nil {
 		return nil, err
 	}
@@ -198,7 +265,7 @@
 // awaitFirst waits for the first byte of a request.
 func (con *conn) awaitFirst() error {
 	con.mut.Lock()
-	if con.closing {
+	if con.readsNoMore() {
 		con.mut.Unlock()
 		return con.awaitLeaving()
 	}
@@ -217,11 +284,12 @@
 		return err
 	}
 	con.mut.Lock()
-	defer con.mut.Unlock()
-	if con.closing {
-		return errIdle // The caller has been told that nothing more is read.
+	con.reading = !con.readsNoMore()
+	reading := con.reading
+	con.mut.Unlock()
+	if !reading {
+		return con.awaitLeaving()
 	}
-	con.reading = true
 	return nil
 }
 
@@ -231,10 +299,11 @@
 func (con *conn) mayClose(wanted bool) bool {
 	con.mut.Lock()
 	defer con.mut.Unlock()
+	con.unwritten--
 	if con.open != 1 || con.reading || !wanted && !con.closing {
 		return false
 	}
-	con.closing = true
+	con.told = true
 	return true
 }
 
@@ -311,16 +380,20 @@
 	if req.ContentLength > set.BodyBytes {
 		return errBodyTooLarge
 	}
-	if err := con.raw.SetReadDeadline(time.Now().Add(set.BodyTimeout)); err != nil {
-		return err
-	}
 	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
-		con.wait.Wait() // Earlier answers go first.
+		con.awaitAnswers() // Earlier answers go first.
+		if err := con.ctx.Err(); err != nil {
+			return err
+		}
 		if _, err := io.WriteString(con.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			con.left()
 			return err
 		}
 	}
+	// A caller that waits for leave sends nothing before.
+	if err := con.raw.SetReadDeadline(time.Now().Add(set.BodyTimeout)); err != nil {
+		return err
+	}
 	var buf bytes.Buffer
 	if _, err := io.Copy(&buf, &meter{src: io.LimitReader(req.Body, set.BodyBytes+1), srv: con.srv, limit: set.Memory}); err != nil {
 		con.srv.held.Add(-int64(buf.Len()))
@@ -407,17 +480,18 @@
 	con.lingerClose()
 }
 
-// lingerClose lets the caller read the last answer before its unread bytes
-// reset the connection.
+// lingerClose lets the caller read the last answer before bytes that nobody reads
+// reset the connection, which would cut what is still on its way.
 func (con *conn) lingerClose() {
-	if tcp, ok := con.raw.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
+	if half, ok := con.raw.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
 	}
 	_ = con.raw.SetReadDeadline(time.Now().Add(lingerTime))
 	_, _ = io.Copy(io.Discard, io.LimitReader(con.raw, lingerBytes))
 }
 
 const (
-	lingerTime  = 500 * time.Millisecond
+	// lingerTime is shorter than a VM that stops has left after its last answers.
+	lingerTime  = 400 * time.Millisecond
 	lingerBytes = 1 << 20
 )
