End a process in time whether anybody reads its logs or not

A VM that could not start, an address being taken, stayed for ever if nobody read its output: the last line was written directly to standard error. Its other addresses were bound, callers connected into nothing, and no signal ended it. A planned stop to the end of its time took longer than that where the reader had stopped, as 0.15 s were left for what follows the cut, which takes up to 0.5 s; the platform would have killed it.

The last line goes through a ring that is given up after 0.1 s, as the logs are now, and connections are cut so early that everything after it fits.

--- a/lugbench/pkg/playground/process_test.go
+++ b/lugbench/pkg/playground/process_test.go
@@ -52,6 +52,14 @@
 
 // startProcess starts a VM before three targets that take the given time.
 func startProcess(t *testing.T, latency time.Duration) *vmProcess {
+	t.Helper()
+	prc := newProcess(t, latency)
+	prc.start()
+	return prc
+}
+
+// newProcess returns a VM that is not started yet.
+func newProcess(t *testing.T, latency time.Duration) *vmProcess {
 	t.Helper()
 	pgr, err := Start(context.Background(), Settings{Targets: 3, Latency: latency, Log: io.Discard})
 	if err != nil {
@@ -64,7 +72,6 @@
 	}
 	prc := &vmProcess{t: t, pgr: pgr, set: set, file: filepath.Join(t.TempDir(), "settings"), ended: make(chan struct{})}
 	prc.writeSettings("")
-	prc.start()
 	return prc
 }
 
@@ -99,6 +106,11 @@
 		prc.t.Fatal(err)
 	}
 	prc.logs, prc.out = logs, out
+	if prc.silent {
+		prc.stopReading()
+	} else {
+		go prc.readLogs()
+	}
 	prc.cmd = exec.Command(program, "run")
 	// The race detector would let the process live on for a second after its end.
 	prc.cmd.Env = append(os.Environ(), programVariable+"=1", objects.SettingsVariable+"="+prc.file, "GORACE=atexit_sleep_ms=0")
@@ -106,7 +118,6 @@
 	if err := prc.cmd.Start(); err != nil {
 		prc.t.Fatal(err)
 	}
-	go prc.readLogs()
 	go func() {
 		_ = prc.cmd.Wait() // How it ended is read from its state.
 		close(prc.ended)
@@ -261,3 +272,41 @@
 		t.Errorf("the VM ended with %q", got)
 	}
 }
+
+// TestFailedStartEndsWithoutALogReader starts a VM whose address is taken, while
+// nobody reads its output.
+func TestFailedStartEndsWithoutALogReader(t *testing.T) {
+	t.Parallel()
+	prc := newProcess(t, 0)
+	lis, err := net.Listen("tcp", prc.set.OperatorAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	prc.silent = true
+	prc.start()
+	if got := prc.awaitEnd(); got != "exit status 1" {
+		t.Errorf("the process: %s", got)
+	}
+}
+
+// TestStopEndsInTimeWithoutALogReader stops a VM to which a caller sends half of a
+// request, while nobody reads its output.
+func TestStopEndsInTimeWithoutALogReader(t *testing.T) {
+	t.Parallel()
+	prc := startProcess(t, 0)
+	prc.awaitReady()
+	if _, err := io.WriteString(prc.dial().raw, "POST /orders/x HTTP/1.1\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(underWay)
+	prc.stopReading()
+	began := time.Now()
+	prc.signal(syscall.SIGTERM)
+	if got := prc.awaitEnd(); got != exitZero {
+		t.Errorf("the process: %s", got)
+	}
+	if took := time.Since(began); took > prc.set.StopTime {
+		t.Errorf("the stop took %v of %v", took, prc.set.StopTime)
+	}
+}
--- a/lugd/pkg/edge/command.go
+++ b/lugd/pkg/edge/command.go
@@ -19,11 +19,15 @@
 // variable fileVariable, and returns its exit code.
 func Main(wir Wiring, fileVariable string) int {
 	sgs := takeSignals()
-	if err := command(wir, fileVariable, sgs, os.Stdout).Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "lugd:", err)
-		return 1
+	err := command(wir, fileVariable, sgs, os.Stdout).Run(context.Background(), os.Args)
+	if err == nil {
+		return 0
 	}
-	return 0
+	// Not written directly: whoever reads it may have stopped reading.
+	rng := logflags.NewRing(os.Stderr)
+	defer rng.Close()
+	_, _ = fmt.Fprintln(rng, "lugd:", err) // A ring never fails.
+	return 1
 }
 
 // command returns the command line, which writes to out.
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -47,10 +47,11 @@
 	// are passed on.
 	holdBytes     = 64 << 10
 	idlePerTarget = 4
-	// answerMargin and killMargin are how long before the end of the stop time
-	// the last requests are answered, and the process ends.
+	// answerMargin and cutMargin are how long before the end of the stop time the
+	// last requests are answered, and connections are cut. What follows takes
+	// peerCloseTime and the time to flush the logs.
 	answerMargin = 600 * time.Millisecond
-	killMargin   = 150 * time.Millisecond
+	cutMargin    = peerCloseTime + logflags.FlushTime + 50*time.Millisecond
 	// bodyShare is the part of the memory that may hold bodies.
 	bodyShare = 4
 	mib       = 1 << 20
@@ -399,7 +400,7 @@
 func (dmn *Daemon) stop(ctx context.Context, cause string) (cut int) {
 	set := dmn.settings()
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, set.StopTime-killMargin)
+	ctx, cancel := context.WithTimeout(ctx, set.StopTime-cutMargin)
 	defer cancel()
 	dmn.log.WithFields(logrus.Fields{"cause": cause, "connections": dmn.callers.Connections(), "stopTime": set.StopTime.String()}).Info("stop")
 	dmn.driver.Step(gateway.StopBegan{})
--- a/lugd/pkg/logflags/ring.go
+++ b/lugd/pkg/logflags/ring.go
@@ -10,8 +10,8 @@
 const (
 	// ringLines is the number of lines that wait to be written.
 	ringLines = 2048
-	// flushTime bounds the writing of what is left at the end.
-	flushTime = 200 * time.Millisecond
+	// FlushTime bounds the writing of what is left at the end.
+	FlushTime = 100 * time.Millisecond
 )
 
 // Ring writes lines from a goroutine of its own, so that a reader that stops
@@ -60,15 +60,16 @@
 	}
 }
 
-// Close writes what is left, for a short time at most.
+// Close writes what is left, for FlushTime at most.
 func (rng *Ring) Close() {
+	late := time.After(FlushTime)
 	select {
 	case rng.lines <- nil:
-	case <-time.After(flushTime):
+	case <-late:
 		return
 	}
 	select {
 	case <-rng.done:
-	case <-time.After(flushTime):
+	case <-late:
 	}
 }
