Take signals to stop only once there is something to stop

A command that waited for its settings, or that only prints them, could not be ended but by SIGKILL: the signals were taken for it, and nobody read them. They are now taken before anything is served; until then they have their default action.

--- a/lugbench/cmd/lugbench/main.go
+++ b/lugbench/cmd/lugbench/main.go
@@ -15,7 +15,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	defer stop()
 	if err := command.New(os.Stdout, os.Stderr).Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "lugbench:", err)
--- a/lugbench/pkg/playground/process_test.go
+++ b/lugbench/pkg/playground/process_test.go
@@ -310,3 +310,21 @@
 		t.Errorf("the stop took %v of %v", took, prc.set.StopTime)
 	}
 }
+
+// TestSignalsEndACommandThatWaitsForItsSettings reads the settings from a pipe to
+// which nobody writes.
+func TestSignalsEndACommandThatWaitsForItsSettings(t *testing.T) {
+	t.Parallel()
+	prc := newProcess(t, 0)
+	prc.file += ".pipe"
+	if err := syscall.Mkfifo(prc.file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	prc.start()
+	time.Sleep(underWay)
+	prc.signal(syscall.SIGHUP)
+	prc.signal(syscall.SIGTERM)
+	if got := prc.awaitEnd(); got != "signal: terminated" {
+		t.Errorf("the process: %s", got)
+	}
+}
--- a/lugd/pkg/edge/command.go
+++ b/lugd/pkg/edge/command.go
@@ -33,6 +33,7 @@
 // command returns the command line, which writes to out.
 func command(wir Wiring, fileVariable string, sgs *signals, out io.Writer) *cli.Command {
 	run := func(ctx context.Context, set Settings, src *source) error {
+		sgs.takeStops()
 		rng := logflags.NewRing(out)
 		defer rng.Close()
 		lgs, err := logflags.New(rng, set.LogFormat, set.LogVerbose)
--- a/lugd/pkg/edge/signals.go
+++ b/lugd/pkg/edge/signals.go
@@ -9,18 +9,17 @@
 )
 
 // signals are those that operators and the platform send to the process. They
-// are taken from the start of the program until the process is gone: given back
-// to its default action, any of them would end the process in mid-request.
+// are taken until the process is gone: given back to its default action, any of
+// them would end the process in mid-request.
 type signals struct {
 	// stop asks for a planned stop, and reload for the settings to be read anew.
 	// Both hold one signal; more of a kind ask for nothing more.
 	stop, reload chan os.Signal
 }
 
-// takeSignals is called once in a process.
+// takeSignals is called once, first thing in the process.
 func takeSignals() *signals {
 	sgs := &signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
-	signal.Notify(sgs.stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGQUIT)
 	signal.Notify(sgs.reload, syscall.SIGHUP)
 	// Whoever reads the logs may leave; writing to them must fail, not end the
 	// process.
@@ -30,6 +29,12 @@
 	return sgs
 }
 
+// takeStops is called before anything is served. Until then, a signal to stop
+// ends the process by its default action.
+func (sgs *signals) takeStops() {
+	signal.Notify(sgs.stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGQUIT)
+}
+
 // stopContext returns a context that ends with the first signal to stop. Each
 // one is told.
 func (sgs *signals) stopContext(tell func(sig os.Signal)) context.Context {
