Start no call of the store once a driver has ended

A VM in its last moments could begin a call of the store while it waited for the last ones to end, which the standard library may answer with a panic: the process would end with a stack and an exit code of 2, after the last answer.

The driver takes its mutex once between the end of its context and the wait; steps look at the context under the same mutex.

--- a/lugd/pkg/driver/driver.go
+++ b/lugd/pkg/driver/driver.go
@@ -92,6 +92,8 @@
 		select {
 		case <-tck.C:
 		case <-dri.ctx.Done():
+			dri.mut.Lock() // A step under way may still start work; none does after it.
+			dri.mut.Unlock()
 			dri.work.Wait()
 			return
 		}
