Accept other VMs again after a failure to accept

What callers see: nothing at once. A VM that was out of descriptors for a moment takes no messages of other VMs for the rest of its process, over any connection that is opened after that, and no line says so.

Cause: Serve of the transport took every error of Accept for the end of its listener.

Now it ends with net.ErrClosed only, which Close brings about. After another error it waits 10 ms and tries again; the error is logged once, and again only after a second without failures, so that a VM at the edge of its descriptors does not fill its log.

Evidence: TestVMsReachOneThatHadNoDescriptors, with a listener that fails ten times with EMFILE; before: a message did not arrive 0 lines were logged, want 1 and now passes 20 times with -race, as do all tests of the package once. Not tried with a process that is really out of descriptors.

--- a/lugd/pkg/peer/transport.go
+++ b/lugd/pkg/peer/transport.go
@@ -25,6 +25,10 @@
 	redialTime   = 250 * time.Millisecond
 	stateTimeout = time.Second
 	frameHeader  = 4
+	// acceptPause lies between tries to accept a connection while they fail.
+	acceptPause = 10 * time.Millisecond
+	// acceptQuiet is how long no try fails before the next failure is logged again.
+	acceptQuiet = time.Second
 )
 
 // handler takes what arrives from other VMs.
@@ -90,13 +94,23 @@
 // Bytes returns the bytes sent and received so far.
 func (trn *Transport) Bytes() (sent, received int64) { return trn.sent.Load(), trn.received.Load() }
 
-// Serve accepts connections until Close.
+// Serve accepts connections until Close. Other VMs have no other way to this one, so
+// that it outlasts failures, as of a VM that is out of descriptors for a moment.
 func (trn *Transport) Serve() {
+	var failed time.Time
 	for {
 		con, err := trn.listen.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			if time.Since(failed) > acceptQuiet {
+				trn.log.WithError(err).Warn("cannot accept other VMs; trying on")
+			}
+			failed = time.Now()
+			time.Sleep(acceptPause)
+			continue
+		}
 		trn.mut.Lock()
 		if trn.closed {
 			trn.mut.Unlock()
