Log failures to accept callers by the series

What callers see: nothing. A VM that is out of descriptors logs a hundred lines a second, which push out what its log is read for.

Cause: every failed try was logged, and a try follows every 10 ms.

Now the first of a series is logged, and their number by the first caller that is accepted a second or more after the last one. A caller accepted between failures ends no series: at the edge of what a VM may open there is one whenever another leaves, and two lines for each would be no fewer. The line of the end comes late where no caller does.

Evidence: TestWantOfDescriptorsIsLoggedByTheSeries, twenty failures with a caller between them; before: twenty lines "cannot accept a caller"; now one, and one with the number 20. Not tried with a process that is really out of descriptors.

--- /dev/null
+++ b/lugd/pkg/http1/accept_test.go
@@ -0,0 +1,75 @@
+package http1
+
+import (
+	"net"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+)
+
+// starved is a listener that finds no descriptors for a number of tries.
+type starved struct {
+	net.Listener
+	fails atomic.Int32
+}
+
+// Accept fails until the tries are used up.
+func (stv *starved) Accept() (net.Conn, error) {
+	if stv.fails.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return stv.Listener.Accept()
+}
+
+// TestWantOfDescriptorsIsLoggedByTheSeries lets a server fail to accept callers twenty
+// times, five of them between two callers, as at the edge of what a VM may open.
+func TestWantOfDescriptorsIsLoggedByTheSeries(t *testing.T) {
+	fix := newFixture(t)
+	log, said := test.NewNullLogger()
+	srv := New(fix.srv.Settings(), names(), fix.fks, fix.fks, fix.fks, log)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = fix.lis.Close()
+	fix.lis = lis
+	stv := &starved{Listener: lis}
+	served := make(chan error, 1)
+	stv.fails.Store(15)
+	go func() { served <- srv.Serve(stv) }()
+	ask := func() {
+		fix.connect(t)
+		fix.put(t, nextRequest)
+		if got := fix.read(1); got != "200 \"answer to /x\"\n" {
+			t.Errorf("got %q", got)
+		}
+	}
+	ask()
+	stv.fails.Store(5)
+	ask() // Accepted by the try that was under way.
+	ask()
+	time.Sleep(acceptQuiet + 100*time.Millisecond)
+	ask()
+	ask()
+	_ = lis.Close()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+	var got []string
+	for _, ent := range said.AllEntries() {
+		if strings.Contains(ent.Message, "accept") {
+			got = append(got, ent.Message)
+			if cnt, found := ent.Data["failures"]; found && cnt != 20 {
+				t.Errorf("%v failures were counted, want 20", cnt)
+			}
+		}
+	}
+	if want := []string{"cannot accept callers; trying on", "callers are accepted again"}; !slices.Equal(got, want) {
+		t.Errorf("logged %q, want %q", got, want)
+	}
+}
--- a/lugd/pkg/http1/server.go
+++ b/lugd/pkg/http1/server.go
@@ -87,8 +87,18 @@
 // Settings returns the bounds in force.
 func (srv *Server) Settings() Settings { return *srv.settings.Load() }
 
-// Serve accepts connections until lis is closed.
+const (
+	// acceptPause lies between tries to accept a caller while they fail.
+	acceptPause = 10 * time.Millisecond
+	// acceptQuiet is how long no try fails before a series of failures is over.
+	acceptQuiet = time.Second
+)
+
+// Serve accepts connections until lis is closed. Of a series of failures the first is
+// logged and, by the first caller after it, their number: at the edge of what a VM may
+// open, callers are accepted between failures, so that one who is ends no series.
 func (srv *Server) Serve(lis net.Listener) error {
+	failures, failed := 0, time.Time{}
 	for {
 		raw, err := lis.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -96,10 +106,17 @@
 		}
 		if err != nil {
 			// The VM may be out of descriptors for a moment.
-			srv.log.WithError(err).Warn("cannot accept a caller")
-			time.Sleep(10 * time.Millisecond)
+			if time.Since(failed) > acceptQuiet {
+				srv.log.WithError(err).Warn("cannot accept callers; trying on")
+			}
+			failures, failed = failures+1, time.Now()
+			time.Sleep(acceptPause)
 			continue
 		}
+		if failures > 0 && time.Since(failed) > acceptQuiet {
+			srv.log.WithField("failures", failures).Info("callers are accepted again")
+			failures = 0
+		}
 		con := newConn(srv, raw)
 		if !srv.add(con) {
 			_ = raw.Close()
