Hold a raised bound on heads on open connections too

What callers see: 431, "the head of the request is longer than this fleet takes", to a head that the configuration allows, on connections opened before it was raised. These are also those accepted before a VM that starts knows its first configuration.

Cause: the head is read into the buffer of the connection, whose size was fixed when it was accepted, and a full buffer was taken for a head that is too long. The bound itself was taken when the first byte of a head arrived.

Now a reader that is smaller than the bound needs is replaced by a larger one that takes over what is buffered, and the bound is looked at again with all that arrives of a head. Only the goroutine that reads requests uses the reader.

--- a/lugd/pkg/http1/conn.go
+++ b/lugd/pkg/http1/conn.go
@@ -249,7 +249,7 @@
 	if err := con.raw.SetReadDeadline(time.Now().Add(set.HeaderTimeout)); err != nil {
 		return nil, err
 	}
-	if err := con.checkHead(set.HeaderBytes); err != nil {
+	if err := con.checkHead(); err != nil {
 		return nil, err
 	}
 	req, err := http.ReadRequest(con.reader)
@@ -314,33 +314,39 @@
 }
 
 // checkHead reads the head into the buffer, without consuming it.
-func (con *conn) checkHead(limit int) error {
-	for size := 1; ; size = con.reader.Buffered() + 1 {
-		if size > limit {
-			return errHeadTooLarge
-		}
-		if _, err := con.reader.Peek(size); err != nil {
-			if errors.Is(err, bufio.ErrBufferFull) {
-				return errHeadTooLarge
-			}
-			if !isTimeout(err) {
-				con.left()
-			}
-			return err
-		}
+func (con *conn) checkHead() error {
+	for {
+		limit := con.srv.Settings().HeaderBytes
+		con.makeRoom(limit)
 		buf, err := con.reader.Peek(con.reader.Buffered())
 		if err != nil {
 			return err
 		}
 		end := headEnd(buf)
-		if end < 0 {
-			continue
-		}
-		if end > limit {
+		if end > limit || end < 0 && len(buf) >= limit {
 			return errHeadTooLarge
 		}
-		return checkFraming(buf[:end])
+		if end >= 0 {
+			return checkFraming(buf[:end])
+		}
+		if _, err := con.reader.Peek(len(buf) + 1); err != nil {
+			if !isTimeout(err) {
+				con.left()
+			}
+			return err
+		}
+	}
+}
+
+// makeRoom makes the reader large enough for heads of limit bytes, since the bound may
+// have been raised after the connection was accepted.
+func (con *conn) makeRoom(limit int) {
+	if con.reader.Size() >= limit+readBuffer {
+		return
 	}
+	held, _ := con.reader.Peek(con.reader.Buffered()) // It cannot fail for what is there.
+	con.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(held), con.raw), limit+readBuffer)
+	_, _ = con.reader.Peek(len(held)) // Takes them over, and reads nothing else.
 }
 
 // headEnd returns the length of a head with its empty line, or -1.
