Hold a raised idle time for idle connections too

What callers see: a connection that they keep is closed after the old idle time, after the configuration has raised it; a request sent at that moment gets no answer.

Cause: the bound was set as the read deadline when the connection became idle, and the deadline alone decided.

Now, when the deadline passes, the connection goes on waiting if the present settings give a later bound, counted from when it became idle. A connection that drains closes at once as before: the drain sets the deadline to now and is noted under the same lock that the new deadline is set under. Each wait needs a later bound than the one before, so that a TLS handshake that timed out, whose error stays, cannot make it spin. A lowered idle time holds from the next request of a connection on, as before.

Evidence: TestRaisedIdleTimeHoldsForIdleConnections, idle for 1.7 s, raised from 1 to 10 s; before: before the first request: got "no answer\n", want "200 \"answer to /x\"\n" after a request: got "no answer\n", want "200 \"answer to /x\"\n" Its cases of draining, and of an idle time beyond the raised one, passed before too. It passes 20 times with -race, all tests of the package once.

--- a/lugd/pkg/http1/conn.go
+++ b/lugd/pkg/http1/conn.go
@@ -58,6 +58,10 @@
 	closing bool
 	// told is set once an answer has said that it is the last.
 	told bool
+	// idle is when the connection last became idle.
+	idle time.Time
+	// until is the last bound that was set on waiting while idle.
+	until time.Time
 }
 
 func newConn(srv *Server, raw net.Conn) *conn {
@@ -68,6 +72,7 @@
 		reader: bufio.NewReaderSize(raw, set.HeaderBytes+readBuffer),
 		writer: bufio.NewWriterSize(raw, writeBuffer),
 		slots:  make(chan struct{}, maxPipelined),
+		idle:   time.Now(),
 	}
 }
 
@@ -130,6 +135,7 @@
 	defer con.mut.Unlock()
 	con.open--
 	if con.open == 0 && !con.reading {
+		con.idle = time.Now()
 		con.setIdleDeadline()
 	}
 }
@@ -147,11 +153,24 @@
 // setIdleDeadline bounds how long the connection stays idle: not at all if it is
 // to close.
 func (con *conn) setIdleDeadline() {
-	left := con.srv.Settings().IdleTimeout + idleSlack
+	con.until = con.idleBound()
 	if con.closing || con.told {
-		left = 0
+		con.until = time.Now()
 	}
-	_ = con.raw.SetReadDeadline(time.Now().Add(left))
+	_ = con.raw.SetReadDeadline(con.until)
+}
+
+// idleBound returns until when the connection may stay idle by the present settings.
+func (con *conn) idleBound() time.Time {
+	return con.idle.Add(con.srv.Settings().IdleTimeout + idleSlack)
+}
+
+// staysIdle reports whether a connection that was idle up to its bound stays open, since
+// the bound has been raised meanwhile.
+func (con *conn) staysIdle() bool {
+	con.mut.Lock()
+	defer con.mut.Unlock()
+	return con.open == 0 && !con.closing && !con.told && con.idleBound().After(con.until)
 }
 
 // readsNoMore reports whether an answer has said, or will say, that no further
@@ -277,6 +296,9 @@
 	con.mut.Unlock()
 	_, err := con.reader.Peek(1)
 	if err != nil {
+		if isTimeout(err) && con.staysIdle() {
+			return con.awaitFirst()
+		}
 		if isTimeout(err) {
 			return errIdle
 		}
--- a/lugd/pkg/http1/settings_test.go
+++ b/lugd/pkg/http1/settings_test.go
@@ -45,3 +45,50 @@
 		})
 	}
 }
+
+// TestRaisedIdleTimeHoldsForIdleConnections raises the idle time of 1 s while a
+// connection is idle, and sends a request after that time, or drains.
+func TestRaisedIdleTimeHoldsForIdleConnections(t *testing.T) {
+	const answer = "200 \"answer to /x\"\n"
+	for _, one := range []struct {
+		name, before string
+		raised       time.Duration
+		wait         time.Duration
+		drain        bool
+		want         string
+	}{
+		{"after a request", nextRequest, 10 * time.Second, 1700 * time.Millisecond, false, answer},
+		{"before the first request", "", 10 * time.Second, 1700 * time.Millisecond, false, answer},
+		{"and is idle beyond it", nextRequest, 1200 * time.Millisecond, 2 * time.Second, false, "no answer\n"},
+		{"and drains within the old one", nextRequest, 10 * time.Second, 100 * time.Millisecond, true, "no answer\n"},
+		{"and drains after the old one", nextRequest, 10 * time.Second, 1700 * time.Millisecond, true, "no answer\n"},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			t.Parallel()
+			fix := newFixture(t)
+			fix.connect(t)
+			fix.put(t, one.before)
+			if one.before != "" {
+				if got := fix.read(1); got != answer {
+					t.Fatalf("got %q", got)
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+			set := fix.srv.Settings()
+			set.IdleTimeout = one.raised
+			fix.srv.SetSettings(set)
+			time.Sleep(one.wait)
+			if one.drain {
+				fix.srv.Stop()
+				start := time.Now()
+				if done := fix.drain(); !<-done || time.Since(start) > drainTime/2 {
+					t.Errorf("the connection closed after %v", time.Since(start))
+				}
+			}
+			_, _ = fix.con.Write([]byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n")) // It fails on a closed one.
+			if got := fix.read(1); got != one.want {
+				t.Errorf("got %q, want %q", got, one.want)
+			}
+		})
+	}
+}
