Read certificate files again that are replaced while they are read

What callers see: nothing at first. The VM goes on showing a certificate that was replaced at the moment at which it read its files, up to the next replacement; after its end, TLS fails between VMs and towards callers.

Cause: the time of the files' last change was taken after they were read, so that a change in between counted as read.

Now it is taken before.

--- a/lugd/pkg/certificate/certificate.go
+++ b/lugd/pkg/certificate/certificate.go
@@ -55,8 +55,10 @@
 	return kee, nil
 }
 
-// load reads the files anew.
+// load reads the files anew. The time of the last change is taken before, so that files
+// replaced meanwhile are read once more.
 func (kee *Keeper) load() error {
+	changed := kee.newest()
 	cert, err := tls.LoadX509KeyPair(kee.files.Certificate, kee.files.Key)
 	if err != nil {
 		return fmt.Errorf("cannot use certificate %q with key %q: %w", kee.files.Certificate, kee.files.Key, err)
@@ -73,7 +75,7 @@
 		}
 	}
 	kee.cert, kee.pool = &cert, pool
-	kee.changed = kee.newest()
+	kee.changed = changed
 	return nil
 }
 
--- a/lugd/pkg/certificate/certificate_test.go
+++ b/lugd/pkg/certificate/certificate_test.go
@@ -13,6 +13,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -166,6 +167,59 @@
 	}
 }
 
+// TestFilesReplacedWhileTheyAreReadAreReadAgain replaces the certificate and its key
+// after they were read and before the reading is over, which a pipe in the place of the
+// authority holds up.
+func TestFilesReplacedWhileTheyAreReadAreReadAgain(t *testing.T) {
+	aut, dir := newAuthority(t), t.TempDir()
+	fls := aut.issue(t, dir, VMName, 7)
+	if err := os.Remove(fls.Authority); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(fls.Authority, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	made := make(chan *Keeper, 1)
+	go func() {
+		kee, err := New(fls)
+		if err != nil {
+			t.Error(err)
+		}
+		made <- kee
+	}()
+	pipe, err := os.OpenFile(fls.Authority, os.O_WRONLY, 0) // Opens once it is read.
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Remove(fls.Authority); err != nil {
+		t.Fatal(err)
+	}
+	aut.issue(t, dir, VMName, 8)
+	later := time.Now().Add(time.Minute)
+	for _, file := range []string{fls.Certificate, fls.Key} {
+		if err := os.Chtimes(file, later, later); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := pem.Encode(pipe, &pem.Block{Type: "CERTIFICATE", Bytes: aut.raw}); err != nil {
+		t.Fatal(err)
+	}
+	if err := pipe.Close(); err != nil {
+		t.Fatal(err)
+	}
+	kee := <-made
+	if kee == nil {
+		t.FailNow()
+	}
+	cert, err := handshake(t, kee.Server(true), kee.Client())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := cert.SerialNumber.Int64(); got != 8 {
+		t.Errorf("the certificate with serial %d is in use, want 8", got)
+	}
+}
+
 func TestFilesAtFaultAreNamed(t *testing.T) {
 	if _, err := New(Files{Certificate: "/no/such", Key: "/no/such"}); err == nil {
 		t.Error("missing files were accepted")
