--- a/lugd/pkg/http1/settings_test.go
+++ b/lugd/pkg/http1/settings_test.go
@@ -1,7 +1,13 @@
 package http1
 
 import (
+	"bufio"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -92,3 +98,69 @@
 		})
 	}
 }
+
+// waits counts how often a connection is told how long to wait.
+type waits struct {
+	net.Conn
+	cnt atomic.Int32
+}
+
+// SetReadDeadline counts the call.
+func (wai *waits) SetReadDeadline(end time.Time) error {
+	wai.cnt.Add(1)
+	return wai.Conn.SetReadDeadline(end)
+}
+
+// TestRaisedIdleTimeOverTLS raises the idle time of 1 s on a connection with TLS whose
+// handshake is done, and on one whose handshake does not come: its time-out is final.
+func TestRaisedIdleTimeOverTLS(t *testing.T) {
+	keys := httptest.NewTLSServer(nil)
+	t.Cleanup(keys.Close)
+	for _, one := range []struct {
+		name string
+		done bool
+		want string
+	}{
+		{"after the handshake", true, "200 \"answer to /x\"\n"},
+		{"before the handshake", false, "no answer\n"},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			t.Parallel()
+			fix := newFixture(t)
+			ours, theirs := net.Pipe()
+			wai := &waits{Conn: ours}
+			fix.con = theirs
+			go newConn(fix.srv, tls.Server(wai, keys.TLS)).serve()
+			if one.done {
+				cli := tls.Client(theirs, &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool(keys), ServerName: "example.com"})
+				if err := cli.Handshake(); err != nil {
+					t.Fatal(err)
+				}
+				fix.con = cli
+			}
+			fix.src = bufio.NewReader(fix.con)
+			time.Sleep(50 * time.Millisecond) // The old time has begun.
+			set := fix.srv.Settings()
+			set.IdleTimeout = 10 * time.Second
+			fix.srv.SetSettings(set)
+			time.Sleep(1700 * time.Millisecond)
+			if one.done {
+				fix.put(t, nextRequest)
+			}
+			start := time.Now()
+			if got := fix.read(1); got != one.want || time.Since(start) > time.Second {
+				t.Errorf("got %q after %v, want %q", got, time.Since(start), one.want)
+			}
+			if got := wai.cnt.Load(); got > 20 {
+				t.Errorf("the connection waited %d times", got)
+			}
+		})
+	}
+}
+
+// pool returns what trusts a server.
+func pool(srv *httptest.Server) *x509.CertPool {
+	out := x509.NewCertPool()
+	out.AddCert(srv.Certificate())
+	return out
+}
