Tell an empty settings file from a missing one

A VM whose settings file was missing, and then empty, kept the settings of before: both counted as the same content.

TestFileThatWasMissingIsTakenOverThoughItIsEmpty failed before ("the empty file counts as missing").

--- a/lugd/pkg/edge/reload.go
+++ b/lugd/pkg/edge/reload.go
@@ -28,7 +28,8 @@
 	// path is empty where there is no file.
 	path string
 	args []string
-	// content is what the file held when it was last read.
+	// content is what the file held when it was last read; nil where it could not
+	// be, unlike an empty file.
 	content []byte
 }
 
@@ -61,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	src.content = raw
+	src.content = append([]byte{}, raw...)
 	return parseFile(src.path, raw)
 }
 
@@ -71,8 +72,9 @@
 		return false
 	}
 	raw, err := os.ReadFile(src.path)
-	if err != nil {
-		raw = nil // That it cannot be read is told when it is loaded.
+	if err != nil || src.content == nil {
+		// That it cannot be read is told when it is loaded.
+		return (err == nil) != (src.content != nil)
 	}
 	return !bytes.Equal(raw, src.content)
 }
--- a/lugd/pkg/edge/settings_test.go
+++ b/lugd/pkg/edge/settings_test.go
@@ -119,3 +119,18 @@
 	writeSettings(t, path, changedSettings)
 	expectRevokeTime(t, sets, 4*time.Second)
 }
+
+func TestFileThatWasMissingIsTakenOverThoughItIsEmpty(t *testing.T) {
+	t.Parallel()
+	src := &source{path: filepath.Join(t.TempDir(), "settings")}
+	if _, err := src.load(io.Discard); err == nil {
+		t.Fatal("a missing file was read")
+	}
+	if src.changed() {
+		t.Error("a file that is still missing has changed")
+	}
+	writeSettings(t, src.path, "")
+	if !src.changed() {
+		t.Error("the empty file counts as missing")
+	}
+}
