Tell an outage of the store by when knowledge was renewed

Cause: an entry that goes missing after an outage is given 1.5 s to come back, longer while the store is away. An outage was told by the age of the proof that the entries are the newest. A proof is dated when the store was asked, and a watch without news takes 1.5 s: in calm times its age rises to 3 s, above the 2.5 s that count as an outage. So every removal in a quiet time was taken for a lapse, and requests went to targets that had gone for 1.5 s, and on where the store was lost meanwhile.

The registry now counts from when it last learned of a later proof, 1.5 s at most in calm times; a proof that another VM dates slightly later is the same one.

Ruled out: the placer, which sent by what its VM knew; the follower's news, which came 6 ms after the removal. TestRemovalBetweenLongWatchesIsFinal failed before for a VM that reads and for one that follows.

--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -33,9 +33,14 @@
 // platform are given to come back.
 const ReturnTime = 1500 * time.Millisecond
 
-// outageTime is the age of the knowledge from which missing entries may have
-// lapsed for an outage.
-const outageTime = 2500 * time.Millisecond
+const (
+	// outageTime is how long the knowledge was not renewed where missing entries
+	// may have lapsed for an outage. In calm times it is renewed whenever a read
+	// ends, after 1.5 s at most.
+	outageTime = 2500 * time.Millisecond
+	// renewSlack is by how much two VMs may date the same proof differently.
+	renewSlack = 100 * time.Millisecond
+)
 
 // target is one registered target.
 type target struct {
@@ -53,6 +58,9 @@
 	missing map[string]clock.Instant
 	// proven is when the table was last known to be the newest.
 	proven clock.Instant
+	// renewed is when this VM last learned of a later proof, which may be that
+	// of a time long before.
+	renewed clock.Instant
 	// returned is when the knowledge was renewed after an outage.
 	returned clock.Instant
 }
@@ -76,11 +84,18 @@
 
 // Prove notes that the entries were the newest at a time.
 func (reg *Registry) Prove(now, at clock.Instant) {
-	if reg.proven != (clock.Instant{}) && now.Since(reg.proven) > outageTime {
-		reg.returned = now
+	if reg.proven == (clock.Instant{}) {
+		reg.proven, reg.renewed = at, now
+		return
+	}
+	if !reg.proven.Before(at) {
+		return
 	}
-	if reg.proven == (clock.Instant{}) || reg.proven.Before(at) {
-		reg.proven = at
+	if at.Since(reg.proven) > renewSlack {
+		if reg.away(now) {
+			reg.returned = now
+		}
+		reg.proven, reg.renewed = at, now
 	}
 }
 
@@ -116,7 +131,7 @@
 
 // mayReturn reports whether a missing entry may have lapsed for an outage.
 func (reg *Registry) mayReturn(now clock.Instant) bool {
-	return reg.proven != (clock.Instant{}) && now.Since(reg.proven) > outageTime ||
+	return reg.proven != (clock.Instant{}) && reg.away(now) ||
 		reg.returned != (clock.Instant{}) && now.Since(reg.returned) < ReturnTime
 }
 
@@ -144,8 +159,8 @@
 	return dropped
 }
 
-// away reports whether the entries have not been known to be the newest lately.
-func (reg *Registry) away(now clock.Instant) bool { return now.Since(reg.proven) > outageTime }
+// away reports whether nothing has been learned lately.
+func (reg *Registry) away(now clock.Instant) bool { return now.Since(reg.renewed) > outageTime }
 
 // Targets returns the targets that may be sent new requests by service, sorted.
 func (reg *Registry) Targets() map[string][]health.Target {
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -76,3 +76,39 @@
 		t.Errorf("got %q", got)
 	}
 }
+
+// TestRemovalBetweenLongWatchesIsFinal removes a target in calm times. The platform
+// answers after 1.5 s where nothing changes, which proves what held when it was
+// asked; a follower dates that anew with each message.
+func TestRemovalBetweenLongWatchesIsFinal(t *testing.T) {
+	const wait = 1500 * time.Millisecond
+	for _, one := range []struct {
+		name string
+		// again is how often the same proof is told, and jitter by what its date
+		// seems to move each time.
+		again  time.Duration
+		jitter time.Duration
+	}{
+		{"a VM that reads", wait, 0},
+		{"a VM that follows", 300 * time.Millisecond, 3 * time.Millisecond},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			now := clock.At(time.Hour)
+			reg := loaded(t, now)
+			for range 4 {
+				asked := now
+				for told := now.Add(wait); told.Before(now.Add(2 * wait)); told = told.Add(one.again) {
+					asked = asked.Add(one.jitter)
+					reg.Prove(told, asked)
+				}
+				now = now.Add(wait)
+			}
+			removed := now.Add(wait - time.Millisecond)
+			reg.Apply(removed, table.Delta[Entry]{Since: 5, Revision: 6, Removed: []string{"b"}})
+			reg.Prove(removed, now)
+			if got := names(reg); got != "a" {
+				t.Errorf("got %q", got)
+			}
+		})
+	}
+}
