Soak every phase of a VM's life with signals, settings and losses

Not seen before: what comes to a VM while it starts, stops or ends. The soak never sent SIGHUP, took every end after a SIGTERM as explained, ignored exchanges that failed, and net/http repeated requests that were cut on kept connections.

Now two thirds of the VMs go through starting, serving, stopping and ending again and again; in each phase comes an event of a table (signals, changes of the settings file with and without SIGHUP, loss of the store, of peers, of the reader of logs), once, twice, or with another one. The other VMs are killed, paused and cut off as before. Callers hold raw connections, some with two requests at a time. Checked: a VM that was neither paused nor killed cuts no request that it passed on or that was sent over 200 ms before the close (LOST); only signals to stop end a process, within the stop time and with 0; settings are in force after a change, wrong ones never; nothing runs that nobody sent.

The soak uses the playground's store and targets in place of its own copies.

--- a/lugbench/pkg/command/command.go
+++ b/lugbench/pkg/command/command.go
@@ -74,10 +74,7 @@
 			if err != nil {
 				return err
 			}
-			if err := rep.Write(out); err != nil {
-				return err
-			}
-			return rep.Err()
+			return rep.Write(out)
 		},
 	}
 }
--- a/lugbench/pkg/playground/playground.go
+++ b/lugbench/pkg/playground/playground.go
@@ -3,6 +3,7 @@
 package playground
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -47,6 +48,8 @@
 	Targets int
 	Latency time.Duration
 	Log     io.Writer
+	// Note is the first release note, if it is not the one of this package.
+	Note string
 }
 
 // Playground is a small fleet with its surroundings.
@@ -55,7 +58,9 @@
 	// StoreAddress is where VMs reach the store.
 	StoreAddress string
 	Targets      []*targetfake.Target
-	Releases     *release.Applier
+	// TargetAddresses are where the targets themselves are reached.
+	TargetAddresses []string
+	Releases        *release.Applier
 	// Callers has the addresses at which VMs serve callers, Operators those at
 	// which they serve operators.
 	Callers, Operators []string
@@ -81,12 +86,12 @@
 		if err := tgt.Register(at, false); err != nil {
 			return nil, err
 		}
-		pgr.Targets = append(pgr.Targets, tgt)
+		pgr.Targets, pgr.TargetAddresses = append(pgr.Targets, tgt), append(pgr.TargetAddresses, at)
 	}
 	log := logrus.New()
 	log.SetOutput(set.Log)
 	pgr.Releases = release.New(objects.NewReleases(objects.New(address, log)), time.Now)
-	if _, err := pgr.Releases.Apply(ctx, []byte(Note), "playground"); err != nil {
+	if _, err := pgr.Releases.Apply(ctx, []byte(cmp.Or(set.Note, Note)), "playground"); err != nil {
 		return nil, err
 	}
 	for num := range set.VMs {
@@ -239,6 +244,20 @@
 
 // Request sends one request to a VM and reads the whole answer.
 func Request(ctx context.Context, cli *http.Client, vmm, method, path, id, key string, timeout time.Duration) (Response, error) {
+	req, err := NewRequest(ctx, vmm, method, path, id, key, timeout)
+	if err != nil {
+		return Response{}, err
+	}
+	rsp, err := cli.Do(req)
+	if err != nil {
+		return Response{}, err
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	return ReadResponse(rsp)
+}
+
+// NewRequest returns a request to a VM; one with POST has a body.
+func NewRequest(ctx context.Context, vmm, method, path, id, key string, timeout time.Duration) (*http.Request, error) {
 	nms := objects.Names()
 	var body io.Reader
 	if method == http.MethodPost {
@@ -246,18 +265,18 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+vmm+path, body)
 	if err != nil {
-		return Response{}, err
+		return nil, err
 	}
 	req.Header.Set(nms.Request, id)
 	req.Header.Set(nms.Timeout, nms.ShowTimeout(timeout))
 	if key != "" {
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
-	rsp, err := cli.Do(req)
-	if err != nil {
-		return Response{}, err
-	}
-	defer func() { _ = rsp.Body.Close() }()
+	return req, nil
+}
+
+// ReadResponse reads the whole answer.
+func ReadResponse(rsp *http.Response) (Response, error) {
 	raw, err := io.ReadAll(rsp.Body)
 	return Response{Status: rsp.StatusCode, Body: string(raw), RetryAfter: rsp.Header.Get("Retry-After")}, err
 }
--- a/lugbench/pkg/soak/load.go
+++ b/lugbench/pkg/soak/load.go
@@ -29,20 +29,18 @@
 	calm     bool
 	response playground.Response
 	failed   bool
+	// cut says how the connection ended without a whole answer, where there is no
+	// excuse; crossed is set if the VM then need not have read the request.
+	cut     string
+	crossed bool
 }
 
-// load sends requests to VMs at random, over connections that it keeps.
+// load sends requests to VMs in turn, over connections that it keeps.
 type load struct {
 	flt  *fleet
-	rep  *Report
-	http *http.Client
 	calm atomic.Bool
 }
 
-func newLoad(flt *fleet, rep *Report) *load {
-	return &load{flt: flt, rep: rep, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}, Timeout: requestTime + time.Second}}
-}
-
 // The organisation with a small share asks for more than twice of it.
 const (
 	smallName      = "potter"
@@ -52,13 +50,6 @@
 	smallPerSecond = 25
 )
 
-func (loa *load) run(ctx context.Context) {
-	var wgr sync.WaitGroup
-	wgr.Go(func() { loa.repeat(ctx, loa.flt.set.PerSecond, loa.send) })
-	wgr.Go(func() { loa.repeat(ctx, smallPerSecond, loa.sendSmall) })
-	wgr.Wait()
-}
-
 // repeat sends requests at a rate until ctx ends, and waits for their answers.
 func (loa *load) repeat(ctx context.Context, perSecond int, send func(num int)) {
 	tck := time.NewTicker(time.Second / time.Duration(perSecond))
@@ -75,40 +66,50 @@
 	}
 }
 
-// kinds is the number of requests after which their kinds repeat.
-const kinds = 6
+const (
+	// kinds is the number of requests after which their kinds repeat.
+	kinds = 6
+	// pairs is the kind of which two are sent at once.
+	pairs = 4
+	// readsPath and ordersPath are served by routes that stay.
+	readsPath  = "/recipes/x"
+	ordersPath = "/orders/"
+)
+
+// paths are those of the requests by their kind.
+var paths = [kinds]string{ordersPath + "x", ordersPath + "x?" + targetfake.WorkQuery + "=400ms", sparePath + "x", latePath + "x", readsPath, readsPath}
 
-// send sends one request: of six, two are orders and one uses each of the routes
-// that are taken away.
+// send sends one request, or two at once: of six, two are orders, of which one
+// takes longer, and one uses each of the routes that are taken away.
 func (loa *load) send(num int) {
-	one := sent{id: fmt.Sprintf("request-%d", num), organisation: "studio", path: "/recipes/x"}
-	switch num % kinds {
-	case 0, 1:
-		one.once, one.path = true, "/orders/x"
-	case 2:
-		one.path = sparePath + "x"
-	case 3:
-		one.path = latePath + "x"
+	path := paths[num%kinds]
+	ones := []sent{{id: fmt.Sprintf("request-%d", num), organisation: "studio", path: path, once: strings.HasPrefix(path, ordersPath)}}
+	if num%kinds == pairs {
+		ones = append(ones, ones[0])
+		ones[1].id += "-behind"
 	}
-	loa.exchange(one, num, playground.Key)
+	loa.exchange(ones, num, playground.Key)
 }
 
 // sendSmall sends one request of the organisation with a small share.
 func (loa *load) sendSmall(num int) {
-	loa.exchange(sent{id: fmt.Sprintf("small-%d", num), organisation: smallName, path: "/recipes/x"}, num, smallKey)
+	loa.exchange([]sent{{id: fmt.Sprintf("small-%d", num), organisation: smallName, path: readsPath}}, num, smallKey)
 }
 
-func (loa *load) exchange(one sent, num int, key string) {
-	one.at, one.calm = time.Now(), loa.calm.Load()
+func (loa *load) exchange(ones []sent, num int, key string) {
 	// Each kind comes to every VM in turn.
-	one.vm = loa.flt.vms[(num+num/kinds)%len(loa.flt.vms)]
-	method := http.MethodGet
-	if one.once {
-		method = http.MethodPost
+	vmm := loa.flt.vms[(num+num/kinds)%len(loa.flt.vms)]
+	for idx := range ones {
+		ones[idx].at, ones[idx].calm, ones[idx].vm = time.Now(), loa.calm.Load(), vmm
+	}
+	if con, err := vmm.connect(); err != nil {
+		for idx := range ones {
+			ones[idx].failed = true
+		}
+	} else if con.exchange(ones, key) {
+		vmm.idle <- con
 	}
-	res, err := playground.Request(context.Background(), loa.http, one.vm.set.CallerAddress, method, one.path, one.id, key, requestTime)
-	one.response, one.failed = res, err != nil
-	loa.rep.add(one)
+	loa.flt.rep.add(ones...)
 }
 
 // Report is what a soak has seen.
@@ -121,28 +122,43 @@
 	served int
 	// calm and calmServed count the requests after the last fault.
 	calm, calmServed int
-	broken           []string
+	// cells says which events came in which phases.
+	cells  string
+	broken []string
 }
 
-func (rep *Report) add(one sent) {
+func (rep *Report) add(ones ...sent) {
 	rep.mut.Lock()
 	defer rep.mut.Unlock()
-	rep.sents = append(rep.sents, one)
+	rep.sents = append(rep.sents, ones...)
+}
+
+// tell notes a fault that is injected.
+func (rep *Report) tell(format string, args ...any) {
+	rep.note(&rep.faults, fmt.Sprintf(format, args...))
 }
 
+// breakf notes a promise that was broken.
 func (rep *Report) breakf(format string, args ...any) {
-	rep.broken = append(rep.broken, fmt.Sprintf(format, args...))
+	rep.note(&rep.broken, fmt.Sprintf(format, args...))
 }
 
-// notRun are the answers that say that the request has not run.
-func notRun(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
+func (rep *Report) note(list *[]string, line string) {
+	rep.mut.Lock()
+	defer rep.mut.Unlock()
+	*list = append(*list, stamp(time.Now())+" "+line)
+}
+
+// check notes an error of the soak itself.
+func (rep *Report) check(err error) {
+	if err != nil {
+		rep.breakf("the soak has failed: %v", err)
 	}
-	return false
 }
 
+// notRun are the answers that say that the request has not run.
+var notRun = []int{http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
+
 // leastServed is the part of the requests that must be served once the faults
 // are over.
 const leastServed = 0.9
@@ -150,41 +166,27 @@
 // judge compares what callers got with what targets ran.
 func (rep *Report) judge(flt *fleet) {
 	runs := make(map[string][]targetfake.Run)
-	var all []targetfake.Run
-	for _, tgt := range flt.targets {
+	for _, tgt := range flt.pgr.Targets {
 		for _, run := range tgt.Runs() {
 			runs[run.Request] = append(runs[run.Request], run)
-			all = append(all, run)
 			if run.Key {
 				rep.breakf("%s came to a target with the caller's key", run.Request)
 			}
 		}
 	}
+	rep.judgeShare(runs)
+	rep.judgeRetries(runs)
 	for _, one := range rep.sents {
 		rep.judgeOne(one, runs[one.id])
-		rep.judgeWithdrawal(flt, one, runs[one.id])
+		rep.judgeRuns(flt, one, runs[one.id])
+		delete(runs, one.id)
+	}
+	if len(runs) > 0 {
+		rep.breakf("%d requests ran that nobody has sent", len(runs))
 	}
-	rep.judgeShare(all)
-	rep.judgeRetries(runs)
-	rep.judgeLeaving(flt)
 	if rep.calm > 0 && float64(rep.calmServed) < leastServed*float64(rep.calm) {
 		rep.breakf("%d of %d requests were served once the faults were over", rep.calmServed, rep.calm)
 	}
-	for _, prc := range flt.vms {
-		if prc.exits > 0 {
-			rep.breakf("%s ended by itself %d times", prc.set.Name, prc.exits)
-		}
-	}
-}
-
-// judgeWithdrawal checks that no request runs on a route long withdrawn.
-func (rep *Report) judgeWithdrawal(flt *fleet, one sent, runs []targetfake.Run) {
-	for _, path := range []string{sparePath, latePath} {
-		at, gone := flt.withdrawnAt(path)
-		if gone && strings.HasPrefix(one.path, path) && one.at.After(at.Add(revokeTime)) && len(runs) > 0 {
-			rep.breakf("%s ran at %s, sent %v after its route was withdrawn", one.id, one.vm.set.Name, one.at.Sub(at))
-		}
-	}
 }
 
 // The window in which an organisation's requests are counted, and what may run
@@ -196,11 +198,13 @@
 )
 
 // judgeShare checks that the organisation with a small share stays within it.
-func (rep *Report) judgeShare(runs []targetfake.Run) {
+func (rep *Report) judgeShare(runs map[string][]targetfake.Run) {
 	var ats []time.Time
-	for _, run := range runs {
-		if run.Organisation == smallName {
-			ats = append(ats, run.At)
+	for _, list := range runs {
+		for _, run := range list {
+			if run.Organisation == smallName {
+				ats = append(ats, run.At)
+			}
 		}
 	}
 	most := int((smallRate*shareWindow.Seconds()+smallBurst)*shareExcess + shareSlack)
@@ -246,20 +250,25 @@
 	}
 }
 
-// judgeLeaving checks that a target that left gets nothing, but from the VM that
-// was cut off.
-func (rep *Report) judgeLeaving(flt *fleet) {
-	vms := make(map[string]*process)
-	for _, one := range rep.sents {
-		vms[one.id] = one.vm
+// judgeRuns checks where one request ran: on no route that was withdrawn, and at
+// no target that had left, but from the VM that was cut off.
+func (rep *Report) judgeRuns(flt *fleet, one sent, runs []targetfake.Run) {
+	for _, run := range runs {
+		if run.Organisation != one.organisation {
+			rep.breakf("%s of %s ran for %q", one.id, one.organisation, run.Organisation)
+		}
+		if late := run.At.Sub(flt.left); run.Target == flt.leaver.ID() && late > drainTime && one.vm != flt.cutOff {
+			rep.breakf("%s ran at %s, which had left %v before", one.id, run.Target, late)
+		}
 	}
-	for _, run := range flt.leaver.Runs() {
-		if late := run.At.Sub(flt.left); late > drainTime && vms[run.Request] != flt.cutOff {
-			rep.breakf("%s ran at %s, which had left %v before", run.Request, flt.leaver.ID(), late)
+	for path, at := range flt.withdrawn {
+		if late := one.at.Sub(at); strings.HasPrefix(one.path, path) && late > revokeTime && len(runs) > 0 {
+			rep.breakf("%s ran at %s, sent %v after its route was withdrawn", one.id, one.vm.set.Name, late)
 		}
 	}
 }
 
+// judgeOne checks what the caller of one request got.
 func (rep *Report) judgeOne(one sent, runs []targetfake.Run) {
 	good := !one.failed && one.response.Status == http.StatusOK
 	if good {
@@ -271,41 +280,27 @@
 			rep.calmServed++
 		}
 	}
-	for _, run := range runs {
-		if run.Organisation != one.organisation {
-			rep.breakf("%s of %s ran for %q", one.id, one.organisation, run.Organisation)
-		}
-	}
 	switch {
+	case one.cut != "" && (len(runs) > 0 || !one.crossed):
+		rep.breakf("%s at %s ran %d times and was %s", one.id, one.vm.set.Name, len(runs), one.cut)
 	case good && one.response.Body != targetfake.Answer(one.id):
 		rep.breakf("%s got the answer %q", one.id, one.response.Body)
 	case good && len(runs) == 0:
 		rep.breakf("%s was answered and never ran", one.id)
 	case one.once && len(runs) > 1:
 		rep.breakf("%s ran %d times", one.id, len(runs))
-	case !one.failed && notRun(one.response.Status) && len(runs) > 0:
+	case !one.failed && slices.Contains(notRun, one.response.Status) && len(runs) > 0:
 		rep.breakf("%s was answered %d and ran", one.id, one.response.Status)
 	}
 }
 
-// Write writes the report.
+// Write writes the report, and returns an error if a promise was broken.
 func (rep *Report) Write(out io.Writer) error {
-	_, err := fmt.Fprintf(out, "seed %d: %d requests, %d served, %d of %d once the faults were over; %d faults, %d promises broken\n",
-		rep.seed, len(rep.sents), rep.served, rep.calmServed, rep.calm, len(rep.faults), len(rep.broken))
+	_, err := fmt.Fprintf(out, "seed %d: %d requests, %d served, %d of %d once the faults were over; %d faults, %d promises broken\n%s\n",
+		rep.seed, len(rep.sents), rep.served, rep.calmServed, rep.calm, len(rep.faults), len(rep.broken), rep.cells)
 	if err != nil || len(rep.broken) == 0 {
 		return err
 	}
 	_, err = fmt.Fprintf(out, "faults:\n  %s\nbroken:\n  %s\n", strings.Join(rep.faults, "\n  "), strings.Join(rep.broken, "\n  "))
-	return err
-}
-
-// errBroken ends a soak in which a promise was broken.
-var errBroken = errors.New("a promise was broken")
-
-// Err returns an error if a promise was broken.
-func (rep *Report) Err() error {
-	if len(rep.broken) > 0 {
-		return errBroken
-	}
-	return nil
+	return errors.Join(errors.New("a promise was broken"), err)
 }
--- a/lugbench/pkg/soak/process.go
+++ b/lugbench/pkg/soak/process.go
@@ -2,108 +2,203 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"marigoldlug.example/lugd/pkg/edge"
+	"marigoldlug.example/platform/pkg/objects"
 )
 
-// process is a VM that runs as a process of its own.
+// process is a VM that runs as a process of its own, one run after the other.
 type process struct {
-	program string
-	set     edge.Settings
-	logs    string
+	flt *fleet
+	set edge.Settings
+	// file is the path of its settings file.
+	file string
 	// store is the proxy through which the VM reaches the platform, and peers
 	// the one through which other VMs reach it.
 	store, peers *proxy
+	// run is the one under way, or the last one, and starts their number.
+	run    atomic.Pointer[run]
+	starts int
 
+	// idle has the connections of callers that are not in use, the oldest first.
+	idle chan *conn
+	// hurt is until when the process was last paused or killed.
+	hurt moment
 	// restarting is held while the process is ended and started anew.
 	restarting sync.Mutex
+}
 
-	mut     sync.Mutex
+// run is one run of the program.
+type run struct {
+	number  int
 	command *exec.Cmd
-	starts  int
-	ended   chan struct{}
-	// exits counts the ends that no signal of the soak explains.
-	exits int
-	asked bool
+	// logs is the end of the pipe at which its output is read.
+	logs *os.File
+	// asked is when it was first told to stop.
+	asked  moment
+	killed atomic.Bool
+	ended  chan struct{}
 }
 
+// moment is a time in nanoseconds since 1970, 0 for none.
+type moment struct{ atomic.Int64 }
+
+func (mom *moment) after(at time.Time) bool { return mom.Load() > at.UnixNano() }
+
+// stopSignals ask for a planned stop.
+var stopSignals = []syscall.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGQUIT}
+
 // start runs the program.
 func (prc *process) start() error {
-	prc.mut.Lock()
-	defer prc.mut.Unlock()
 	set := prc.set
-	cmd := exec.Command(prc.program, "run", //nolint:gosec // The program is the one under test.
+	cmd := exec.Command(prc.flt.set.Program, "run", //nolint:gosec // The program is the one under test.
 		"--name="+set.Name, "--failure-domain="+set.FailureDomain, "--caller-address="+set.CallerAddress, "--ready-address="+set.ReadyAddress,
 		"--peer-address="+set.PeerAddress, "--operator-address="+set.OperatorAddress, "--platform-address="+prc.store.address(),
 		"--peer-public-address="+prc.peers.address(),
 		"--plain-text=callers,peers,operators", "--balancer-lag="+set.BalancerLag.String(), "--stop-time="+set.StopTime.String(),
 		"--retry-share="+fmt.Sprint(retryShare), "--retry-extra="+fmt.Sprint(retryExtra), "--retry-window="+retryWindow.String(),
 		"--quota-window="+shareWindow.String(), "--log-lines=2000")
-	if prc.logs != "" {
-		prc.starts++
-		out, err := os.Create(filepath.Join(prc.logs, set.Name+"."+strconv.Itoa(prc.starts)+".log"))
-		if err != nil {
-			return err
-		}
-		cmd.Stdout, cmd.Stderr = out, out
+	cmd.Env = append(os.Environ(), objects.SettingsVariable+"="+prc.file)
+	prc.starts++
+	path := os.DevNull
+	if prc.flt.set.Logs != "" {
+		path = filepath.Join(prc.flt.set.Logs, set.Name+"."+strconv.Itoa(prc.starts)+".log")
+	}
+	kept, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	logs, out, err := os.Pipe()
+	if err != nil {
+		return err
 	}
+	defer func() { _ = out.Close() }() // The process has its own.
+	// The smallest pipe is soon full when nobody reads.
+	if _, err := unix.FcntlInt(out.Fd(), unix.F_SETPIPE_SZ, 0); err != nil {
+		return err
+	}
+	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
-		return fmt.Errorf("cannot start %s: %w", prc.program, err)
+		return fmt.Errorf("cannot start %s: %w", prc.flt.set.Program, err)
 	}
-	ended := make(chan struct{})
-	prc.command, prc.asked, prc.ended = cmd, false, ended
-	go func() {
-		_ = cmd.Wait() // How it ended is told by whether it was asked to.
-		prc.mut.Lock()
-		if !prc.asked {
-			prc.exits++
-		}
-		prc.mut.Unlock()
-		close(ended)
-	}()
+	run := &run{number: prc.starts, command: cmd, logs: logs, ended: make(chan struct{})}
+	prc.run.Store(run)
+	go func() { _, _ = io.Copy(kept, logs) }() // Logs are a help, no part of the checks.
+	go prc.wait(run, kept)
 	return nil
 }
 
+// wait waits for the end of a run, and checks that only signals to stop and kills
+// end one, the former in time and with success.
+func (prc *process) wait(run *run, kept *os.File) {
+	_ = run.command.Wait() // How it ended is in its state.
+	at := time.Now()
+	_ = run.logs.SetReadDeadline(at.Add(dialTime))
+	_, _ = io.Copy(kept, run.logs)
+	_, _ = run.logs.Close(), kept.Close()
+	asked := time.Unix(0, run.asked.Load())
+	switch sta := run.command.ProcessState; {
+	case run.killed.Load():
+	case run.asked.Load() == 0:
+		prc.flt.rep.breakf("%s, run %d, ended by itself at %s: %v", prc.set.Name, run.number, stamp(at), sta)
+	case !sta.Success():
+		prc.flt.rep.breakf("%s, run %d, ended at %s, %v after it was told to stop: %v", prc.set.Name, run.number, stamp(at), at.Sub(asked), sta)
+	case at.Sub(asked) > prc.set.StopTime && !prc.hurt.after(asked):
+		prc.flt.rep.breakf("%s, run %d, took %v to stop, until %s", prc.set.Name, run.number, at.Sub(asked), stamp(at))
+	}
+	close(run.ended)
+}
+
+// over reports whether the last run has ended.
+func (prc *process) over() bool {
+	select {
+	case <-prc.run.Load().ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// toldToStop reports whether the last run was told to stop.
+func (prc *process) toldToStop() bool { return prc.run.Load().asked.Load() != 0 }
+
 // signal sends a signal to the process that this soak has started.
 func (prc *process) signal(sig syscall.Signal) {
-	prc.mut.Lock()
-	defer prc.mut.Unlock()
-	if prc.command == nil {
-		return
+	run, now := prc.run.Load(), time.Now().UnixNano()
+	if sig == syscall.SIGKILL {
+		run.killed.Store(true)
+		prc.hurt.Store(now)
 	}
-	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
-		prc.asked = true
+	if slices.Contains(stopSignals, sig) {
+		run.asked.CompareAndSwap(0, now)
 	}
-	_ = prc.command.Process.Signal(sig) // It may have ended meanwhile.
+	_ = run.command.Process.Signal(sig) // It may have ended meanwhile.
 }
 
-// restart ends the process by a signal and starts it anew.
-func (prc *process) restart(sig syscall.Signal, grace time.Duration) error {
-	prc.restarting.Lock()
-	defer prc.restarting.Unlock()
+// pause stops the process for a time.
+func (prc *process) pause(dur time.Duration) {
+	prc.flt.rep.tell("%s: paused for %v", prc.set.Name, dur)
+	prc.hurt.Store(time.Now().Add(dur + lossSlack).UnixNano())
+	prc.signal(syscall.SIGSTOP)
+	time.Sleep(dur)
 	prc.signal(syscall.SIGCONT)
-	prc.signal(sig)
+}
+
+// awaitEnd waits until the run has ended, and kills it if that takes too long.
+func (prc *process) awaitEnd() {
+	run := prc.run.Load()
 	select {
-	case <-prc.ended:
-	case <-time.After(grace):
-		prc.signal(syscall.SIGKILL)
-		<-prc.ended
+	case <-run.ended:
+		return
+	case <-time.After(graceTime):
 	}
-	return prc.start()
+	if !prc.hurt.after(time.Now().Add(-graceTime)) {
+		prc.flt.rep.breakf("%s, run %d, has not stopped after %v", prc.set.Name, run.number, graceTime)
+	}
+	prc.signal(syscall.SIGKILL)
+	<-run.ended
 }
 
-// end kills the process.
-func (prc *process) end() {
-	prc.signal(syscall.SIGKILL)
-	prc.signal(syscall.SIGCONT)
-	if prc.ended != nil {
-		<-prc.ended
+// await waits until a condition holds, while the process runs.
+func (prc *process) await(most time.Duration, holds func() bool) bool {
+	for end := time.Now().Add(most); time.Now().Before(end) && !prc.over(); time.Sleep(phasePoll) {
+		if holds() {
+			return true
+		}
 	}
+	return false
+}
+
+// connects reports whether callers can connect.
+func (prc *process) connects() bool {
+	con, err := dial(prc)
+	if err == nil {
+		_ = con.raw.Close()
+	}
+	return err == nil
+}
+
+// restart ends the process by a signal and starts it anew. The next signal waits
+// until its port is open: before it takes signals, each has its default action.
+func (prc *process) restart(sig syscall.Signal) {
+	prc.flt.rep.tell("%s: %s", prc.set.Name, sig)
+	prc.restarting.Lock()
+	defer prc.restarting.Unlock()
+	prc.signal(syscall.SIGCONT)
+	prc.signal(sig)
+	prc.awaitEnd()
+	prc.flt.rep.check(prc.start())
+	prc.await(startTime, prc.connects)
 }
--- a/lugbench/pkg/soak/proxy.go
+++ b/lugbench/pkg/soak/proxy.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,44 +25,37 @@
 type proxy struct {
 	lis    net.Listener
 	server string
-
-	mut   sync.Mutex
-	wire  wire
-	conns map[net.Conn]struct{}
+	wire   atomic.Pointer[wire]
+	// conns has the open connections as keys.
+	conns sync.Map
 }
 
-func newProxy(server string) (*proxy, error) {
+// newProxy returns a proxy that accepts connections until ctx ends.
+func newProxy(ctx context.Context, server string) (*proxy, error) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	prx := &proxy{lis: lis, server: server, conns: make(map[net.Conn]struct{})}
+	prx := &proxy{lis: lis, server: server}
+	prx.wire.Store(&wire{})
+	context.AfterFunc(ctx, func() { _ = lis.Close() })
 	go prx.run()
 	return prx, nil
 }
 
 func (prx *proxy) address() string { return prx.lis.Addr().String() }
 
-func (prx *proxy) close() { _ = prx.lis.Close() }
-
 // set changes how connections are treated.
 func (prx *proxy) set(wir wire) {
-	prx.mut.Lock()
-	defer prx.mut.Unlock()
-	prx.wire = wir
+	prx.wire.Store(&wir)
 	if wir.reset {
-		for con := range prx.conns {
-			reset(con)
-		}
+		prx.conns.Range(func(con, _ any) bool {
+			reset(con.(net.Conn))
+			return true
+		})
 	}
 }
 
-func (prx *proxy) now() wire {
-	prx.mut.Lock()
-	defer prx.mut.Unlock()
-	return prx.wire
-}
-
 func reset(con net.Conn) {
 	if tcp, ok := con.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
@@ -79,7 +74,7 @@
 }
 
 func (prx *proxy) serve(client net.Conn) {
-	if prx.now().reset {
+	if prx.wire.Load().reset {
 		reset(client)
 		return
 	}
@@ -88,29 +83,17 @@
 		reset(client)
 		return
 	}
-	prx.keep(client, server)
+	for _, con := range []net.Conn{client, server} {
+		prx.conns.Store(con, nil)
+		defer func() {
+			prx.conns.Delete(con)
+			_ = con.Close()
+		}()
+	}
 	var wgr sync.WaitGroup
 	wgr.Go(func() { prx.pass(client, server, func(wir wire) bool { return wir.muteUp }) })
 	wgr.Go(func() { prx.pass(server, client, func(wir wire) bool { return wir.muteDown }) })
 	wgr.Wait()
-	prx.drop(client, server)
-}
-
-func (prx *proxy) keep(cons ...net.Conn) {
-	prx.mut.Lock()
-	defer prx.mut.Unlock()
-	for _, con := range cons {
-		prx.conns[con] = struct{}{}
-	}
-}
-
-func (prx *proxy) drop(cons ...net.Conn) {
-	prx.mut.Lock()
-	defer prx.mut.Unlock()
-	for _, con := range cons {
-		delete(prx.conns, con)
-		_ = con.Close()
-	}
 }
 
 // pass carries bytes one way until an end closes. What is muted is lost, and the
@@ -120,7 +103,7 @@
 	lost := false
 	for {
 		cnt, err := src.Read(buf)
-		wir := prx.now()
+		wir := *prx.wire.Load()
 		lost = lost || muted(wir)
 		if cnt > 0 && !lost {
 			time.Sleep(wir.delay)
--- a/lugbench/pkg/soak/soak.go
+++ b/lugbench/pkg/soak/soak.go
@@ -5,22 +5,21 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"marigoldlug.example/lugbench/pkg/playground"
 	"marigoldlug.example/lugbench/pkg/storefake"
 	"marigoldlug.example/lugbench/pkg/targetfake"
-	"marigoldlug.example/lugctl/pkg/release"
-	"marigoldlug.example/platform/pkg/objects"
 )
 
 const (
@@ -36,8 +35,6 @@
 	// withdrawn and a target leaves.
 	farewellTime = 8 * time.Second
 	workTime     = 30 * time.Millisecond
-	// slots is what a target runs at a time.
-	slots = 3
 	// graceTime is how long a process may take to end.
 	graceTime = 4 * time.Second
 )
@@ -57,18 +54,20 @@
 
 // fleet is what a soak runs.
 type fleet struct {
-	set      Settings
-	rnd      *rand.Rand
-	store    *storefake.Store
-	releases *release.Applier
-	targets  []*targetfake.Target
-	wires    []*proxy
-	vms      []*process
-	closers  []func()
-
-	mut sync.Mutex
-	// told lists the faults that were injected.
-	told []string
+	set Settings
+	rnd *rand.Rand
+	rep *Report
+	// pgr has the store and the targets, and wires the proxies before the latter.
+	pgr   *playground.Playground
+	wires []*proxy
+	// folder has the settings files of the VMs.
+	folder string
+	vms    []*process
+	// living are the VMs that go through their phases, and may only be stopped as
+	// planned; the others are paused and killed.
+	living, others []*process
+	// covered has the cells of events that came.
+	covered sync.Map
 	// withdrawn has when routes were taken away, by the paths that they served.
 	withdrawn map[string]time.Time
 	// leaver is the target that left, and left when it did.
@@ -80,102 +79,74 @@
 
 // Run starts a fleet, injects faults and reports what was seen.
 func Run(ctx context.Context, set Settings) (*Report, error) {
-	flt := &fleet{set: set, rnd: rand.New(rand.NewPCG(set.Seed, set.Seed)), store: storefake.New(), withdrawn: make(map[string]time.Time)}
-	defer flt.close()
-	if err := flt.start(ctx); err != nil {
+	folder, err := os.MkdirTemp("", "soak-")
+	if err != nil {
 		return nil, err
 	}
-	rep := &Report{seed: set.Seed}
-	load := newLoad(flt, rep)
+	defer func() { _ = os.RemoveAll(folder) }() // What is left does no harm.
+	pgr, err := playground.Start(ctx, playground.Settings{Targets: set.Targets, Latency: workTime, Log: io.Discard, Note: firstNote})
+	if err != nil {
+		return nil, err
+	}
+	defer pgr.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	done := make(chan struct{})
-	go func() {
-		load.run(ctx)
-		close(done)
-	}()
-	time.Sleep(calmTime)
-	if err := flt.shake(ctx); err != nil {
+	rep := &Report{seed: set.Seed}
+	flt := &fleet{set: set, rnd: rand.New(rand.NewPCG(set.Seed, set.Seed)), rep: rep, pgr: pgr, folder: folder, withdrawn: make(map[string]time.Time)}
+	defer flt.close()
+	if err := flt.start(ctx); err != nil {
 		return nil, err
 	}
+	load := &load{flt: flt}
+	sending, stop := context.WithCancel(ctx)
+	defer stop()
+	var wgr sync.WaitGroup
+	wgr.Go(func() { load.repeat(sending, set.PerSecond, load.send) })
+	wgr.Go(func() { load.repeat(sending, smallPerSecond, load.sendSmall) })
+	time.Sleep(calmTime)
+	flt.shake(ctx)
 	load.calm.Store(true)
 	time.Sleep(calmTime)
 	load.calm.Store(false)
-	if err := flt.farewell(ctx); err != nil {
-		return nil, err
-	}
-	cancel()
-	<-done
-	rep.faults = flt.told
+	flt.farewell(ctx)
+	stop()
+	wgr.Wait()
+	rep.cells = flt.cells()
 	rep.judge(flt)
 	return rep, nil
 }
 
-// serve runs a handler at an address of its own, and returns that.
-func (flt *fleet) serve(han http.Handler) (string, error) {
-	address, closeServer, err := playground.Serve(han)
-	if err == nil {
-		flt.closers = append(flt.closers, closeServer)
-	}
-	return address, err
-}
-
 func (flt *fleet) start(ctx context.Context) error {
-	address, err := flt.serve(flt.store)
-	if err != nil {
-		return err
-	}
-	for num := range flt.set.Targets {
-		tgt := targetfake.New(fmt.Sprintf("worker-%d", num+1), "recipes", fmt.Sprintf("domain-%d", num%3+1), slots, objects.Names(), flt.store)
-		tgt.SetFaults(targetfake.Faults{Latency: workTime})
-		at, err := flt.serve(tgt)
-		if err != nil {
-			return err
+	for num, tgt := range flt.pgr.Targets {
+		prx, err := newProxy(ctx, flt.pgr.TargetAddresses[num])
+		if err == nil {
+			err = tgt.Register(prx.address(), false)
 		}
-		prx, err := flt.proxy(at)
 		if err != nil {
 			return err
 		}
-		if err := tgt.Register(prx.address(), false); err != nil {
-			return err
-		}
-		flt.targets, flt.wires = append(flt.targets, tgt), append(flt.wires, prx)
-	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	flt.releases = release.New(objects.NewReleases(objects.New(address, log)), time.Now)
-	if _, err := flt.releases.Apply(ctx, []byte(firstNote), "soak"); err != nil {
-		return err
+		flt.wires = append(flt.wires, prx)
 	}
 	for num := range flt.set.VMs {
-		set, err := playground.VMSettings(num, address)
-		if err != nil {
-			return err
-		}
-		prc := &process{program: flt.set.Program, set: set, logs: flt.set.Logs}
-		if prc.store, err = flt.proxy(address); err != nil {
-			return err
-		}
-		if prc.peers, err = flt.proxy(set.PeerAddress); err != nil {
+		set, err := playground.VMSettings(num, flt.pgr.StoreAddress)
+		store, storeErr := newProxy(ctx, flt.pgr.StoreAddress)
+		peers, peersErr := newProxy(ctx, set.PeerAddress)
+		if err := errors.Join(err, storeErr, peersErr); err != nil {
 			return err
 		}
+		prc := &process{flt: flt, set: set, file: filepath.Join(flt.folder, set.Name), store: store, peers: peers, idle: make(chan *conn, maxIdle)}
+		prc.writeSettings(narrowFile)
 		if err := prc.start(); err != nil {
 			return err
 		}
 		flt.vms = append(flt.vms, prc)
 	}
+	flt.rnd.Shuffle(len(flt.vms), func(one, two int) { flt.vms[one], flt.vms[two] = flt.vms[two], flt.vms[one] })
+	few := (len(flt.vms) + 2) / 3
+	flt.others, flt.living = flt.vms[:few], flt.vms[few:]
 	return nil
 }
 
-// proxy puts a proxy in front of a server until the soak ends.
-func (flt *fleet) proxy(server string) (*proxy, error) {
-	prx, err := newProxy(server)
-	if err == nil {
-		flt.closers = append(flt.closers, prx.close)
-	}
-	return prx, err
-}
-
 // The paths of routes that are taken away: one while faults are injected, one
 // at last, while a VM is cut off.
 const (
@@ -196,102 +167,82 @@
 
 func (flt *fleet) close() {
 	for _, prc := range flt.vms {
-		prc.end()
-	}
-	for _, one := range flt.closers {
-		one()
+		prc.signal(syscall.SIGKILL)
+		<-prc.run.Load().ended
 	}
 }
 
-func (flt *fleet) tell(format string, args ...any) {
-	flt.mut.Lock()
-	defer flt.mut.Unlock()
-	flt.told = append(flt.told, fmt.Sprintf(format, args...))
+// cells says which events have not come in which phases.
+func (flt *fleet) cells() string {
+	var open []string
+	for _, pha := range phases {
+		for _, evt := range events {
+			if _, found := flt.covered.Load(pha.cell(evt)); !found {
+				open = append(open, pha.cell(evt))
+			}
+		}
+	}
+	return fmt.Sprintf("%d of %d cells not covered: %s", len(open), len(phases)*len(events), strings.Join(open, ", "))
 }
 
-// shake injects faults, several at a time, until the span is over, and takes
-// every fault back.
-func (flt *fleet) shake(ctx context.Context) error {
+// shake injects faults, several at a time, and takes VMs through their lives,
+// until the span is over, and takes every fault back.
+func (flt *fleet) shake(ctx context.Context) {
 	end := time.Now().Add(flt.set.Span)
 	var wgr sync.WaitGroup
-	errs := make(chan error, 1000)
+	for _, lif := range newLives(flt, flt.living, end) {
+		wgr.Go(func() { lif.run(ctx) })
+	}
 	withdraw := time.Now().Add(flt.set.Span / 2)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		inject, dur := flt.pick()
-		wgr.Go(func() {
-			if err := inject(dur); err != nil {
-				errs <- err
-			}
-		})
+		wgr.Go(func() { inject(dur) })
 		time.Sleep(time.Duration(200+flt.rnd.IntN(1000)) * time.Millisecond)
 		if withdraw.Before(time.Now()) {
 			withdraw = end.Add(time.Hour)
-			flt.store.SetFaults(storefake.Faults{})
-			if err := flt.withdraw(ctx, 1, "spare", sparePath); err != nil {
-				return err
-			}
+			flt.pgr.Store.SetFaults(storefake.Faults{})
+			flt.withdraw(ctx, 1, "spare", sparePath)
 		}
 	}
 	wgr.Wait()
-	select {
-	case err := <-errs:
-		return err
-	default:
-		return nil
-	}
 }
 
 // pick draws a fault and how long it lasts.
-func (flt *fleet) pick() (inject func(dur time.Duration) error, dur time.Duration) {
+func (flt *fleet) pick() (inject func(dur time.Duration), dur time.Duration) {
 	dur = time.Duration(300+flt.rnd.IntN(2500)) * time.Millisecond
-	prc := flt.vms[flt.rnd.IntN(len(flt.vms))]
-	num := flt.rnd.IntN(len(flt.targets))
-	faults := []func(dur time.Duration) error{
-		func(time.Duration) error { return flt.restart(prc, syscall.SIGKILL) },
-		func(time.Duration) error { return flt.restart(prc, syscall.SIGTERM) },
-		func(dur time.Duration) error { return flt.pause(prc, dur) },
-		func(dur time.Duration) error { return flt.harm(prc.store, "store of "+prc.set.Name, dur) },
-		func(dur time.Duration) error { return flt.harm(prc.peers, "peers of "+prc.set.Name, dur) },
-		func(dur time.Duration) error { return flt.harm(flt.wires[num], flt.targets[num].ID(), dur) },
-		func(dur time.Duration) error { return flt.sicken(flt.targets[num], dur) },
-		func(dur time.Duration) error { return flt.breakStore(dur) },
+	prc := flt.others[flt.rnd.IntN(len(flt.others))]
+	num := flt.rnd.IntN(len(flt.pgr.Targets))
+	faults := []func(dur time.Duration){
+		func(time.Duration) { prc.restart(syscall.SIGKILL) },
+		func(time.Duration) { prc.restart(syscall.SIGTERM) },
+		prc.pause,
+		func(dur time.Duration) { flt.harm(prc.store, "store of "+prc.set.Name, dur) },
+		func(dur time.Duration) { flt.harm(prc.peers, "peers of "+prc.set.Name, dur) },
+		func(dur time.Duration) { flt.harm(flt.wires[num], flt.pgr.Targets[num].ID(), dur) },
+		func(dur time.Duration) { flt.sicken(flt.pgr.Targets[num], dur) },
+		flt.breakStore,
 	}
 	return faults[flt.rnd.IntN(len(faults))], dur
 }
 
-func (flt *fleet) restart(prc *process, sig syscall.Signal) error {
-	flt.tell("%s: %s", prc.set.Name, sig)
-	return prc.restart(sig, graceTime)
-}
-
-func (flt *fleet) pause(prc *process, dur time.Duration) error {
-	flt.tell("%s: paused for %v", prc.set.Name, dur)
-	prc.signal(syscall.SIGSTOP)
-	time.Sleep(dur)
-	prc.signal(syscall.SIGCONT)
-	return nil
-}
-
 // harm treats the connections through a proxy badly for a time.
-func (flt *fleet) harm(prx *proxy, what string, dur time.Duration) error {
-	wires := []wire{{delay: 100 * time.Millisecond}, {muteUp: true}, {muteDown: true}, {muteUp: true, muteDown: true}, {reset: true}}
+func (flt *fleet) harm(prx *proxy, what string, dur time.Duration) {
+	wires := []wire{{delay: 100 * time.Millisecond}, {muteUp: true}, {muteDown: true}, silence, {reset: true}}
 	wir := wires[int(dur/time.Millisecond)%len(wires)]
-	flt.tell("%s: %+v for %v", what, wir, dur)
+	flt.rep.tell("%s: %+v for %v", what, wir, dur)
 	prx.set(wir)
 	time.Sleep(dur)
 	prx.set(wire{})
-	return nil
 }
 
-func (flt *fleet) sicken(tgt *targetfake.Target, dur time.Duration) error {
-	flt.tell("%s: sick for %v", tgt.ID(), dur)
+func (flt *fleet) sicken(tgt *targetfake.Target, dur time.Duration) {
+	flt.rep.tell("%s: sick for %v", tgt.ID(), dur)
 	tgt.SetFaults(targetfake.Faults{Latency: workTime, HangShare: 0.4, FailShare: 0.2, CutShare: 0.1})
 	time.Sleep(dur)
 	tgt.SetFaults(targetfake.Faults{Latency: workTime})
-	return nil
 }
 
-func (flt *fleet) breakStore(dur time.Duration) error {
+func (flt *fleet) breakStore(dur time.Duration) {
 	all := []storefake.Faults{
 		{Silent: true},
 		{Status: http.StatusServiceUnavailable},
@@ -303,53 +254,33 @@
 		{DeafWatches: true},
 	}
 	fls := all[int(dur/time.Millisecond)%len(all)]
-	flt.tell("store: %+v for %v", fls, dur)
-	flt.store.SetFaults(fls)
+	flt.rep.tell("store: %+v for %v", fls, dur)
+	flt.pgr.Store.SetFaults(fls)
 	time.Sleep(dur)
-	flt.store.SetFaults(storefake.Faults{})
-	flt.store.Compact()
-	return nil
+	flt.pgr.Store.SetFaults(storefake.Faults{})
+	flt.pgr.Store.Compact()
 }
 
 // withdraw takes a route away by a note against a version.
-func (flt *fleet) withdraw(ctx context.Context, base int, name, path string) error {
+func (flt *fleet) withdraw(ctx context.Context, base int, name, path string) {
 	doc := fmt.Sprintf("release: without-%s\nbase: %d\nwithdrawn: {routes: [%s]}\n", name, base, name)
-	if _, err := flt.releases.Apply(ctx, []byte(doc), "soak"); err != nil {
-		return err
-	}
-	flt.tell("route %s withdrawn", name)
-	flt.mut.Lock()
-	defer flt.mut.Unlock()
+	_, err := flt.pgr.Releases.Apply(ctx, []byte(doc), "soak")
+	flt.rep.check(err)
+	flt.rep.tell("route %s withdrawn", name)
 	flt.withdrawn[path] = time.Now()
-	return nil
 }
 
 // farewell cuts one VM off from the platform and from what others tell it, takes
 // a route away and lets a target leave.
-func (flt *fleet) farewell(ctx context.Context) error {
-	prc := flt.vms[flt.rnd.IntN(len(flt.vms))]
-	num := flt.rnd.IntN(len(flt.targets))
-	flt.tell("%s: cut off for %v, %s leaves", prc.set.Name, farewellTime, flt.targets[num].ID())
-	cut := wire{muteUp: true, muteDown: true}
-	prc.store.set(cut)
-	prc.peers.set(cut)
-	flt.cutOff = prc
-	if err := flt.withdraw(ctx, 2, "late", latePath); err != nil {
-		return err
-	}
-	if err := flt.targets[num].Register(flt.wires[num].address(), true); err != nil {
-		return err
-	}
-	flt.leaver, flt.left = flt.targets[num], time.Now()
+func (flt *fleet) farewell(ctx context.Context) {
+	flt.cutOff = flt.vms[flt.rnd.IntN(len(flt.vms))]
+	num := flt.rnd.IntN(len(flt.wires))
+	flt.leaver = flt.pgr.Targets[num]
+	flt.rep.tell("%s: cut off for %v, %s leaves", flt.cutOff.set.Name, farewellTime, flt.leaver.ID())
+	flt.cutOff.store.set(silence)
+	flt.cutOff.peers.set(silence)
+	flt.withdraw(ctx, 2, "late", latePath)
+	flt.rep.check(flt.leaver.Register(flt.wires[num].address(), true))
+	flt.left = time.Now()
 	time.Sleep(farewellTime)
-	return nil
-}
-
-// withdrawnAt returns when the route of a path was taken away, and whether it
-// was.
-func (flt *fleet) withdrawnAt(path string) (time.Time, bool) {
-	flt.mut.Lock()
-	defer flt.mut.Unlock()
-	at, gone := flt.withdrawn[path]
-	return at, gone
 }
--- a/lugbench/pkg/targetfake/target.go
+++ b/lugbench/pkg/targetfake/target.go
@@ -28,9 +28,14 @@
 	HangShare, FailShare, CutShare float64
 }
 
+// WorkQuery is the query parameter of a path by which a request asks for its own
+// latency.
+const WorkQuery = "work"
+
 // Run is one execution of a request.
 type Run struct {
 	Request      string
+	Target       string
 	Organisation string
 	Path         string
 	At           time.Time
@@ -114,6 +119,9 @@
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return // The caller is gone.
 	}
+	if own, err := time.ParseDuration(req.URL.Query().Get(WorkQuery)); err == nil {
+		fls.Latency = own
+	}
 	draw := rand.Float64()
 	if draw < fls.HangShare {
 		<-req.Context().Done()
@@ -164,7 +172,7 @@
 	tgt.mut.Lock()
 	defer tgt.mut.Unlock()
 	tgt.runs = append(tgt.runs, Run{
-		Request: req.Header.Get(tgt.names.Request), Organisation: req.Header.Get(tgt.names.Organisation), Path: req.URL.Path, At: time.Now(),
+		Request: req.Header.Get(tgt.names.Request), Target: tgt.id, Organisation: req.Header.Get(tgt.names.Organisation), Path: req.URL.Path, At: time.Now(),
 		Key: req.Header.Get("Authorization") != "",
 	})
 	return tgt.faults
