--- /dev/null
+++ b/lugd/pkg/http1/settings_test.go
@@ -0,0 +1,166 @@
+package http1
+
+import (
+	"bufio"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// TestRaisedHeaderBoundHoldsOnOpenConnections raises the bound on heads while a
+// connection is open, as a VM does that hears its configuration after its first
+// callers, and sends a head that only the raised bound allows.
+func TestRaisedHeaderBoundHoldsOnOpenConnections(t *testing.T) {
+	const answer = "200 \"answer to /x\"\n"
+	large := strings.Replace(nextRequest, "\n\n", "\nX: "+strings.Repeat("x", 12<<10)+"\n\n", 1)
+	tooLarge := strings.Replace(nextRequest, "\n\n", "\nX: "+strings.Repeat("x", 16<<10)+"\n\n", 1)
+	for _, one := range []struct {
+		name, before, after, want string
+	}{
+		{"before the first request", "", large, answer},
+		{"between requests", nextRequest, large, answer},
+		{"while a request is under way", slowRequest, large, "200 \"answer to /slow/1\"\n" + answer},
+		{"between requests of which several are sent at once", nextRequest, large + nextRequest + large, answer + answer + answer},
+		{"after the first byte of a head", large[:1], large[1:], answer},
+		{"after a part of a head", large[:2<<10], large[2<<10:], answer},
+		{"and the head is larger still", nextRequest, tooLarge, "431 close\n"},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			t.Parallel()
+			fix := newFixture(t)
+			fix.connect(t)
+			fix.put(t, one.before)
+			if one.before == nextRequest {
+				if got := fix.read(1); got != answer {
+					t.Fatalf("got %q", got)
+				}
+			}
+			time.Sleep(20 * time.Millisecond) // The server has accepted and reads.
+			set := fix.srv.Settings()
+			set.HeaderBytes = 16 << 10
+			fix.srv.SetSettings(set)
+			fix.put(t, one.after)
+			if got := fix.read(strings.Count(one.want, "\n")); got != one.want {
+				t.Errorf("got %q, want %q", got, one.want)
+			}
+		})
+	}
+}
+
+// TestRaisedIdleTimeHoldsForIdleConnections raises the idle time of 1 s while a
+// connection is idle, and sends a request after that time, or drains.
+func TestRaisedIdleTimeHoldsForIdleConnections(t *testing.T) {
+	const answer = "200 \"answer to /x\"\n"
+	for _, one := range []struct {
+		name, before string
+		raised       time.Duration
+		wait         time.Duration
+		drain        bool
+		want         string
+	}{
+		{"after a request", nextRequest, 10 * time.Second, 1700 * time.Millisecond, false, answer},
+		{"before the first request", "", 10 * time.Second, 1700 * time.Millisecond, false, answer},
+		{"and is idle beyond it", nextRequest, 1200 * time.Millisecond, 2 * time.Second, false, "no answer\n"},
+		{"and drains within the old one", nextRequest, 10 * time.Second, 100 * time.Millisecond, true, "no answer\n"},
+		{"and drains after the old one", nextRequest, 10 * time.Second, 1700 * time.Millisecond, true, "no answer\n"},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			t.Parallel()
+			fix := newFixture(t)
+			fix.connect(t)
+			fix.put(t, one.before)
+			if one.before != "" {
+				if got := fix.read(1); got != answer {
+					t.Fatalf("got %q", got)
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+			set := fix.srv.Settings()
+			set.IdleTimeout = one.raised
+			fix.srv.SetSettings(set)
+			time.Sleep(one.wait)
+			if one.drain {
+				fix.srv.Stop()
+				start := time.Now()
+				if done := fix.drain(); !<-done || time.Since(start) > drainTime/2 {
+					t.Errorf("the connection closed after %v", time.Since(start))
+				}
+			}
+			_, _ = fix.con.Write([]byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n")) // It fails on a closed one.
+			if got := fix.read(1); got != one.want {
+				t.Errorf("got %q, want %q", got, one.want)
+			}
+		})
+	}
+}
+
+// waits counts how often a connection is told how long to wait.
+type waits struct {
+	net.Conn
+	cnt atomic.Int32
+}
+
+// SetReadDeadline counts the call.
+func (wai *waits) SetReadDeadline(end time.Time) error {
+	wai.cnt.Add(1)
+	return wai.Conn.SetReadDeadline(end)
+}
+
+// TestRaisedIdleTimeOverTLS raises the idle time of 1 s on a connection with TLS whose
+// handshake is done, and on one whose handshake does not come: its time-out is final.
+func TestRaisedIdleTimeOverTLS(t *testing.T) {
+	keys := httptest.NewTLSServer(nil)
+	t.Cleanup(keys.Close)
+	for _, one := range []struct {
+		name string
+		done bool
+		want string
+	}{
+		{"after the handshake", true, "200 \"answer to /x\"\n"},
+		{"before the handshake", false, "no answer\n"},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			t.Parallel()
+			fix := newFixture(t)
+			ours, theirs := net.Pipe()
+			wai := &waits{Conn: ours}
+			fix.con = theirs
+			go newConn(fix.srv, tls.Server(wai, keys.TLS)).serve()
+			if one.done {
+				cli := tls.Client(theirs, &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool(keys), ServerName: "example.com"})
+				if err := cli.Handshake(); err != nil {
+					t.Fatal(err)
+				}
+				fix.con = cli
+			}
+			fix.src = bufio.NewReader(fix.con)
+			time.Sleep(50 * time.Millisecond) // The old time has begun.
+			set := fix.srv.Settings()
+			set.IdleTimeout = 10 * time.Second
+			fix.srv.SetSettings(set)
+			time.Sleep(1700 * time.Millisecond)
+			if one.done {
+				fix.put(t, nextRequest)
+			}
+			start := time.Now()
+			if got := fix.read(1); got != one.want || time.Since(start) > time.Second {
+				t.Errorf("got %q after %v, want %q", got, time.Since(start), one.want)
+			}
+			if got := wai.cnt.Load(); got > 20 {
+				t.Errorf("the connection waited %d times", got)
+			}
+		})
+	}
+}
+
+// pool returns what trusts a server.
+func pool(srv *httptest.Server) *x509.CertPool {
+	out := x509.NewCertPool()
+	out.AddCert(srv.Certificate())
+	return out
+}
