--- a/lugbench/pkg/playground/playground.go
+++ b/lugbench/pkg/playground/playground.go
@@ -3,6 +3,7 @@
 package playground
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -11,6 +12,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +49,8 @@
 	Targets int
 	Latency time.Duration
 	Log     io.Writer
+	// Note is the first release note, if it is not the one of this package.
+	Note string
 }
 
 // Playground is a small fleet with its surroundings.
@@ -55,7 +59,9 @@
 	// StoreAddress is where VMs reach the store.
 	StoreAddress string
 	Targets      []*targetfake.Target
-	Releases     *release.Applier
+	// TargetAddresses are where the targets themselves are reached.
+	TargetAddresses []string
+	Releases        *release.Applier
 	// Callers has the addresses at which VMs serve callers, Operators those at
 	// which they serve operators.
 	Callers, Operators []string
@@ -81,12 +87,12 @@
 		if err := tgt.Register(at, false); err != nil {
 			return nil, err
 		}
-		pgr.Targets = append(pgr.Targets, tgt)
+		pgr.Targets, pgr.TargetAddresses = append(pgr.Targets, tgt), append(pgr.TargetAddresses, at)
 	}
 	log := logrus.New()
 	log.SetOutput(set.Log)
 	pgr.Releases = release.New(objects.NewReleases(objects.New(address, log)), time.Now)
-	if _, err := pgr.Releases.Apply(ctx, []byte(Note), "playground"); err != nil {
+	if _, err := pgr.Releases.Apply(ctx, []byte(cmp.Or(set.Note, Note)), "playground"); err != nil {
 		return nil, err
 	}
 	for num := range set.VMs {
@@ -120,7 +126,7 @@
 
 // The ports of VMs lie below those that the system gives to outgoing
 // connections, which could else take the port of a VM that is being restarted.
-// Each program takes them from a range of its own.
+// Each program takes them from a range of its own, whose first port it keeps bound.
 const (
 	lowestPort  = 12000
 	portRange   = 20000
@@ -131,11 +137,35 @@
 // nextPort counts the ports given out.
 var nextPort atomic.Int64
 
+// claim is what a program holds to keep its range of ports from others.
+type claim struct {
+	first int64
+	guard net.Listener
+}
+
+// claimed is the range of this program. Others choose theirs by their process IDs
+// as well, and go on to the next range where one is taken.
+var claimed = sync.OnceValues(func() (claim, error) {
+	var last error
+	for num := range int64(portRange / portsEach) {
+		first := lowestPort + (int64(os.Getpid())+num)*portsEach%portRange
+		lis, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		if err == nil {
+			return claim{first: first, guard: lis}, nil
+		}
+		last = err
+	}
+	return claim{}, last
+})
+
 // FreeAddress returns an address on loopback that nothing listens at.
 func FreeAddress() (string, error) {
-	var last error
+	own, last := claimed()
+	if last != nil {
+		return "", last
+	}
 	for range portRetries {
-		port := lowestPort + (int64(os.Getpid())*portsEach+nextPort.Add(1))%portRange
+		port := own.first + 1 + nextPort.Add(1)%(portsEach-1)
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		lis, err := net.Listen("tcp", address)
 		if err == nil {
@@ -239,6 +269,20 @@
 
 // Request sends one request to a VM and reads the whole answer.
 func Request(ctx context.Context, cli *http.Client, vmm, method, path, id, key string, timeout time.Duration) (Response, error) {
+	req, err := NewRequest(ctx, vmm, method, path, id, key, timeout)
+	if err != nil {
+		return Response{}, err
+	}
+	rsp, err := cli.Do(req)
+	if err != nil {
+		return Response{}, err
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	return ReadResponse(rsp)
+}
+
+// NewRequest returns a request to a VM; one with POST has a body.
+func NewRequest(ctx context.Context, vmm, method, path, id, key string, timeout time.Duration) (*http.Request, error) {
 	nms := objects.Names()
 	var body io.Reader
 	if method == http.MethodPost {
@@ -246,18 +290,18 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+vmm+path, body)
 	if err != nil {
-		return Response{}, err
+		return nil, err
 	}
 	req.Header.Set(nms.Request, id)
 	req.Header.Set(nms.Timeout, nms.ShowTimeout(timeout))
 	if key != "" {
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
-	rsp, err := cli.Do(req)
-	if err != nil {
-		return Response{}, err
-	}
-	defer func() { _ = rsp.Body.Close() }()
+	return req, nil
+}
+
+// ReadResponse reads the whole answer.
+func ReadResponse(rsp *http.Response) (Response, error) {
 	raw, err := io.ReadAll(rsp.Body)
 	return Response{Status: rsp.StatusCode, Body: string(raw), RetryAfter: rsp.Header.Get("Retry-After")}, err
 }
