Test every way to a target after the last moment of a stop

What callers see: an order whose last byte comes after the last moment of a stop was sent to a target and cut by the end of the process (LOST). No code is changed here.

TestOrderReadAfterTheLastMomentOfAStopRunsNowhere sends such an order to a process: 503 with Retry-After, and no target runs it.

TestNoWayLeadsToATargetOnceAStopHasEnded adds the states that no test had: held until the VM knows, an ask for the next place or for that of a second attempt under way, the timer of a second attempt, an answer that is passed on. It passes on too: all that was taken before the last moment was answered in that moment.

--- a/core/gateway/stopends_test.go
+++ b/core/gateway/stopends_test.go
@@ -139,3 +139,107 @@
 		}
 	}
 }
+
+// awaitAsk lets time pass until the VM asks a placer.
+func (vmm *vm) awaitAsk(acts []Action) placement.Ask {
+	vmm.t.Helper()
+	for range 40 {
+		for _, msg := range asks(acts) {
+			if ask, ok := msg.(placement.Ask); ok {
+				return ask
+			}
+		}
+		acts = vmm.wait(TickInterval)
+	}
+	vmm.t.Fatal("the placer is not asked")
+	return placement.Ask{}
+}
+
+// answerOf is the other VM's answer to an ask for a place.
+func answerOf(ask placement.Ask, target string) Event {
+	return Received{From: "other.r", Message: placement.Answer{Number: ask.Number, Target: target, Patience: 100 * time.Millisecond, Limit: time.Second}}
+}
+
+// failureOf is the failure of an attempt that did not reach its target.
+func failureOf(dis Dispatch) Event {
+	return AttemptFailed{Request: dis.Request, Attempt: dis.Attempt, Verdict: verdict.NotRun, Outcome: health.Unreachable}
+}
+
+// TestNoWayLeadsToATargetOnceAStopHasEnded ends a stop while a request is in each
+// state in which time, or what arrives, would have it sent to a target. It is answered
+// once, with the truth, and not sent whatever comes then.
+func TestNoWayLeadsToATargetOnceAStopHasEnded(t *testing.T) {
+	for _, one := range []struct {
+		name string
+		// play brings a request into its state, and returns what comes after the end.
+		play   func(vmm *vm) []Event
+		status int
+		ver    verdict.Verdict
+	}{
+		{"it waits until the VM knows", func(vmm *vm) []Event {
+			if acts := vmm.arrive("/open/x", ""); len(acts) > 0 {
+				vmm.t.Fatalf("it does not wait: %v", acts)
+			}
+			return nil
+		}, 503, verdict.NotRun},
+		{"it waits for its placer", func(vmm *vm) []Event {
+			return []Event{answerOf(vmm.load().ledByOther().awaitAsk(vmm.arrive("/open/x", "")), "t0")}
+		}, 503, verdict.NotRun},
+		{"its attempt is under way", func(vmm *vm) []Event {
+			return []Event{failureOf(vmm.load().mustDispatch(vmm.arrive("/read/x", key)))}
+		}, 504, verdict.MayHaveRun},
+		{"its attempt failed, and it waits for the next place", func(vmm *vm) []Event {
+			ask := vmm.load().ledByOther().awaitAsk(vmm.arrive("/open/x", ""))
+			dis := vmm.mustDispatch(vmm.step(answerOf(ask, "t0")))
+			return []Event{answerOf(vmm.awaitAsk(vmm.step(failureOf(dis))), "t1")}
+		}, 503, verdict.NotRun},
+		{"it waits for the place of a second attempt", func(vmm *vm) []Event {
+			ask := vmm.load().ledByOther().awaitAsk(vmm.arrive("/open/x", ""))
+			dis := vmm.mustDispatch(vmm.step(answerOf(ask, "t0")))
+			return []Event{answerOf(vmm.awaitAsk(nil), "t1"), failureOf(dis)}
+		}, 504, verdict.MayHaveRun},
+		{"its answer is passed on", func(vmm *vm) []Event {
+			dis := vmm.load().mustDispatch(vmm.arrive("/read/x", key))
+			vmm.step(Answered{Request: dis.Request, Attempt: dis.Attempt, Answer: Answer{Status: 200}})
+			return []Event{failureOf(dis), RelayEnded{Request: dis.Request, Outcome: health.Failure}}
+		}, 0, verdict.Answered},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			vmm := newVM(t)
+			later := one.play(vmm)
+			vmm.step(StopBegan{})
+			acts := vmm.step(StopEnds{})
+			ref, isRefused := refused(acts)
+			switch {
+			case isRefused != (one.status != 0):
+				t.Fatalf("refused: %v", isRefused)
+			case isRefused && (ref.Reason.Status() != one.status || ref.Verdict != one.ver):
+				t.Errorf("refused with %+v", ref)
+			case one.status == 503 && ref.RetryAfter <= 0:
+				t.Error("the caller is not told when to come back")
+			}
+			if isRefused {
+				at := slices.IndexFunc(acts, func(act Action) bool {
+					_, found := act.(Refuse)
+					return found
+				})
+				acts = slices.Delete(acts, at, at+1)
+			}
+			for _, evt := range later {
+				acts = append(acts, vmm.step(evt)...)
+			}
+			acts = append(acts, vmm.wait(time.Second)...)
+			vmm.load()
+			acts = append(acts, vmm.wait(time.Second)...)
+			if dis, sent := dispatched(acts); sent {
+				t.Errorf("sent to %s", dis.Target.ID)
+			}
+			if ref, again := refused(acts); again {
+				t.Errorf("answered twice, at last with %+v", ref)
+			}
+			if vmm.mac.Flights() != 0 {
+				t.Error("the request goes on")
+			}
+		})
+	}
+}
--- a/lugbench/pkg/playground/process_test.go
+++ b/lugbench/pkg/playground/process_test.go
@@ -228,3 +228,38 @@
 		t.Errorf("the VM ended with %q", got)
 	}
 }
+
+// TestOrderReadAfterTheLastMomentOfAStopRunsNowhere sends the end of an order when its
+// target could no longer answer before the process ends.
+func TestOrderReadAfterTheLastMomentOfAStopRunsNowhere(t *testing.T) {
+	prc := startProcess(t, 800*time.Millisecond)
+	prc.awaitReady()
+	settle()
+	cal, nms := prc.dial(), objects.Names()
+	if _, err := fmt.Fprintf(cal.raw, "POST /orders/x HTTP/1.1\r\nHost: any\r\n%s: late\r\n%s: %s\r\nAuthorization: Bearer %s\r\nContent-Length: 2\r\n\r\nx",
+		nms.Request, nms.Timeout, nms.ShowTimeout(requestTime), Key); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	prc.signal(syscall.SIGTERM)
+	time.Sleep(prc.set.StopTime - 450*time.Millisecond)
+	if _, err := io.WriteString(cal.raw, "y"); err != nil {
+		t.Fatal(err)
+	}
+	rsp, err := http.ReadResponse(cal.reader, nil)
+	if err != nil {
+		t.Fatalf("%v; its log:\n%s", err, prc.log())
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	if raw, err := io.ReadAll(rsp.Body); err != nil || rsp.StatusCode != http.StatusServiceUnavailable || rsp.Header.Get("Retry-After") == "" {
+		t.Errorf("%s, %v: %q", rsp.Status, rsp.Header, raw)
+	}
+	if got := prc.awaitEnd(); got != exitZero {
+		t.Errorf("the VM ended with %q", got)
+	}
+	for _, tgt := range prc.pgr.Targets {
+		if runs := tgt.Runs(); len(runs) > 0 {
+			t.Errorf("a target runs %v", runs)
+		}
+	}
+}
