Test that a farewell is repeated when it is lost, and else takes one call

What callers see: a VM whose farewell is refused, lost, or crossed by a write of its own stays listed, or leaves a duty unreleased, after its end; callers within their rate are refused until the lease has ended. No code is changed here.

New, in lugd/pkg/driver, nine VMs in virtual time with the driver's own reading and following.

TestCalmFarewellTakesOneCallAnObject stops each of the nine VMs, with writes at once and slow by 0.2 s: one delete, one write a duty, none turned away.

--- a/lugd/pkg/driver/fleet_test.go
+++ b/lugd/pkg/driver/fleet_test.go
@@ -38,6 +38,9 @@
 	// refuses reports whether a write of an object is turned away; nil where none
 	// is.
 	refuses func(name string) bool
+	// late returns how long a write of an object takes to be carried out; nil where
+	// all are at once.
+	late func(name string) time.Duration
 }
 
 func newMemoryStore() *memoryStore {
@@ -88,6 +91,12 @@
 	}
 	sto.mut.Lock()
 	defer sto.mut.Unlock()
+	if sto.late != nil {
+		wait := sto.late(name)
+		sto.mut.Unlock()
+		time.Sleep(wait) // It is carried out though its caller has given it up.
+		sto.mut.Lock()
+	}
 	if sto.refuses != nil && sto.refuses(name) {
 		return errDown
 	}
@@ -173,8 +182,10 @@
 	mut     sync.Mutex
 	drivers map[string]*Driver
 	delay   time.Duration
-	// noted is told of what the machines note; nil where nothing is kept.
-	noted func(vm, event string)
+	// noted is told of what the machines note, and called of what became of their
+	// writes; nil where nothing is kept.
+	noted  func(vm, event string)
+	called func(vm, what, outcome string)
 }
 
 // wire is the transport of one VM.
@@ -194,7 +205,7 @@
 	})
 }
 
-// noTally counts nothing, and tells the network of events.
+// noTally counts nothing, and tells the network of events and writes.
 type noTally struct {
 	net *network
 	vm  string
@@ -208,7 +219,11 @@
 }
 
 // PlatformCall implements tally.
-func (noTally) PlatformCall(string, string, string) {}
+func (tly noTally) PlatformCall(_, what, outcome string) {
+	if tly.net.called != nil && (what == "write" || what == "delete") {
+		tly.net.called(tly.vm, what, outcome)
+	}
+}
 
 // startFleet runs VMs of three failure domains until ctx ends, each a pause
 // after the one before.
