--- a/lugbench/pkg/soak/conn.go
+++ b/lugbench/pkg/soak/conn.go
@@ -21,10 +21,10 @@
 	maxIdle = 1000
 	// peekTime is how long a kept connection is looked at before it is used.
 	peekTime = time.Millisecond
-	// lossSlack is how long after its last byte a request may cross the close of
-	// its connection, and stableWindow how long a pause or a kill explains cuts.
-	lossSlack    = 200 * time.Millisecond
-	stableWindow = 3 * time.Second
+	// crossTime is how long after its last byte a request may cross the close of
+	// its connection, and hurtTime how long a pause or a kill explains cuts.
+	crossTime = 200 * time.Millisecond
+	hurtTime  = 3 * time.Second
 )
 
 // conn is a connection of callers to a VM. It is kept until the VM closes it.
@@ -120,9 +120,9 @@
 func (one *sent) end(wrote time.Time, behind bool, err error) {
 	one.failed = true
 	now := time.Now()
-	if now.Sub(one.at) < requestTime && !one.vm.hurt.after(one.at.Add(-stableWindow)) {
+	if now.Sub(one.at) < requestTime && !one.vm.hurt.after(one.at.Add(-hurtTime)) {
 		one.cut = fmt.Sprintf("cut at %s, %v after it was sent: %v", stamp(now), now.Sub(wrote), err)
-		one.crossed = behind || now.Sub(wrote) <= lossSlack
+		one.crossed = behind || now.Sub(wrote) <= crossTime
 	}
 }
 
--- a/lugbench/pkg/soak/process.go
+++ b/lugbench/pkg/soak/process.go
@@ -150,7 +150,7 @@
 // pause stops the process for a time.
 func (prc *process) pause(dur time.Duration) {
 	prc.flt.rep.tell("%s: paused for %v", prc.set.Name, dur)
-	prc.hurt.Store(time.Now().Add(dur + lossSlack).UnixNano())
+	prc.hurt.Store(time.Now().Add(dur + crossTime).UnixNano())
 	prc.signal(syscall.SIGSTOP)
 	time.Sleep(dur)
 	prc.signal(syscall.SIGCONT)
