Do not take the rest of a long late response for the next one

Callers saw: a response put together from the body of a late response to an earlier request, where that body is longer than 1 MiB and its rest reads like a response that repeats the caller's request ID ("forged" in the test; the code before passes it on).

Cause: readHead skipped 1 MiB of a mismatched body and went on to read the next head from there. What is longer now fails the attempt as one that may have run, and its connection is closed.

Test: TestLongLateResponseIsNotTakenForTheNextOne, failing before ("the caller got forged").

--- a/lugd/pkg/target/exchange.go
+++ b/lugd/pkg/target/exchange.go
@@ -69,8 +69,8 @@
 			return nil, errCloseDelimited
 		case exc.mismatched(rsp):
 			// This is a late response to an earlier request; the one to this request follows.
-			if _, err := io.Copy(io.Discard, io.LimitReader(rsp.Body, maxMismatchedBytes)); err != nil {
-				return nil, errMismatched
+			if err := skipBody(rsp.Body); err != nil {
+				return nil, err
 			}
 			continue
 		}
@@ -93,7 +93,17 @@
 	return requestID != exc.callerRequestID
 }
 
-// maxMismatchedBytes is how many bytes are read at most to skip the body of a mismatched response.
+// skipBody reads the body of a mismatched response to its end. What follows the part that was read of
+// a longer one must not be taken for the next response.
+func skipBody(src io.Reader) error {
+	cnt, err := io.Copy(io.Discard, io.LimitReader(src, maxMismatchedBytes+1))
+	if err != nil || cnt > maxMismatchedBytes {
+		return errMismatched
+	}
+	return nil
+}
+
+// maxMismatchedBytes is the maximum size of the body of a mismatched response that is skipped.
 const maxMismatchedBytes = 1 << 20
 
 // closeDelimited reports whether only the end of the connection marks the end of the body, so that
