Bound the head and the time of a target's response

Callers saw: a VM that ran out of memory, with all its requests, while a target sent bytes without end in place of a head.

Cause: net/http's client reads a head of any size. A head now takes 64 KiB at most, a body 10 minutes. The attempt fails as one that may have run, the placer learns of a failure, and the connection is closed.

--- a/lugd/pkg/target/endless_test.go
+++ b/lugd/pkg/target/endless_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
 
+	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/verdict"
 	"marigoldlug.example/lugd/pkg/header"
 )
@@ -101,3 +103,103 @@
 		t.Errorf("the verdict is %v, want may-have-run", fail.Verdict)
 	}
 }
+
+// repeat writes a text until the connection fails, with a pause after each.
+func repeat(con net.Conn, txt string, pause time.Duration) {
+	for {
+		if _, err := io.WriteString(con, txt); err != nil {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
+
+// maxEndlessGrowth is by how many bytes the memory may grow while an endless response is read.
+const maxEndlessGrowth = 16 << 20
+
+// TestEndlessResponsesEnd has a target send bytes without end in place of a response or of a part of
+// it, fast or slowly, on a fresh connection and on a kept one. The attempt must fail in time as one
+// that may have run, with little memory, and the next request must get its own response.
+func TestEndlessResponsesEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: one\r\n"
+	long := strings.Repeat("x", 32<<10)
+	for _, one := range []struct{ name, begin, txt string }{
+		{"no head", "", long},
+		{"empty lines", "", strings.Repeat("\r\n", 1000)},
+		{"one header line", head + "Long: ", long},
+		{"many header lines", head, strings.Repeat("Line: value\r\n", 1000)},
+		{"interim responses", "", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100)},
+		{"late responses", "", strings.Repeat("HTTP/1.1 200 OK\r\nRequest-Id: zero\r\nContent-Length: 1\r\n\r\nx", 100)},
+		{"a late response", "HTTP/1.1 200 OK\r\nRequest-Id: zero\r\nContent-Length: 99999999999\r\n\r\n", long},
+		{"a size of a chunk", head + "Transfer-Encoding: chunked\r\n\r\n", long},
+		{"extensions of chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("e", 1000) + "\r\nx\r\n"},
+		{"a trailer", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "Line: value\r\n"},
+	} {
+		for _, pace := range []struct {
+			name  string
+			bytes int
+			pause time.Duration
+		}{{"fast", 0, 0}, {"slowly", 1, 100 * time.Millisecond}} {
+			for _, kept := range []string{"fresh", "kept"} {
+				t.Run(one.name+", "+pace.name+", "+kept, func(t *testing.T) {
+					endless := func(con net.Conn, _ string) {
+						txt := one.txt
+						if pace.bytes > 0 {
+							txt = txt[:pace.bytes]
+						}
+						_, _ = io.WriteString(con, one.begin)
+						repeat(con, txt, pace.pause)
+					}
+					tgt := newRawTarget(t, endless)
+					if kept == "kept" {
+						tgt = newRawTarget(t, func(con net.Conn, id string) {
+							answerDone(con, id)
+							_, _ = http.ReadRequest(bufio.NewReader(con))
+							endless(con, id)
+						})
+					}
+					checkEndless(t, tgt, kept == "kept")
+				})
+			}
+		}
+	}
+}
+
+// checkEndless sends a request whose response never ends, after one that is answered if kept is set,
+// and then another one.
+func checkEndless(t *testing.T, tgt *rawTarget, kept bool) {
+	t.Helper()
+	const timeout = 400 * time.Millisecond
+	pol := newMatchingPool()
+	if kept {
+		if _, fail := tgt.send(pol, "zero", timeout); fail != nil {
+			t.Fatal(fail)
+		}
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	began := time.Now()
+	rsp, fail := tgt.send(pol, "one", timeout)
+	runtime.ReadMemStats(&after)
+	switch {
+	case fail == nil:
+		t.Fatalf("the caller got %d bytes with status %d", len(rsp.BodyPrefix), rsp.StatusCode)
+	case fail.Verdict != verdict.MayHaveRun:
+		t.Errorf("the verdict is %v, want may-have-run", fail.Verdict)
+	case fail.Outcome != health.Failure && fail.Outcome != health.Overdue:
+		t.Errorf("the placer learns %v", fail.Outcome)
+	}
+	if took := time.Since(began); took > 3*timeout {
+		t.Errorf("the request took %v of %v", took, timeout)
+	}
+	if grown := after.TotalAlloc - before.TotalAlloc; grown > maxEndlessGrowth {
+		t.Errorf("%d bytes were allocated", grown)
+	}
+	if open := pol.Open()[tgt.lis.Addr().String()]; open != 0 {
+		t.Errorf("%d connections are open", open)
+	}
+	next, fail := tgt.send(pol, "two", time.Second)
+	if fail != nil || string(next.BodyPrefix) != "done" {
+		t.Errorf("the next request got %v, %v", next, fail)
+	}
+}
--- a/lugd/pkg/target/exchange.go
+++ b/lugd/pkg/target/exchange.go
@@ -57,7 +57,9 @@
 // responses and late responses to earlier requests.
 func (exc *exchange) readHead(req *http.Request) (*http.Response, error) {
 	for range maxResponseHeads {
+		exc.con.headBytesLeft = maxHeadBytes
 		rsp, err := http.ReadResponse(exc.con.reader, req)
+		exc.con.headBytesLeft = unlimitedHead
 		switch {
 		case err != nil:
 			return nil, fmt.Errorf("cannot read the answer of target %s: %w", exc.con.address, err)
@@ -163,15 +165,22 @@
 	exchange *exchange
 	// reusable is set if the target keeps the connection open.
 	reusable bool
+	// end is when the whole body must have been read.
+	end time.Time
 	// complete is set once the body has been read to its end.
 	complete bool
 	// closed is set once the exchange has ended; the connection may carry another one since.
 	closed bool
 }
 
-// Read reads the body. It fails if the target sends nothing for Settings.BodyIdleTimeout.
+// Read reads the body. It fails if the target sends nothing for Settings.BodyIdleTimeout, and once
+// the body has taken longer than maxBodyTime.
 func (bod *body) Read(buf []byte) (int, error) {
-	if err := bod.exchange.con.SetReadDeadline(time.Now().Add(bod.exchange.con.pool.set.BodyIdleTimeout)); err != nil {
+	now := time.Now()
+	if now.After(bod.end) {
+		return 0, errEndlessBody
+	}
+	if err := bod.exchange.con.SetReadDeadline(now.Add(bod.exchange.con.pool.set.BodyIdleTimeout)); err != nil {
 		return 0, err
 	}
 	cnt, err := bod.ReadCloser.Read(buf)
--- a/lugd/pkg/target/pool.go
+++ b/lugd/pkg/target/pool.go
@@ -32,6 +32,14 @@
 	// maxResponseHeads is how many heads are read for one request at most, including those of
 	// interim and mismatched responses.
 	maxResponseHeads = 5
+	// maxHeadBytes is how many bytes are read from the connection at most until the head of a response
+	// is complete.
+	maxHeadBytes = 64 << 10
+	// unlimitedHead is the value of conn.headBytesLeft while no head is read.
+	unlimitedHead = -1
+	// maxBodyTime bounds the time for reading the body of a response, so that one that never ends does
+	// not hold its connection for good.
+	maxBodyTime = 10 * time.Minute
 	// userTimeout is the TCP user timeout: how long sent bytes may stay unacknowledged before the
 	// connection counts as dead.
 	userTimeout = 4 * time.Second
@@ -58,6 +66,8 @@
 	errMismatched   = errors.New("the target answered another request")
 	errCanceled     = errors.New("no answer in time, or the attempt was given up")
 	errSwitching    = errors.New("the target switched protocols unasked")
+	errHeadTooLong  = errors.New("the head of the target's answer is too long")
+	errEndlessBody  = errors.New("the body of the target's answer does not end")
 )
 
 // Settings configure a Pool.
@@ -107,12 +117,29 @@
 	pool    *Pool
 	address string
 	reader  *bufio.Reader
+	// headBytesLeft is how many bytes may still be read for the head that is being read, or
+	// unlimitedHead.
+	headBytesLeft int
 	// sent counts the bytes of the current request that were handed to the kernel.
 	sent     int64
 	lastUsed time.Time
 	closed   sync.Once
 }
 
+// Read reads what the target has sent. It fails with errHeadTooLong instead of reading more than
+// headBytesLeft.
+func (con *conn) Read(buf []byte) (int, error) {
+	if con.headBytesLeft == unlimitedHead {
+		return con.Conn.Read(buf)
+	}
+	if con.headBytesLeft == 0 {
+		return 0, errHeadTooLong
+	}
+	cnt, err := con.Conn.Read(buf[:min(len(buf), con.headBytesLeft)])
+	con.headBytesLeft -= cnt
+	return cnt, err
+}
+
 // Write sends bytes and counts those handed to the kernel.
 func (con *conn) Write(buf []byte) (int, error) {
 	cnt, err := con.Conn.Write(buf)
@@ -291,7 +318,9 @@
 		pol.release(address)
 		return nil, err
 	}
-	return &conn{Conn: raw, pool: pol, address: address, reader: bufio.NewReaderSize(raw, connBufferBytes)}, nil
+	con := &conn{Conn: raw, pool: pol, address: address, headBytesLeft: unlimitedHead}
+	con.reader = bufio.NewReaderSize(con, connBufferBytes)
+	return con, nil
 }
 
 // Response is the response of a target. Its Body must be closed.
@@ -364,7 +393,7 @@
 	if err != nil {
 		return nil, exc.fail(cause(ctx, err))
 	}
-	raw.Body = &body{ReadCloser: raw.Body, exchange: exc, reusable: !raw.Close}
+	raw.Body = &body{ReadCloser: raw.Body, exchange: exc, reusable: !raw.Close, end: time.Now().Add(maxBodyTime)}
 	rsp := &Response{Response: raw}
 	if pol.set.BodyPrefixBytes > 0 {
 		err = rsp.buffer(pol.set.BodyPrefixBytes)
