Tell a request that is still being sent from one whose sender is not scheduled

Callers saw: nothing but a new connection, where a VM had no processor for 1 ms just as a response ended.

Cause: the goroutine that sends the request had 1 ms to report that it is done. Now a write deadline ends a write that waits for the target at once, and one that has sent everything reports success whenever it is scheduled.

--- a/lugd/pkg/target/exchange.go
+++ b/lugd/pkg/target/exchange.go
@@ -127,13 +127,16 @@
 	return err
 }
 
-// writeResultTimeout is how long to wait for the goroutine that sends a request to report.
-const writeResultTimeout = time.Millisecond
+// writeResultTimeout is how long to wait for the goroutine that sends a request to report. It is
+// reached only if reading the request's body blocks.
+const writeResultTimeout = time.Second
 
-// writeResult returns the result of sending the request. done is false if the goroutine that sends
-// it has not reported in time, for instance since it waits for bytes of the body; the head may have
+// writeResult ends the sending of the request and returns its result. A goroutine that waits until
+// the target takes more bytes fails at once; one that has sent everything reports success, however
+// late it is scheduled. done is false if the goroutine has not reported in time; the head may have
 // been sent.
 func (exc *exchange) writeResult() (done bool, err error) {
+	_ = exc.con.SetWriteDeadline(time.Now())
 	select {
 	case err := <-exc.written:
 		return true, err
@@ -203,7 +206,7 @@
 		done, err := exc.writeResult()
 		kept = done && err == nil
 	}
-	if kept && exc.con.SetReadDeadline(time.Time{}) == nil {
+	if kept && exc.con.SetDeadline(time.Time{}) == nil {
 		exc.con.pool.putIdle(exc.con)
 	} else {
 		exc.stop()
