Cut no response that a slow caller keeps taking

Callers saw: a response cut after 20 s although they kept taking it; no "100 Continue" for a request that came over 20 s after the last response of its connection; and the end of a long last response lost to a reset, where they sent more behind it and read slowly.

Causes: the write deadline was set once a response, for all of it, and never for 100 Continue; a connection that closes lingered for 400 ms whatever the caller still had to take.

TestLastResponseIsDeliveredDespiteLaterRequests waits until the response has begun instead of 50 ms: a request that is read before that is rightly answered, so the response was not the last one.

--- a/lugd/pkg/http1/conn.go
+++ b/lugd/pkg/http1/conn.go
@@ -22,7 +22,7 @@
 	readBufferMargin = 1 << 10
 	// writeBufferBytes is the size of a connection's write buffer, in bytes.
 	writeBufferBytes = 4 << 10
-	// writeTimeout bounds the time for sending a whole response, with its body.
+	// writeTimeout is how long a caller may take to accept a part of a response.
 	writeTimeout = 20 * time.Second
 	// idleSlack is how much longer than the configured idle timeout a connection is kept.
 	idleSlack = 500 * time.Millisecond
@@ -73,7 +73,7 @@
 	return &conn{
 		srv: srv, raw: raw, ctx: ctx, cancel: cancel,
 		reader:    bufio.NewReaderSize(raw, set.HeaderBytes+readBufferMargin),
-		writer:    bufio.NewWriterSize(raw, writeBufferBytes),
+		writer:    bufio.NewWriterSize(&progressWriter{raw: raw, timeout: srv.writeTimeout}, writeBufferBytes),
 		slots:     make(chan struct{}, maxPipelined),
 		idleSince: time.Now(),
 	}
@@ -427,7 +427,7 @@
 		if err := con.ctx.Err(); err != nil {
 			return err
 		}
-		if _, err := io.WriteString(con.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		if err := con.writeContinue(); err != nil {
 			con.cancel()
 			return err
 		}
@@ -458,6 +458,15 @@
 	return nil
 }
 
+// writeContinue asks the caller to send the body of its request. All earlier responses must have been
+// written.
+func (con *conn) writeContinue() error {
+	if _, err := con.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		return err
+	}
+	return con.writer.Flush()
+}
+
 // memoryLimiter is a reader that adds what it reads to the server's count of buffered bytes and
 // keeps it within limit; 0 means no limit.
 type memoryLimiter struct {
@@ -519,7 +528,6 @@
 	if con.ctx.Err() != nil {
 		return
 	}
-	_ = con.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	rsp := refusalResponse(con.srv.names, ref, "")
 	rsp.close = true
 	if rsp.write(con.writer) == nil {
@@ -527,24 +535,3 @@
 	}
 	con.lingerClose()
 }
-
-// lingerClose closes the sending side and discards up to lingerBytes of input, until the caller
-// closes its side or lingerTime has passed. If the connection were closed at once, input that nobody
-// reads would reset it, and the caller could lose the end of the last response.
-func (con *conn) lingerClose() {
-	if half, ok := con.raw.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite()
-	}
-	_ = con.raw.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, io.LimitReader(con.raw, lingerBytes))
-}
-
-const (
-	// lingerTime is how long the caller has to close its side. It is longer than the 350 ms between
-	// the refusals at the deadline of a graceful stop and the moment at which open connections are
-	// cut (deadlineMargin and cutMargin of package edge). A connection that lingers after such a
-	// refusal may therefore be counted as open and cut.
-	lingerTime = 400 * time.Millisecond
-	// lingerBytes is how many bytes of input are discarded at most.
-	lingerBytes = 1 << 20
-)
--- a/lugd/pkg/http1/handler.go
+++ b/lugd/pkg/http1/handler.go
@@ -289,10 +289,6 @@
 		return err
 	}
 	rsp.close = con.beginResponse(han.last || con.srv.isStopping())
-	if err := con.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		con.cancel()
-		return err
-	}
 	err := rsp.write(con.writer)
 	if err == nil {
 		err = con.writer.Flush()
--- a/lugd/pkg/http1/phases_test.go
+++ b/lugd/pkg/http1/phases_test.go
@@ -188,6 +188,11 @@
 				fix.srv.Stop()
 			}
 			fix.write(t, fmt.Sprintf("GET /long/%d HTTP/1.1\nHost: h\n%s\n", one.mib, one.first))
+			// The response must have begun, or it wouldn't be the last one.
+			_ = fix.con.SetReadDeadline(time.Now().Add(5 * time.Second))
+			if _, err := fix.src.Peek(1); err != nil {
+				t.Fatal(err)
+			}
 			time.Sleep(50 * time.Millisecond) // The response fills the socket buffers.
 			for range 3 {
 				fix.write(t, nextRequest)
--- a/lugd/pkg/http1/server.go
+++ b/lugd/pkg/http1/server.go
@@ -75,6 +75,8 @@
 	observer observer
 	log      logrus.FieldLogger
 	settings atomic.Pointer[Settings]
+	// writeTimeout is how long a caller may take to accept a part of a response.
+	writeTimeout time.Duration
 	// buffered is the size of all request bodies in memory, in bytes.
 	buffered atomic.Int64
 
@@ -90,7 +92,7 @@
 
 // New returns a server whose requests dec decides on and sen sends to targets.
 func New(set Settings, nms header.Names, dec decider, sen sender, obs observer, log logrus.FieldLogger) *Server {
-	srv := &Server{names: nms, decider: dec, sender: sen, observer: obs, log: log, conns: make(map[*conn]struct{})}
+	srv := &Server{names: nms, decider: dec, sender: sen, observer: obs, log: log, writeTimeout: writeTimeout, conns: make(map[*conn]struct{})}
 	srv.settings.Store(&set)
 	return srv
 }
--- a/lugd/pkg/http1/server_test.go
+++ b/lugd/pkg/http1/server_test.go
@@ -171,6 +171,12 @@
 }
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWithTimeout(t, writeTimeout)
+}
+
+// newFixtureWithTimeout returns a fixture whose server gives up callers after the given write timeout.
+func newFixtureWithTimeout(t *testing.T, timeout time.Duration) *fixture {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -179,6 +185,7 @@
 		HeaderBytes: 4 << 10, BodyBytes: 1 << 10, HeaderTimeout: 150 * time.Millisecond, IdleTimeout: time.Second,
 		BodyTimeout: 150 * time.Millisecond, MaxBufferedBytes: 1 << 20,
 	}, names(), fks, fks, fks, log)
+	srv.writeTimeout = timeout
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/lugd/pkg/http1/writer.go
@@ -0,0 +1,32 @@
+package http1
+
+import (
+	"net"
+	"time"
+)
+
+// maxWriteBytes is how many bytes are handed to the kernel at a time. Each such part has a deadline of
+// its own.
+const maxWriteBytes = 16 << 10
+
+// progressWriter writes to a caller's connection. A write fails if the caller takes no part of
+// maxWriteBytes within timeout; the whole of it may take longer.
+type progressWriter struct {
+	raw     net.Conn
+	timeout time.Duration
+}
+
+// Write writes all bytes, or returns the error with which the connection failed.
+func (wrt *progressWriter) Write(buf []byte) (int, error) {
+	done := 0
+	for {
+		if err := wrt.raw.SetWriteDeadline(time.Now().Add(wrt.timeout)); err != nil {
+			return done, err
+		}
+		cnt, err := wrt.raw.Write(buf[done:min(done+maxWriteBytes, len(buf))])
+		done += cnt
+		if err != nil || done == len(buf) {
+			return done, err
+		}
+	}
+}
--- a/lugd/pkg/socket/socket.go
+++ b/lugd/pkg/socket/socket.go
@@ -1,10 +1,12 @@
-// Package socket sets TCP socket options that detect dead connections.
+// Package socket sets and reads TCP socket options that tell whether the other end is alive.
 package socket
 
 import (
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall doesn't define.
@@ -32,3 +34,25 @@
 	interval := max((dur / (probes + 1)).Round(time.Second), time.Second)
 	return net.KeepAliveConfig{Enable: true, Idle: interval, Interval: interval, Count: probes}
 }
+
+// Unacknowledged returns how many sent bytes the other end of a TCP or TLS connection has not
+// acknowledged. known is false if the kernel does not tell.
+func Unacknowledged(con net.Conn) (count int, known bool) {
+	if tls, ok := con.(interface{ NetConn() net.Conn }); ok {
+		con = tls.NetConn()
+	}
+	sys, ok := con.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	err = raw.Control(func(fd uintptr) {
+		var uerr error
+		count, uerr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		known = uerr == nil
+	})
+	return count, err == nil && known
+}
