Reject a list of hosts in a release note

Operators saw: a note with `host: [x]` applied as a route for every host, so that callers of other hosts were served by it.

Cause: the node of a list has no value, which was taken for an empty host.

--- a/core/note/reader.go
+++ b/core/note/reader.go
@@ -164,8 +164,8 @@
 }
 
 func (rdr *reader) host(nod *yaml.Node, path string) string {
-	if nod.Value == "" {
-		return ""
+	if nod.Kind == yaml.ScalarNode && nod.Value == "" {
+		return "" // Every host.
 	}
 	return rdr.name(nod, path)
 }
