Let the environment override the settings file, as documented

Operators saw: a variable had no effect where the file gave the same setting, against OPERATIONS.

Cause: the lines of the file were passed on as flags, which go before variables. Those lines are left out whose variable is set. An empty variable sets nothing.

Test: TestEnvironmentOverridesTheFile, failing before (revoke-time 3s, 4s wanted).

--- a/lugd/pkg/edge/command.go
+++ b/lugd/pkg/edge/command.go
@@ -84,7 +84,7 @@
 }
 
 // subcommand returns a command that loads the settings and calls act with them. Flags
-// override the settings file, which overrides the environment.
+// override the environment, which overrides the settings file.
 func subcommand(name, usage, fileVariable string, act func(ctx context.Context, set Settings, src *settingsSource) error) *cli.Command {
 	return &cli.Command{
 		Name: name, Usage: usage, SkipFlagParsing: true,
--- a/lugd/pkg/edge/reload.go
+++ b/lugd/pkg/edge/reload.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,8 +25,8 @@
 	fileSettleTries = 10
 )
 
-// settingsSource is where the settings of a process come from: a file, and command line
-// flags, which override it.
+// settingsSource is where the settings of a process come from: a file, environment
+// variables, which override it, and command line flags, which override both.
 type settingsSource struct {
 	// path is the path of the file; empty if there is none.
 	path string
@@ -46,7 +48,7 @@
 		Name: "lugd", Usage: "settings of a VM", Flags: set.Flags(), Writer: out, ErrWriter: out,
 		Action: func(context.Context, *cli.Command) error { return nil },
 	}
-	all := append([]string{"lugd"}, lines...)
+	all := append([]string{"lugd"}, slices.DeleteFunc(lines, setInEnvironment)...)
 	// With the context of another command, cli would write to that command's writer.
 	if err := cmd.Run(context.Background(), append(all, src.args...)); err != nil {
 		return set, err
@@ -54,6 +56,13 @@
 	return set, set.Check()
 }
 
+// setInEnvironment reports whether the environment sets the flag in an argument of the form
+// --name=value, and so overrides the file that the argument is from.
+func setInEnvironment(arg string) bool {
+	name, _, _ := strings.Cut(strings.TrimPrefix(arg, "--"), "=")
+	return os.Getenv(envVariable(name)) != ""
+}
+
 // read returns the settings of the file as flags, and keeps its content.
 func (src *settingsSource) read() ([]string, error) {
 	src.content = nil
--- a/lugd/pkg/edge/settings.go
+++ b/lugd/pkg/edge/settings.go
@@ -212,10 +212,13 @@
 
 const envPrefix = "LUGD_"
 
-func envSource(name string) cli.ValueSourceChain {
-	return cli.EnvVars(envPrefix + strings.ToUpper(strings.ReplaceAll(name, "-", "_")))
+// envVariable returns the name of the environment variable for a flag.
+func envVariable(name string) string {
+	return envPrefix + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
 }
 
+func envSource(name string) cli.ValueSourceChain { return cli.EnvVars(envVariable(name)) }
+
 // Flags returns the command line flags that write to set. A flag that is not given takes its
 // value from the environment, else its default from set.
 func (set *Settings) Flags() []cli.Flag {
--- a/lugd/pkg/edge/settings_test.go
+++ b/lugd/pkg/edge/settings_test.go
@@ -66,6 +66,22 @@
 	}
 }
 
+// TestEnvironmentOverridesTheFile sets a variable for a setting that the file and a flag give, too: it
+// must prevail over the file and the flag over it. An empty variable sets nothing.
+func TestEnvironmentOverridesTheFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings")
+	writeSettings(t, path, goodSettings)
+	t.Setenv("LUGD_REVOKE_TIME", "4s")
+	t.Setenv("LUGD_NAME", "")
+	set, err := (&settingsSource{path: path}).load(io.Discard)
+	if err != nil || set.RevokeTime != 4*time.Second || set.Name != "vm-1" {
+		t.Errorf("got revoke-time %v, name %q, %v", set.RevokeTime, set.Name, err)
+	}
+	if set, err = (&settingsSource{path: path, args: []string{"--revoke-time=7s"}}).load(io.Discard); err != nil || set.RevokeTime != 7*time.Second {
+		t.Errorf("got %v, %v", set.RevokeTime, err)
+	}
+}
+
 // startWatch loads a settings file, calls meanwhile with its path and then starts to watch it.
 // The watch delivers settings on sets when the file changes, and for each value sent on hup.
 func startWatch(t *testing.T, meanwhile func(path string)) (path string, hup chan<- os.Signal, sets <-chan Settings) {
