Replace connections between VMs that swallow what is sent

Cause: links between VMs went by errors and acknowledgements of TCP alone. Now a connection is replaced when a VM has left messages that want an answer unanswered for 1.5 s; a VM that is dialled anew while an earlier connection from there is still open replaces its own, since its answers may be what is lost. No message is added.

--- a/lugd/pkg/peer/queue.go
+++ b/lugd/pkg/peer/queue.go
@@ -9,12 +9,56 @@
 	"net"
 	"time"
 
+	"marigoldlug.example/core/feed"
+	"marigoldlug.example/core/gateway"
+	"marigoldlug.example/core/placement"
+	"marigoldlug.example/core/quota"
 	"marigoldlug.example/lugd/pkg/socket"
 )
 
 // sendQueue is the queue of messages to one VM. Transport.runQueue sends them.
 type sendQueue struct {
 	messages chan any
+	// renew holds an element if the connection is to be replaced by another one.
+	renew chan struct{}
+	// unansweredSince is when the first message that wants an answer was queued since the VM was
+	// last heard of; zero if there is none. Transport.mut protects it.
+	unansweredSince time.Time
+}
+
+func newSendQueue() *sendQueue {
+	return &sendQueue{messages: make(chan any, queueLength), renew: make(chan struct{}, 1)}
+}
+
+// requestRenewal has the connection replaced.
+func (que *sendQueue) requestRenewal() {
+	select {
+	case que.renew <- struct{}{}:
+	default:
+	}
+}
+
+// noteSent records that a message is queued at now, and has the connection replaced if the VM has not
+// answered for silenceTimeout: a connection may swallow what is sent although the network acknowledges
+// it. Transport.mut must be held.
+func (que *sendQueue) noteSent(now time.Time, msg any) {
+	switch {
+	case !wantsAnswer(msg):
+	case que.unansweredSince.IsZero():
+		que.unansweredSince = now
+	case now.Sub(que.unansweredSince) > silenceTimeout:
+		que.unansweredSince = now
+		que.requestRenewal()
+	}
+}
+
+// wantsAnswer reports whether a VM that works answers the message.
+func wantsAnswer(msg any) bool {
+	switch msg.(type) {
+	case gateway.Ping, feed.Query, quota.Query, placement.Query, stateQuery:
+		return true
+	}
+	return false
 }
 
 // connect opens a connection to an address.
@@ -26,8 +70,12 @@
 	return tls.DialWithDialer(dlr, "tcp", address, trn.identity.ClientConfig())
 }
 
-// errConnectionLost is the error of runConnection when the other VM closes the connection.
-var errConnectionLost = errors.New("the connection was closed by the other VM")
+var (
+	// errConnectionLost is the error of runConnection when the other VM closes the connection.
+	errConnectionLost = errors.New("the connection was closed by the other VM")
+	// errRenewed is the error of runConnection when the connection is to be replaced.
+	errRenewed = errors.New("the other VM did not answer, or has replaced its own connection")
+)
 
 // runQueue sends the messages of one queue until it has been empty for idleTimeout or is
 // closed, or until a connection fails within redialDelay of being dialled; the messages
@@ -90,6 +138,8 @@
 				}
 			}
 			idle.Reset(idleTimeout)
+		case <-que.renew:
+			return errRenewed
 		case <-lost:
 			return errConnectionLost
 		case <-idle.C:
--- a/lugd/pkg/peer/transport.go
+++ b/lugd/pkg/peer/transport.go
@@ -30,6 +30,9 @@
 	// is not replaced at once, and it is the pause after such a failure, before the queue is
 	// dropped and the VM can be dialled again.
 	redialDelay = 250 * time.Millisecond
+	// silenceTimeout is how long a VM may leave messages unanswered until the connection to it is
+	// replaced.
+	silenceTimeout = 1500 * time.Millisecond
 	// stateTimeout bounds the time in which QueryStates waits for answers.
 	stateTimeout = time.Second
 	// frameHeaderSize is the size in bytes of the length in front of a payload.
@@ -85,8 +88,10 @@
 	addresses map[string]string
 	// answers receives the answers for the last call of QueryStates; nil before the first.
 	answers chan State
-	// inbound are the accepted connections.
-	inbound map[net.Conn]bool
+	// inbound are the accepted connections, and inboundFrom the latest of them by the ID of the VM
+	// that opened it.
+	inbound     map[net.Conn]bool
+	inboundFrom map[string]net.Conn
 	closed  bool
 	// wait counts the goroutines of connections and queues.
 	wait sync.WaitGroup
@@ -97,7 +102,7 @@
 	return &Transport{
 		self: self, handler: han, log: log, listener: lis,
 		sendQueues: make(map[string]*sendQueue), addresses: make(map[string]string),
-		inbound: make(map[net.Conn]bool),
+		inbound: make(map[net.Conn]bool), inboundFrom: make(map[string]net.Conn),
 	}
 }
 
@@ -172,11 +177,12 @@
 		if !found {
 			return
 		}
-		que = &sendQueue{messages: make(chan any, queueLength)}
+		que = newSendQueue()
 		trn.sendQueues[to] = que
 		trn.wait.Add(1)
 		go trn.runQueue(to, address, que)
 	}
+	que.noteSent(time.Now(), msg)
 	select {
 	case que.messages <- msg:
 	default:
@@ -220,17 +226,20 @@
 // serve delivers the messages of one incoming connection.
 func (trn *Transport) serve(con net.Conn) {
 	defer trn.wait.Done()
+	from := ""
 	defer func() {
 		_ = con.Close()
-		trn.mut.Lock()
-		delete(trn.inbound, con)
-		trn.mut.Unlock()
+		trn.forgetInbound(from, con)
 	}()
 	src := bufio.NewReader(con)
 	from, err := trn.readHello(con, src)
+	if err == nil {
+		trn.noteInbound(from, con)
+	}
 	for err == nil {
 		var payload []byte
 		if payload, err = trn.readFrame(src); err == nil {
+			trn.noteHeard(from)
 			err = trn.deliver(from, payload)
 		}
 	}
@@ -239,6 +248,40 @@
 	}
 }
 
+// noteInbound records the connection that a VM has opened. If an earlier one of the VM is still open,
+// the VM replaces it since it did not hear of this one: what this VM sends to it may be lost, too, so
+// that connection is replaced as well.
+func (trn *Transport) noteInbound(from string, con net.Conn) {
+	trn.mut.Lock()
+	defer trn.mut.Unlock()
+	if _, open := trn.inboundFrom[from]; open {
+		if que := trn.sendQueues[from]; que != nil {
+			que.requestRenewal()
+		}
+	}
+	trn.inboundFrom[from] = con
+}
+
+// forgetInbound records the end of a connection that a VM has opened; from is empty if the VM is not
+// known.
+func (trn *Transport) forgetInbound(from string, con net.Conn) {
+	trn.mut.Lock()
+	defer trn.mut.Unlock()
+	delete(trn.inbound, con)
+	if trn.inboundFrom[from] == con {
+		delete(trn.inboundFrom, from)
+	}
+}
+
+// noteHeard records that a message of a VM has arrived.
+func (trn *Transport) noteHeard(from string) {
+	trn.mut.Lock()
+	defer trn.mut.Unlock()
+	if que := trn.sendQueues[from]; que != nil {
+		que.unansweredSince = time.Time{}
+	}
+}
+
 // readHello reads the hello that opens a connection and returns the ID of the sender.
 // If the hello is for another VM, it answers with wrongVM and returns an error.
 func (trn *Transport) readHello(con net.Conn, src io.Reader) (string, error) {
