Queue no more requests at a target than can meet their latency goals

Causes: - A target was given three times its slots, whatever the goals. Now a request waits for a slot only as long as leaves every route in use its goal (one may always wait). - The wait was estimated by the route of the request that comes instead of those that hold the slots, and not at all for routes without history. - Responses were counted from when a slot was expected to be free; now from when so many earlier ones had ended. And the slowdowns of all targets could rise together while the estimates of the routes fell (2 to 5, and 0.25 s instead of 0.6 s, after 20 s of overload), so that nothing that is compared with a goal held.

--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -171,7 +171,7 @@
 			mac.setPlacer(now, par)
 		}
 	}
-	mac.releaseSlotsOfVMs(before, vie)
+	mac.releaseSlotsOfVMs(now, before, vie)
 	for id := range mac.lastHeard {
 		if _, listed := vie.VM(id); !listed {
 			delete(mac.lastHeard, id)
@@ -182,7 +182,7 @@
 }
 
 // releaseSlotsOfVMs frees the slots of targets that are held by VMs which are no longer listed.
-func (mac *Machine) releaseSlotsOfVMs(before, after member.View) {
+func (mac *Machine) releaseSlotsOfVMs(now clock.Instant, before, after member.View) {
 	for _, vmm := range before.VMs() {
 		if _, listed := after.VM(vmm.ID); listed {
 			continue
@@ -190,7 +190,7 @@
 		for _, svc := range mac.services {
 			for _, par := range svc.partitions {
 				if par.central != nil {
-					par.central.ForgetVM(vmm.ID)
+					par.central.ForgetVM(now, vmm.ID)
 				}
 			}
 		}
--- a/core/placement/latency.go
+++ b/core/placement/latency.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"marigoldlug.example/core/clock"
 )
 
 const (
@@ -28,6 +30,9 @@
 	trialDevs   = 0.5
 	replaceDevs = 2.3
 	retryDevs   = 1.3
+	// slackDevs is that of the time that a route's latency goal must leave for a request after its wait
+	// for a slot.
+	slackDevs = 1.0
 	// goalShare is the assumed median of a service without responses, as a share of the time that
 	// newLatency is given.
 	goalShare = 0.35
@@ -40,6 +45,10 @@
 	mean, deviation float64
 	// count is the number of responses in the estimate.
 	count int
+	// goal is the time that the last request of the route had until its latency goal when it was placed
+	// first, at goalAt; 0 if the route has none.
+	goal   time.Duration
+	goalAt clock.Instant
 }
 
 // newLatency returns the first estimate for a service, derived from the time left of its first
@@ -106,6 +115,46 @@
 	return lostShare + (1-lostShare)*((1-tailShare)*bulk+tailShare*tail)
 }
 
+// orElse returns the estimate if it is reliable, else another one: a route without history likely takes
+// as long as the others.
+func (lat *latency) orElse(other *latency) *latency {
+	if lat.reliable() {
+		return lat
+	}
+	return other
+}
+
+// late reports whether a request that waits for a slot for the given time will likely be answered after
+// its deadline by a target with the given slowdown.
+func (lat *latency) late(timeLeft, queueWait time.Duration, slowdown float64) bool {
+	most := maxLateShare
+	if queueWait > 0 {
+		most = maxQueuedLateShare
+	}
+	return lat.reliable() && lat.survival(timeLeft-queueWait, slowdown) > most
+}
+
+// balanceSlowdowns keeps the mean of the measured slowdowns at 1, on the logarithmic scale, without
+// changing the time that is expected at any target. Otherwise the slowdowns of all could rise together
+// while the estimates of the routes fall, or the other way round.
+func (pla *Placer) balanceSlowdowns() {
+	if len(pla.targets) == 0 || pla.overall == nil {
+		return
+	}
+	sum := 0.0
+	for _, tgt := range pla.targets {
+		sum += math.Log(tgt.measuredSlowdown)
+	}
+	mean := sum / float64(len(pla.targets))
+	for _, tgt := range pla.targets {
+		tgt.measuredSlowdown = min(max(tgt.measuredSlowdown/math.Exp(mean), minSlowdown), maxSlowdown)
+	}
+	pla.overall.mean += mean
+	for _, lat := range pla.latencies {
+		lat.mean += mean
+	}
+}
+
 // normalTail returns the share of a normal distribution that lies more than devs standard deviations
 // above its mean.
 func normalTail(devs float64) float64 { return 0.5 * math.Erfc(devs/math.Sqrt2) }
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -58,8 +58,14 @@
 	// changes, it is used again at once.
 	misdirectedTime = 10 * time.Second
 	// maxLateShare is the expected share of requests that would miss their deadlines at a target,
-	// above which the target gets none of them.
-	maxLateShare = 0.85
+	// above which the target gets none of them, and maxQueuedLateShare that of requests which have to
+	// wait for a slot.
+	maxLateShare       = 0.85
+	maxQueuedLateShare = 0.5
+	// balanceInterval is how often the slowdowns are related to their mean again.
+	balanceInterval = time.Second
+	// goalTime is how long after its last request a route's latency goal bounds the queues.
+	goalTime = 5 * time.Second
 	// pendingIdleTime is how long a target with running requests gets no further one until an
 	// idempotent one is sent to it as a trial. Long requests without response make a healthy target
 	// look sick, so it is tried up to the higher belief of pendingTrialBelief.
@@ -103,6 +109,10 @@
 	deadline   clock.Instant
 	// queueWait is the time for which the request was expected to wait for a slot.
 	queueWait time.Duration
+	// inSlot is set once the request likely has a slot, and inSlotSince is since when: from the start
+	// if the target had a free one, else since so many of the earlier requests there have ended.
+	inSlot      bool
+	inSlotSince clock.Instant
 	// overdue is set once the missing response has been counted as a failure.
 	overdue bool
 	// trial is set if the target was suspected and had no other request when this one was sent. Only
@@ -111,6 +121,20 @@
 	trial bool
 }
 
+// served returns for how long the request has likely been worked on.
+func (att *attempt) served(now clock.Instant) time.Duration {
+	if !att.inSlot {
+		return 0
+	}
+	return now.Mono - att.inSlotSince.Mono
+}
+
+// pending returns for how long a response has been due, as evidence that the target is sick. Other
+// than served it goes on while earlier requests hang: these may hold no slot.
+func (att *attempt) pending(now clock.Instant) time.Duration {
+	return max(att.served(now), now.Mono-att.began.Mono-att.queueWait)
+}
+
 // SuspicionChange says that a target became suspected or is trusted again.
 type SuspicionChange struct {
 	Target string
@@ -133,6 +157,11 @@
 	overall *latency
 	budget  *request.RetryBudget
 	changes []SuspicionChange
+	// maxWait is the longest wait for a slot for which requests are queued, 0 if there is no such bound;
+	// see updateMaxWait.
+	maxWait time.Duration
+	// balancedAt is when balanceSlowdowns last ran.
+	balancedAt clock.Instant
 	// prunedAt is when prune last dropped old responses.
 	prunedAt clock.Instant
 }
@@ -215,6 +244,9 @@
 		pla.budget.CountRequest(now)
 	}
 	lat := pla.latency(cri.Route, cri.TimeToGoal)
+	if !cri.Retry {
+		lat.goal, lat.goalAt = cri.TimeToGoal, now
+	}
 	best, shortestWait := pla.choose(now, aid.VM, cri, lat)
 	switch {
 	case best.target != nil && cri.Retry && !pla.budget.TryRetry(now, cri.budgetShare()):
@@ -238,6 +270,7 @@
 
 func (pla *Placer) begin(now clock.Instant, att *attempt) {
 	att.target.running = append(att.target.running, att)
+	att.target.fillSlots(att.began)
 	att.target.lastUsed = now
 	pla.attempts[att.id] = att
 }
@@ -246,19 +279,19 @@
 // is the shortest time until a target may have room; it is negative if there is no target at all.
 func (pla *Placer) choose(now clock.Instant, vmm string, cri Criteria, lat *latency) (best candidate, shortestWait time.Duration) {
 	shortestWait = -1
+	est := lat.orElse(pla.overall)
 	for _, at := range pla.rnd.Perm(len(pla.targets)) {
 		tgt := pla.targets[at]
 		if now.Before(tgt.avoidUntil) || slices.Contains(cri.Tried, tgt.ID) {
 			continue
 		}
-		queueWait := tgt.queueWait(now, lat)
+		queueWait := pla.queueWait(now, tgt)
 		if cri.Hedge && queueWait > 0 {
 			shortestWait = max(shortestWait, 0)
 			continue // A hedge must not take a slot for which other requests wait.
 		}
-		median := time.Duration(float64(lat.median()) * tgt.slowdown(now))
-		if len(tgt.running) >= tgt.capacity(cri.Priority) || lat.reliable() && lat.survival(cri.TimeLeft-queueWait, tgt.slowdown(now)) > maxLateShare {
-			if over := max(queueWait+median-cri.TimeLeft, median/time.Duration(max(tgt.Slots, 1))); shortestWait < 0 || over < shortestWait {
+		if est.late(cri.TimeLeft, queueWait, tgt.slowdown(now)) || len(tgt.running) >= tgt.capacity(cri.Priority) || pla.queueFull(tgt, queueWait) {
+			if over := pla.timeToRoom(now, cri, tgt, lat, queueWait); shortestWait < 0 || over < shortestWait {
 				shortestWait = over
 			}
 			continue
@@ -311,7 +344,7 @@
 // pendingEvidence returns the Bayes factor of a request without response.
 func (pla *Placer) pendingEvidence(now clock.Instant, att *attempt) float64 {
 	lat := pla.latencies[att.route]
-	return pendingFactor(lat.survival(now.Mono-att.began.Mono-att.queueWait, att.target.slowdown(now)))
+	return pendingFactor(lat.survival(att.pending(now), att.target.slowdown(now)))
 }
 
 // Ended records the outcome of an attempt.
@@ -320,18 +353,18 @@
 	if att == nil {
 		return
 	}
-	pla.remove(att)
 	tgt := att.target
-	took := now.Mono - att.began.Mono
+	took, served, pending := now.Mono-att.began.Mono, att.served(now), att.pending(now)
+	pla.remove(now, att)
 	switch outcome {
 	case health.Success:
-		pla.succeeded(now, att, took)
+		pla.succeeded(now, att, took, served)
 	case health.Failure:
 		if !att.overdue {
 			pla.recordFailure(now, att, failedFactor, took, "failed")
 		}
 	case health.Overdue:
-		pla.abandoned(now, att, took-att.queueWait)
+		pla.abandoned(now, att, pending)
 	case health.ServerError:
 		if !att.overdue {
 			pla.recordFailure(now, att, serverErrorFactor, took, "erred")
@@ -349,7 +382,7 @@
 	pla.updateSuspicion(now, tgt, outcome.String(), aid.VM)
 }
 
-func (pla *Placer) succeeded(now clock.Instant, att *attempt, took time.Duration) {
+func (pla *Placer) succeeded(now clock.Instant, att *attempt, took, served time.Duration) {
 	tgt := att.target
 	factor := successFactor
 	if att.overdue {
@@ -361,8 +394,8 @@
 	delete(tgt.pathFailures, att.id.VM)
 	tgt.lastResponses[att.id.VM] = now
 	lat := pla.latencies[att.route]
-	// queueWait was only expected: at least a quarter of the time counts as spent on the request.
-	served := max(took-att.queueWait, took/4)
+	// When it got its slot is only likely: at least a quarter of the time counts as spent on the request.
+	served = max(served, took/4)
 	normalised := time.Duration(float64(served) / tgt.slowdown(now))
 	lat.add(normalised)
 	pla.overall.add(normalised)
@@ -419,9 +452,10 @@
 	pla.changes = append(pla.changes, SuspicionChange{Target: tgt.ID, Sick: sick, Suspected: tgt.suspected, Cause: cause, VM: vmm})
 }
 
-func (pla *Placer) remove(att *attempt) {
+func (pla *Placer) remove(now clock.Instant, att *attempt) {
 	delete(pla.attempts, att.id)
 	att.target.running = slices.DeleteFunc(att.target.running, func(one *attempt) bool { return one == att })
+	att.target.fillSlots(now)
 }
 
 // Track adds a running attempt that another placer placed.
@@ -438,6 +472,11 @@
 // Tick counts overdue attempts as failed, and drops those whose end was not reported in time.
 func (pla *Placer) Tick(now clock.Instant) {
 	pla.prune(now)
+	if now.Since(pla.balancedAt) >= balanceInterval {
+		pla.balancedAt = now
+		pla.balanceSlowdowns()
+	}
+	pla.updateMaxWait(now)
 	if len(pla.attempts) == 0 {
 		return
 	}
@@ -446,7 +485,7 @@
 		for _, att := range tgt.running {
 			if !att.overdue && pla.pendingEvidence(now, att) >= overdueFactor {
 				att.overdue = true
-				pla.recordFailure(now, att, overdueFactor, now.Mono-att.began.Mono-att.queueWait, "overdue")
+				pla.recordFailure(now, att, overdueFactor, att.pending(now), "overdue")
 			}
 			if now.Since(att.deadline) > lostTime {
 				lost = append(lost, att)
@@ -454,7 +493,7 @@
 		}
 	}
 	for _, att := range lost {
-		pla.remove(att)
+		pla.remove(now, att)
 	}
 }
 
@@ -470,10 +509,10 @@
 }
 
 // ForgetVM drops the attempts of a VM that has exited.
-func (pla *Placer) ForgetVM(vmm string) {
+func (pla *Placer) ForgetVM(now clock.Instant, vmm string) {
 	for aid, att := range pla.attempts {
 		if aid.VM == vmm {
-			pla.remove(att)
+			pla.remove(now, att)
 		}
 	}
 }
--- a/core/placement/placer_test.go
+++ b/core/placement/placer_test.go
@@ -508,7 +508,7 @@
 	if ans := pla.Place(now, AttemptID{VM: "vm", Number: 1}, cri); ans.Reason != NoRoom {
 		t.Errorf("a full target got another request: %+v", ans)
 	}
-	pla.ForgetVM("gone")
+	pla.ForgetVM(now, "gone")
 	if ans := pla.Place(now, AttemptID{VM: "vm", Number: 2}, cri); ans.Target != "t0" {
 		t.Errorf("the slots of a VM that has exited are not free: %+v", ans)
 	}
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
@@ -76,6 +75,16 @@
 	return float64(now.Since(tgt.lastUsed)) >= idle
 }
 
+// fillSlots records since when requests have a slot, for those that got one at now: the oldest have
+// one, as many as there are slots.
+func (tgt *target) fillSlots(now clock.Instant) {
+	for _, att := range tgt.running[:min(max(tgt.Slots, 1), len(tgt.running))] {
+		if !att.inSlot {
+			att.inSlot, att.inSlotSince = true, now
+		}
+	}
+}
+
 // slowdown returns the factor by which the target is taken to be slower than average.
 func (tgt *target) slowdown(now clock.Instant) float64 {
 	if now.Before(tgt.WarmAt) && tgt.measuredSlowdown < coldSlowdown {
@@ -83,13 +92,3 @@
 	}
 	return tgt.measuredSlowdown
 }
-
-// queueWait returns the expected time for which a further request waits for a slot.
-func (tgt *target) queueWait(now clock.Instant, lat *latency) time.Duration {
-	slots := max(tgt.Slots, 1)
-	over := len(tgt.running) + 1 - slots
-	if over <= 0 {
-		return 0
-	}
-	return time.Duration(float64(lat.median()) * tgt.slowdown(now) * float64(over) / float64(slots))
-}
