Replace an attempt only where another one has the better chance

Cause: an attempt was replaced at the latest after half of its time, whatever could still come of the next one. Now the chance of the running attempt (by belief, latency, and that it has not been answered yet) is compared with that of a new one, and a hedge needs a chance of a quarter.

Test: TestAttemptsAreNotReplacedTooLate ("with 900ms left, an attempt is hedged after 450ms and replaced after 450ms" before).

--- a/core/placement/latency.go
+++ b/core/placement/latency.go
@@ -22,17 +22,6 @@
 	tailFactor = 3.0
 	// lostShare is the share of requests to healthy targets that never get a response.
 	lostShare = 0.001
-	// The times until an attempt is hedged or replaced, in standard deviations above the median on
-	// the logarithmic scale. A first attempt is hedged at hedgeDevs, or at trialDevs if it is the
-	// trial of a suspected target; it may be replaced at replaceDevs. The time at retryDevs is kept
-	// before the deadline for a retry, see latestRetry.
-	hedgeDevs   = 0.8
-	trialDevs   = 0.5
-	replaceDevs = 2.3
-	retryDevs   = 1.3
-	// slackDevs is that of the time that a route's latency goal must leave for a request after its wait
-	// for a slot.
-	slackDevs = 1.0
 	// goalShare is the assumed median of a service without responses, as a share of the time that
 	// newLatency is given.
 	goalShare = 0.35
@@ -159,26 +148,6 @@
 // above its mean.
 func normalTail(devs float64) float64 { return 0.5 * math.Erfc(devs/math.Sqrt2) }
 
-// latestRetry returns how much of the time left until the deadline may pass before a retry, so that
-// the retry can still be answered in time. It is at least half of the time left.
-func (lat *latency) latestRetry(left time.Duration) time.Duration {
-	return max(left-lat.timeAt(retryDevs, 1), left/2)
-}
-
-// hedgeAfter returns how long an attempt runs alone before a hedge may be sent to another target. This
-// is longer than most requests take, but shorter for the trial of a suspected target, which likely
-// fails. With an unreliable estimate, and for a retry, it is the time at which the attempt may be
-// replaced.
-func (lat *latency) hedgeAfter(cri Criteria, slowdown float64, trial bool) time.Duration {
-	switch {
-	case !lat.reliable() || cri.Retry:
-		return lat.timeAt(replaceDevs, slowdown)
-	case trial:
-		return lat.timeAt(trialDevs, slowdown)
-	}
-	return lat.timeAt(hedgeDevs, slowdown)
-}
-
 // timeAt returns the time that lies devs standard deviations above the median on the logarithmic
 // scale, at a target with the given slowdown.
 func (lat *latency) timeAt(devs, slowdown float64) time.Duration {
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -262,10 +262,8 @@
 		id: aid, target: tgt, route: cri.Route, idempotent: cri.Idempotent, began: now, deadline: now.Add(cri.TimeLeft), queueWait: best.queueWait,
 		trial: trial,
 	})
-	replaceAfter := min(best.queueWait+lat.timeAt(replaceDevs, tgt.slowdown(now)), lat.latestRetry(cri.TimeLeft))
-	return Answer{
-		Number: aid.Number, Target: tgt.ID, ReplaceAfter: replaceAfter, HedgeAfter: min(best.queueWait+lat.hedgeAfter(cri, tgt.slowdown(now), trial), replaceAfter),
-	}
+	run := attemptTiming{latency: lat, slowdown: tgt.slowdown(now), sick: tgt.belief.now(now), queueWait: best.queueWait, timeLeft: cri.TimeLeft}
+	return Answer{Number: aid.Number, Target: tgt.ID, ReplaceAfter: run.replaceAfter(), HedgeAfter: run.hedgeAfter(cri.Retry, trial)}
 }
 
 func (pla *Placer) begin(now clock.Instant, att *attempt) {
