Let a restart of the fleet move no work and name its runs at once

Causes, and what is done: - VMs were ranked by the IDs of their runs. Now by their names: who reads, places and grants stays the same when VMs restart. - A VM that answered for an earlier run said only that it is another one. It now says which, and the asker goes on with it before the store's list names it. - The next run of a token server's holder waited until the list named it, and for its rank. It is itself the proof that the earlier run has exited, and claims from the first list.

Tests: TestRestartedVMKeepsItsRanks, TestNextRunOfHolderReclaimsAtOnce and TestExitIsKnownBeforeTheListShowsIt do not hold on the code before.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -5,7 +5,6 @@
 import (
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"marigoldlug.example/core/clock"
@@ -63,7 +62,15 @@
 	rows        *table.Table[Row]
 	view        member.View
 	confirmedAt clock.Instant
-	roles       [TokenServerCount]role
+	// successors holds the runs of VMs that are known to have replaced listed ones, by VM name.
+	successors map[string]successor
+	roles      [TokenServerCount]role
+}
+
+// successor is the run of a VM that has replaced the listed run with the ID replaced.
+type successor struct {
+	replaced string
+	run      member.VM
 }
 
 // role is what this VM knows of the role of one token server.
@@ -84,7 +91,7 @@
 // New returns the fleet list of a VM that has not read it yet. self is the present run of the
 // VM's process, and name stays the same when the process restarts.
 func New(self member.VM, name string) *Fleet {
-	return &Fleet{self: self, name: name, rows: table.New[Row]()}
+	return &Fleet{self: self, name: name, rows: table.New[Row](), successors: make(map[string]successor)}
 }
 
 // Revision returns the revision of the list.
@@ -112,16 +119,47 @@
 	if !fle.rows.Apply(del) || del.Empty() {
 		return false
 	}
+	fle.updateView()
+	for num := range fle.roles {
+		fle.setHolder(now, num)
+	}
+	return true
+}
+
+// updateView makes the view from the list and from what is known of runs that have replaced listed
+// ones. This run replaces any other one that is listed under its name.
+func (fle *Fleet) updateView() {
 	var vms []member.VM
 	for _, row := range fle.rows.Rows() {
-		if row.Value.Holder == "" {
-			vms = append(vms, row.Value.VM)
+		if row.Value.Holder != "" {
+			continue
 		}
+		vmm := row.Value.VM
+		name := member.Name(vmm.ID)
+		if suc, found := fle.successors[name]; found && suc.replaced == vmm.ID {
+			vmm = suc.run
+		} else {
+			delete(fle.successors, name)
+		}
+		if name == fle.name {
+			vmm = fle.self
+		}
+		vms = append(vms, vmm)
 	}
 	fle.view = member.NewView(fle.rows.Revision(), vms)
-	for num := range fle.roles {
-		fle.setHolder(now, num)
+}
+
+// HandleExit records that a listed run has exited and which run of the VM has replaced it. So this VM
+// reaches the new run before the list shows it: when many VMs restart together, the list lags behind.
+// HandleExit reports whether the view changed.
+func (fle *Fleet) HandleExit(id string, run member.VM) bool {
+	name := member.Name(id)
+	if _, listed := fle.view.VM(id); !listed || run.ID == id || member.Name(run.ID) != name {
+		return false
 	}
+	row, _ := fle.rows.Get(VMName(name))
+	fle.successors[name] = successor{replaced: row.Value.VM.ID, run: run}
+	fle.updateView()
 	return true
 }
 
@@ -148,17 +186,21 @@
 }
 
 // HasExited reports whether the run with the given ID is known to have exited, because another
-// run is listed under the same VM name.
+// run is listed under the same VM name or is known to have replaced it.
 func (fle *Fleet) HasExited(id string) bool {
-	row, found := fle.rows.Get(VMName(nameOf(id)))
-	return found && row.Value.VM.ID != id
+	if fle.isFormerSelf(id) {
+		return true
+	}
+	name := member.Name(id)
+	row, found := fle.rows.Get(VMName(name))
+	suc, replaced := fle.successors[name]
+	return found && row.Value.VM.ID != id || replaced && suc.replaced == id
 }
 
-// nameOf returns the name of the VM from the ID of one of its runs: the name, a dot, and a part
-// that is unique to the run.
-func nameOf(id string) string {
-	at := strings.LastIndexByte(id, '.')
-	return id[:max(at, 0)]
+// isFormerSelf reports whether the run with the given ID is an earlier one of this VM, which has exited
+// since the present one runs.
+func (fle *Fleet) isFormerSelf(id string) bool {
+	return id != fle.self.ID && id != "" && member.Name(id) == fle.name
 }
 
 // Listed reports whether this run of the VM is listed, and returns the revision of the
@@ -186,7 +228,7 @@
 
 // Row returns the row of the VM with the given ID and whether it is listed.
 func (fle *Fleet) Row(id string) (table.Row[Row], bool) {
-	row, _ := fle.rows.Get(VMName(nameOf(id)))
+	row, _ := fle.rows.Get(VMName(member.Name(id)))
 	return row, row.Value.VM.ID == id
 }
 
@@ -225,8 +267,8 @@
 }
 
 // ShouldClaim reports whether this VM is to claim the role of token server num now: no listed
-// VM holds the role, and this VM ranks first for it. If so, it records the time and the Busy
-// value that InheritedBusy returns.
+// VM holds the role, and this VM ranks first for it or held it in an earlier run. If so, it records
+// the time and the Busy value that InheritedBusy returns.
 func (fle *Fleet) ShouldClaim(now clock.Instant, num int) bool {
 	rol := &fle.roles[num]
 	if fle.view.Size() == 0 || rol.claimedAt != (clock.Instant{}) && now.Since(rol.claimedAt) < claimInterval {
@@ -235,7 +277,7 @@
 	if _, listed := fle.view.VM(rol.holder); listed {
 		return false
 	}
-	if fle.candidate(num) != fle.self.ID {
+	if fle.candidate(num) != fle.self.ID && !fle.isFormerSelf(rol.holder) {
 		return false
 	}
 	rol.claimedAt = now
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -204,3 +204,48 @@
 		t.Errorf("inherited %+v from a holder that had just started, want all organisations", fle.InheritedBusy(0))
 	}
 }
+
+// TestNextRunOfHolderReclaimsAtOnce restarts all VMs, so that the list still names the earlier runs. The
+// VM that held a role must claim it again from that list and serve as soon as the store shows the claim,
+// without waiting for its earlier run, which has exited; another VM must not claim it meanwhile.
+func TestNextRunOfHolderReclaimsAtOnce(t *testing.T) {
+	now := clock.At(time.Hour)
+	rows := []table.Row[Row]{vmRow("one", "old", 1), vmRow("two", "old", 2), vmRow("three", "old", 3), holderRow("one.old", 4)}
+	fle := newFleet(t, now, rows...)
+	if vmm, listed := fle.View().VM("one.r1"); !listed || vmm.ID != "one.r1" {
+		t.Errorf("the view does not name the present run: %+v", fle.View().VMs())
+	}
+	if !fle.ShouldClaim(now, 0) {
+		t.Fatal("does not reclaim the role of its earlier run")
+	}
+	change(fle, now, 11, holderRow("one.r1", 11))
+	if !fle.MayServe(now, 0) {
+		t.Error("waits for its own earlier run")
+	}
+	other := New(member.VM{ID: "two.r1", FailureDomain: "a"}, "two")
+	other.Apply(now, table.Delta[Row]{Whole: true, Revision: 10, Rows: rows})
+	if other.ShouldClaim(now, 0) {
+		t.Error("another VM claims the role of a run that is listed")
+	}
+}
+
+// TestExitIsKnownBeforeTheListShowsIt is told that another run answers for a listed VM. The view must
+// name that run until the list names a later one.
+func TestExitIsKnownBeforeTheListShowsIt(t *testing.T) {
+	now := clock.At(time.Hour)
+	fle := newFleet(t, now, vmRow("one", "r1", 1), vmRow("two", "old", 2), holderRow("two.old", 3))
+	run := vmRow("two", "r2", 0).Value.VM
+	if !fle.HandleExit("two.old", run) || fle.HandleExit("two.old", run) {
+		t.Error("the view must change once")
+	}
+	if _, listed := fle.View().VM("two.r2"); !listed || !fle.HasExited("two.old") || !fle.Vacant() {
+		t.Errorf("the view has %+v", fle.View().VMs())
+	}
+	if fle.HandleExit("two.r2", member.VM{ID: "three.r1"}) {
+		t.Error("a VM replaces another one")
+	}
+	change(fle, now, 11, vmRow("two", "r3", 11))
+	if _, listed := fle.View().VM("two.r3"); !listed || fle.View().Size() != 2 {
+		t.Errorf("the view has %+v", fle.View().VMs())
+	}
+}
--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -9,6 +9,7 @@
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/registry"
 	"marigoldlug.example/core/request"
 	"marigoldlug.example/core/table"
@@ -90,6 +91,8 @@
 // PeerExited reports that a run of a VM has exited: another run answers at its address.
 type PeerExited struct {
 	ID string
+	// Successor is the run that answers; its ID is empty if it is not known.
+	Successor member.VM
 }
 
 // Ticked reports that time has passed. It is expected every TickInterval.
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -121,8 +121,7 @@
 	case Received:
 		mac.received(now, evt)
 	case PeerExited:
-		mac.log("peerGone", "vm", evt.ID)
-		mac.selector.HandleVMExit(now, evt.ID)
+		mac.peerExited(now, evt)
 	case Ticked:
 		mac.tick(now)
 	case StopBegan:
--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -165,6 +165,22 @@
 	}
 	vie := mac.fleet.View()
 	mac.log("fleet", "vms", vie.Size(), "revision", vie.Revision(), "holders", mac.fleet.Holders())
+	mac.viewChanged(now, before)
+	return true
+}
+
+// peerExited handles that a run of another VM has exited.
+func (mac *Machine) peerExited(now clock.Instant, evt PeerExited) {
+	mac.log("peerGone", "vm", evt.ID, "successor", evt.Successor.ID)
+	mac.selector.HandleVMExit(now, evt.ID)
+	if before := mac.fleet.View(); mac.fleet.HandleExit(evt.ID, evt.Successor) {
+		mac.viewChanged(now, before)
+	}
+}
+
+// viewChanged passes on that the view of the fleet has changed.
+func (mac *Machine) viewChanged(now clock.Instant, before member.View) {
+	vie := mac.fleet.View()
 	mac.selector.SetView(vie)
 	for _, name := range sortedNames(mac.services) {
 		for _, par := range mac.services[name].partitions {
@@ -178,7 +194,6 @@
 			delete(mac.lastPinged, id)
 		}
 	}
-	return true
 }
 
 // releaseSlotsOfVMs frees the slots of targets that are held by VMs which are no longer listed.
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -24,6 +24,15 @@
 	Capacity float64
 }
 
+// Name returns the name of the VM from the ID of one of its runs: the name, a dot, and a part that is
+// unique to the run.
+func Name(id string) string {
+	if at := strings.LastIndexByte(id, '.'); at >= 0 {
+		return id[:at]
+	}
+	return id
+}
+
 // View is an immutable list of VMs.
 type View struct {
 	revision uint64
@@ -50,6 +59,11 @@
 // Revision returns the revision of the fleet list from which the view was made.
 func (vie View) Revision() uint64 { return vie.revision }
 
+// Same reports whether two views are copies of one.
+func (vie View) Same(other View) bool {
+	return len(vie.vms) == len(other.vms) && (len(vie.vms) == 0 || &vie.vms[0] == &other.vms[0])
+}
+
 // VMs returns the members sorted by ID. The caller must not change the slice.
 func (vie View) VMs() []VM { return vie.vms }
 
@@ -107,8 +121,9 @@
 }
 
 // Ranked returns the cnt VMs of vms that rank first for a key, which names a piece of work: large
-// VMs before others, and within each group those with the highest rendezvous hash. Keys are thus
-// spread evenly, and a VM that joins or leaves moves only its own keys.
+// VMs before others, and within each group those with the highest rendezvous hash of their names. Keys
+// are thus spread evenly, a VM that joins or leaves moves only its own keys, and one that restarts
+// moves none.
 func Ranked(vms []VM, key string, cnt int) []VM {
 	type scored struct {
 		small bool
@@ -122,7 +137,7 @@
 		dig.Reset()
 		_, _ = dig.WriteString(key)
 		_, _ = dig.WriteString("\x00")
-		_, _ = dig.WriteString(vmm.ID)
+		_, _ = dig.WriteString(Name(vmm.ID))
 		one := scored{small: vmm.Capacity < least, hash: dig.Sum64(), vmm: vmm}
 		at, _ := slices.BinarySearchFunc(best, one, func(two, one scored) int {
 			if one.small != two.small {
--- a/core/member/view_test.go
+++ b/core/member/view_test.go
@@ -64,3 +64,21 @@
 		t.Errorf("only %d of 101 VMs rank first for a key, want at least 90", len(cnts))
 	}
 }
+
+// TestRestartedVMKeepsItsRanks gives every VM another run. The VMs that rank first must be the same
+// ones, or else all work would change hands when the whole fleet restarts.
+func TestRestartedVMKeepsItsRanks(t *testing.T) {
+	var before, after []VM
+	for num := range 50 {
+		name := fmt.Sprintf("vm-%d", num)
+		before = append(before, VM{ID: name + ".a1"})
+		after = append(after, VM{ID: name + ".b2"})
+	}
+	for num := range 20 {
+		key := fmt.Sprint("key-", num)
+		one, two := Ranked(before, key, 1)[0], Ranked(after, key, 1)[0]
+		if Name(one.ID) != Name(two.ID) {
+			t.Errorf("%s: %s ranks first, after a restart %s", key, one.ID, two.ID)
+		}
+	}
+}
--- a/lugd/pkg/driver/driver.go
+++ b/lugd/pkg/driver/driver.go
@@ -117,7 +117,7 @@
 // order in which the machine returns them.
 func (dri *Driver) step(evt gateway.Event) {
 	acts := dri.mac.Step(dri.clock.Now(), evt)
-	if vie := dri.mac.View(); vie.Revision() != dri.view.Load().Revision() {
+	if vie := dri.mac.View(); !vie.Same(*dri.view.Load()) {
 		dri.view.Store(&vie)
 	}
 	for _, act := range acts {
@@ -231,8 +231,11 @@
 	dri.Step(gateway.Received{From: from, Message: msg})
 }
 
-// PeerExited tells the machine that the process of another VM has exited.
-func (dri *Driver) PeerExited(id string) { dri.Step(gateway.PeerExited{ID: id}) }
+// PeerExited tells the machine that the process of another VM has exited, and which one
+// has replaced it.
+func (dri *Driver) PeerExited(id string, successor member.VM) {
+	dri.Step(gateway.PeerExited{ID: id, Successor: successor})
+}
 
 // State returns the state that this VM reports to other VMs.
 func (dri *Driver) State() peer.State {
--- a/lugd/pkg/driver/fleet_test.go
+++ b/lugd/pkg/driver/fleet_test.go
@@ -178,7 +178,8 @@
 	return sto.fleet.Since(since), nil
 }
 
-// network carries messages between drivers in memory.
+// network carries messages between drivers in memory. A VM that sends to an earlier run of a VM is told
+// which run has replaced it.
 type network struct {
 	mut     sync.Mutex
 	drivers map[string]*Driver
@@ -200,12 +201,30 @@
 		mtr.net.mut.Lock()
 		dri, self := mtr.net.drivers[to], mtr.net.drivers[mtr.from]
 		mtr.net.mut.Unlock()
-		if self != nil && dri != nil && dri.ctx.Err() == nil {
+		switch {
+		case self == nil || self.ctx.Err() != nil:
+		case dri != nil && dri.ctx.Err() == nil:
 			dri.Received(mtr.from, msg)
+		default:
+			if suc, found := mtr.net.successor(to); found {
+				time.AfterFunc(mtr.net.delay, func() { self.PeerExited(to, suc) })
+			}
 		}
 	})
 }
 
+// successor returns the run that has replaced the one with the given ID.
+func (net *network) successor(id string) (member.VM, bool) {
+	net.mut.Lock()
+	defer net.mut.Unlock()
+	for other, dri := range net.drivers {
+		if other != id && member.Name(other) == member.Name(id) && dri.ctx.Err() == nil {
+			return dri.self, true
+		}
+	}
+	return member.VM{}, false
+}
+
 // testMetrics counts nothing, but calls the hooks of a network.
 type testMetrics struct {
 	net *network
@@ -229,12 +248,19 @@
 // startFleet runs VMs in three failure domains until ctx is done. It pauses after starting
 // each of them.
 func startFleet(ctx context.Context, sto *memoryStore, net *network, vms int, pause time.Duration) {
+	startRuns(ctx, sto, net, vms, pause, "r")
+}
+
+// startRuns is startFleet for VMs whose IDs end in the name of the run.
+func startRuns(ctx context.Context, sto *memoryStore, net *network, vms int, pause time.Duration, run string) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	net.mut.Lock()
 	net.drivers = make(map[string]*Driver)
+	net.mut.Unlock()
 	for num := range vms {
 		name := fmt.Sprintf("vm-%d", num+1)
-		self := member.VM{ID: name + ".r", Address: name, FailureDomain: fmt.Sprintf("domain-%d", num%3+1), Capacity: 1}
+		self := member.VM{ID: name + "." + run, Address: name, FailureDomain: fmt.Sprintf("domain-%d", num%3+1), Capacity: 1}
 		set := gateway.Settings{Name: name, Self: self, Policy: gateway.Policy{
 			RevokeTime: 5 * time.Second, RetryShare: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second, Quota: quota.Policy{Window: 5 * time.Second, Excess: 0.1, Slack: 20},
 		}}
--- a/lugd/pkg/http1/writer_test.go
+++ b/lugd/pkg/http1/writer_test.go
@@ -12,7 +12,7 @@
 // several times the write timeout, but no part of it does. The response must not be cut.
 func TestSlowCallerGetsTheWholeResponse(t *testing.T) {
 	const mib = 8
-	fix := newFixtureWithTimeout(t, 250 * time.Millisecond)
+	fix := newFixtureWithTimeout(t, 250*time.Millisecond)
 	fix.connect(t)
 	if err := fix.con.(*net.TCPConn).SetReadBuffer(64 << 10); err != nil {
 		t.Fatal(err)
@@ -41,7 +41,7 @@
 // TestContinueIsSentAfterALongPause sends a request that expects 100 Continue over a connection whose
 // last response was written longer ago than the write timeout.
 func TestContinueIsSentAfterALongPause(t *testing.T) {
-	fix := newFixtureWithTimeout(t, 50 * time.Millisecond)
+	fix := newFixtureWithTimeout(t, 50*time.Millisecond)
 	fix.connect(t)
 	fix.write(t, nextRequest)
 	if got := fix.read(1); got != "200 \"answer to /x\"\n" {
@@ -59,7 +59,7 @@
 // TestCallerThatTakesNothingIsGivenUp has a caller not read a long response at all. Its connection must
 // be closed after the write timeout.
 func TestCallerThatTakesNothingIsGivenUp(t *testing.T) {
-	fix := newFixtureWithTimeout(t, 100 * time.Millisecond)
+	fix := newFixtureWithTimeout(t, 100*time.Millisecond)
 	fix.connect(t)
 	fix.write(t, "GET /long/16 HTTP/1.1\nHost: h\n\n")
 	for end := time.Now().Add(3 * time.Second); ; time.Sleep(10 * time.Millisecond) {
--- a/lugd/pkg/peer/codec.go
+++ b/lugd/pkg/peer/codec.go
@@ -14,6 +14,7 @@
 	kindWrongVM     = 2
 	kindStateQuery  = 5
 	kindStateAnswer = 6
+	kindSuccessor   = 7
 
 	kindFeedQuery       = 50
 	kindFeedUpdate      = 51
@@ -42,6 +43,10 @@
 // wrongVM rejects a hello whose To is the ID of another VM.
 type wrongVM struct{}
 
+// successor follows wrongVM and says which VM the receiver is. It is the run that has
+// replaced the one that was meant, if both have the same name.
+type successor struct{ VM member.VM }
+
 // stateQuery asks a VM for its state.
 type stateQuery struct{}
 
@@ -84,6 +89,9 @@
 		wrt.text(msg.To)
 	case wrongVM:
 		wrt.unsigned(kindWrongVM)
+	case successor:
+		wrt.unsigned(kindSuccessor)
+		wrt.vm(msg.VM)
 	case stateQuery:
 		wrt.unsigned(kindStateQuery)
 	case State:
@@ -144,6 +152,8 @@
 		return hello{Version: rdr.unsigned(), From: rdr.vm(), To: rdr.text()}
 	case kindWrongVM:
 		return wrongVM{}
+	case kindSuccessor:
+		return successor{VM: rdr.vm()}
 	case kindStateQuery:
 		return stateQuery{}
 	case kindStateAnswer:
--- a/lugd/pkg/peer/codec_test.go
+++ b/lugd/pkg/peer/codec_test.go
@@ -40,6 +40,7 @@
 	return []any{
 		hello{Version: 1, From: vmm, To: "vm-2.b"},
 		wrongVM{},
+		successor{VM: vmm},
 		stateQuery{},
 		State{VM: vmm, Version: 1, VMs: 3, Ready: true, Reading: true, Follows: "vm", ConfigAge: time.Second, Requests: 5, Suspected: []string{"t"}},
 		feed.Query{Number: 1, Config: 2, Targets: 3, Fleet: 4},
--- a/lugd/pkg/peer/lifecycle_test.go
+++ b/lugd/pkg/peer/lifecycle_test.go
@@ -19,6 +19,8 @@
 	mut    sync.Mutex
 	msgs   []any
 	exited []string
+	// successors are the runs that replaced them.
+	successors []string
 }
 
 // Received records a message.
@@ -29,10 +31,11 @@
 }
 
 // PeerExited records the ID of a VM whose process has exited.
-func (rec *recorder) PeerExited(id string) {
+func (rec *recorder) PeerExited(id string, successor member.VM) {
 	rec.mut.Lock()
 	defer rec.mut.Unlock()
 	rec.exited = append(rec.exited, id)
+	rec.successors = append(rec.successors, successor.ID)
 }
 
 func (rec *recorder) State() State                  { return State{} }
@@ -124,8 +127,8 @@
 		from.Send("two.b", gateway.Pong{})
 		time.Sleep(10 * time.Millisecond)
 	}
-	if !seen.await(func() bool { return slices.Contains(seen.exited, "two.a") }) {
-		t.Error("the sender did not learn that the previous process has exited")
+	if !seen.await(func() bool { return slices.Contains(seen.exited, "two.a") && slices.Contains(seen.successors, "two.b") }) {
+		t.Error("the sender did not learn that the previous process has exited, and which one has replaced it")
 	}
 	if !rec.await(func() bool { return len(rec.msgs) == 50 }) {
 		t.Errorf("%d of 50 messages for the new process arrived", len(rec.msgs))
--- a/lugd/pkg/peer/queue.go
+++ b/lugd/pkg/peer/queue.go
@@ -148,20 +148,34 @@
 	}
 }
 
-// watchConnection waits for wrongVM, the only message that a receiver sends back on a
-// connection, or for the end of the connection, and then closes it.
+// watchConnection waits for wrongVM and the successor behind it, the only messages that a
+// receiver sends back on a connection, or for the end of the connection, and then closes it.
 func (trn *Transport) watchConnection(con net.Conn, to string) {
 	defer trn.wait.Done()
 	defer func() { _ = con.Close() }()
-	payload, err := trn.readFrame(bufio.NewReader(con))
-	if err != nil {
+	src := bufio.NewReader(con)
+	if _, wrong := trn.readReply(src).(wrongVM); !wrong {
 		return
 	}
-	if msg, err := decode(payload); err == nil {
-		if _, wrong := msg.(wrongVM); wrong {
-			trn.handler.PeerExited(to)
-		}
+	// Programs of earlier versions send no successor.
+	suc, _ := trn.readReply(src).(successor)
+	if suc.VM.ID != "" {
+		trn.AddAddress(suc.VM.ID, suc.VM.Address)
+	}
+	trn.handler.PeerExited(to, suc.VM)
+}
+
+// readReply returns the next message that a receiver has sent back, or nil if there is none.
+func (trn *Transport) readReply(src *bufio.Reader) any {
+	payload, err := trn.readFrame(src)
+	if err != nil {
+		return nil
+	}
+	msg, err := decode(payload)
+	if err != nil {
+		return nil
 	}
+	return msg
 }
 
 // writeFrame writes the frame of a message to the buffer of a connection.
--- a/lugd/pkg/peer/silence_test.go
+++ b/lugd/pkg/peer/silence_test.go
@@ -30,7 +30,7 @@
 	}
 }
 
-func (*responder) PeerExited(string)             {}
+func (*responder) PeerExited(string, member.VM)  {}
 func (*responder) State() State                  { return State{} }
 func (*responder) Address(string) (string, bool) { return "", false }
 
--- a/lugd/pkg/peer/transport.go
+++ b/lugd/pkg/peer/transport.go
@@ -49,8 +49,9 @@
 	// Received handles a message of one of the core packages.
 	Received(from string, msg any)
 	// PeerExited is called when the process of a VM has exited: another one, with another
-	// ID, answers at its address.
-	PeerExited(id string)
+	// ID, answers at its address. successor is that one, with an empty ID if it does not
+	// say so.
+	PeerExited(id string, successor member.VM)
 	// State returns the state that this VM reports to other VMs.
 	State() State
 	// Address returns the address of a VM, if it is known.
@@ -92,7 +93,7 @@
 	// that opened it.
 	inbound     map[net.Conn]bool
 	inboundFrom map[string]net.Conn
-	closed  bool
+	closed      bool
 	// wait counts the goroutines of connections and queues.
 	wait sync.WaitGroup
 }
@@ -283,7 +284,8 @@
 }
 
 // readHello reads the hello that opens a connection and returns the ID of the sender.
-// If the hello is for another VM, it answers with wrongVM and returns an error.
+// If the hello is for another VM, it answers with wrongVM and with its own identity, and
+// returns an error.
 func (trn *Transport) readHello(con net.Conn, src io.Reader) (string, error) {
 	payload, err := trn.readFrame(src)
 	if err != nil {
@@ -299,8 +301,10 @@
 	}
 	if hel.To != trn.self.ID && hel.To != "" {
 		wrt := bufio.NewWriter(con)
-		if err := trn.writeFrame(con, wrt, wrongVM{}); err != nil {
-			return hel.From.ID, err
+		for _, msg := range []any{wrongVM{}, successor{VM: trn.self}} {
+			if err := trn.writeFrame(con, wrt, msg); err != nil {
+				return hel.From.ID, err
+			}
 		}
 		if err := wrt.Flush(); err != nil {
 			return hel.From.ID, err
@@ -322,7 +326,7 @@
 		trn.Send(from, trn.handler.State())
 	case State:
 		trn.handleState(msg)
-	case hello, wrongVM:
+	case hello, wrongVM, successor:
 		return errMalformed
 	default:
 		trn.handler.Received(from, msg)
