Let VMs that start follow the reader of their failure domain

Cause: a VM read everything itself until it followed another one. Now it reads the list of VMs alone, and from that list asks the VM that reads for its failure domain; the first two of a failure domain read at once. It reads the store itself after 0.4 to 0.6 s without an answer. Requests that come meanwhile are queued, 0.5 s at most as before, now also until the configuration is confirmed, without which their keys would be refused.

A change of placer is logged by the VMs that it concerns; all others did, for each partition.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -47,6 +47,9 @@
 	standbyCount     = 4
 	standbyReadDelay = 250 * time.Millisecond
 	otherReadDelay   = 700 * time.Millisecond
+	// startReadDelay is how long a VM that has just started looks for one to follow. It is shorter,
+	// since the VM cannot serve without a configuration.
+	startReadDelay = 400 * time.Millisecond
 )
 
 // Query asks another VM, usually the followed one, for the changes since the revisions that the
@@ -76,6 +79,8 @@
 	// VM last answered without being stale.
 	followed     string
 	lastUsableAt clock.Instant
+	// started is set once the VM knows a list of VMs.
+	started bool
 	// readFrom is when this VM begins to read the platform itself, unless it follows
 	// another VM by then.
 	readFrom clock.Instant
@@ -94,7 +99,7 @@
 	jitter time.Duration
 }
 
-// New returns a selector by which the VM reads the platform itself at first.
+// New returns a selector of a VM that knows no other VM yet.
 func New(self member.VM, rnd *rand.Rand) *Selector {
 	return &Selector{
 		self: self, rnd: rnd, sent: make(map[uint64]clock.Instant), excluded: make(map[string]clock.Instant),
@@ -102,9 +107,10 @@
 	}
 }
 
-// Reading reports whether the VM has to read the platform itself.
+// Reading reports whether the VM has to read the platform itself. Before it knows the list of VMs it has
+// to read that alone.
 func (sel *Selector) Reading(now clock.Instant) bool {
-	return sel.followed == "" && !now.Before(sel.readFrom)
+	return sel.started && sel.followed == "" && !now.Before(sel.readFrom)
 }
 
 // Followed returns the ID of the followed VM, or "" if there is none.
@@ -112,7 +118,7 @@
 
 // SetView replaces the list of VMs. The key by which it ranks them, "feed/" and the failure domain, is
 // also in Machine.monitored of core/gateway, which must find the same first VM.
-func (sel *Selector) SetView(vie member.View) {
+func (sel *Selector) SetView(now clock.Instant, vie member.View) {
 	sel.view = vie
 	sel.ranked = member.Ranked(vie.Domain(sel.self.FailureDomain), "feed/"+sel.self.FailureDomain, standbyCount)
 	for id := range sel.excluded {
@@ -120,6 +126,31 @@
 			delete(sel.excluded, id)
 		}
 	}
+	if !sel.started {
+		sel.started = true
+		sel.readFrom = now.Add(startReadDelay + sel.jitter)
+	}
+	if sel.isCandidate() && now.Before(sel.readFrom) {
+		sel.readFrom = now // Others expect this VM to read.
+	}
+}
+
+// isCandidate reports whether other VMs may follow this one.
+func (sel *Selector) isCandidate() bool {
+	for _, vmm := range sel.ranked[:min(candidateCount, len(sel.ranked))] {
+		if vmm.ID == sel.self.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// QuerySoon has the next Tick query the VM that this one wants to follow, if that has sent an update
+// without being queried: it can answer by now.
+func (sel *Selector) QuerySoon(from string) {
+	if sel.followed == "" && from == sel.queried {
+		sel.queriedAt = clock.Instant{}
+	}
 }
 
 // IsPrimary reports whether this VM ranks first in its failure domain and thus reads the platform
@@ -230,7 +261,7 @@
 	}
 }
 
-// stopFollowing stops following the current VM. This VM reads the platform itself after readDelay.
+// stopFollowing stops following the current VM, if any. This VM reads the platform itself after readDelay.
 func (sel *Selector) stopFollowing(now clock.Instant) {
 	sel.followed = ""
 	sel.readFrom = now.Add(sel.readDelay())
--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -27,7 +27,7 @@
 	for _, vmm := range vie.VMs() {
 		if vmm.ID != primary && vmm.ID != member.Ranked(vie.VMs(), "feed/a", 2)[1].ID {
 			sel = New(vmm, rand.New(rand.NewPCG(1, 1)))
-			sel.SetView(vie)
+			sel.SetView(clock.At(time.Hour), vie)
 			return sel, primary
 		}
 	}
@@ -98,7 +98,7 @@
 	vie := view(5)
 	self := member.Ranked(vie.VMs(), "feed/a", 1)[0]
 	sel := New(self, rand.New(rand.NewPCG(1, 1)))
-	sel.SetView(vie)
+	sel.SetView(clock.At(time.Hour), vie)
 	now := clock.At(time.Hour)
 	if snds := sel.Tick(now, Query{}, 100*time.Millisecond); len(snds) > 0 || !sel.Reading(now) {
 		t.Fatalf("the primary does not read the platform, or sends queries: %v", snds)
@@ -148,7 +148,7 @@
 	vie := view(cnt)
 	for num, vmm := range vie.VMs() {
 		sel := New(vmm, rand.New(rand.NewPCG(uint64(num), 1)))
-		sel.SetView(vie)
+		sel.SetView(clock.At(time.Hour), vie)
 		dom.sels[vmm.ID] = sel
 		dom.contact[vmm.ID] = dom.now
 	}
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -125,10 +125,13 @@
 	if placer == par.placer {
 		return
 	}
+	self := mac.set.Self.ID
+	if placer == self || par.placer == self {
+		mac.log("placer", "service", par.service, "part", par.number, "vm", placer)
+	}
 	par.placer = placer
 	par.backoffUntil = clock.Instant{}
-	mac.log("placer", "service", par.service, "part", par.number, "vm", placer)
-	if placer == mac.set.Self.ID {
+	if placer == self {
 		mac.ensureCentral(now, par)
 	}
 	mac.reportRunning(now, par)
--- a/core/gateway/queue.go
+++ b/core/gateway/queue.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// maxQueueTime is how long a request is queued at a VM that has just started and does not know
-	// the configuration and the targets yet. The VM learns both within some tenths of a second, so
+	// maxQueueTime is how long a request is queued at a VM that has just started and is not in sync
+	// yet. The VM learns both within some tenths of a second, so
 	// queueing spares a refusal to callers that arrive at once, as they do after many VMs were lost.
 	maxQueueTime = 500 * time.Millisecond
 	// startupTime is how long after its start a VM is likely to learn the configuration and the
@@ -23,8 +23,11 @@
 	arrived clock.Instant
 }
 
-// synced reports whether this VM knows the configuration and the targets.
-func (mac *Machine) synced() bool { return mac.config != nil && mac.registry.Revision() > 0 }
+// synced reports whether this VM knows the configuration and the targets, and that the configuration
+// was the newest at some time since its start: without that no key can be relied on.
+func (mac *Machine) synced() bool {
+	return mac.config != nil && mac.registry.Revision() > 0 && mac.configConfirmedAt != (clock.Instant{})
+}
 
 // starting reports whether this VM has just started.
 func (mac *Machine) starting(now clock.Instant) bool { return now.Since(mac.startedAt) < startupTime }
--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -181,7 +181,7 @@
 // viewChanged passes on that the view of the fleet has changed.
 func (mac *Machine) viewChanged(now clock.Instant, before member.View) {
 	vie := mac.fleet.View()
-	mac.selector.SetView(vie)
+	mac.selector.SetView(now, vie)
 	for _, name := range sortedNames(mac.services) {
 		for _, par := range mac.services[name].partitions {
 			mac.setPlacer(now, par)
@@ -255,6 +255,9 @@
 			mac.fleet.Confirm(sent.Add(-upd.Ages.Fleet))
 		}
 	}
+	if upd.Number == 0 {
+		mac.selector.QuerySoon(from)
+	}
 	if changed {
 		mac.updateFollowers(now)
 	}
@@ -356,10 +359,13 @@
 	for _, snd := range mac.selector.Tick(now, mac.Revisions(), now.Since(mac.configAnsweredAt)) {
 		mac.emit(Send{To: snd.To, Message: snd.Query})
 	}
-	set := SetReading{On: mac.selector.Reading(now) || mac.config == nil, Sparing: !mac.selector.IsPrimary()}
+	set := SetReading{On: mac.selector.Reading(now), Sparing: !mac.selector.IsPrimary()}
+	if !set.On && mac.config == nil && mac.selector.Followed() == "" {
+		set.On, set.FleetOnly = true, true // To find a VM to follow.
+	}
 	if mac.reading == nil || *mac.reading != set {
 		mac.reading = &set
-		mac.log("reading", "on", set.On, "sparing", set.Sparing, "follows", mac.selector.Followed())
+		mac.log("reading", "on", set.On, "fleetOnly", set.FleetOnly, "sparing", set.Sparing, "follows", mac.selector.Followed())
 		mac.emit(set)
 	}
 }
--- a/lugd/pkg/driver/reader.go
+++ b/lugd/pkg/driver/reader.go
@@ -115,6 +115,10 @@
 	dri.stopReading = cancel
 	revisions, since := dri.mac.Revisions(), dri.configRevision
 	con, tgs, flt := configReadOptions, targetsReadOptions, fleetReadOptions
+	if set.FleetOnly {
+		dri.work.Go(func() { dri.readFleet(ctx, revisions.Fleet, sparingFleetReadOptions) })
+		return
+	}
 	// A VM that reads sparingly reads only the configuration until the platform
 	// answers.
 	answered := make(chan struct{})
@@ -139,12 +143,16 @@
 		})
 	})
 	dri.work.Go(func() {
-		if !await(ctx, answered) {
-			return
+		if await(ctx, answered) {
+			dri.readFleet(ctx, revisions.Fleet, flt)
 		}
-		read(ctx, dri, fleetKind, dri.platform.Fleet(), revisions.Fleet, flt, func(requestedAt clock.Instant, del table.Delta[fleet.Row]) {
-			dri.Step(gateway.FleetRead{RequestedAt: requestedAt, Update: del})
-		})
+	})
+}
+
+// readFleet reads the list of VMs until ctx is done.
+func (dri *Driver) readFleet(ctx context.Context, since uint64, opt readOptions) {
+	read(ctx, dri, fleetKind, dri.platform.Fleet(), since, opt, func(requestedAt clock.Instant, del table.Delta[fleet.Row]) {
+		dri.Step(gateway.FleetRead{RequestedAt: requestedAt, Update: del})
 	})
 }
 
