Wait for the reader of the failure domain also at the first start of all VMs

All VMs began to look for one to follow while the list was still empty, gave up 0.4 s later, just as they learnt of each other, and read the store.

Cause: the time to look for a VM to follow began with the first list, empty or not. It now begins when there is one. And an update from the VM that was asked, sent before it could answer, shows that it will: it is asked again at once instead of being given up.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -79,8 +79,8 @@
 	// VM last answered without being stale.
 	followed     string
 	lastUsableAt clock.Instant
-	// started is set once the VM knows a list of VMs.
-	started bool
+	// started is set once the VM knows a list of VMs, and sought once it knows one that it may follow.
+	started, sought bool
 	// readFrom is when this VM begins to read the platform itself, unless it follows
 	// another VM by then.
 	readFrom clock.Instant
@@ -126,10 +126,12 @@
 			delete(sel.excluded, id)
 		}
 	}
-	if !sel.started {
-		sel.started = true
+	found := !sel.sought && sel.candidate(now) != ""
+	if !sel.started || found && now.Before(sel.readFrom) {
+		// When all VMs start for the first time, the list is empty at first.
 		sel.readFrom = now.Add(startReadDelay + sel.jitter)
 	}
+	sel.started, sel.sought = true, sel.sought || found
 	if sel.isCandidate() && now.Before(sel.readFrom) {
 		sel.readFrom = now // Others expect this VM to read.
 	}
@@ -145,12 +147,24 @@
 	return false
 }
 
-// QuerySoon has the next Tick query the VM that this one wants to follow, if that has sent an update
-// without being queried: it can answer by now.
-func (sel *Selector) QuerySoon(from string) {
-	if sel.followed == "" && from == sel.queried {
-		sel.queriedAt = clock.Instant{}
+// HandleUnasked processes an update from a VM that was not queried for it. If it is the one that this VM
+// wants to follow, that one can answer by now: the next Tick queries it, and this VM waits for the answer.
+func (sel *Selector) HandleUnasked(now clock.Instant, from string) {
+	if sel.followed != "" || from != sel.queried {
+		return
 	}
+	sel.queriedAt = clock.Instant{}
+	if now.Before(sel.readFrom) {
+		sel.readFrom = later(sel.readFrom, now.Add(standbyReadDelay))
+	}
+}
+
+// later returns the later of two instants.
+func later(one, two clock.Instant) clock.Instant {
+	if one.Before(two) {
+		return two
+	}
+	return one
 }
 
 // IsPrimary reports whether this VM ranks first in its failure domain and thus reads the platform
--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -256,7 +256,7 @@
 		}
 	}
 	if upd.Number == 0 {
-		mac.selector.QuerySoon(from)
+		mac.selector.HandleUnasked(now, from)
 	}
 	if changed {
 		mac.updateFollowers(now)
--- a/lugd/pkg/driver/return_test.go
+++ b/lugd/pkg/driver/return_test.go
@@ -13,6 +13,28 @@
 	"marigoldlug.example/core/gateway"
 )
 
+// TestFirstStartMakesFewCalls starts all VMs for the first time, when the store lists none. Most of them
+// must only list themselves and follow another one, or else the store is called several times by each.
+func TestFirstStartMakesFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// A VM that many others query at once needs as long to answer as answerLag.
+		const vms, callsPerVM, readerCalls, answerLag = 120, 2, 30, 150 * time.Millisecond
+		sto, net := newMemoryStore(), &network{delay: answerLag}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		startFleet(ctx, sto, net, vms, 300*time.Millisecond/vms)
+		time.Sleep(2 * time.Second)
+		if calls := sto.calls(); calls > callsPerVM*vms+6*readerCalls {
+			t.Errorf("%d VMs made %d calls", vms, calls)
+		}
+		for id, dri := range net.drivers {
+			if sta, ready := dri.Status(); !ready || sta.Reading && sta.Follows != "" {
+				t.Errorf("%s: ready %v, %+v", id, ready, sta)
+			}
+		}
+	})
+}
+
 // TestFleetReturnsAfterTheLossOfAll ends all VMs at once and starts them again a second later, within
 // 0.3 s and in any order, when the list of VMs still names the earlier runs. Within a second of the last
 // start every VM must know a configuration that is confirmed, and every token server must serve, or else
--- a/lugd/pkg/http1/writer_test.go
+++ b/lugd/pkg/http1/writer_test.go
@@ -23,6 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer func() { _ = rsp.Body.Close() }()
 	got := int64(0)
 	for err == nil {
 		var cnt int64
