Give targets what is left of the time when a request is sent, and send none too late

Callers saw: a target that worked on for them after they had gone, and an order that was sent, and may have run, after its time, where the VM was paused or connected slowly between its decision and the sending.

Cause: the time was written into the request at the decision. It is now what is left once there is a connection, and a request without any left ends as not run.

Tests: TestTargetsGetTheTimeThatIsLeft, failing before ("given 500 ms of 500ms, after a pause of 200ms", and a request sent after its time).

--- a/core/gateway/machine_test.go
+++ b/core/gateway/machine_test.go
@@ -239,6 +239,22 @@
 	vmm.mustRefuse(vmm.arrive("/read/x", key), request.StaleConfiguration, verdict.NotRun)
 }
 
+// TestUnconfirmedConfigurationServesNoKey restarts a VM, which gets a configuration and targets from
+// another VM that may hold old ones. No key may be accepted before the configuration is confirmed, since
+// it may have been withdrawn meanwhile; the request waits for that, and is refused if it does not come.
+func TestUnconfirmedConfigurationServesNoKey(t *testing.T) {
+	vmm := newVM(t)
+	vmm.step(Ticked{})
+	row := table.Row[registry.Entry]{Name: "t0", Revision: 1, Value: registry.Entry{Service: "svc", Address: "10.0.0.1:80", FailureDomain: "a", Slots: 3}}
+	vmm.step(Received{From: "other", Message: Update{
+		Version: 1, Config: NewConfig(1, content()), Targets: table.Delta[registry.Entry]{Whole: true, Revision: 9, Rows: []table.Row[registry.Entry]{row}},
+	}})
+	if acts := vmm.arrive("/read/x", key); len(acts) > 0 {
+		t.Fatalf("the request does not wait: %+v", acts)
+	}
+	vmm.mustRefuse(vmm.advanceOffline(maxQueueTime+2*TickInterval), request.StaleConfiguration, verdict.NotRun)
+}
+
 // TestConfigurationNeverGoesBack delivers older configurations, from the platform and from another
 // VM, after one in which a key is withdrawn. The key must not be accepted again.
 func TestConfigurationNeverGoesBack(t *testing.T) {
--- a/lugd/pkg/target/endless_test.go
+++ b/lugd/pkg/target/endless_test.go
@@ -104,6 +104,26 @@
 	}
 }
 
+// TestLateCopyIsNotTakenForTheNextResponse has a target send a second copy of an answer late, on a
+// connection that is in use again. The next caller must get its own response.
+func TestLateCopyIsNotTakenForTheNextResponse(t *testing.T) {
+	tgt, pol := newRawTarget(t, func(con net.Conn, id string) {
+		answerDone(con, id)
+		if _, err := http.ReadRequest(bufio.NewReader(con)); err != nil {
+			return
+		}
+		answerDone(con, id) // The copy.
+		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nRequest-Id: two\r\nContent-Length: 3\r\n\r\nown")
+	}), newMatchingPool()
+	if _, fail := tgt.send(pol, "one", time.Second); fail != nil {
+		t.Fatal(fail)
+	}
+	rsp, fail := tgt.send(pol, "two", time.Second)
+	if fail != nil || string(rsp.BodyPrefix) != "own" || rsp.Header.Get(requestIDHeader) != "two" {
+		t.Errorf("the second caller got %+v, %v", rsp, fail)
+	}
+}
+
 // repeat writes a text until the connection fails, with a pause after each.
 func repeat(con net.Conn, txt string, pause time.Duration) {
 	for {
--- a/lugd/pkg/target/pool.go
+++ b/lugd/pkg/target/pool.go
@@ -374,13 +374,23 @@
 func (pol *Pool) Send(ctx context.Context, cal Call, req *http.Request) (*Response, *Error) {
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(cal.Timeout, cancel)
+	began := time.Now()
 	con, err := pol.connect(ctx, cal)
+	if err == nil {
+		err = pol.setTimeLeft(req, cal.Timeout-time.Since(began))
+		if err != nil {
+			_ = con.Close()
+		}
+	}
 	if err != nil {
 		timer.Stop()
 		cancel()
 		outcome := health.Unreachable
-		if errors.Is(err, errBusy) {
+		switch {
+		case errors.Is(err, errBusy):
 			outcome = health.Shed
+		case errors.Is(err, errTooLate):
+			outcome = health.Canceled // This says nothing about the target.
 		}
 		return nil, &Error{Verdict: verdict.NotRun, Outcome: outcome, Err: fmt.Errorf("cannot connect to target %s: %w", cal.Address, err)}
 	}
@@ -408,6 +418,22 @@
 	return rsp, nil
 }
 
+// errTooLate is returned when the timeout has passed before the request could be sent, for instance
+// since the process was paused.
+var errTooLate = errors.New("the time for the request has passed")
+
+// setTimeLeft sets the time that the target has for a request which is about to be sent: what is left
+// of the timeout after connecting. It returns errTooLate if nothing is left.
+func (pol *Pool) setTimeLeft(req *http.Request, left time.Duration) error {
+	if left <= 0 {
+		return errTooLate
+	}
+	if nms := pol.set.Names; nms.Timeout != "" && nms.TimeoutUnit > 0 {
+		req.Header.Set(nms.Timeout, nms.FormatTimeout(left))
+	}
+	return nil
+}
+
 // NewResponse returns a response with a buffered first part of its body, which is the whole body if
 // complete is set.
 func NewResponse(raw *http.Response, prefix []byte, complete bool) *Response {
--- a/lugd/pkg/target/pool_test.go
+++ b/lugd/pkg/target/pool_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +18,7 @@
 
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/verdict"
+	"marigoldlug.example/lugd/pkg/header"
 )
 
 // scriptedTarget is a target that treats each request as its list of actions says. It counts by
@@ -325,3 +327,49 @@
 		})
 	}
 }
+
+// TestTargetsGetTheTimeThatIsLeft connects slowly, as a VM does that is paused between its decision and
+// the sending of the request. The target must be given what is left of the time, and a request whose
+// time has passed must not be sent at all.
+func TestTargetsGetTheTimeThatIsLeft(t *testing.T) {
+	const timeout, pause = 500 * time.Millisecond, 200 * time.Millisecond
+	given := make(chan string, 2)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) { given <- req.Header.Get("Timeout-Ms") })}
+	t.Cleanup(func() { _ = srv.Close() })
+	go func() { _ = srv.Serve(lis) }()
+	pol := New(Settings{DialTimeout: time.Second, IdlePerTarget: 4, BodyIdleTimeout: time.Second, Names: header.Names{Timeout: "Timeout-Ms", TimeoutUnit: time.Millisecond}})
+	dial := pol.dial
+	send := func(pause time.Duration) *Error {
+		pol.dial = func(_ context.Context, address string) (net.Conn, error) {
+			time.Sleep(pause)
+			return dial(context.Background(), address)
+		}
+		req, err := http.NewRequest(http.MethodPost, "http://target/", http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Timeout-Ms", "500")
+		rsp, fail := pol.Send(context.Background(), Call{Address: lis.Addr().String(), Timeout: timeout, MaxConnections: 4}, req)
+		if fail == nil {
+			_ = rsp.Body.Close()
+		}
+		return fail
+	}
+	if fail := send(timeout + pause); fail == nil || fail.Verdict != verdict.NotRun {
+		t.Errorf("a request whose time has passed got %v", fail)
+	}
+	if fail := send(pause); fail != nil {
+		t.Fatal(fail)
+	}
+	left, err := strconv.Atoi(<-given)
+	if err != nil || left > int((timeout-pause).Milliseconds()) || left <= 0 {
+		t.Errorf("the target was given %d ms of %v, after a pause of %v", left, timeout, pause)
+	}
+	if len(given) > 0 {
+		t.Errorf("the target got another request with %s ms", <-given)
+	}
+}
