Do not take a late refusal without an ID for the refusal of the next request

Callers saw: nothing yet; an order could run twice. A target that refuses a request late, or twice, on a connection that carries the next one, gets that one counted as "not run" while it runs it, so that it is sent to another target, too.

Cause: a refusal needed no request ID to be matched. It now needs one on a connection that has carried another request before; what has none is skipped like any late response.

Test: TestLateRefusalIsNotTakenForTheNextOne, failing before (the second request got the refusal).

--- a/lugd/pkg/target/endless_test.go
+++ b/lugd/pkg/target/endless_test.go
@@ -124,6 +124,33 @@
 	}
 }
 
+// TestLateRefusalIsNotTakenForTheNextOne has a target refuse an earlier request late and without an ID,
+// on a connection that is in use again. The next request, which the target runs, must not count as
+// refused, or it would run at another target, too. On a fresh connection such a refusal is valid.
+func TestLateRefusalIsNotTakenForTheNextOne(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	names := header.Names{Request: requestIDHeader, NotRun: "Not-Run"}
+	pol := New(Settings{DialTimeout: time.Second, IdlePerTarget: 4, BodyIdleTimeout: time.Second, BodyPrefixBytes: 1 << 10, Names: names})
+	tgt := newRawTarget(t, func(con net.Conn, id string) {
+		answerDone(con, id)
+		if _, err := http.ReadRequest(bufio.NewReader(con)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(con, refusal)
+		answerDone(con, "two")
+	}, func(con net.Conn, _ string) { _, _ = io.WriteString(con, refusal) })
+	if _, fail := tgt.send(pol, "one", time.Second); fail != nil {
+		t.Fatal(fail)
+	}
+	if rsp, fail := tgt.send(pol, "two", time.Second); fail != nil || rsp.StatusCode != http.StatusOK {
+		t.Errorf("a request behind a late refusal got %+v, %v", rsp, fail)
+	}
+	fresh := New(pol.set)
+	if rsp, fail := tgt.send(fresh, "three", time.Second); fail != nil || rsp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("a request that is refused on a fresh connection got %+v, %v", rsp, fail)
+	}
+}
+
 // repeat writes a text until the connection fails, with a pause after each.
 func repeat(con net.Conn, txt string, pause time.Duration) {
 	for {
--- a/lugd/pkg/target/exchange.go
+++ b/lugd/pkg/target/exchange.go
@@ -82,7 +82,8 @@
 }
 
 // mismatched reports whether a response belongs to another request, by the request ID in its
-// headers. Only a refusal to run the request may come without one.
+// headers. Only a refusal to run the request may come without one, and only on a connection that has
+// carried no earlier request: otherwise it may be a late refusal of that one.
 func (exc *exchange) mismatched(rsp *http.Response) bool {
 	nms := exc.con.pool.set.Names
 	if nms.Request == "" || exc.callerRequestID == "" {
@@ -90,7 +91,8 @@
 	}
 	requestID := rsp.Header.Get(nms.Request)
 	if requestID == "" {
-		return rsp.Header.Get(nms.NotRun) == "" && rsp.StatusCode != http.StatusMisdirectedRequest
+		refused := rsp.Header.Get(nms.NotRun) != "" || rsp.StatusCode == http.StatusMisdirectedRequest
+		return !refused || exc.con.idleBefore > 0
 	}
 	return requestID != exc.callerRequestID
 }
