Print a new key as JSON, and say why a release is not known to be in force

The exit code of the latter stays 6, since the release is stored; the error now has the last failure of the VM.

Tests: TestCreatedKeyIsPrintedAsJSON, TestWaitNamesTheUnreachableVM (its text is missing on the code before).

--- a/lugctl/pkg/command/key.go
+++ b/lugctl/pkg/command/key.go
@@ -47,12 +47,26 @@
 	}
 	// The secret is printed only here. It is printed before the key is applied, so that
 	// it is not lost if the key is stored but not yet in force.
-	if _, err := fmt.Fprintf(cct.out, "%s %s\n", key.ID(), secret); err != nil {
+	if err := printKey(prn, key); err != nil {
 		return err
 	}
 	return cct.applyNote(ctx, prn, []byte(note.AddKeyNote(releaseName("key-create", organisation), version, key)))
 }
 
+// createdKey is the JSON output of a new key. That of its release follows it.
+type createdKey struct {
+	ID     string `json:"id"`
+	Secret string `json:"secret"`
+}
+
+func printKey(prn *printer, key config.Key) error {
+	if prn.json {
+		return prn.print(createdKey{ID: key.ID(), Secret: key.Secret}, nil, nil)
+	}
+	_, err := fmt.Fprintf(prn.out, "%s %s\n", key.ID(), key.Secret)
+	return err
+}
+
 func (cct *commandContext) withdrawKey(ctx context.Context, cmd *cli.Command, prn *printer) error {
 	id, err := argument(cmd, "the ID of the key")
 	if err != nil {
--- a/lugctl/pkg/command/release.go
+++ b/lugctl/pkg/command/release.go
@@ -132,13 +132,17 @@
 
 // waitInForce prints progress until a version is in force on every VM or the time set by
 // --wait is over. It returns the last state that was reported. Errors of the VM are
-// retried.
+// retried; the last one is part of the error.
 func (cct *commandContext) waitInForce(ctx context.Context, cli *client.Client, version uint64) (api.Rollout, error) {
 	ctx, cancel := context.WithTimeout(ctx, cct.wait)
 	defer cancel()
 	last := api.Rollout{Version: version}
+	var failure error
 	for {
 		rol, err := cli.Rollout(ctx, version)
+		if ctx.Err() == nil {
+			failure = err
+		}
 		if err == nil {
 			last = rol
 			_, _ = fmt.Fprintf(cct.progress, "version %d: held by %d of %d VMs\n", rol.Version, rol.Holding, rol.VMs)
@@ -148,6 +152,9 @@
 		}
 		select {
 		case <-ctx.Done():
+			if failure != nil {
+				return last, fmt.Errorf("%w: %w", errNotInForce, failure)
+			}
 			return last, errNotInForce
 		case <-time.After(pollInterval):
 		}
