Do not bind a VM to one connection to targets of a service without a limit

Callers saw: 503 for lack of room at targets of services for which no limit on connections is stated, as soon as a VM had one request there.

Cause: no limit (0) was divided by the number of VMs, of which each gets one at least.

Test: TestServiceWithoutLimitGetsConnections (1 before).

--- a/core/gateway/inflight.go
+++ b/core/gateway/inflight.go
@@ -310,10 +310,16 @@
 	})
 }
 
+// unlimitedConnections is the limit on connections to a target for which none is stated.
+const unlimitedConnections = 1 << 20
+
 // connections returns this VM's share of the connections that the fleet may open to a target, which
-// package target of lugd enforces. Every VM gets one at least: if no maximum is stated (0) that is all
-// it gets, and if the maximum is below the number of VMs the fleet may exceed it.
+// package target of lugd enforces. Every VM gets one at least: if the maximum is below the number of VMs
+// the fleet may exceed it.
 func (mac *Machine) connections(tgt health.Target) int {
+	if tgt.Connections == 0 {
+		return unlimitedConnections
+	}
 	return max(tgt.Connections/max(mac.fleet.View().Size(), 1), 1)
 }
 
--- a/core/gateway/machine_test.go
+++ b/core/gateway/machine_test.go
@@ -255,6 +255,22 @@
 	vmm.mustRefuse(vmm.advanceOffline(maxQueueTime+2*TickInterval), request.StaleConfiguration, verdict.NotRun)
 }
 
+// TestServiceWithoutLimitGetsConnections dispatches requests to a service for which no limit on
+// connections is stated. A VM must not be bound to one connection to each target.
+func TestServiceWithoutLimitGetsConnections(t *testing.T) {
+	vmm := newVM(t).load()
+	limited := vmm.mustDispatch(vmm.arrive("/read/x", key))
+	con := content()
+	for num := range con.Services {
+		con.Services[num].Connections = 0
+	}
+	vmm.config(2, con)
+	unlimited := vmm.mustDispatch(vmm.arrive("/read/x", key))
+	if limited.Connections != 10 || unlimited.Connections < 1000 {
+		t.Errorf("%d connections of 10, %d without a limit", limited.Connections, unlimited.Connections)
+	}
+}
+
 // TestConfigurationNeverGoesBack delivers older configurations, from the platform and from another
 // VM, after one in which a key is withdrawn. The key must not be accepted again.
 func TestConfigurationNeverGoesBack(t *testing.T) {
