--- a/core/quota/busy.go
+++ b/core/quota/busy.go
@@ -90,6 +90,10 @@
 	more := false
 	for name, acc := range srv.accounts {
 		acc.advance(srv.bucketAt(now))
+		if acc.unused(now) {
+			delete(srv.accounts, name) // A new account will be the same.
+			continue
+		}
 		share := acc.sum.Float() / srv.windowLimit(acc.limit).Float()
 		if share > busyLeaveShare {
 			names = append(names, name)
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"testing"
@@ -434,3 +435,26 @@
 	t.Fatalf("server %s is not queried; outputs: %+v", server, outs)
 	return Query{}
 }
+
+// TestServerForgetsUnusedAccounts grants tokens to many organisations once. After a window without
+// further queries the server must keep no account, or its memory would grow with every organisation
+// that was ever served; and one that returns must get what its limit allows, and no more.
+func TestServerForgetsUnusedAccounts(t *testing.T) {
+	now := clock.At(time.Hour)
+	pol := Policy{Window: 5 * time.Second}
+	srv := NewServer(now, pol, 1, Busy{}, limitOf(10, 20))
+	now = now.Add(2 * pol.Window)
+	for num := range 100 {
+		srv.Answer(now, Query{Organisation: fmt.Sprint("org-", num), Number: 1, Need: 5})
+	}
+	for range 10 {
+		now = now.Add(updateInterval)
+		srv.Desired(now)
+	}
+	if len(srv.accounts) > 0 {
+		t.Errorf("%d accounts are left", len(srv.accounts))
+	}
+	if gra := srv.Answer(now, Query{Organisation: "org-1", Number: 2, Need: 1000}); gra.Count != 20 {
+		t.Errorf("an organisation that returns got %d tokens, want its burst of 20", gra.Count)
+	}
+}
--- a/core/quota/server.go
+++ b/core/quota/server.go
@@ -166,6 +166,12 @@
 	}
 }
 
+// unused reports whether nothing was granted in the last window and no refused caller has been told to
+// return later than now.
+func (acc *account) unused(now clock.Instant) bool {
+	return acc.sum == 0 && !now.Before(acc.lastRetryAt)
+}
+
 func (acc *account) add(tok rate.Tokens) {
 	acc.buckets[acc.bucket%keptBuckets] += tok
 	acc.sum += tok
