--- a/core/health/outcome.go
+++ b/core/health/outcome.go
@@ -42,11 +42,6 @@
 	return "unknown"
 }
 
-// Bad reports whether the outcome counts against the target.
-func (out Outcome) Bad() bool {
-	return out == Failure || out == Unreachable || out == ServerError || out == Overdue
-}
-
 // Target describes one target for the choice of targets.
 type Target struct {
 	// ID is the service and the name of the target, joined by a slash.
--- a/lugd/pkg/certificate/certificate.go
+++ b/lugd/pkg/certificate/certificate.go
@@ -107,15 +107,6 @@
 	return rel.cert, rel.pool
 }
 
-// Expires returns when the present certificate expires.
-func (rel *Reloader) Expires() time.Time {
-	cert, _ := rel.current()
-	if cert.Leaf == nil {
-		return time.Time{}
-	}
-	return cert.Leaf.NotAfter
-}
-
 // ServerConfig returns the TLS configuration of a listener that presents the identity. If
 // there is an authority, clients may present certificates signed by it. With mutual they
 // must, and the certificates must be those of VMs.
--- a/lugd/pkg/http1/handler.go
+++ b/lugd/pkg/http1/handler.go
@@ -161,7 +161,7 @@
 	began := time.Now()
 	cal := target.Call{
 		Address: dis.Target.Address, Idempotent: dis.Idempotent, Timeout: dis.Timeout, MaxConnections: dis.Connections,
-		CallerRequestID: han.callerRequestID, Target: dis.Target.ID,
+		CallerRequestID: han.callerRequestID,
 	}
 	out := han.targetRequest(dis)
 	endSpan := han.con.srv.observer.StartAttempt(ctx, dis, out.Header)
--- a/lugd/pkg/target/pool.go
+++ b/lugd/pkg/target/pool.go
@@ -294,9 +294,6 @@
 	// CallerRequestID is the request's ID as its caller gave it, which the response must repeat;
 	// empty if the caller gave none.
 	CallerRequestID string
-	// Target is the ID of the target that the request is meant for. Nothing in this package uses it:
-	// the request itself names the target, in the header of the name header.Names.ExpectTarget.
-	Target string
 }
 
 // errBusy is returned when all connections that the VM may open to the address are in use.
--- a/lugd/service/api/types.go
+++ b/lugd/service/api/types.go
@@ -60,11 +60,8 @@
 	Sick float64 `json:"sick"`
 }
 
-// The values of Error.Code.
-const (
-	CodeMalformed = "malformed"
-	CodeForbidden = "forbidden"
-)
+// CodeMalformed is the only value of Error.Code.
+const CodeMalformed = "malformed"
 
 // Error is the JSON body of the response to a malformed request. The responses 403, 404 and
 // 405 carry no Error.
