Do not replace a connection between VMs that has just been replaced

Callers saw: nothing yet; messages between two VMs, such as the outcomes of attempts, could be lost for a quarter of a second each time, and by turns for longer.

Cause: a VM replaces its connection to another one when that one has dialled anew while its earlier connection still seems open. If the new one is seen before the end of the old one, both VMs do so by turns; and a connection that ends within redialDelay of being dialled drops its queue. Besides, what was buffered was dropped with the old connection. Requests to replace a connection younger than silenceTimeout are now ignored, and the buffer is sent.

--- a/lugd/pkg/peer/queue.go
+++ b/lugd/pkg/peer/queue.go
@@ -19,7 +19,8 @@
 // sendQueue is the queue of messages to one VM. Transport.runQueue sends them.
 type sendQueue struct {
 	messages chan any
-	// renew holds an element if the connection is to be replaced by another one.
+	// renew holds an element if the connection is to be replaced by another one, unless it is
+	// younger than silenceTimeout.
 	renew chan struct{}
 	// unansweredSince is when the first message that wants an answer was queued since the VM was
 	// last heard of; zero if there is none. Transport.mut protects it.
@@ -111,6 +112,7 @@
 		return err
 	}
 	defer func() { _ = con.Close() }()
+	opened := time.Now()
 	lost := make(chan struct{})
 	trn.wait.Add(1)
 	go func() {
@@ -139,6 +141,12 @@
 			}
 			idle.Reset(idleTimeout)
 		case <-que.renew:
+			if time.Since(opened) < silenceTimeout {
+				continue // It has just been replaced. Two VMs could go on to replace theirs by turns.
+			}
+			if err := wrt.Flush(); err != nil {
+				return err
+			}
 			return errRenewed
 		case <-lost:
 			return errConnectionLost
--- a/lugd/pkg/peer/silence_test.go
+++ b/lugd/pkg/peer/silence_test.go
@@ -162,3 +162,25 @@
 		}
 	}
 }
+
+// TestRenewalsLoseNoMessages asks again and again for the connection to a VM to be replaced while messages
+// are sent over it, as two VMs may do by turns when each sees the other's new connection before the end of
+// the old one. All messages must arrive.
+func TestRenewalsLoseNoMessages(t *testing.T) {
+	const cnt = 400
+	from, _ := newRecordedTransport(t, "one", "127.0.0.1:0")
+	to, rec := newRecordedTransport(t, "two", "127.0.0.1:0")
+	from.AddAddress("two", to.self.Address)
+	for num := range cnt {
+		from.Send("two", gateway.Ping{})
+		from.mut.Lock()
+		if que := from.sendQueues["two"]; que != nil && num%20 == 19 {
+			que.requestRenewal()
+		}
+		from.mut.Unlock()
+		time.Sleep(5 * time.Millisecond)
+	}
+	if !rec.await(func() bool { return len(rec.msgs) == cnt }) {
+		t.Errorf("%d of %d messages arrived", len(rec.msgs), cnt)
+	}
+}
