--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -36,3 +36,11 @@
 func (ins Instant) Before(other Instant) bool {
 	return ins.Mono < other.Mono
 }
+
+// Later returns the later of two instants. One that is not set counts as the earlier.
+func Later(one, two Instant) Instant {
+	if one == (Instant{}) || one.Before(two) {
+		return two
+	}
+	return one
+}
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -155,18 +155,10 @@
 	}
 	sel.queriedAt = clock.Instant{}
 	if now.Before(sel.readFrom) {
-		sel.readFrom = later(sel.readFrom, now.Add(standbyReadDelay))
+		sel.readFrom = clock.Later(sel.readFrom, now.Add(standbyReadDelay))
 	}
 }
 
-// later returns the later of two instants.
-func later(one, two clock.Instant) clock.Instant {
-	if one.Before(two) {
-		return two
-	}
-	return one
-}
-
 // IsPrimary reports whether this VM ranks first in its failure domain and thus reads the platform
 // for the other VMs.
 func (sel *Selector) IsPrimary() bool {
--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -111,14 +111,6 @@
 	return feed.Query{Config: mac.version(), Targets: mac.registry.Revision(), Fleet: mac.fleet.Revision()}
 }
 
-// later returns the later of two instants; one may be unset, which counts as the earlier.
-func later(one, two clock.Instant) clock.Instant {
-	if one == (clock.Instant{}) || one.Before(two) {
-		return two
-	}
-	return one
-}
-
 // adoptConfig puts a configuration in force if it is newer than the current one.
 func (mac *Machine) adoptConfig(now clock.Instant, con *Config) bool {
 	if con == nil || con.Version <= mac.version() {
@@ -218,7 +210,7 @@
 	switch evt := evt.(type) {
 	case ConfigRead:
 		changed = mac.adoptConfig(now, evt.Update)
-		mac.configConfirmedAt = later(mac.configConfirmedAt, evt.RequestedAt)
+		mac.configConfirmedAt = clock.Later(mac.configConfirmedAt, evt.RequestedAt)
 		mac.configAnsweredAt = now
 	case TargetsRead:
 		changed = mac.applyTargets(now, evt.Update)
@@ -234,7 +226,7 @@
 
 func (mac *Machine) confirmTargets(now, at clock.Instant) {
 	mac.registry.Confirm(now, at)
-	mac.targetsConfirmedAt = later(mac.targetsConfirmedAt, at)
+	mac.targetsConfirmedAt = clock.Later(mac.targetsConfirmedAt, at)
 }
 
 // updateReceived handles an update from the VM that is followed.
@@ -246,7 +238,7 @@
 		// The ages hold for the sender's revisions. They do not confirm an older one, which this VM
 		// holds if an earlier update was lost.
 		if mac.version() >= upd.Version {
-			mac.configConfirmedAt = later(mac.configConfirmedAt, sent.Add(-upd.Ages.Config))
+			mac.configConfirmedAt = clock.Later(mac.configConfirmedAt, sent.Add(-upd.Ages.Config))
 		}
 		if mac.registry.Revision() >= upd.Targets.Revision {
 			mac.confirmTargets(now, sent.Add(-upd.Ages.Targets))
--- a/core/placement/latency.go
+++ b/core/placement/latency.go
@@ -123,7 +123,7 @@
 	return lat.reliable() && lat.survival(timeLeft-queueWait, slowdown) > most
 }
 
-// balanceSlowdowns keeps the mean of the measured slowdowns at 1, on the logarithmic scale, without
+// balanceSlowdowns keeps the mean of the targets' slowdowns at 1, on the logarithmic scale, without
 // changing the time that is expected at any target. Otherwise the slowdowns of all could rise together
 // while the estimates of the routes fall, or the other way round.
 func (pla *Placer) balanceSlowdowns() {
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -470,14 +470,14 @@
 // Tick counts overdue attempts as failed, and drops those whose end was not reported in time.
 func (pla *Placer) Tick(now clock.Instant) {
 	pla.prune(now)
+	if len(pla.attempts) == 0 {
+		return // Nothing is overdue or waits.
+	}
 	if now.Since(pla.balancedAt) >= balanceInterval {
 		pla.balancedAt = now
 		pla.balanceSlowdowns()
 	}
 	pla.updateMaxWait(now)
-	if len(pla.attempts) == 0 {
-		return
-	}
 	var lost []*attempt
 	for _, tgt := range pla.targets {
 		for _, att := range tgt.running {
--- a/lugd/pkg/target/endless_test.go
+++ b/lugd/pkg/target/endless_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,37 +23,31 @@
 // rawTarget is a target that answers the first request of each connection, in order of the
 // connections, by a function; later ones get "done".
 type rawTarget struct {
-	lis     net.Listener
+	lis net.Listener
+
+	mut     sync.Mutex
 	answers []func(con net.Conn, id string)
 }
 
 func newRawTarget(t *testing.T, answers ...func(con net.Conn, id string)) *rawTarget {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = lis.Close() })
-	tgt := &rawTarget{lis: lis, answers: answers}
-	go func() {
-		for _, ans := range answers {
-			con, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go tgt.serve(con, ans)
-		}
-		for {
-			con, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go tgt.serve(con, answerDone)
-		}
-	}()
+	tgt := &rawTarget{answers: answers}
+	tgt.lis = listen(t, func(con net.Conn) { tgt.serve(con, tgt.next()) })
 	return tgt
 }
 
+// next removes and returns the answer to the first request of the next connection.
+func (tgt *rawTarget) next() func(con net.Conn, id string) {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	if len(tgt.answers) == 0 {
+		return answerDone
+	}
+	ans := tgt.answers[0]
+	tgt.answers = tgt.answers[1:]
+	return ans
+}
+
 func answerDone(con net.Conn, id string) {
 	_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\nContent-Length: 4\r\n\r\ndone")
 }
--- a/lugd/pkg/target/pool_test.go
+++ b/lugd/pkg/target/pool_test.go
@@ -33,12 +33,25 @@
 }
 
 func newScriptedTarget(t *testing.T) *scriptedTarget {
+	t.Helper()
+	tgt := &scriptedTarget{heads: make(map[string]int)}
+	tgt.lis = listen(t, func(con net.Conn) {
+		tgt.mut.Lock()
+		tgt.conns++
+		tgt.mut.Unlock()
+		tgt.serve(con)
+	})
+	return tgt
+}
+
+// listen returns a listener on loopback until the end of the test. Each connection is served in a
+// goroutine of its own.
+func listen(t *testing.T, serve func(con net.Conn)) net.Listener {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	tgt := &scriptedTarget{lis: lis, heads: make(map[string]int)}
 	t.Cleanup(func() { _ = lis.Close() })
 	go func() {
 		for {
@@ -46,13 +59,10 @@
 			if err != nil {
 				return
 			}
-			tgt.mut.Lock()
-			tgt.conns++
-			tgt.mut.Unlock()
-			go tgt.serve(con)
+			go serve(con)
 		}
 	}()
-	return tgt
+	return lis
 }
 
 // next removes and returns the action for the next request; without one it is "answer".
--- a/lugd/pkg/target/reuse_test.go
+++ b/lugd/pkg/target/reuse_test.go
@@ -24,22 +24,11 @@
 
 func newIdleTarget(t *testing.T, announces string) *idleTarget {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = lis.Close() })
-	tgt := &idleTarget{lis: lis, announces: announces}
-	go func() {
-		for {
-			con, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			tgt.conns.Add(1)
-			go tgt.serve(con)
-		}
-	}()
+	tgt := &idleTarget{announces: announces}
+	tgt.lis = listen(t, func(con net.Conn) {
+		tgt.conns.Add(1)
+		tgt.serve(con)
+	})
 	return tgt
 }
 
