--- a/lugd/pkg/peer/queue.go
+++ b/lugd/pkg/peer/queue.go
@@ -131,14 +131,9 @@
 			if !open {
 				return wrt.Flush()
 			}
-			if err := trn.writeFrame(con, wrt, msg); err != nil {
+			if err := trn.writeQueued(con, wrt, que, msg); err != nil {
 				return err
 			}
-			if len(que.messages) == 0 {
-				if err := wrt.Flush(); err != nil {
-					return err
-				}
-			}
 			idle.Reset(idleTimeout)
 		case <-que.renew:
 			if time.Since(opened) < silenceTimeout {
@@ -156,6 +151,17 @@
 	}
 }
 
+// writeQueued writes a message of the queue, and sends what is buffered if no other one is queued.
+func (trn *Transport) writeQueued(con net.Conn, wrt *bufio.Writer, que *sendQueue, msg any) error {
+	if err := trn.writeFrame(con, wrt, msg); err != nil {
+		return err
+	}
+	if len(que.messages) > 0 {
+		return nil
+	}
+	return wrt.Flush()
+}
+
 // watchConnection waits for wrongVM and the successor behind it, the only messages that a
 // receiver sends back on a connection, or for the end of the connection, and then closes it.
 func (trn *Transport) watchConnection(con net.Conn, to string) {
