Log what targets announce about the requests that they take

Targets may announce a limit of their rate, that they are leaving, and with a refusal for how long they want nothing. A VM now reads these headers, also of responses whose body is lost, and logs a line with the values, the run of the target and the limit before whenever they change. Nothing is decided by them yet. Values that cannot be read are logged; of several the one holds that allows the fewest requests.

--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/fleet"
@@ -31,6 +32,8 @@
 	Shed bool
 	// Misdirected is set if another target responded at the address.
 	Misdirected bool
+	// Announcement is what the target that responded announces.
+	Announcement announcement.Announcement
 }
 
 // Answered reports a target's response: the whole of it, or its beginning if the rest is streamed
@@ -49,6 +52,9 @@
 	// Verdict says whether the target may have run the request.
 	Verdict verdict.Verdict
 	Detail  string
+	// Announcement is what the head of a response announced whose body was then lost; nil if no head
+	// was read.
+	Announcement *announcement.Announcement
 }
 
 // RelayEnded reports the end of a response that was passed on to the caller.
--- a/core/gateway/inflight.go
+++ b/core/gateway/inflight.go
@@ -343,6 +343,9 @@
 		return
 	}
 	rsp := evt.Response
+	if !rsp.Misdirected {
+		mac.heard(att, rsp.Announcement)
+	}
 	switch {
 	case rsp.Misdirected:
 		mac.log("stranger", "target", att.target.ID, "address", att.target.Address)
@@ -403,6 +406,9 @@
 	if inf == nil {
 		return
 	}
+	if evt.Announcement != nil {
+		mac.heard(att, *evt.Announcement)
+	}
 	if evt.Verdict == verdict.NotRun {
 		inf.sent-- // Nothing reached the target.
 	}
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
@@ -61,6 +62,8 @@
 	number         uint64
 	pendingQueries map[uint64]request.ID
 	requests       map[request.ID]*inFlight
+	// announced holds what the last response of each run of a target announced.
+	announced map[announcement.Run]announcement.Announcement
 	// queued holds the requests that arrived before this VM knew the configuration and the targets,
 	// in order of arrival.
 	queued []queued
@@ -92,6 +95,7 @@
 		services:       make(map[string]*service),
 		pendingQueries: make(map[uint64]request.ID),
 		requests:       make(map[request.ID]*inFlight),
+		announced:      make(map[announcement.Run]announcement.Announcement),
 		releases:       make(map[string]release),
 
 		placementCounts: make(map[string]uint64),
--- a/lugd/pkg/header/header.go
+++ b/lugd/pkg/header/header.go
@@ -25,6 +25,9 @@
 	Organisation string
 	// NotRun is set by targets on responses to requests that they have not run.
 	NotRun string
+	// RateLimit and Leaving are set by targets on all responses while they announce a limit, in requests
+	// per second, or that they are leaving, with the value 1.
+	RateLimit, Leaving string
 }
 
 // maxTimeout is the longest timeout that a caller may set.
--- a/lugd/pkg/http1/handler.go
+++ b/lugd/pkg/http1/handler.go
@@ -197,6 +197,7 @@
 		srv.observer.Attempt(res.service, res.failure.Outcome)
 		srv.decider.Step(gateway.AttemptFailed{
 			Request: han.id, Attempt: res.attempt, Outcome: res.failure.Outcome, Verdict: res.failure.Verdict, Detail: res.failure.Error(),
+			Announcement: res.failure.Announcement,
 		})
 		return
 	}
@@ -205,6 +206,8 @@
 		Status:      res.response.StatusCode,
 		Shed:        res.response.StatusCode >= 400 && res.response.Header.Get(srv.names.NotRun) != "",
 		Misdirected: res.response.StatusCode == http.StatusMisdirectedRequest,
+
+		Announcement: srv.names.Announcement(res.response.StatusCode, res.response.Header),
 	}
 	srv.observer.Attempt(res.service, responseOutcome(rsp))
 	srv.decider.Step(gateway.Answered{Request: han.id, Attempt: res.attempt, Response: rsp})
--- a/lugd/pkg/target/pool.go
+++ b/lugd/pkg/target/pool.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/verdict"
 	"marigoldlug.example/lugd/pkg/header"
@@ -45,6 +46,9 @@
 	Verdict verdict.Verdict
 	Outcome health.Outcome
 	Err     error
+	// Announcement is what the head of the response announced if its body could not be read; nil if no
+	// head was read.
+	Announcement *announcement.Announcement
 }
 
 // Error returns the cause.
@@ -407,7 +411,12 @@
 		err = rsp.buffer(pol.set.BodyPrefixBytes)
 	}
 	if err != nil || !timer.Stop() {
-		return nil, exc.fail(cause(ctx, err))
+		fail := exc.fail(cause(ctx, err))
+		if raw.StatusCode != http.StatusMisdirectedRequest {
+			ann := pol.set.Names.Announcement(raw.StatusCode, raw.Header)
+			fail.Announcement = &ann
+		}
+		return nil, fail
 	}
 	if rsp.complete {
 		_ = rsp.Body.Close()
