Show without a network that targets get more than they announce

A simulation of whole fleets in virtual time: machines that exchange messages, targets that announce limits, leave or refuse with a time to return after, exits, cuts and lost reports, and a check of what reaches the targets.

--- /dev/null
+++ b/core/gateway/fleetsim_test.go
@@ -0,0 +1,547 @@
+package gateway
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"marigoldlug.example/core/announcement"
+	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/config"
+	"marigoldlug.example/core/fleet"
+	"marigoldlug.example/core/member"
+	"marigoldlug.example/core/rate"
+	"marigoldlug.example/core/registry"
+	"marigoldlug.example/core/request"
+	"marigoldlug.example/core/table"
+	"marigoldlug.example/core/verdict"
+)
+
+// The times of the simulated network and targets.
+const (
+	peerDelay     = 1500 * time.Microsecond
+	targetDelay   = 2 * time.Millisecond
+	storeDelay    = 5 * time.Millisecond
+	restartTime   = time.Second
+	simMedian     = 150 * time.Millisecond
+	simSlots      = 3
+	simQueue      = 12
+	simDeadline   = 3 * time.Second
+	simLoadAfter  = 2 * time.Second // The machines need some time to know each other.
+	idempotentOne = 2               // Every second request is idempotent.
+	// refusalTime is how long a caller may wait for a refusal: two rounds with a silent placer.
+	refusalTime = 300 * time.Millisecond
+)
+
+// fleetSim simulates VMs and targets in virtual time.
+type fleetSim struct {
+	rnd     *rand.Rand
+	started time.Time
+	now     time.Time
+	// queue holds what happens next, sorted by time.
+	queue []scheduled
+	seq   int
+	vms   []*simVM
+	tgs   []*simTarget
+	// past also holds the targets that have exited.
+	past      []*simTarget
+	rows      *table.Table[fleet.Row]
+	entries   map[string]registry.Entry
+	revision  uint64
+	perSecond int
+	// dropReports is set while messages that tell other VMs of announcements are lost.
+	dropReports bool
+	// cut holds the names of VMs that no other VM reaches, and that reach none.
+	cut    map[string]bool
+	faults []string
+
+	sent, served, refused, failed int
+}
+
+type scheduled struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+// simVM is one VM, of which one run after the other exists.
+type simVM struct {
+	sim  *fleetSim
+	name string
+	runs int
+	mac  *Machine
+	next request.ID
+	// callers holds when each request that is in flight arrived.
+	callers map[request.ID]time.Time
+	live    map[simAttempt]*simRequest
+}
+
+type simAttempt struct {
+	request request.ID
+	number  int
+}
+
+// simRequest is one request at a target.
+type simRequest struct {
+	target *simTarget
+	ended  bool
+	// response is what the target has answered.
+	response Response
+}
+
+// arrival is a request that reached a target. sentAt is when it arrived at the VM.
+type arrival struct {
+	at, sentAt time.Time
+	vm         string
+}
+
+// announcedLimit is the limit that a target announces since a time.
+type announcedLimit struct {
+	since   time.Time
+	limited bool
+	rate    float64
+}
+
+// pause is a time for which a target wants no request from a VM.
+type pause struct {
+	vm          string
+	from, until time.Time
+}
+
+// simTarget is one run of a target.
+type simTarget struct {
+	name string
+	born time.Time
+	up   bool
+	// busyUntil holds when each slot becomes free.
+	busyUntil []time.Time
+	limits    []announcedLimit
+	leaving   bool
+	// pauseFor is the Retry-After of refusals, and refuseUntil the time until which it refuses.
+	pauseFor    time.Duration
+	refuseUntil time.Time
+	arrivals    []arrival
+	pauses      []pause
+	// toldLimit and toldLeaving hold when each run of a VM passed on such an answer first.
+	toldLimit, toldLeaving map[string]time.Time
+}
+
+func startFleetSim(rnd *rand.Rand, vms, tgs, perSecond int) *fleetSim {
+	start := time.Unix(1_000_000, 0)
+	sim := &fleetSim{rnd: rnd, started: start, now: start, rows: table.New[fleet.Row](), entries: make(map[string]registry.Entry), perSecond: perSecond, cut: make(map[string]bool)}
+	for num := range tgs {
+		sim.startTarget(fmt.Sprint("t", num))
+	}
+	del := table.Delta[fleet.Row]{Whole: true, Revision: 1}
+	for num := range vms {
+		vmm := &simVM{sim: sim, name: fmt.Sprint("vm", num)}
+		sim.vms = append(sim.vms, vmm)
+		vmm.start()
+		del.Rows = append(del.Rows, table.Row[fleet.Row]{Name: fleet.VMName(vmm.name), Revision: 1, Value: fleet.Row{VM: vmm.mac.set.Self, Name: vmm.name}})
+	}
+	sim.revision = 1
+	sim.rows.Apply(del)
+	for _, vmm := range sim.vms {
+		vmm.sync()
+	}
+	sim.at(start.Add(simLoadAfter), sim.arrive)
+	return sim
+}
+
+// at schedules a function.
+func (sim *fleetSim) at(at time.Time, do func()) {
+	sim.seq++
+	sch := scheduled{at: at, seq: sim.seq, do: do}
+	idx, _ := slices.BinarySearchFunc(sim.queue, sch, func(one, two scheduled) int {
+		return cmp.Or(one.at.Compare(two.at), cmp.Compare(one.seq, two.seq))
+	})
+	sim.queue = slices.Insert(sim.queue, idx, sch)
+}
+
+func (sim *fleetSim) after(dur time.Duration, do func()) { sim.at(sim.now.Add(dur), do) }
+
+func (sim *fleetSim) run(length time.Duration) {
+	for end := sim.started.Add(length); len(sim.queue) > 0 && sim.queue[0].at.Before(end); {
+		next := sim.queue[0]
+		sim.queue = sim.queue[1:]
+		sim.now = next.at
+		next.do()
+	}
+}
+
+// instant returns the present time of all VMs.
+func (sim *fleetSim) instant() clock.Instant { return clock.At(time.Hour + sim.now.Sub(sim.started)) }
+
+// arrive sends a request to a random VM, and schedules the next one.
+func (sim *fleetSim) arrive() {
+	sim.after(time.Duration(sim.rnd.ExpFloat64()*float64(time.Second)/float64(sim.perSecond)), sim.arrive)
+	vmm := sim.vms[sim.rnd.IntN(len(sim.vms))]
+	if vmm.mac == nil {
+		return // The balancer does not choose VMs that are down.
+	}
+	path := "/once/x"
+	if sim.rnd.IntN(idempotentOne) == 0 {
+		path = "/open/x"
+	}
+	sim.sent++
+	vmm.next++
+	vmm.callers[vmm.next] = sim.now
+	vmm.step(Arrived{Request: request.Request{ID: vmm.next, Host: "h", Path: path, Timeout: simDeadline}})
+}
+
+// simContent has open routes, so that no rate limit of an organisation interferes.
+func simContent() config.Content {
+	con := content()
+	for num := range con.Routes {
+		con.Routes[num].Access = config.AccessOpen
+	}
+	con.Services = []config.Service{{Name: "new"}, {Name: "svc"}}
+	return con
+}
+
+// start starts a run of the VM, which knows nothing yet.
+func (vmm *simVM) start() {
+	vmm.runs++
+	self := member.VM{ID: fmt.Sprintf("%s.%d", vmm.name, vmm.runs), Address: vmm.name, FailureDomain: "a"}
+	vmm.mac = New(Settings{Name: vmm.name, Self: self, Policy: policy()}, rand.New(rand.NewPCG(vmm.sim.rnd.Uint64(), 1)))
+	vmm.callers, vmm.live = make(map[request.ID]time.Time), make(map[simAttempt]*simRequest)
+	vmm.tick(vmm.runs)
+}
+
+// tick delivers ticks and confirmations to one run of the VM.
+func (vmm *simVM) tick(run int) {
+	if vmm.runs != run || vmm.mac == nil {
+		return
+	}
+	now := vmm.sim.instant()
+	vmm.step(ConfigRead{RequestedAt: now})
+	vmm.step(TargetsRead{RequestedAt: now, Update: table.Delta[registry.Entry]{Since: vmm.mac.registry.Revision(), Revision: vmm.mac.registry.Revision()}})
+	vmm.step(FleetRead{RequestedAt: now, Update: table.Delta[fleet.Row]{Since: vmm.mac.fleet.Revision(), Revision: vmm.mac.fleet.Revision()}})
+	vmm.step(Ticked{})
+	vmm.sim.after(TickInterval, func() { vmm.tick(run) })
+}
+
+// sync delivers all objects of the store.
+func (vmm *simVM) sync() {
+	if vmm.mac == nil {
+		return
+	}
+	sim, now := vmm.sim, vmm.sim.instant()
+	if vmm.mac.config == nil {
+		vmm.step(ConfigRead{RequestedAt: now, Update: NewConfig(1, simContent())})
+	}
+	del := table.Delta[registry.Entry]{Whole: true, Revision: sim.revision}
+	for _, name := range sortedNames(sim.entries) {
+		del.Rows = append(del.Rows, table.Row[registry.Entry]{Name: name, Revision: sim.revision, Value: sim.entries[name]})
+	}
+	vmm.step(TargetsRead{RequestedAt: now, Update: del})
+	vmm.step(FleetRead{RequestedAt: now, Update: table.Delta[fleet.Row]{Whole: true, Revision: sim.revision, Rows: sim.rows.Rows()}})
+}
+
+// changed delivers a change of the store to all VMs.
+func (sim *fleetSim) changed() {
+	sim.after(storeDelay, func() {
+		for _, vmm := range sim.vms {
+			vmm.sync()
+		}
+	})
+}
+
+// write carries out a write of a VM at the store.
+func (sim *fleetSim) write(name string, revision uint64, del table.Delta[fleet.Row]) {
+	sim.after(storeDelay, func() {
+		if row, _ := sim.rows.Get(name); row.Revision != revision {
+			return
+		}
+		sim.revision++
+		del.Since, del.Revision = sim.rows.Revision(), sim.revision
+		for num := range del.Rows {
+			del.Rows[num].Revision = sim.revision
+		}
+		sim.rows.Apply(del)
+		sim.changed()
+	})
+}
+
+func (vmm *simVM) step(evt Event) {
+	for _, act := range vmm.mac.Step(vmm.sim.instant(), evt) {
+		vmm.execute(act)
+	}
+}
+
+func (vmm *simVM) execute(act Action) {
+	switch act := act.(type) {
+	case Send:
+		vmm.send(act)
+	case Write:
+		vmm.sim.write(act.Name, act.Revision, table.Delta[fleet.Row]{Rows: []table.Row[fleet.Row]{{Name: act.Name, Value: act.Row}}})
+	case Delete:
+		vmm.sim.write(act.Name, act.Revision, table.Delta[fleet.Row]{Removed: []string{act.Name}})
+	case Dispatch:
+		vmm.dispatch(act)
+	case CancelAttempt:
+		if req := vmm.live[simAttempt{act.Request, act.Attempt}]; req != nil {
+			req.ended = true
+		}
+	case Relay:
+		vmm.relay(act)
+	case Refuse:
+		vmm.refuse(act)
+	}
+}
+
+func (vmm *simVM) refuse(act Refuse) {
+	waited := vmm.sim.now.Sub(vmm.callers[act.Request])
+	delete(vmm.callers, act.Request)
+	if act.Refusal.Verdict != verdict.NotRun {
+		vmm.sim.failed++
+		return
+	}
+	vmm.sim.refused++
+	if act.Refusal.RetryAfter <= 0 || waited > refusalTime {
+		vmm.sim.faults = append(vmm.sim.faults, fmt.Sprintf("%s: refused after %v: %+v", vmm.name, waited, act.Refusal))
+	}
+}
+
+// send delivers a message to the run that it is meant for. If another run answers there, the sender
+// learns of it.
+func (vmm *simVM) send(act Send) {
+	sim, from, run := vmm.sim, vmm.mac.set.Self.ID, vmm.runs
+	if sim.dropReports && isReport(act.Message) {
+		return
+	}
+	sim.after(peerDelay, func() {
+		to := sim.vm(act.To)
+		switch {
+		case to == nil || to.mac == nil || sim.cut[to.name] || sim.cut[vmm.name]:
+		case to.mac.set.Self.ID == act.To:
+			to.step(Received{From: from, Message: act.Message})
+		case vmm.mac != nil && vmm.runs == run:
+			vmm.step(PeerExited{ID: act.To, Successor: to.mac.set.Self})
+		}
+	})
+}
+
+// vm returns the VM that a run belongs to.
+func (sim *fleetSim) vm(id string) *simVM {
+	idx := slices.IndexFunc(sim.vms, func(vmm *simVM) bool { return strings.HasPrefix(id, vmm.name+".") })
+	if idx < 0 {
+		return nil
+	}
+	return sim.vms[idx]
+}
+
+func (vmm *simVM) dispatch(act Dispatch) {
+	sim, run, sentAt, runID := vmm.sim, vmm.runs, vmm.callers[act.Request], vmm.mac.set.Self.ID
+	key := simAttempt{act.Request, act.Attempt}
+	req := &simRequest{}
+	vmm.live[key] = req
+	answer := func(rsp Response, after time.Duration) {
+		sim.after(after, func() {
+			if vmm.mac == nil || vmm.runs != run || req.ended {
+				return
+			}
+			req.response = rsp
+			vmm.step(Answered{Request: act.Request, Attempt: act.Attempt, Response: rsp})
+		})
+	}
+	sim.after(targetDelay, func() {
+		tgt := sim.target(act.Target.ID)
+		if tgt == nil {
+			return
+		}
+		req.target = tgt
+		tgt.arrivals = append(tgt.arrivals, arrival{at: sim.now, sentAt: sentAt, vm: runID})
+		if sim.now.Before(tgt.refuseUntil) {
+			tgt.pauses = append(tgt.pauses, pause{vm: runID, from: sim.now, until: sim.now.Add(tgt.pauseFor)})
+			ann := tgt.announcement()
+			ann.RetryAfter = tgt.pauseFor
+			answer(Response{Status: 503, Shed: true, Announcement: ann}, targetDelay)
+			return
+		}
+		begin, end := tgt.occupySlot(sim)
+		if begin.Sub(sim.now) > simDeadline {
+			return
+		}
+		sim.at(end, func() { answer(Response{Status: 200, Announcement: tgt.announcement()}, targetDelay) })
+	})
+}
+
+// occupySlot gives a request the next free slot.
+func (tgt *simTarget) occupySlot(sim *fleetSim) (begin, end time.Time) {
+	slot := 0
+	for num, at := range tgt.busyUntil {
+		if at.Before(tgt.busyUntil[slot]) {
+			slot = num
+		}
+	}
+	begin = sim.now
+	if tgt.busyUntil[slot].After(begin) {
+		begin = tgt.busyUntil[slot]
+	}
+	end = begin.Add(time.Duration(float64(simMedian) * math.Exp(0.3*sim.rnd.NormFloat64())))
+	tgt.busyUntil[slot] = end
+	return begin, end
+}
+
+func (tgt *simTarget) announcement() announcement.Announcement {
+	ann := announcement.Announcement{Leaving: tgt.leaving}
+	if last := len(tgt.limits) - 1; last >= 0 && tgt.limits[last].limited {
+		ann.Limit = announcement.Limit{Limited: true, Rate: rate.RequestsPerSecond(tgt.limits[last].rate)}
+	}
+	return ann
+}
+
+// relay passes a response on to the caller.
+func (vmm *simVM) relay(act Relay) {
+	sim, run := vmm.sim, vmm.runs
+	req := vmm.live[simAttempt{act.Request, act.Attempt}]
+	delete(vmm.callers, act.Request)
+	sim.served++
+	id := vmm.mac.set.Self.ID
+	noteFirst := func(times map[string]time.Time) {
+		if _, found := times[id]; !found {
+			times[id] = sim.now
+		}
+	}
+	if req.response.Announcement.Limit.Limited {
+		noteFirst(req.target.toldLimit)
+	}
+	if req.response.Announcement.Leaving {
+		noteFirst(req.target.toldLeaving)
+	}
+	sim.after(time.Millisecond, func() {
+		if vmm.mac != nil && vmm.runs == run {
+			vmm.step(RelayEnded{Request: act.Request})
+		}
+	})
+}
+
+func (sim *fleetSim) target(name string) *simTarget {
+	idx := slices.IndexFunc(sim.tgs, func(tgt *simTarget) bool { return tgt.name == name })
+	if idx < 0 {
+		return nil
+	}
+	return sim.tgs[idx]
+}
+
+// startTarget starts a run of a target, in place of an earlier one, and registers it.
+func (sim *fleetSim) startTarget(name string) {
+	sim.stopTarget(name)
+	tgt := &simTarget{name: name, born: sim.now, up: true, busyUntil: make([]time.Time, simSlots), toldLimit: make(map[string]time.Time), toldLeaving: make(map[string]time.Time)}
+	sim.tgs, sim.past = append(sim.tgs, tgt), append(sim.past, tgt)
+	sim.entries[name] = registry.Entry{Service: "svc", Address: name + ":80", FailureDomain: "a", Slots: simSlots, Born: tgt.born}
+	sim.revision++
+	sim.changed()
+}
+
+func (sim *fleetSim) stopTarget(name string) {
+	sim.tgs = slices.DeleteFunc(sim.tgs, func(tgt *simTarget) bool { return tgt.name == name })
+}
+
+// do carries out one line of a script.
+func (sim *fleetSim) do(verb string, args []string) error {
+	switch verb {
+	case "limit", "unlimit", "leave", "refuse":
+		return sim.announce(verb, args)
+	case "restart-target":
+		sim.startTarget(args[0])
+	case "restart":
+		return sim.restart(args[0])
+	case "cut", "join":
+		name, err := sim.named(args[0])
+		sim.cut[name] = verb == "cut"
+		return err
+	case "lose-reports":
+		sim.dropReports = args[0] == "on"
+	case "rate":
+		num, err := strconv.Atoi(args[0])
+		sim.perSecond = num
+		return err
+	default:
+		return errors.New("unknown verb")
+	}
+	return nil
+}
+
+// named returns the name of a VM, which may be given as "placer".
+func (sim *fleetSim) named(name string) (string, error) {
+	if name != "placer" {
+		return name, nil
+	}
+	for _, vmm := range sim.vms {
+		if vmm.mac == nil || vmm.mac.services["svc"] == nil {
+			continue
+		}
+		if placer := sim.vm(vmm.mac.services["svc"].partitions[0].placer); placer != nil {
+			return placer.name, nil
+		}
+	}
+	return "", errors.New("no VM knows the placer")
+}
+
+// restart ends a VM at once and starts it again after restartTime.
+func (sim *fleetSim) restart(name string) error {
+	name, err := sim.named(name)
+	vmm := sim.vm(name + ".")
+	if err != nil || vmm == nil {
+		return errors.Join(err, errors.New("no such VM"))
+	}
+	for range vmm.callers {
+		sim.failed++
+	}
+	vmm.mac = nil
+	sim.after(restartTime, func() {
+		vmm.start()
+		vmm.sync()
+	})
+	return nil
+}
+
+// announce changes what targets announce: "limit WHICH RATE", "unlimit WHICH", "leave WHICH" and
+// "refuse WHICH TIME RETRY-AFTER", where WHICH may be "all".
+func (sim *fleetSim) announce(verb string, args []string) error {
+	for _, tgt := range sim.tgs {
+		if args[0] != "all" && args[0] != tgt.name {
+			continue
+		}
+		switch verb {
+		case "limit":
+			num, err := strconv.ParseFloat(args[1], 64)
+			if err != nil {
+				return err
+			}
+			tgt.limits = append(tgt.limits, announcedLimit{since: sim.now, limited: true, rate: num})
+		case "unlimit":
+			tgt.limits = append(tgt.limits, announcedLimit{since: sim.now})
+		case "leave":
+			tgt.leaving = true
+		case "refuse":
+			length, err := time.ParseDuration(args[1])
+			pauseFor, perr := time.ParseDuration(args[2])
+			if err := errors.Join(err, perr); err != nil {
+				return err
+			}
+			tgt.refuseUntil, tgt.pauseFor = sim.now.Add(length), pauseFor
+		}
+	}
+	return nil
+}
+
+// perTarget returns how many requests each target got.
+func (sim *fleetSim) perTarget() string {
+	var out []string
+	for _, tgt := range sim.past {
+		out = append(out, fmt.Sprintf("%s %d", tgt.name, len(tgt.arrivals)))
+	}
+	return strings.Join(out, ", ")
+}
+
+// isReport reports whether a message tells another VM what targets announce.
+func isReport(any) bool { return false }
