Keep to what targets announce on every way by which a request leaves

The same class, not seen yet: requests to targets that say in their responses that they leave, and to targets that refuse with a time to return after.

Cause: nothing in the fleet read these headers; the placer shares requests by slots, latency and belief.

Now each VM has one book (core/announcement) of what it heard or was told, by target and start time. It is met on the last step before a dispatch, whoever placed the request, and by the placers of the VM, the central one and the local one alike. The placer spaces the requests of the fleet by a token bucket for each limited target. VMs that place by themselves share half of the limit, drawn at random for each second, so that nothing is saved up which all could spend at once. What a VM hears goes to the placer at once, to each new placer, and again when the placer chooses a target by older knowledge; then the request goes elsewhere. A placer's answer carries what it knows, so that every VM notices the end of a limit. Of two announcements whose order is not known the stricter one holds; what an earlier run announced holds for that run only. When only limited targets have room, requests are refused at once, with the time at which the targets take the next ones.

--- a/core/announcement/announcement.go
+++ b/core/announcement/announcement.go
@@ -36,8 +36,8 @@
 	return strconv.FormatFloat(lim.Rate.Float(), 'f', -1, 64)
 }
 
-// stricterThan reports whether lim allows fewer requests than other.
-func (lim Limit) stricterThan(other Limit) bool {
+// StricterThan reports whether lim allows fewer requests than other.
+func (lim Limit) StricterThan(other Limit) bool {
 	return lim.Limited && (!other.Limited || lim.Rate < other.Rate)
 }
 
--- a/core/gateway/announced.go
+++ b/core/gateway/announced.go
@@ -1,17 +1,165 @@
 package gateway
 
 import (
+	"fmt"
+	"slices"
+	"time"
+
 	"marigoldlug.example/core/announcement"
+	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/placement"
+)
+
+const (
+	// localLimitShare is the share of a target's limit that all VMs together may use which place without
+	// the placer. The rest allows for those that still reach it, and for chance.
+	localLimitShare = 0.5
+	// forgetInterval is how often old announcements are dropped.
+	forgetInterval = time.Minute
 )
 
-// heard logs what a target announces in a response, if that differs from its response before.
-func (mac *Machine) heard(att *attempt, ann announcement.Announcement) {
+// heard records what a target announces in its response to an attempt, and tells the placer of the
+// target what is new.
+func (mac *Machine) heard(now clock.Instant, inf *inFlight, att *attempt, ann announcement.Announcement) {
 	run := announcement.RunOf(att.target)
-	before := mac.announced[run]
-	if ann == before {
+	before := mac.book.Limit(run)
+	changed, notable := mac.book.Hear(now, att.startedAt, run, ann)
+	if notable {
+		mac.log("announced", "target", run.Target, "born", run.Born, "limit", ann.Limit.String(), "limitBefore", before.String(), "leaving", ann.Leaving,
+			"retryAfter", ann.RetryAfter, "unreadable", ann.Unreadable)
+	}
+	if par := mac.partitionOfTarget(inf.service, run.Target); changed && par != nil {
+		mac.reportAnnounced(now, par.placer, func(one announcement.Run) bool { return one == run })
+	}
+}
+
+// partitionOfTarget returns the partition of a service to which a target belongs, or nil.
+func (mac *Machine) partitionOfTarget(service, target string) *partition {
+	svc := mac.services[service]
+	if svc == nil {
+		return nil
+	}
+	return svc.partitions[partitionOf(target, len(svc.partitions))]
+}
+
+// reportAnnounced tells a placer what this VM knows of the announcements of some runs. If this VM is
+// the placer itself, it knows that already.
+func (mac *Machine) reportAnnounced(now clock.Instant, placer string, wanted func(run announcement.Run) bool) {
+	if placer == "" || placer == mac.set.Self.ID {
+		return
+	}
+	if rps := mac.book.Reports(now, wanted); len(rps) > 0 {
+		mac.send(now, placer, placement.Announced{Reports: rps})
+	}
+}
+
+// reportPartition tells a placer what the targets of its partition announce.
+func (mac *Machine) reportPartition(now clock.Instant, par *partition, placer string) {
+	if mac.book.Empty() {
 		return
 	}
-	mac.announced[run] = ann
-	mac.log("announced", "target", run.Target, "born", run.Born, "limit", ann.Limit.String(), "leaving", ann.Leaving, "retryAfter", ann.RetryAfter,
-		"unreadable", ann.Unreadable, "limitBefore", before.Limit.String())
+	mac.reportAnnounced(now, placer, func(run announcement.Run) bool {
+		return slices.ContainsFunc(par.targets, func(tgt health.Target) bool { return announcement.RunOf(tgt) == run })
+	})
+}
+
+// learnAnnounced records what another VM reports.
+func (mac *Machine) learnAnnounced(now clock.Instant, from string, rps []announcement.Report) {
+	for _, rep := range rps {
+		if mac.book.Learn(now, rep) {
+			mac.log("announcementLearned", "target", rep.Run.Target, "born", rep.Run.Born, "limit", rep.Limit.String(), "leaving", rep.Leaving, "age", rep.HeardAge, "vm", from)
+		}
+	}
+}
+
+// refusing returns the targets of a partition that want no request of this VM by what they announce.
+func (mac *Machine) refusing(now clock.Instant, par *partition) []string {
+	if mac.book.Empty() {
+		return nil
+	}
+	var out []string
+	for _, tgt := range par.targets {
+		run := announcement.RunOf(tgt)
+		if mac.book.Leaving(run) || mac.book.Paused(now, run) > 0 {
+			out = append(out, tgt.ID)
+		}
+	}
+	return out
+}
+
+// holdBack decides, as the last step before a request is sent to a target, whether the target takes it
+// by what it announces as far as this VM knows. It returns the announcement that forbids it, or an
+// empty text. placer is the VM that chose the target; empty if this VM did so without it.
+func (mac *Machine) holdBack(now clock.Instant, par *partition, tgt health.Target, ans placement.Answer, placer string) string {
+	run := announcement.RunOf(tgt)
+	if ans.Announced != nil {
+		mac.learnAnnounced(now, placer, []announcement.Report{*ans.Announced})
+	}
+	if mac.book.Empty() {
+		return ""
+	}
+	if mac.book.Leaving(run) {
+		return "leaving"
+	}
+	if left := mac.book.Paused(now, run); left > 0 {
+		return fmt.Sprintf("retry after %v", left)
+	}
+	lim := mac.book.Limit(run)
+	if placer == "" {
+		return "" // The local placer has counted the request against this VM's share of the limit.
+	}
+	known := announcement.Limit{}
+	if ans.Announced != nil && ans.Announced.Run == run {
+		known = ans.Announced.Limit
+	}
+	if lim == known {
+		return ""
+	}
+	// The placer knows less than this VM.
+	mac.reportPartition(now, par, placer)
+	if lim.StricterThan(known) {
+		return fmt.Sprintf("limit %s, the placer goes by %s", lim, known)
+	}
+	return ""
+}
+
+// shortestPause returns the shortest time for which a target of a service wants no request of this VM,
+// and whether there is such a target.
+func (mac *Machine) shortestPause(now clock.Instant, service string) (time.Duration, bool) {
+	svc := mac.services[service]
+	if svc == nil || mac.book.Empty() {
+		return 0, false
+	}
+	least, found := time.Duration(0), false
+	for _, par := range svc.partitions {
+		for _, tgt := range par.targets {
+			left := mac.book.Paused(now, announcement.RunOf(tgt))
+			if left > 0 && (!found || left < least) {
+				least, found = left, true
+			}
+		}
+	}
+	return least, found
+}
+
+// localShare returns the share of a target's limit that this VM may use while it places without the
+// placer.
+func (mac *Machine) localShare() float64 {
+	return localLimitShare / float64(max(mac.fleet.View().Size(), minAssumedVMs))
+}
+
+// forgetAnnouncements drops the announcements of runs that exited long ago.
+func (mac *Machine) forgetAnnouncements(now clock.Instant) {
+	if mac.book.Empty() || now.Since(mac.forgotAt) < forgetInterval {
+		return
+	}
+	mac.forgotAt = now
+	registered := make(map[announcement.Run]bool)
+	for _, tgs := range mac.registry.Targets() {
+		for _, tgt := range tgs {
+			registered[announcement.RunOf(tgt)] = true
+		}
+	}
+	mac.book.Forget(now, registered)
 }
--- a/core/gateway/inflight.go
+++ b/core/gateway/inflight.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/health"
@@ -61,6 +62,9 @@
 	queriedPartition *partition
 	// tried lists the IDs of the targets that the request is not sent to again.
 	tried []string
+	// heldBack lists the targets that a placer chose and that this VM did not send the request to by
+	// what they announce; see Machine.holdBack.
+	heldBack []string
 	// live holds the running attempts, the oldest first, maxLive at most.
 	live []*attempt
 	// hedgeAt is when an idempotent request may be sent to another target while its attempts are
@@ -301,9 +305,13 @@
 	inf.hedgeAt, inf.replaceAt = now.Add(ans.HedgeAfter), now.Add(ans.ReplaceAfter)
 	inf.sent++
 	inf.tried = append(inf.tried, tgt.ID)
-	mac.emit(LogEntry{Request: inf.ID, Event: "dispatched", Fields: []any{
+	fields := []any{
 		"attempt", inf.attempt, "target", tgt.ID, "route", inf.route.Name, "left", left, "placer", placer, "beside", beside, "version", mac.version(),
-	}})
+	}
+	if lim := mac.book.Limit(announcement.RunOf(tgt)); lim.Limited {
+		fields = append(fields, "limit", lim.String())
+	}
+	mac.emit(LogEntry{Request: inf.ID, Event: "dispatched", Fields: fields})
 	mac.emit(Dispatch{
 		Request: inf.ID, Attempt: inf.attempt, Target: tgt, Service: inf.service, Timeout: left, Idempotent: inf.route.Idempotent,
 		Connections: mac.connections(tgt), Route: inf.route.Name, Organisation: inf.organisation,
@@ -344,7 +352,7 @@
 	}
 	rsp := evt.Response
 	if !rsp.Misdirected {
-		mac.heard(att, rsp.Announcement)
+		mac.heard(now, inf, att, rsp.Announcement)
 	}
 	switch {
 	case rsp.Misdirected:
@@ -407,7 +415,7 @@
 		return
 	}
 	if evt.Announcement != nil {
-		mac.heard(att, *evt.Announcement)
+		mac.heard(now, inf, att, *evt.Announcement)
 	}
 	if evt.Verdict == verdict.NotRun {
 		inf.sent-- // Nothing reached the target.
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -62,8 +62,10 @@
 	number         uint64
 	pendingQueries map[uint64]request.ID
 	requests       map[request.ID]*inFlight
-	// announced holds what the last response of each run of a target announced.
-	announced map[announcement.Run]announcement.Announcement
+	// book is what this VM knows of the announcements of targets, and forgotAt when old ones were last
+	// dropped.
+	book     *announcement.Book
+	forgotAt clock.Instant
 	// queued holds the requests that arrived before this VM knew the configuration and the targets,
 	// in order of arrival.
 	queued []queued
@@ -95,7 +97,7 @@
 		services:       make(map[string]*service),
 		pendingQueries: make(map[uint64]request.ID),
 		requests:       make(map[request.ID]*inFlight),
-		announced:      make(map[announcement.Run]announcement.Announcement),
+		book:           announcement.NewBook(),
 		releases:       make(map[string]release),
 
 		placementCounts: make(map[string]uint64),
@@ -261,6 +263,7 @@
 	mac.tickPlacement(now)
 	mac.tokens.Tick(now)
 	mac.hedgeAndExpire(now)
+	mac.forgetAnnouncements(now)
 }
 
 // drainTokenOutputs handles the outputs of the token client until none is left.
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"math/bits"
 	"slices"
 	"strconv"
@@ -8,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/placement"
@@ -78,7 +80,7 @@
 	if created {
 		svc = &service{name: name}
 		for num := range cnt {
-			svc.partitions = append(svc.partitions, &partition{service: name, number: num, local: placement.New(mac.rnd, mac.localRetryBudget(now))})
+			svc.partitions = append(svc.partitions, &partition{service: name, number: num, local: mac.newLocalPlacer(now)})
 		}
 		mac.services[name] = svc
 	}
@@ -99,6 +101,11 @@
 	}
 }
 
+// newLocalPlacer returns a placer for the requests of this VM alone.
+func (mac *Machine) newLocalPlacer(now clock.Instant) *placement.Placer {
+	return placement.New(mac.rnd, mac.localRetryBudget(now), mac.book, placement.NewShareLimiter(mac.rnd, mac.localShare))
+}
+
 // localRetryBudget returns the budget for retries that this VM places by itself.
 func (mac *Machine) localRetryBudget(now clock.Instant) *request.RetryBudget {
 	pol := mac.set.Policy
@@ -116,7 +123,8 @@
 	return request.NewRetryBudget(now, pol.RetryWindow, pol.RetryShare*placerRetryShare, pol.RetryExtra*placerRetryShare/float64(partitions))
 }
 
-// setPlacer determines the placer of a partition, and tells a new one which attempts run there.
+// setPlacer determines the placer of a partition, and tells a new one which attempts run there and what
+// the targets announce.
 func (mac *Machine) setPlacer(now clock.Instant, par *partition) {
 	placer := ""
 	if first := mac.fleet.View().Ranked(par.rankKey(), 1); len(first) > 0 {
@@ -135,6 +143,7 @@
 		mac.ensureCentral(now, par)
 	}
 	mac.reportRunning(now, par)
+	mac.reportPartition(now, par, placer)
 }
 
 // reportRunning tells the placer of a partition which attempts of this VM run there.
@@ -161,7 +170,8 @@
 // ensureCentral returns the placer that this VM keeps for the requests of all VMs to a partition.
 func (mac *Machine) ensureCentral(now clock.Instant, par *partition) *placement.Placer {
 	if par.central == nil {
-		par.central = placement.New(mac.rnd, mac.placerRetryBudget(now, len(mac.services[par.service].partitions)))
+		bud := mac.placerRetryBudget(now, len(mac.services[par.service].partitions))
+		par.central = placement.New(mac.rnd, bud, mac.book, placement.NewFleetLimiter())
 		par.central.SetTargets(now, par.targets)
 	}
 	return par.central
@@ -191,6 +201,7 @@
 		ans := placement.Answer{Number: msg.Number, Reason: placement.NoTargetsKnown}
 		if par := mac.partitionAt(msg.Service, msg.Partition); par != nil && len(par.targets) > 0 {
 			ans = mac.ensureCentral(now, par).Place(now, placement.AttemptID{VM: from, Number: msg.Number}, msg.Criteria)
+			ans.Announced = mac.announcedBy(now, par.central, ans.Target)
 		}
 		mac.countPlacement(msg.Criteria, ans)
 		mac.send(now, from, ans)
@@ -208,9 +219,27 @@
 				mac.ensureCentral(now, par).Track(now, from, run)
 			}
 		}
+	case placement.Announced:
+		mac.learnAnnounced(now, from, msg.Reports)
 	}
 }
 
+// announcedBy returns what this VM knows that a target announces, nil if that is nothing.
+func (mac *Machine) announcedBy(now clock.Instant, pla *placement.Placer, target string) *announcement.Report {
+	if mac.book.Empty() {
+		return nil
+	}
+	tgt, found := pla.Target(target)
+	if !found {
+		return nil
+	}
+	rep, known := mac.book.Report(now, announcement.RunOf(tgt))
+	if !known {
+		return nil
+	}
+	return &rep
+}
+
 // countPlacement counts an answer of this VM as a placer, by outcome.
 func (mac *Machine) countPlacement(cri placement.Criteria, ans placement.Answer) {
 	switch {
@@ -261,9 +290,10 @@
 }
 
 func (mac *Machine) criteria(now clock.Instant, inf *inFlight) placement.Criteria {
+	excluded := slices.Concat(inf.tried, inf.heldBack, mac.refusing(now, inf.queriedPartition))
 	return placement.Criteria{
 		Route: inf.route.Name, Domain: mac.set.Self.FailureDomain, Idempotent: inf.route.Idempotent, Retry: inf.sent > 0, Hedge: inf.hedging,
-		TimeToGoal: max(inf.goal.Mono-now.Mono, 0), TimeLeft: max(inf.deadline.Mono-now.Mono, 0), Tried: slices.Clone(inf.tried),
+		TimeToGoal: max(inf.goal.Mono-now.Mono, 0), TimeLeft: max(inf.deadline.Mono-now.Mono, 0), Tried: excluded,
 		Priority: int(inf.priority),
 	}
 }
@@ -326,6 +356,13 @@
 		mac.placeLocally(now, inf)
 		return
 	}
+	if why := mac.holdBack(now, inf.queriedPartition, tgt, ans, placer); why != "" {
+		mac.emit(LogEntry{Request: inf.ID, Event: "heldBack", Fields: []any{"target", tgt.ID, "announced", why, "placer", placer}})
+		mac.reportEnd(now, inf.queriedPartition, inf.queryNumber, placer, health.Canceled)
+		inf.heldBack = append(inf.heldBack, tgt.ID)
+		mac.place(now, inf)
+		return
+	}
 	mac.dispatch(now, inf, tgt, ans, placer)
 }
 
@@ -347,7 +384,15 @@
 		return
 	}
 	ref := request.Refusal{Reason: request.Overloaded, RetryAfter: ans.RetryAfter, Detail: "the targets have no room in time"}
+	pause, paused := mac.shortestPause(now, inf.service)
 	switch {
+	case ans.Reason == placement.Limited:
+		ref.Detail = fmt.Sprintf("the targets with room take only %g requests a second, as they announce", ans.Limits.Float())
+		if inf.queriedPlacer == "" || now.Before(inf.queriedPartition.backoffUntil) {
+			ref.RetryAfter = max(ref.RetryAfter, mac.randomRetryAfter()) // The placer may know better by then.
+		}
+	case ans.Reason == placement.NoTargetLeft && paused:
+		ref.Detail, ref.RetryAfter = fmt.Sprintf("no target takes requests of this VM for %v, as they announce", pause), pause
 	case ans.Reason == placement.NoTargetLeft && inf.attempt > 0:
 		ref.Detail, ref.RetryAfter = "no target is left that has not been tried", mac.randomRetryAfter()
 	case ans.Reason == placement.NoTargetLeft:
--- a/core/placement/message.go
+++ b/core/placement/message.go
@@ -6,7 +6,9 @@
 import (
 	"time"
 
+	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/rate"
 )
 
 // Message is a message between a VM and a placer.
@@ -66,6 +68,10 @@
 	RetryAfter time.Duration
 	// Reason says why the request is refused.
 	Reason Reason
+	// Limits is the sum of the limits for which the request is refused, if Reason is Limited.
+	Limits rate.PerSecond
+	// Announced is what the placer knows that Target announces; nil if that is nothing.
+	Announced *announcement.Report
 }
 
 // End is the end of an attempt.
@@ -98,10 +104,16 @@
 	Attempts []RunningAttempt
 }
 
-func (Query) placementMessage()  {}
-func (Answer) placementMessage() {}
-func (Ended) placementMessage()  {}
-func (Track) placementMessage()  {}
+// Announced reports to a placer what targets announce.
+type Announced struct {
+	Reports []announcement.Report
+}
+
+func (Query) placementMessage()     {}
+func (Answer) placementMessage()    {}
+func (Ended) placementMessage()     {}
+func (Track) placementMessage()     {}
+func (Announced) placementMessage() {}
 
 // Reason says why a request was not placed.
 type Reason string
@@ -112,6 +124,8 @@
 	NoTargetLeft Reason = "noTarget"
 	// NoRoom means that no target can take the request, or none is likely to answer it in time.
 	NoRoom Reason = "noRoom"
+	// Limited means that only targets have room which get no request now by the limits that they announce.
+	Limited Reason = "limited"
 	// NoRetry means that the retry budget is used up.
 	NoRetry Reason = "noRetry"
 	// NoTargetsKnown means that the VM that was asked knows no target of the partition. Other VMs may still
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -6,8 +6,10 @@
 	"slices"
 	"time"
 
+	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/rate"
 	"marigoldlug.example/core/request"
 )
 
@@ -156,7 +158,12 @@
 	// overall is the estimate for all routes together; nil before the first request.
 	overall *latency
 	budget  *request.RetryBudget
-	changes []SuspicionChange
+	// announcements and limiter say which targets get requests by what they announce.
+	announcements Announcements
+	limiter       Limiter
+	// limitRetryAt is the latest time at which callers were told to return that were refused for limits.
+	limitRetryAt clock.Instant
+	changes      []SuspicionChange
 	// maxWait is the longest wait for a slot for which requests are queued, 0 if there is no such bound;
 	// see updateMaxWait.
 	maxWait time.Duration
@@ -166,9 +173,12 @@
 	prunedAt clock.Instant
 }
 
-// New returns a placer without targets, which takes retries from the given budget.
-func New(rnd *rand.Rand, bud *request.RetryBudget) *Placer {
-	return &Placer{rnd: rnd, budget: bud, attempts: make(map[AttemptID]*attempt), latencies: make(map[string]*latency)}
+// New returns a placer without targets, which takes retries from the given budget and keeps to what
+// targets announce.
+func New(rnd *rand.Rand, bud *request.RetryBudget, ann Announcements, lim Limiter) *Placer {
+	return &Placer{
+		rnd: rnd, budget: bud, announcements: ann, limiter: lim, attempts: make(map[AttemptID]*attempt), latencies: make(map[string]*latency),
+	}
 }
 
 // DrainChanges returns the changes since the last call and clears them.
@@ -247,16 +257,17 @@
 	if !cri.Retry {
 		lat.goal, lat.goalAt = cri.TimeToGoal, now
 	}
-	best, shortestWait := pla.choose(now, aid.VM, cri, lat)
+	best, full := pla.choose(now, aid.VM, cri, lat)
 	switch {
 	case best.target != nil && cri.Retry && !pla.budget.TryRetry(now, cri.budgetShare()):
 		return Answer{Number: aid.Number, Reason: NoRetry}
-	case best.target == nil && shortestWait < 0:
-		return Answer{Number: aid.Number, Reason: NoTargetLeft}
 	case best.target == nil:
-		return Answer{Number: aid.Number, Reason: NoRoom, RetryAfter: max(shortestWait, time.Millisecond)}
+		return pla.refusal(now, aid, full)
 	}
 	tgt := best.target
+	if tgt.allowance != nil {
+		pla.limiter.take(tgt.allowance)
+	}
 	trial := tgt.suspected && len(tgt.running) == 0
 	pla.begin(now, &attempt{
 		id: aid, target: tgt, route: cri.Route, idempotent: cri.Idempotent, began: now, deadline: now.Add(cri.TimeLeft), queueWait: best.queueWait,
@@ -273,25 +284,56 @@
 	pla.attempts[att.id] = att
 }
 
-// choose returns the candidate of least cost. If there is none, best.target is nil, and shortestWait
-// is the shortest time until a target may have room; it is negative if there is no target at all.
-func (pla *Placer) choose(now clock.Instant, vmm string, cri Criteria, lat *latency) (best candidate, shortestWait time.Duration) {
-	shortestWait = -1
+// obstacles says why no target can take a request.
+type obstacles struct {
+	// wait is the shortest time until a target may take the request; negative if there is no target.
+	wait time.Duration
+	// limits is the sum of the limits of the targets that have room and get nothing now for their limits
+	// alone, and limited is set if there is one.
+	limited bool
+	limits  rate.PerSecond
+}
+
+// add adds a target that cannot take the request for a time.
+func (obs *obstacles) add(wait time.Duration) {
+	if obs.wait < 0 || wait < obs.wait {
+		obs.wait = wait
+	}
+}
+
+// refusal returns the answer to a request that no target can take.
+func (pla *Placer) refusal(now clock.Instant, aid AttemptID, obs obstacles) Answer {
+	switch {
+	case obs.wait < 0:
+		return Answer{Number: aid.Number, Reason: NoTargetLeft}
+	case obs.limited:
+		return Answer{Number: aid.Number, Reason: Limited, Limits: obs.limits, RetryAfter: pla.limitRetry(now, obs.wait, obs.limits)}
+	}
+	return Answer{Number: aid.Number, Reason: NoRoom, RetryAfter: max(obs.wait, time.Millisecond)}
+}
+
+// choose returns the candidate of least cost. If there is none, best.target is nil, and obs says why.
+func (pla *Placer) choose(now clock.Instant, vmm string, cri Criteria, lat *latency) (best candidate, obs obstacles) {
+	obs.wait = -1
 	est := lat.orElse(pla.overall)
 	for _, at := range pla.rnd.Perm(len(pla.targets)) {
 		tgt := pla.targets[at]
-		if now.Before(tgt.avoidUntil) || slices.Contains(cri.Tried, tgt.ID) {
+		if now.Before(tgt.avoidUntil) || slices.Contains(cri.Tried, tgt.ID) || pla.announcements.Leaving(announcement.RunOf(tgt.Target)) {
 			continue
 		}
 		queueWait := pla.queueWait(now, tgt)
-		if cri.Hedge && queueWait > 0 {
-			shortestWait = max(shortestWait, 0)
-			continue // A hedge must not take a slot for which other requests wait.
+		lim, limitWait := pla.limitWait(now, tgt)
+		if cri.Hedge && (queueWait > 0 || lim.Limited) {
+			obs.wait = max(obs.wait, 0)
+			continue // A hedge must not take a slot for which other requests wait, nor what a limit leaves.
 		}
 		if est.late(cri.TimeLeft, queueWait, tgt.slowdown(now)) || len(tgt.running) >= tgt.capacity(cri.Priority) || pla.queueFull(tgt, queueWait) {
-			if over := pla.timeToRoom(now, cri, tgt, lat, queueWait); shortestWait < 0 || over < shortestWait {
-				shortestWait = over
-			}
+			obs.add(max(pla.timeToRoom(now, cri, tgt, lat, queueWait), limitWait))
+			continue
+		}
+		if limitWait > 0 {
+			obs.add(limitWait)
+			obs.limited, obs.limits = true, obs.limits+lim.Rate
 			continue
 		}
 		can := candidate{target: tgt, queueWait: queueWait, cost: pla.cost(now, vmm, cri, lat, tgt, queueWait)}
@@ -299,7 +341,7 @@
 			best = can
 		}
 	}
-	return best, shortestWait
+	return best, obs
 }
 
 // cost returns the expected cost of a placement, as a fraction of the value of the request.
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -29,6 +29,8 @@
 	// avoidUntil is the end of the time in which the target is not used because another target
 	// answered at its address.
 	avoidUntil clock.Instant
+	// allowance is nil unless the target announces a limit.
+	allowance *allowance
 }
 
 // capacity returns the most requests that the target is given at a time. It is less for requests of
--- a/lugd/pkg/peer/codec.go
+++ b/lugd/pkg/peer/codec.go
@@ -28,6 +28,10 @@
 	kindPlacementAnswer = 57
 	kindPlacementEnded  = 58
 	kindPlacementTrack  = 59
+	// kindPlacementAnnounced and kindAnnouncedAnswer are sent only while targets announce something: older
+	// programs do not know them. The second one is a kindPlacementAnswer with what the target announces.
+	kindPlacementAnnounced = 60
+	kindAnnouncedAnswer    = 61
 )
 
 // protocolVersion is raised when frames change in a way that older programs cannot
--- a/lugd/pkg/peer/placement.go
+++ b/lugd/pkg/peer/placement.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/placement"
+	"marigoldlug.example/core/rate"
 )
 
 // encodePlacementMessage encodes a message of package placement, and reports whether msg is one.
@@ -15,13 +17,7 @@
 		wrt.unsigned(msg.Number)
 		wrt.criteria(msg.Criteria)
 	case placement.Answer:
-		wrt.unsigned(kindPlacementAnswer)
-		wrt.unsigned(msg.Number)
-		wrt.text(msg.Target)
-		wrt.duration(msg.HedgeAfter)
-		wrt.duration(msg.ReplaceAfter)
-		wrt.duration(msg.RetryAfter)
-		wrt.text(string(msg.Reason))
+		wrt.answer(msg)
 	case placement.Ended:
 		wrt.unsigned(kindPlacementEnded)
 		wrt.count(len(msg.Ends))
@@ -43,12 +39,52 @@
 			wrt.duration(att.Age)
 			wrt.duration(att.TimeLeft)
 		}
+	case placement.Announced:
+		wrt.unsigned(kindPlacementAnnounced)
+		wrt.reports(msg.Reports)
 	default:
 		return false
 	}
 	return true
 }
 
+func (wrt *writer) answer(ans placement.Answer) {
+	extended := ans.Announced != nil || ans.Limits != 0
+	if extended {
+		wrt.unsigned(kindAnnouncedAnswer)
+	} else {
+		wrt.unsigned(kindPlacementAnswer)
+	}
+	wrt.unsigned(ans.Number)
+	wrt.text(ans.Target)
+	wrt.duration(ans.HedgeAfter)
+	wrt.duration(ans.ReplaceAfter)
+	wrt.duration(ans.RetryAfter)
+	wrt.text(string(ans.Reason))
+	if !extended {
+		return
+	}
+	wrt.signed(int64(ans.Limits))
+	var rps []announcement.Report
+	if ans.Announced != nil {
+		rps = append(rps, *ans.Announced)
+	}
+	wrt.reports(rps)
+}
+
+func (wrt *writer) reports(rps []announcement.Report) {
+	wrt.count(len(rps))
+	for _, rep := range rps {
+		wrt.text(rep.Run.Target)
+		wrt.signed(rep.Run.Born)
+		wrt.boolean(rep.Limit.Limited)
+		wrt.signed(int64(rep.Limit.Rate))
+		wrt.boolean(rep.Leaving)
+		wrt.duration(rep.SentAge)
+		wrt.duration(rep.HeardAge)
+	}
+}
+
 func (wrt *writer) criteria(cri placement.Criteria) {
 	wrt.text(cri.Route)
 	wrt.text(cri.Domain)
@@ -68,9 +104,16 @@
 	case kindPlacementQuery:
 		return placement.Query{Service: rdr.text(), Partition: int(rdr.signed()), Number: rdr.unsigned(), Criteria: rdr.criteria()}
 	case kindPlacementAnswer:
-		return placement.Answer{
-			Number: rdr.unsigned(), Target: rdr.text(), HedgeAfter: rdr.duration(), ReplaceAfter: rdr.duration(), RetryAfter: rdr.duration(), Reason: placement.Reason(rdr.text()),
+		return rdr.answer()
+	case kindAnnouncedAnswer:
+		ans := rdr.answer()
+		ans.Limits = rate.PerSecond(rdr.signed())
+		if rps := rdr.reports(); len(rps) > 0 {
+			ans.Announced = &rps[0]
 		}
+		return ans
+	case kindPlacementAnnounced:
+		return placement.Announced{Reports: rdr.reports()}
 	case kindPlacementEnded:
 		var msg placement.Ended
 		for cnt := rdr.count(); cnt > 0 && rdr.err == nil; cnt-- {
@@ -92,6 +135,24 @@
 	return nil
 }
 
+func (rdr *reader) answer() placement.Answer {
+	return placement.Answer{
+		Number: rdr.unsigned(), Target: rdr.text(), HedgeAfter: rdr.duration(), ReplaceAfter: rdr.duration(), RetryAfter: rdr.duration(), Reason: placement.Reason(rdr.text()),
+	}
+}
+
+func (rdr *reader) reports() []announcement.Report {
+	var out []announcement.Report
+	for cnt := rdr.count(); cnt > 0 && rdr.err == nil; cnt-- {
+		out = append(out, announcement.Report{
+			Run:   announcement.Run{Target: rdr.text(), Born: rdr.signed()},
+			Limit: announcement.Limit{Limited: rdr.boolean(), Rate: rate.PerSecond(rdr.signed())}, Leaving: rdr.boolean(),
+			SentAge: rdr.duration(), HeardAge: rdr.duration(),
+		})
+	}
+	return out
+}
+
 func (rdr *reader) criteria() placement.Criteria {
 	return placement.Criteria{
 		Route: rdr.text(), Domain: rdr.text(), Idempotent: rdr.boolean(), Retry: rdr.boolean(), Hedge: rdr.boolean(), TimeToGoal: rdr.duration(), TimeLeft: rdr.duration(),
