--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -370,8 +370,12 @@
 // TargetStatus is what a VM knows about a target.
 type TargetStatus struct {
 	ID, Service, Address, FailureDomain string
-	// Leaving is set once the target wants no new requests.
+	// Leaving is set once the target wants no new requests, by its registration or by its responses.
 	Leaving bool
+	// Limit is the limit that the target announces, as far as this VM knows, and Paused for how long it
+	// wants no request from this VM.
+	Limit  announcement.Limit
+	Paused time.Duration
 	// Placer is the VM that places the requests to the target, and Sick the estimated probability
 	// that the target is failing, as far as this VM knows.
 	Placer string
@@ -383,7 +387,11 @@
 	var out []TargetStatus
 	for _, row := range mac.registry.Rows() {
 		ent := row.Value
-		tgt := TargetStatus{ID: row.Name, Service: ent.Service, Address: ent.Address, FailureDomain: ent.FailureDomain, Leaving: ent.Leaving}
+		run := announcement.Run{Target: row.Name, Born: ent.Born.UnixMilli()}
+		tgt := TargetStatus{
+			ID: row.Name, Service: ent.Service, Address: ent.Address, FailureDomain: ent.FailureDomain, Leaving: ent.Leaving || mac.book.Leaving(run),
+			Limit: mac.book.Limit(run), Paused: mac.book.Paused(now, run),
+		}
 		if svc := mac.services[ent.Service]; svc != nil {
 			par := svc.partitions[partitionOf(row.Name, len(svc.partitions))]
 			tgt.Placer, tgt.Sick = par.placer, par.local.Sick(now, row.Name)
--- a/lugbench/pkg/soak/conn.go
+++ b/lugbench/pkg/soak/conn.go
@@ -9,9 +9,11 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"marigoldlug.example/lugbench/pkg/playground"
+	"marigoldlug.example/platform/pkg/objects"
 )
 
 const (
@@ -82,7 +84,7 @@
 	for idx := range reqs {
 		req, closing := &reqs[idx], false
 		if err == nil {
-			req.response, closing, err = con.readResponse()
+			closing, err = con.readResponse(req)
 		}
 		if err != nil {
 			req.fail(writtenAt, idx > 0, err)
@@ -96,16 +98,19 @@
 	return err == nil
 }
 
-// readResponse reads a whole response. closing is set if the VM closes the connection
-// after it.
-func (con *conn) readResponse() (res playground.Response, closing bool, err error) {
+// readResponse reads the whole response to a request. closing is set if the VM closes the
+// connection after it.
+func (con *conn) readResponse(req *sentRequest) (closing bool, err error) {
 	rsp, err := http.ReadResponse(con.rdr, nil)
 	if err != nil {
-		return res, false, err
+		return false, err
 	}
 	defer func() { _ = rsp.Body.Close() }()
-	res, err = playground.ReadResponse(rsp)
-	return res, rsp.Close, err
+	req.response, err = playground.ReadResponse(rsp)
+	nms := objects.Names()
+	req.limits, req.leaving = strings.Join(rsp.Header.Values(nms.RateLimit), ","), rsp.Header.Get(nms.Leaving)
+	req.endedAt = time.Now()
+	return rsp.Close, err
 }
 
 func (req *sentRequest) write(dst io.Writer, key string) error {
--- a/lugbench/pkg/soak/load.go
+++ b/lugbench/pkg/soak/load.go
@@ -24,7 +24,12 @@
 	// organisation is the one whose key the request carried.
 	organisation string
 	vm           *process
-	at           time.Time
+	// run is the run of the VM to which it was sent.
+	run *programRun
+	at  time.Time
+	// endedAt is when the whole response was read, and limits and leaving are what it announced.
+	endedAt         time.Time
+	limits, leaving string
 	// afterFaults is set for requests sent in the time without faults between
 	// injectFaults and runIsolation.
 	afterFaults bool
@@ -109,7 +114,7 @@
 	// Adding num/pathCount sends the requests for each path to every VM in turn.
 	vmm := loa.flt.vms[(num+num/pathCount)%len(loa.flt.vms)]
 	for idx := range reqs {
-		reqs[idx].at, reqs[idx].afterFaults, reqs[idx].vm = time.Now(), loa.afterFaults.Load(), vmm
+		reqs[idx].at, reqs[idx].afterFaults, reqs[idx].vm, reqs[idx].run = time.Now(), loa.afterFaults.Load(), vmm, vmm.run.Load()
 	}
 	if con, err := vmm.connect(); err != nil {
 		for idx := range reqs {
@@ -187,6 +192,7 @@
 	}
 	rep.verifyQuota(runs)
 	rep.verifyRetries(runs)
+	rep.verifyAnnouncements(flt)
 	for _, req := range rep.requests {
 		rep.verifyResponse(req, runs[req.id])
 		rep.verifyRuns(flt, req, runs[req.id])
--- a/lugbench/pkg/soak/process.go
+++ b/lugbench/pkg/soak/process.go
@@ -38,6 +38,8 @@
 	// disruptedUntil is when the last pause ends, with closeRaceTime as a margin, or when
 	// the process was last killed.
 	disruptedUntil atomicTime
+	// pauses records when the process was suspended.
+	pauses spans
 	// restarting is held during a restart.
 	restarting sync.Mutex
 }
@@ -155,9 +157,11 @@
 func (prc *process) pause(dur time.Duration) {
 	prc.flt.rep.faultf("%s: paused for %v", prc.set.Name, dur)
 	prc.disruptedUntil.Store(time.Now().Add(dur + closeRaceTime).UnixNano())
+	prc.pauses.set(true)
 	prc.signal(syscall.SIGSTOP)
 	time.Sleep(dur)
 	prc.signal(syscall.SIGCONT)
+	prc.pauses.set(false)
 }
 
 // awaitExit waits until the last run has exited, and kills it if that takes too long.
--- a/lugbench/pkg/soak/proxy.go
+++ b/lugbench/pkg/soak/proxy.go
@@ -29,6 +29,8 @@
 	lis        net.Listener
 	server     string
 	linkFaults atomic.Pointer[linkFaults]
+	// faulty records when there were faults.
+	faulty spans
 	// conns has the open connections as keys.
 	conns sync.Map
 }
@@ -51,6 +53,7 @@
 // setFaults replaces the faults.
 func (prx *proxy) setFaults(fls linkFaults) {
 	prx.linkFaults.Store(&fls)
+	prx.faulty.set(fls != linkFaults{})
 	if fls.reset {
 		prx.conns.Range(func(con, _ any) bool {
 			reset(con.(net.Conn))
--- a/lugbench/pkg/soak/soak.go
+++ b/lugbench/pkg/soak/soak.go
@@ -117,7 +117,12 @@
 	wgr.Go(func() { load.sendAtRate(sendCtx, set.PerSecond, load.send) })
 	wgr.Go(func() { load.sendAtRate(sendCtx, smallPerSecond, load.sendSmall) })
 	time.Sleep(faultFreeTime)
+	announceCtx, stopAnnouncing := context.WithTimeout(sendCtx, set.FaultTime)
+	for stream := range uint64(announcementStreams) {
+		wgr.Go(func() { flt.announce(announceCtx, stream) })
+	}
 	flt.injectFaults(ctx)
+	stopAnnouncing()
 	load.afterFaults.Store(true)
 	time.Sleep(faultFreeTime)
 	load.afterFaults.Store(false)
--- a/lugbench/pkg/targetfake/target.go
+++ b/lugbench/pkg/targetfake/target.go
@@ -42,6 +42,27 @@
 	Key bool
 }
 
+// Announcements are what a target announces in all its responses, as it sends them: the values need
+// not be well-formed.
+type Announcements struct {
+	// Limits are the values of the header that limits the rate, each on a line of its own.
+	Limits []string
+	// Leaving is the value of the header that says that the target leaves; empty for none.
+	Leaving string
+	// RetryAfter is the value of that header. Unless it is empty, the target refuses all requests.
+	RetryAfter string
+}
+
+// Arrival is a request that has reached a target, refused or not.
+type Arrival struct {
+	Request string
+	At      time.Time
+	// AnsweredAt is when the head of the response was sent; zero if none was.
+	AnsweredAt time.Time
+	// Announced is what the response announced.
+	Announced Announcements
+}
+
 // Target is a fake target. It is safe for concurrent use.
 type Target struct {
 	id, service, failureDomain string
@@ -52,10 +73,12 @@
 	// freeSlots has one element for each free slot.
 	freeSlots chan struct{}
 
-	mut     sync.Mutex
-	faults  Faults
-	waiting int
-	runs    []Run
+	mut       sync.Mutex
+	faults    Faults
+	announced Announcements
+	waiting   int
+	runs      []Run
+	arrivals  []Arrival
 }
 
 // New returns a target that is not registered yet.
@@ -72,8 +95,11 @@
 
 // Register writes the target's registry entry, by which VMs reach it at the address.
 func (tgt *Target) Register(address string, leaving bool) error {
+	tgt.mut.Lock()
+	born := tgt.born
+	tgt.mut.Unlock()
 	raw, err := objects.EncodeTarget(registry.Entry{
-		Service: tgt.service, Address: address, FailureDomain: tgt.failureDomain, Version: "v1", Slots: tgt.slots, Leaving: leaving, Born: tgt.born,
+		Service: tgt.service, Address: address, FailureDomain: tgt.failureDomain, Version: "v1", Slots: tgt.slots, Leaving: leaving, Born: born,
 	}, 1)
 	if err != nil {
 		return err
@@ -92,6 +118,27 @@
 	tgt.faults = fls
 }
 
+// Announce replaces what the target announces.
+func (tgt *Target) Announce(ann Announcements) {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	tgt.announced = ann
+}
+
+// Restart makes the target another run of itself, which announces nothing. It must be registered again.
+func (tgt *Target) Restart() {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	tgt.born, tgt.announced = time.Now(), Announcements{}
+}
+
+// Arrivals returns all requests that have reached the target.
+func (tgt *Target) Arrivals() []Arrival {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	return append([]Arrival(nil), tgt.arrivals...)
+}
+
 // Runs returns all executions so far.
 func (tgt *Target) Runs() []Run {
 	tgt.mut.Lock()
@@ -108,7 +155,12 @@
 		wrt.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if !tgt.acquire(req) {
+	number, refuses := tgt.arrived(req)
+	if refuses {
+		hdr.Set(tgt.names.Request, req.Header.Get(tgt.names.Request))
+	}
+	if refuses || !tgt.acquire(req) {
+		tgt.announce(hdr, number)
 		hdr.Set(tgt.names.NotRun, "1")
 		wrt.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -130,6 +182,7 @@
 	if !sleep(req, time.Duration(float64(fls.Latency)*(0.7+0.6*rand.Float64()))) {
 		return
 	}
+	tgt.announce(hdr, number)
 	if draw -= fls.HangShare; draw < fls.FailShare {
 		wrt.WriteHeader(http.StatusInternalServerError)
 		return
@@ -141,6 +194,31 @@
 	_, _ = io.WriteString(wrt, txt) // The VM may have closed the connection.
 }
 
+// arrived records a request, and returns its number and whether the target refuses it.
+func (tgt *Target) arrived(req *http.Request) (number int, refuses bool) {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	tgt.arrivals = append(tgt.arrivals, Arrival{Request: req.Header.Get(tgt.names.Request), At: time.Now()})
+	return len(tgt.arrivals) - 1, tgt.announced.RetryAfter != ""
+}
+
+// announce adds what the target announces to the head of the response to an arrival.
+func (tgt *Target) announce(hdr http.Header, number int) {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	ann := tgt.announced
+	for _, val := range ann.Limits {
+		hdr.Add(tgt.names.RateLimit, val)
+	}
+	if ann.Leaving != "" {
+		hdr.Set(tgt.names.Leaving, ann.Leaving)
+	}
+	if ann.RetryAfter != "" {
+		hdr.Set("Retry-After", ann.RetryAfter)
+	}
+	tgt.arrivals[number].AnsweredAt, tgt.arrivals[number].Announced = time.Now(), ann
+}
+
 // ResponseBody returns the body of the response to the request with the given ID.
 func ResponseBody(request string) string { return "done: " + request + "\n" }
 
--- a/lugctl/pkg/command/list.go
+++ b/lugctl/pkg/command/list.go
@@ -6,6 +6,8 @@
 	"strconv"
 
 	"github.com/urfave/cli/v3"
+
+	"marigoldlug.example/lugd/service/api"
 )
 
 func (cct *commandContext) vmCommand() *cli.Command {
@@ -63,8 +65,19 @@
 	var rows [][]string
 	for _, tgt := range tgs {
 		rows = append(rows, []string{
-			tgt.ID, tgt.Service, tgt.Address, tgt.FailureDomain, strconv.FormatBool(tgt.Leaving), fmt.Sprintf("%.2f", tgt.Sick), tgt.Placer,
+			tgt.ID, tgt.Service, tgt.Address, tgt.FailureDomain, strconv.FormatBool(tgt.Leaving), formatLimit(tgt), fmt.Sprintf("%.2f", tgt.Sick), tgt.Placer,
 		})
 	}
-	return prn.print(tgs, []string{"TARGET", "SERVICE", "ADDRESS", "FAILURE DOMAIN", "LEAVING", "SICK", "PLACER"}, rows)
+	return prn.print(tgs, []string{"TARGET", "SERVICE", "ADDRESS", "FAILURE DOMAIN", "LEAVING", "LIMIT", "SICK", "PLACER"}, rows)
+}
+
+// formatLimit returns what a target announces about the rate at which it takes requests.
+func formatLimit(tgt api.Target) string {
+	switch {
+	case tgt.PausedSeconds > 0:
+		return fmt.Sprintf("none for %.1fs", tgt.PausedSeconds)
+	case tgt.LimitPerSecond != nil:
+		return fmt.Sprintf("%g/s", *tgt.LimitPerSecond)
+	}
+	return "-"
 }
--- a/lugd/service/api/conversions.go
+++ b/lugd/service/api/conversions.go
@@ -16,10 +16,15 @@
 
 // ConvertTarget converts the status of a target as a VM sees it.
 func ConvertTarget(tgt gateway.TargetStatus) Target {
-	return Target{
+	out := Target{
 		ID: tgt.ID, Service: tgt.Service, Address: tgt.Address, FailureDomain: tgt.FailureDomain, Leaving: tgt.Leaving,
-		Placer: tgt.Placer, Sick: tgt.Sick,
+		PausedSeconds: tgt.Paused.Seconds(), Placer: tgt.Placer, Sick: tgt.Sick,
 	}
+	if tgt.Limit.Limited {
+		per := tgt.Limit.Rate.Float()
+		out.LimitPerSecond = &per
+	}
+	return out
 }
 
 // NewRollout returns the rollout of a version to members, the IDs of the listed VMs, by the
--- a/lugd/service/api/types.go
+++ b/lugd/service/api/types.go
@@ -53,6 +53,11 @@
 	FailureDomain string `json:"failureDomain"`
 	// Leaving is set once the target accepts no new requests.
 	Leaving bool `json:"leaving"`
+	// LimitPerSecond is the most requests that the target announces to take from the whole fleet; nil if
+	// the VM knows of no limit.
+	LimitPerSecond *float64 `json:"limitPerSecond,omitempty"`
+	// PausedSeconds is for how long the target wants no request from the VM.
+	PausedSeconds float64 `json:"pausedSeconds,omitempty"`
 	// Placer is the ID of the VM that places requests on the target.
 	Placer string `json:"placer,omitempty"`
 	// Sick is the probability that the target is failing, as estimated by the VM that
