Ask another partition once where announcements leave no target, and spread returns

Callers of a large service were refused when the targets of the one partition that was asked were held back by what they announce, though others had room. Load is about the same in all partitions, announcements need not be; so one other partition is asked. Once a placer turns out not to know a limit, all targets whose limits the VM knows are left out of the next query: one more round instead of one for each. Callers refused for pauses come back within 5 s, with some spread: other VMs may not have to wait as long.

--- a/core/gateway/announced.go
+++ b/core/gateway/announced.go
@@ -9,12 +9,16 @@
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/placement"
+	"marigoldlug.example/core/request"
 )
 
 const (
 	// localLimitShare is the share of a target's limit that all VMs together may use which place without
 	// the placer. The rest allows for those that still reach it, and for chance.
 	localLimitShare = 0.5
+	// maxPauseRetry is the longest time after which a caller is told to return because all targets want no
+	// request of this VM.
+	maxPauseRetry = 5 * time.Second
 	// forgetInterval is how often old announcements are dropped.
 	forgetInterval = time.Minute
 )
@@ -124,6 +128,58 @@
 	return ""
 }
 
+// limited returns the targets of a partition that announce a limit, as far as this VM knows.
+func (mac *Machine) limited(par *partition) []string {
+	var out []string
+	for _, tgt := range par.targets {
+		if mac.book.Limit(announcement.RunOf(tgt)).Limited {
+			out = append(out, tgt.ID)
+		}
+	}
+	return out
+}
+
+// tryOtherPartition asks once for a target of another partition if what targets announce is why a
+// request has none: unlike load, that need not be the same in all partitions.
+func (mac *Machine) tryOtherPartition(now clock.Instant, inf *inFlight, ans placement.Answer) bool {
+	svc := mac.services[inf.service]
+	announced := ans.Reason == placement.Limited || ans.Reason == placement.NoTargetLeft && !mac.book.Empty()
+	if svc == nil || len(svc.partitions) < 2 || inf.otherPartition || !announced {
+		return false
+	}
+	inf.otherPartition = true
+	at := slices.Index(svc.partitions, inf.queriedPartition)
+	next := (at + 1 + mac.rnd.IntN(len(svc.partitions)-1)) % len(svc.partitions)
+	mac.placeAt(now, inf, svc.partitions[next])
+	return true
+}
+
+// announcedRefusal completes the refusal of a request for which there is no target by what targets
+// announce, and reports whether that is so.
+func (mac *Machine) announcedRefusal(now clock.Instant, inf *inFlight, ans placement.Answer, ref *request.Refusal) bool {
+	if ans.Reason == placement.Limited {
+		ref.Detail = fmt.Sprintf("the targets with room take only %g requests a second, as they announce", ans.Limits.Float())
+		if inf.queriedPlacer == "" || now.Before(inf.queriedPartition.backoffUntil) {
+			ref.RetryAfter = max(ref.RetryAfter, mac.randomRetryAfter()) // The placer may answer by then.
+		}
+		return true
+	}
+	if ans.Reason != placement.NoTargetLeft {
+		return false
+	}
+	if pause, paused := mac.shortestPause(now, inf.service); paused {
+		ref.Detail = fmt.Sprintf("no target takes requests of this VM for %v, as they announce", pause)
+		// Other VMs, one of which the caller likely reaches next, may not have to wait for as long.
+		ref.RetryAfter = min(pause, maxPauseRetry) + time.Duration(mac.rnd.Int64N(int64(minRetryAfter)))
+		return true
+	}
+	if len(inf.heldBack) > 0 {
+		ref.Detail, ref.RetryAfter = "the placer did not know yet what the targets with room announce", mac.randomRetryAfter()
+		return true
+	}
+	return false
+}
+
 // shortestPause returns the shortest time for which a target of a service wants no request of this VM,
 // and whether there is such a target.
 func (mac *Machine) shortestPause(now clock.Instant, service string) (time.Duration, bool) {
--- a/core/gateway/inflight.go
+++ b/core/gateway/inflight.go
@@ -65,6 +65,8 @@
 	// heldBack lists the targets that a placer chose and that this VM did not send the request to by
 	// what they announce; see Machine.holdBack.
 	heldBack []string
+	// otherPartition is set once a second partition was asked; see Machine.tryOtherPartition.
+	otherPartition bool
 	// live holds the running attempts, the oldest first, maxLive at most.
 	live []*attempt
 	// hedgeAt is when an idempotent request may be sent to another target while its attempts are
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"fmt"
 	"math/bits"
 	"slices"
 	"strconv"
@@ -259,7 +258,11 @@
 		mac.placementFailed(now, inf, placement.Answer{Reason: placement.NoTargetLeft})
 		return
 	}
-	par := mac.choosePartition(svc)
+	mac.placeAt(now, inf, mac.choosePartition(svc))
+}
+
+// placeAt asks for a target of a partition.
+func (mac *Machine) placeAt(now clock.Instant, inf *inFlight, par *partition) {
 	mac.number++
 	inf.placing, inf.queryNumber, inf.queriedAt, inf.queriedPlacer, inf.queriedPartition = true, mac.number, now, par.placer, par
 	inf.hedging = inf.running() && now.Before(inf.replaceAt)
@@ -359,6 +362,7 @@
 	if why := mac.holdBack(now, inf.queriedPartition, tgt, ans, placer); why != "" {
 		mac.emit(LogEntry{Request: inf.ID, Event: "heldBack", Fields: []any{"target", tgt.ID, "announced", why, "placer", placer}})
 		mac.reportEnd(now, inf.queriedPartition, inf.queryNumber, placer, health.Canceled)
+		inf.heldBack = append(inf.heldBack, mac.limited(inf.queriedPartition)...)
 		inf.heldBack = append(inf.heldBack, tgt.ID)
 		mac.place(now, inf)
 		return
@@ -383,16 +387,12 @@
 		mac.nextAttempt(now, inf, "no target has room") // The concurrent attempt has ended.
 		return
 	}
+	if mac.tryOtherPartition(now, inf, ans) {
+		return
+	}
 	ref := request.Refusal{Reason: request.Overloaded, RetryAfter: ans.RetryAfter, Detail: "the targets have no room in time"}
-	pause, paused := mac.shortestPause(now, inf.service)
 	switch {
-	case ans.Reason == placement.Limited:
-		ref.Detail = fmt.Sprintf("the targets with room take only %g requests a second, as they announce", ans.Limits.Float())
-		if inf.queriedPlacer == "" || now.Before(inf.queriedPartition.backoffUntil) {
-			ref.RetryAfter = max(ref.RetryAfter, mac.randomRetryAfter()) // The placer may know better by then.
-		}
-	case ans.Reason == placement.NoTargetLeft && paused:
-		ref.Detail, ref.RetryAfter = fmt.Sprintf("no target takes requests of this VM for %v, as they announce", pause), pause
+	case mac.announcedRefusal(now, inf, ans, &ref):
 	case ans.Reason == placement.NoTargetLeft && inf.attempt > 0:
 		ref.Detail, ref.RetryAfter = "no target is left that has not been tried", mac.randomRetryAfter()
 	case ans.Reason == placement.NoTargetLeft:
