--- a/lugctl/pkg/explain/explain.go
+++ b/lugctl/pkg/explain/explain.go
@@ -26,6 +26,7 @@
 var stateChanges = []string{
 	"configuration", "reading", "fleet", "placer", "placerSilent", "targetSuspected", "targetTrusted", "targetRemoved", "target",
 	"serveTokens", "ceaseTokens", "platform lost", "platform regained", "start", "stop", "reload", "stranger", "vmLost",
+	"announced", "announcementLearned",
 }
 
 // Line is one line of the logs. Event is its message, and Fields are all keys beyond
@@ -128,14 +129,17 @@
 	return tli, true
 }
 
+// sharedChanges are the state changes on a target that matter to requests of other VMs, too.
+var sharedChanges = []string{"targetSuspected", "targetTrusted", "announced", "announcementLearned"}
+
 // concerns reports whether a state change concerns the request. It must be of a VM
-// that logged a line of the request, or be a placer's change of the suspicion of a
-// target. If it names a target, it must be one that the request was sent to.
+// that logged a line of the request, or be one of sharedChanges. If it names a target, it must
+// be one that the request was sent to.
 func (tli Timeline) concerns(chg Line) bool {
-	fromPlacer := chg.Event == "targetSuspected" || chg.Event == "targetTrusted"
+	shared := slices.Contains(sharedChanges, chg.Event)
 	for _, lin := range tli.Lines {
 		tgt := chg.Fields["target"]
-		if (tgt == "" || tgt == lin.Fields["target"]) && (fromPlacer || lin.VM == chg.VM) {
+		if (tgt == "" || tgt == lin.Fields["target"]) && (shared || lin.VM == chg.VM) {
 			return true
 		}
 	}
