--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,7 +12,6 @@
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/placement"
 	"marigoldlug.example/core/quota"
-	"marigoldlug.example/core/rate"
 	"marigoldlug.example/core/registry"
 	"marigoldlug.example/core/request"
 )
@@ -167,89 +165,6 @@
 	}
 }
 
-// serveTokens answers a query for tokens.
-func (mac *Machine) serveTokens(now clock.Instant, from string, qry quota.Query) {
-	gra := mac.grant(now, qry)
-	if from == mac.set.Self.ID {
-		mac.tokens.HandleGrant(now, gra)
-		return
-	}
-	mac.emit(Send{To: from, Message: gra})
-}
-
-// grant decides on a query for tokens. The grant says NotServing if this VM does not run the token
-// server that is queried.
-func (mac *Machine) grant(now clock.Instant, qry quota.Query) quota.Grant {
-	if qry.Server < 0 || qry.Server >= fleet.TokenServerCount || mac.tokenServers[qry.Server] == nil || !mac.fleet.MayServe(now, qry.Server) {
-		return quota.Grant{Organisation: qry.Organisation, Number: qry.Number, NotServing: true}
-	}
-	gra := mac.tokenServers[qry.Server].Answer(now, qry)
-	mac.tokenCounts["granted"] += uint64(gra.Count)
-	if short := qry.Need - gra.Count; short > 0 {
-		mac.tokenCounts["refused"] += uint64(short)
-	}
-	return gra
-}
-
-// tokenServerView returns which token servers can be queried.
-func (mac *Machine) tokenServerView() quota.ServerView {
-	sev := quota.ServerView{Servers: mac.fleet.Holders(), Vacant: mac.fleet.Vacant(), VMs: mac.fleet.View().Size()}
-	for num, id := range sev.Servers {
-		if mac.stopping && id == mac.set.Self.ID || mac.fleet.HasExited(id) {
-			sev.Servers[num] = "" // The listed holder is stopping or has exited.
-		}
-		if vmm, _ := mac.fleet.View().VM(id); vmm.FailureDomain == mac.set.Self.FailureDomain {
-			sev.Preferred = num
-		}
-	}
-	return sev
-}
-
-// updateTokenServers starts or stops token servers according to the list of VMs.
-func (mac *Machine) updateTokenServers(now clock.Instant) {
-	for num := range mac.tokenServers {
-		switch srv := mac.tokenServers[num]; {
-		case srv != nil && mac.fleet.Holder(num) != mac.set.Self.ID:
-			mac.log("ceaseTokens", "part", num, "holder", mac.fleet.Holder(num))
-			mac.tokenServers[num] = nil
-		case srv == nil && mac.config != nil && !mac.stopping && mac.fleet.MayServe(now, num):
-			mac.log("serveTokens", "part", num, "proofAge", now.Since(mac.fleet.ConfirmedAt()))
-			mac.tokenServers[num] = quota.NewServer(now, mac.set.Policy.Quota, fleet.TokenServerCount, mac.fleet.InheritedBusy(num), mac.limit)
-		case srv != nil:
-			mac.publishBusy(now, num)
-		}
-	}
-}
-
-// publishBusy writes the busy organisations of a token server that this VM runs to the store.
-func (mac *Machine) publishBusy(now clock.Instant, num int) {
-	srv := mac.tokenServers[num]
-	srv.SetStored(mac.fleet.Busy(num))
-	bus, due := srv.Desired(now)
-	if !due || !mac.fleet.MayServe(now, num) {
-		return
-	}
-	name := fleet.TokenServerName(num)
-	mac.log("busyOrganisations", "part", num, "all", bus.All, "names", bus.Names)
-	mac.emit(Write{Name: name, Row: fleet.Row{Holder: mac.set.Self.ID, Busy: bus}, Revision: mac.fleet.ObjectRevision(name)})
-}
-
-// limit returns the rate limit of an organisation, the zero limit if it has none, and whether the
-// organisation is known.
-func (mac *Machine) limit(organisation string) (rate.Limit, bool) {
-	if mac.config == nil {
-		return rate.Limit{}, false
-	}
-	org := mac.config.Snapshot.Organisation(organisation)
-	if org == nil {
-		return rate.Limit{}, false
-	}
-	if org.Limit.Rate <= 0 {
-		return rate.Limit{}, true
-	}
-	return org.Limit, true
-}
-
 func (mac *Machine) tick(now clock.Instant) {
 	if mac.registry.Tick(now) {
 		mac.log("targetsGone", "left", mac.registry.Len())
@@ -266,28 +181,6 @@
 	mac.forgetAnnouncements(now)
 }
 
-// drainTokenOutputs handles the outputs of the token client until none is left.
-func (mac *Machine) drainTokenOutputs(now clock.Instant) {
-	for outs := mac.tokens.TakeOutputs(); len(outs) > 0; outs = mac.tokens.TakeOutputs() {
-		for _, out := range outs {
-			switch out := out.(type) {
-			case quota.Send:
-				mac.sendTokenQuery(now, out)
-			case quota.Decision:
-				mac.rateLimitDecided(now, out)
-			}
-		}
-	}
-}
-
-func (mac *Machine) sendTokenQuery(now clock.Instant, snd quota.Send) {
-	if snd.To == mac.set.Self.ID {
-		mac.serveTokens(now, snd.To, snd.Query)
-		return
-	}
-	mac.emit(Send{To: snd.To, Message: snd.Query})
-}
-
 // setServices passes the targets of every configured service on to its placers.
 func (mac *Machine) setServices(now clock.Instant) {
 	if mac.config == nil {
@@ -326,84 +219,6 @@
 	return append(out, member.Ranked(vie.Domain(next), "feed/"+next, 1)...)
 }
 
-// Status is a summary of a VM for operators.
-type Status struct {
-	Version uint64
-	VMs     int
-	// Reading is set if the VM reads the platform, and Follows is the ID of the VM that it follows,
-	// or empty.
-	Reading bool
-	Follows string
-	// Holders lists the IDs of the holders of the token servers, by number.
-	Holders  []string
-	Ages     Ages
-	InFlight int
-	Targets  int
-	// Suspected lists the targets that this VM, as a placer, suspects to be failing.
-	Suspected []string
-	Stopping  bool
-	// Followers is the number of VMs that follow this one.
-	Followers int
-	// Placements counts the answers of this VM as a placer, and Tokens the requests that it decided
-	// on as a token server, both by outcome.
-	Placements, Tokens map[string]uint64
-}
-
-// Status returns the state of the VM at now.
-func (mac *Machine) Status(now clock.Instant) Status {
-	sta := Status{
-		Version: mac.version(), VMs: mac.fleet.View().Size(), Reading: mac.reading != nil && mac.reading.On, Follows: mac.selector.Followed(),
-		Holders: mac.fleet.Holders(), Ages: mac.ages(now), InFlight: len(mac.requests), Targets: mac.registry.Len(), Stopping: mac.stopping,
-		Followers: len(mac.followers), Placements: maps.Clone(mac.placementCounts), Tokens: maps.Clone(mac.tokenCounts),
-	}
-	for _, svc := range mac.services {
-		for _, par := range svc.partitions {
-			if par.central != nil {
-				sta.Suspected = append(sta.Suspected, par.central.Suspected(now)...)
-			}
-		}
-	}
-	slices.Sort(sta.Suspected)
-	return sta
-}
-
-// TargetStatus is what a VM knows about a target.
-type TargetStatus struct {
-	ID, Service, Address, FailureDomain string
-	// Leaving is set once the target wants no new requests, by its registration or by its responses.
-	Leaving bool
-	// Limit is the limit that the target announces, as far as this VM knows, and Paused for how long it
-	// wants no request from this VM.
-	Limit  announcement.Limit
-	Paused time.Duration
-	// Placer is the VM that places the requests to the target, and Sick the estimated probability
-	// that the target is failing, as far as this VM knows.
-	Placer string
-	Sick   float64
-}
-
-// Targets returns the registered targets, sorted by ID.
-func (mac *Machine) Targets(now clock.Instant) []TargetStatus {
-	var out []TargetStatus
-	for _, row := range mac.registry.Rows() {
-		ent := row.Value
-		run := announcement.Run{Target: row.Name, Born: ent.Born.UnixMilli()}
-		tgt := TargetStatus{
-			ID: row.Name, Service: ent.Service, Address: ent.Address, FailureDomain: ent.FailureDomain, Leaving: ent.Leaving || mac.book.Leaving(run),
-			Limit: mac.book.Limit(run), Paused: mac.book.Paused(now, run),
-		}
-		if svc := mac.services[ent.Service]; svc != nil {
-			par := svc.partitions[partitionOf(row.Name, len(svc.partitions))]
-			tgt.Placer, tgt.Sick = par.placer, par.local.Sick(now, row.Name)
-			if par.central != nil {
-				tgt.Sick = par.central.Sick(now, row.Name)
-			}
-		}
-		out = append(out, tgt)
-	}
-	return out
-}
-
 // Ready reports whether callers may be sent to the VM: it knows the configuration and the targets,
 // and is not stopping.
 func (mac *Machine) Ready() bool {
--- /dev/null
+++ b/core/gateway/status.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"marigoldlug.example/core/announcement"
+	"marigoldlug.example/core/clock"
+)
+
+// Status is a summary of a VM for operators.
+type Status struct {
+	Version uint64
+	VMs     int
+	// Reading is set if the VM reads the platform, and Follows is the ID of the VM that it follows,
+	// or empty.
+	Reading bool
+	Follows string
+	// Holders lists the IDs of the holders of the token servers, by number.
+	Holders  []string
+	Ages     Ages
+	InFlight int
+	Targets  int
+	// Suspected lists the targets that this VM, as a placer, suspects to be failing.
+	Suspected []string
+	Stopping  bool
+	// Followers is the number of VMs that follow this one.
+	Followers int
+	// Placements counts the answers of this VM as a placer, and Tokens the requests that it decided
+	// on as a token server, both by outcome.
+	Placements, Tokens map[string]uint64
+}
+
+// Status returns the state of the VM at now.
+func (mac *Machine) Status(now clock.Instant) Status {
+	sta := Status{
+		Version: mac.version(), VMs: mac.fleet.View().Size(), Reading: mac.reading != nil && mac.reading.On, Follows: mac.selector.Followed(),
+		Holders: mac.fleet.Holders(), Ages: mac.ages(now), InFlight: len(mac.requests), Targets: mac.registry.Len(), Stopping: mac.stopping,
+		Followers: len(mac.followers), Placements: maps.Clone(mac.placementCounts), Tokens: maps.Clone(mac.tokenCounts),
+	}
+	for _, svc := range mac.services {
+		for _, par := range svc.partitions {
+			if par.central != nil {
+				sta.Suspected = append(sta.Suspected, par.central.Suspected(now)...)
+			}
+		}
+	}
+	slices.Sort(sta.Suspected)
+	return sta
+}
+
+// TargetStatus is what a VM knows about a target.
+type TargetStatus struct {
+	ID, Service, Address, FailureDomain string
+	// Leaving is set once the target wants no new requests, by its registration or by its responses.
+	Leaving bool
+	// Limit is the limit that the target announces, as far as this VM knows, and Paused for how long it
+	// wants no request from this VM.
+	Limit  announcement.Limit
+	Paused time.Duration
+	// Placer is the VM that places the requests to the target, and Sick the estimated probability
+	// that the target is failing, as far as this VM knows.
+	Placer string
+	Sick   float64
+}
+
+// Targets returns the registered targets, sorted by ID.
+func (mac *Machine) Targets(now clock.Instant) []TargetStatus {
+	var out []TargetStatus
+	for _, row := range mac.registry.Rows() {
+		ent := row.Value
+		run := announcement.Run{Target: row.Name, Born: ent.Born.UnixMilli()}
+		tgt := TargetStatus{
+			ID: row.Name, Service: ent.Service, Address: ent.Address, FailureDomain: ent.FailureDomain, Leaving: ent.Leaving || mac.book.Leaving(run),
+			Limit: mac.book.Limit(run), Paused: mac.book.Paused(now, run),
+		}
+		if svc := mac.services[ent.Service]; svc != nil {
+			par := svc.partitions[partitionOf(row.Name, len(svc.partitions))]
+			tgt.Placer, tgt.Sick = par.placer, par.local.Sick(now, row.Name)
+			if par.central != nil {
+				tgt.Sick = par.central.Sick(now, row.Name)
+			}
+		}
+		out = append(out, tgt)
+	}
+	return out
+}
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -6,10 +6,8 @@
 	"slices"
 	"time"
 
-	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
-	"marigoldlug.example/core/rate"
 	"marigoldlug.example/core/request"
 )
 
@@ -77,24 +75,6 @@
 	trialBelief = 0.6
 )
 
-// The costs of a placement, as fractions of the value of a request.
-const (
-	// failCost is the cost of a failed attempt, and retryableFailCost that of the first attempt of an
-	// idempotent request, which can be retried.
-	failCost          = 1.0
-	retryableFailCost = 0.4
-	// lateCost is the cost of a response after the latency goal.
-	lateCost = 0.7
-	// pathCost is the cost of a target at which the VM failed within pathAvoidTime.
-	pathCost = 0.5
-	// crossDomainCost is the cost of a target in another failure domain.
-	crossDomainCost = 0.03
-	// loadCost is the cost of a target whose slots are all in use; it grows with the requests there.
-	loadCost = 0.15
-	// connectCost is the cost of a new connection.
-	connectCost = 0.03
-)
-
 // AttemptID identifies an attempt by its VM and the number that the VM gave it.
 type AttemptID struct {
 	VM     string
@@ -240,13 +220,6 @@
 	return lat
 }
 
-// candidate is a target to which a request may be sent, and the cost of that.
-type candidate struct {
-	target    *target
-	cost      float64
-	queueWait time.Duration
-}
-
 // Place chooses a target for a request and records the attempt. If there is no target for it, the
 // answer says why.
 func (pla *Placer) Place(now clock.Instant, aid AttemptID, cri Criteria) Answer {
@@ -284,91 +257,6 @@
 	pla.attempts[att.id] = att
 }
 
-// obstacles says why no target can take a request.
-type obstacles struct {
-	// wait is the shortest time until a target may take the request; negative if there is no target.
-	wait time.Duration
-	// limits is the sum of the limits of the targets that have room and get nothing now for their limits
-	// alone, and limited is set if there is one.
-	limited bool
-	limits  rate.PerSecond
-}
-
-// add adds a target that cannot take the request for a time.
-func (obs *obstacles) add(wait time.Duration) {
-	if obs.wait < 0 || wait < obs.wait {
-		obs.wait = wait
-	}
-}
-
-// refusal returns the answer to a request that no target can take.
-func (pla *Placer) refusal(now clock.Instant, aid AttemptID, obs obstacles) Answer {
-	switch {
-	case obs.wait < 0:
-		return Answer{Number: aid.Number, Reason: NoTargetLeft}
-	case obs.limited:
-		return Answer{Number: aid.Number, Reason: Limited, Limits: obs.limits, RetryAfter: pla.limitRetry(now, obs.wait, obs.limits)}
-	}
-	return Answer{Number: aid.Number, Reason: NoRoom, RetryAfter: max(obs.wait, time.Millisecond)}
-}
-
-// choose returns the candidate of least cost. If there is none, best.target is nil, and obs says why.
-func (pla *Placer) choose(now clock.Instant, vmm string, cri Criteria, lat *latency) (best candidate, obs obstacles) {
-	obs.wait = -1
-	est := lat.orElse(pla.overall)
-	for _, at := range pla.rnd.Perm(len(pla.targets)) {
-		tgt := pla.targets[at]
-		if now.Before(tgt.avoidUntil) || slices.Contains(cri.Tried, tgt.ID) || pla.announcements.Leaving(announcement.RunOf(tgt.Target)) {
-			continue
-		}
-		queueWait := pla.queueWait(now, tgt)
-		lim, limitWait := pla.limitWait(now, tgt)
-		if cri.Hedge && (queueWait > 0 || lim.Limited) {
-			obs.wait = max(obs.wait, 0)
-			continue // A hedge must not take a slot for which other requests wait, nor what a limit leaves.
-		}
-		if est.late(cri.TimeLeft, queueWait, tgt.slowdown(now)) || len(tgt.running) >= tgt.capacity(cri.Priority) || pla.queueFull(tgt, queueWait) {
-			obs.add(max(pla.timeToRoom(now, cri, tgt, lat, queueWait), limitWait))
-			continue
-		}
-		if limitWait > 0 {
-			obs.add(limitWait)
-			obs.limited, obs.limits = true, obs.limits+lim.Rate
-			continue
-		}
-		can := candidate{target: tgt, queueWait: queueWait, cost: pla.cost(now, vmm, cri, lat, tgt, queueWait)}
-		if best.target == nil || can.cost < best.cost {
-			best = can
-		}
-	}
-	return best, obs
-}
-
-// cost returns the expected cost of a placement, as a fraction of the value of the request.
-func (pla *Placer) cost(now clock.Instant, vmm string, cri Criteria, lat *latency, tgt *target, queueWait time.Duration) float64 {
-	sick := pla.sick(now, tgt)
-	fail := failCost
-	if cri.Idempotent && !cri.Retry {
-		fail = retryableFailCost
-	}
-	cost := sickFailShare * sick * fail
-	cost += lateCost * lat.survival(max(cri.TimeToGoal-queueWait, 0), tgt.slowdown(now))
-	cost += loadCost * float64(len(tgt.running)) / float64(max(tgt.Slots, 1))
-	if tgt.FailureDomain != cri.Domain {
-		cost += crossDomainCost
-	}
-	if !tgt.connected(now, vmm, cri.Idempotent) {
-		cost += connectCost
-	}
-	if at, failed := tgt.pathFailures[vmm]; failed && now.Since(at) < pathAvoidTime {
-		cost += pathCost
-	}
-	if !cri.Retry && tgt.trialDue(now, sick, cri.Idempotent) {
-		cost -= failCost // The target's state is unknown; this request is its trial.
-	}
-	return cost
-}
-
 // sick returns the probability that a target is sick, where the requests that it has not answered yet
 // are evidence too.
 func (pla *Placer) sick(now clock.Instant, tgt *target) float64 {
