Do not send a request to a target that withdrew while the connection was opened

Opening a connection may take as long as the request has time, over a link that loses packets. A target that announced meanwhile, to another request, that it leaves or that it wants nothing from this VM got the request all the same. Now the VM asks once more when a new connection is open; a request that is withdrawn has not run, goes to another target, and its connection is kept for the next one.

TestRequestWithdrawnWhileConnectingIsNotSent and TestAttemptIsWithdrawnWhileItConnects: without the question there is no way to withdraw, and the target gets the first request, too.

--- a/core/gateway/announced.go
+++ b/core/gateway/announced.go
@@ -128,6 +128,17 @@
 	return ""
 }
 
+// MaySend reports whether an attempt may still be sent to its target. Opening a connection may have
+// taken long, and the target may have announced meanwhile that it wants no requests.
+func (mac *Machine) MaySend(now clock.Instant, id request.ID, number int) bool {
+	_, att := mac.currentAttempt(id, number)
+	if att == nil {
+		return false
+	}
+	run := announcement.RunOf(att.target)
+	return !mac.book.Leaving(run) && mac.book.Paused(now, run) == 0
+}
+
 // limited returns the targets of a partition that announce a limit, as far as this VM knows.
 func (mac *Machine) limited(par *partition) []string {
 	var out []string
--- a/core/gateway/machine_test.go
+++ b/core/gateway/machine_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/fleet"
@@ -571,3 +572,28 @@
 		t.Errorf("%v were written, want %d token servers", stated, fleet.TokenServerCount)
 	}
 }
+
+// TestAttemptIsWithdrawnWhileItConnects lets a target announce to one request that it leaves, or that
+// it wants none for a time, while the connection for another request to it is opened. That one must not
+// be sent there but to another target, although it is not idempotent.
+func TestAttemptIsWithdrawnWhileItConnects(t *testing.T) {
+	for _, ann := range []announcement.Announcement{{Leaving: true}, {RetryAfter: time.Second}} {
+		vmm := newVM(t).load()
+		slow := vmm.mustDispatch(vmm.arrive("/once/x", key))
+		var other Dispatch
+		for other.Target.ID != slow.Target.ID {
+			other = vmm.mustDispatch(vmm.arrive("/open/x", ""))
+		}
+		if !vmm.mac.MaySend(vmm.now, slow.Request, slow.Attempt) {
+			t.Error("withdrawn without a reason")
+		}
+		vmm.step(Answered{Request: other.Request, Attempt: other.Attempt, Response: Response{Status: 503, Shed: true, Announcement: ann}})
+		if vmm.mac.MaySend(vmm.now, slow.Request, slow.Attempt) {
+			t.Fatalf("it may be sent after %+v", ann)
+		}
+		again := vmm.mustDispatch(vmm.step(AttemptFailed{Request: slow.Request, Attempt: slow.Attempt, Outcome: health.Shed, Verdict: verdict.NotRun}))
+		if again.Target.ID == slow.Target.ID {
+			t.Errorf("sent to the same target again after %+v", ann)
+		}
+	}
+}
--- a/lugd/pkg/driver/driver.go
+++ b/lugd/pkg/driver/driver.go
@@ -218,6 +218,12 @@
 	use(dri.mac, dri.clock.Now())
 }
 
+// MaySend reports whether an attempt may still be sent to its target.
+func (dri *Driver) MaySend(id request.ID, attempt int) (may bool) {
+	dri.WithMachine(func(mac *gateway.Machine, now clock.Instant) { may = mac.MaySend(now, id, attempt) })
+	return may
+}
+
 // Status returns the state of the VM and whether it is ready.
 func (dri *Driver) Status() (sta gateway.Status, ready bool) {
 	dri.WithMachine(func(mac *gateway.Machine, now clock.Instant) {
--- a/lugd/pkg/http1/handler.go
+++ b/lugd/pkg/http1/handler.go
@@ -162,6 +162,7 @@
 	cal := target.Call{
 		Address: dis.Target.Address, Idempotent: dis.Idempotent, Timeout: dis.Timeout, MaxConnections: dis.Connections,
 		CallerRequestID: han.callerRequestID,
+		MaySend:         func() bool { return han.con.srv.decider.MaySend(han.id, dis.Attempt) },
 	}
 	out := han.targetRequest(dis)
 	endSpan := han.con.srv.observer.StartAttempt(ctx, dis, out.Header)
--- a/lugd/pkg/http1/server.go
+++ b/lugd/pkg/http1/server.go
@@ -27,6 +27,8 @@
 	Begin(req request.Request) (request.ID, <-chan gateway.Action)
 	// Step reports an event.
 	Step(evt gateway.Event)
+	// MaySend reports whether an attempt may still be sent, after its connection was opened.
+	MaySend(id request.ID, attempt int) bool
 	// End forgets a request.
 	End(id request.ID)
 }
--- a/lugd/pkg/http1/server_test.go
+++ b/lugd/pkg/http1/server_test.go
@@ -57,6 +57,8 @@
 
 // Begin refuses requests below /refuse, dispatches two attempts for those below /twice and one for
 // all others.
+func (*fakes) MaySend(request.ID, int) bool { return true }
+
 func (fks *fakes) Begin(req request.Request) (request.ID, <-chan gateway.Action) {
 	fks.mut.Lock()
 	defer fks.mut.Unlock()
--- a/lugd/pkg/target/announcement_test.go
+++ b/lugd/pkg/target/announcement_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/verdict"
 	"marigoldlug.example/lugd/pkg/header"
 )
 
@@ -44,3 +46,34 @@
 		})
 	}
 }
+
+// TestRequestWithdrawnWhileConnectingIsNotSent withdraws a request while its connection is opened, as
+// happens when the target announces meanwhile that it leaves. It must not be sent, and the next request
+// must get the connection.
+func TestRequestWithdrawnWhileConnectingIsNotSent(t *testing.T) {
+	tgt := newScriptedTarget(t)
+	pol := New(Settings{DialTimeout: time.Second, IdlePerTarget: 4, BodyIdleTimeout: time.Second})
+	for num, maySend := range []bool{false, true} {
+		req, err := http.NewRequest(http.MethodGet, "http://target/answer", http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		cal := Call{Address: tgt.lis.Addr().String(), Timeout: time.Second, MaxConnections: 4, MaySend: func() bool { return maySend }}
+		rsp, fail := pol.Send(context.Background(), cal, req)
+		if fail == nil {
+			_ = rsp.Body.Close()
+		}
+		if withdrawn := fail != nil && fail.Verdict == verdict.NotRun && fail.Outcome == health.Shed; withdrawn == maySend {
+			t.Errorf("request %d got %v", num, fail)
+		}
+	}
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	heads := 0
+	for _, cnt := range tgt.heads {
+		heads += cnt
+	}
+	if heads != 1 || tgt.conns != 1 {
+		t.Errorf("the target got %d requests on %d connections", heads, tgt.conns)
+	}
+}
--- a/lugd/pkg/target/pool.go
+++ b/lugd/pkg/target/pool.go
@@ -298,8 +298,14 @@
 	// CallerRequestID is the request's ID as its caller gave it, which the response must repeat;
 	// empty if the caller gave none.
 	CallerRequestID string
+	// MaySend is asked once a new connection is open, which may have taken long. If it returns false, the
+	// request is not sent. nil allows every request.
+	MaySend func() bool
 }
 
+// errWithdrawn is returned when the request must not be sent any more.
+var errWithdrawn = errors.New("the target wants no requests any more")
+
 // errBusy is returned when all connections that the VM may open to the address are in use.
 var errBusy = errors.New("all connections to the target are in use")
 
@@ -377,6 +383,10 @@
 	timer := time.AfterFunc(cal.Timeout, cancel)
 	began := time.Now()
 	con, err := pol.connect(ctx, cal)
+	if err == nil && con.idleBefore == 0 && cal.MaySend != nil && !cal.MaySend() {
+		pol.putIdle(con)
+		err = errWithdrawn
+	}
 	if err == nil {
 		err = pol.setTimeLeft(req, cal.Timeout-time.Since(began))
 		if err != nil {
@@ -388,7 +398,7 @@
 		cancel()
 		outcome := health.Unreachable
 		switch {
-		case errors.Is(err, errBusy):
+		case errors.Is(err, errBusy), errors.Is(err, errWithdrawn):
 			outcome = health.Shed
 		case errors.Is(err, errTooLate):
 			outcome = health.Canceled // This says nothing about the target.
