--- a/core/announcement/announcement.go
+++ b/core/announcement/announcement.go
@@ -52,6 +52,6 @@
 	// RetryAfter is for how long the target wants no request from the VM that it answers; 0 if it does
 	// not say so.
 	RetryAfter time.Duration
-	// Unreadable lists the values that cannot be read, with the names of their headers.
+	// Unreadable is the first value that cannot be read, with the name of its header.
 	Unreadable string
 }
--- a/core/gateway/announced.go
+++ b/core/gateway/announced.go
@@ -109,10 +109,10 @@
 	if left := mac.book.Paused(now, run); left > 0 {
 		return fmt.Sprintf("retry after %v", left)
 	}
-	lim := mac.book.Limit(run)
 	if placer == "" {
 		return "" // The local placer has counted the request against this VM's share of the limit.
 	}
+	lim := mac.book.Limit(run)
 	known := announcement.Limit{}
 	if ans.Announced != nil && ans.Announced.Run == run {
 		known = ans.Announced.Limit
