--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -230,12 +230,12 @@
 	if !cri.Retry {
 		lat.goal, lat.goalAt = cri.TimeToGoal, now
 	}
-	best, full := pla.choose(now, aid.VM, cri, lat)
+	best, obs := pla.choose(now, aid.VM, cri, lat)
 	switch {
 	case best.target != nil && cri.Retry && !pla.budget.TryRetry(now, cri.budgetShare()):
 		return Answer{Number: aid.Number, Reason: NoRetry}
 	case best.target == nil:
-		return pla.refusal(now, aid, full)
+		return pla.refusal(now, aid, obs)
 	}
 	tgt := best.target
 	if tgt.allowance != nil {
