--- a/core/announcement/book.go
+++ b/core/announcement/book.go
@@ -1,8 +1,6 @@
 package announcement
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"marigoldlug.example/core/clock"
@@ -140,20 +138,6 @@
 	return Report{Run: run, Limit: ent.limit, Leaving: ent.leaving, SentAge: now.Since(ent.sentAt), HeardAge: now.Since(ent.heardAt)}, true
 }
 
-// Reports returns what other VMs must know of all runs that wanted selects, sorted by run.
-func (bok *Book) Reports(now clock.Instant, wanted func(run Run) bool) []Report {
-	var out []Report
-	for run := range bok.entries {
-		if rep, known := bok.Report(now, run); known && wanted(run) {
-			out = append(out, rep)
-		}
-	}
-	slices.SortFunc(out, func(one, two Report) int {
-		return cmp.Or(cmp.Compare(one.Run.Target, two.Run.Target), cmp.Compare(one.Run.Born, two.Run.Born))
-	})
-	return out
-}
-
 // Forget drops the entries of runs that were neither registered nor heard of for retention.
 func (bok *Book) Forget(now clock.Instant, registered map[Run]bool) {
 	for run, ent := range bok.entries {
--- a/core/gateway/announced.go
+++ b/core/gateway/announced.go
@@ -33,29 +33,27 @@
 		mac.log("announced", "target", run.Target, "born", run.Born, "limit", ann.Limit.String(), "limitBefore", before.String(), "leaving", ann.Leaving,
 			"retryAfter", ann.RetryAfter, "unreadable", ann.Unreadable)
 	}
-	if par := mac.partitionOfTarget(inf.service, run.Target); changed && par != nil {
-		mac.reportAnnounced(now, par.placer, func(one announcement.Run) bool { return one == run })
+	if rep, known := mac.book.Report(now, run); changed && known {
+		mac.reportAnnounced(now, mac.placerOf(inf.service, run.Target), []announcement.Report{rep})
 	}
 }
 
-// partitionOfTarget returns the partition of a service to which a target belongs, or nil.
-func (mac *Machine) partitionOfTarget(service, target string) *partition {
+// placerOf returns the VM that places the requests to a target of a service; empty if none is known.
+func (mac *Machine) placerOf(service, target string) string {
 	svc := mac.services[service]
 	if svc == nil {
-		return nil
+		return ""
 	}
-	return svc.partitions[partitionOf(target, len(svc.partitions))]
+	return svc.partitions[partitionOf(target, len(svc.partitions))].placer
 }
 
-// reportAnnounced tells a placer what this VM knows of the announcements of some runs. If this VM is
-// the placer itself, it knows that already.
-func (mac *Machine) reportAnnounced(now clock.Instant, placer string, wanted func(run announcement.Run) bool) {
-	if placer == "" || placer == mac.set.Self.ID {
+// reportAnnounced tells a placer what targets announce. If this VM is the placer itself, it knows that
+// already.
+func (mac *Machine) reportAnnounced(now clock.Instant, placer string, rps []announcement.Report) {
+	if placer == "" || placer == mac.set.Self.ID || len(rps) == 0 {
 		return
 	}
-	if rps := mac.book.Reports(now, wanted); len(rps) > 0 {
-		mac.send(now, placer, placement.Announced{Reports: rps})
-	}
+	mac.send(now, placer, placement.Announced{Reports: rps})
 }
 
 // reportPartition tells a placer what the targets of its partition announce.
@@ -63,9 +61,13 @@
 	if mac.book.Empty() {
 		return
 	}
-	mac.reportAnnounced(now, placer, func(run announcement.Run) bool {
-		return slices.ContainsFunc(par.targets, func(tgt health.Target) bool { return announcement.RunOf(tgt) == run })
-	})
+	var rps []announcement.Report
+	for _, tgt := range par.targets {
+		if rep, known := mac.book.Report(now, announcement.RunOf(tgt)); known {
+			rps = append(rps, rep)
+		}
+	}
+	mac.reportAnnounced(now, placer, rps)
 }
 
 // learnAnnounced records what another VM reports.
@@ -94,15 +96,13 @@
 
 // holdBack decides, as the last step before a request is sent to a target, whether the target takes it
 // by what it announces as far as this VM knows. It returns the announcement that forbids it, or an
-// empty text. placer is the VM that chose the target; empty if this VM did so without it.
+// empty text. placer is the VM that chose the target; empty if this VM did so without it. A placer that
+// goes by another limit than this VM is told what this one knows.
 func (mac *Machine) holdBack(now clock.Instant, par *partition, tgt health.Target, ans placement.Answer, placer string) string {
-	run := announcement.RunOf(tgt)
-	if ans.Announced != nil {
-		mac.learnAnnounced(now, placer, []announcement.Report{*ans.Announced})
-	}
 	if mac.book.Empty() {
 		return ""
 	}
+	run := announcement.RunOf(tgt)
 	if mac.book.Leaving(run) {
 		return "leaving"
 	}
@@ -120,7 +120,6 @@
 	if lim == known {
 		return ""
 	}
-	// The placer knows less than this VM.
 	mac.reportPartition(now, par, placer)
 	if lim.StricterThan(known) {
 		return fmt.Sprintf("limit %s, the placer goes by %s", lim, known)
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -309,6 +309,9 @@
 
 // placerAnswered handles the answer of a placer.
 func (mac *Machine) placerAnswered(now clock.Instant, from string, ans placement.Answer) {
+	if ans.Announced != nil {
+		mac.learnAnnounced(now, from, []announcement.Report{*ans.Announced})
+	}
 	id, pending := mac.pendingQueries[ans.Number]
 	delete(mac.pendingQueries, ans.Number)
 	inf := mac.requests[id]
--- a/lugbench/pkg/soak/announcements.go
+++ b/lugbench/pkg/soak/announcements.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"marigoldlug.example/lugbench/pkg/targetfake"
+	"marigoldlug.example/lugd/pkg/driver"
 )
 
 const (
@@ -64,11 +65,11 @@
 		for num := range cnt {
 			flt.pgr.Targets[(first+num)%len(flt.pgr.Targets)].Announce(ann)
 		}
-		sleep(ctx, lasts)
+		driver.Sleep(ctx, lasts)
 		for num := range cnt {
 			flt.endAnnouncement((first+num)%len(flt.pgr.Targets), ann)
 		}
-		sleep(ctx, time.Duration(rnd.Int64N(int64(time.Second))))
+		driver.Sleep(ctx, time.Duration(rnd.Int64N(int64(time.Second))))
 	}
 }
 
@@ -91,14 +92,6 @@
 	flt.rep.check(tgt.Register(flt.targetProxies[num].address(), false))
 }
 
-// sleep waits for a time, or until ctx is done.
-func sleep(ctx context.Context, dur time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(dur):
-	}
-}
-
 // parseLimit returns the lowest readable limit, and whether there is one.
 func parseLimit(lines []string) (lowest float64, found bool) {
 	for _, line := range lines {
--- a/lugd/pkg/header/announcement.go
+++ b/lugd/pkg/header/announcement.go
@@ -30,7 +30,7 @@
 func (nms Names) Announcement(status int, hdr http.Header) announcement.Announcement {
 	var ann announcement.Announcement
 	nms.readLimit(hdr, &ann)
-	for _, val := range nms.values(hdr, nms.Leaving) {
+	for _, val := range values(hdr, nms.Leaving) {
 		switch val {
 		case "1":
 			ann.Leaving = true
@@ -42,7 +42,7 @@
 	if status != http.StatusServiceUnavailable {
 		return ann
 	}
-	for _, val := range nms.values(hdr, retryAfterHeader) {
+	for _, val := range values(hdr, retryAfterHeader) {
 		sec, ok := parseDecimal(val)
 		if !ok {
 			noteUnreadable(&ann, retryAfterHeader, val)
@@ -55,7 +55,7 @@
 }
 
 func (nms Names) readLimit(hdr http.Header, ann *announcement.Announcement) {
-	for _, val := range nms.values(hdr, nms.RateLimit) {
+	for _, val := range values(hdr, nms.RateLimit) {
 		num, ok := parseDecimal(val)
 		if !ok {
 			noteUnreadable(ann, nms.RateLimit, val)
@@ -71,7 +71,7 @@
 
 // values returns the values of a header. A line may list several, separated by commas. There are none
 // if the header is not used.
-func (nms Names) values(hdr http.Header, name string) []string {
+func values(hdr http.Header, name string) []string {
 	if name == "" {
 		return nil
 	}
