Log the content of requests, and whether their target's process is gone

"dispatched" and "attemptFailed" carry a digest of what was asked: organisation, method, host, path with query, and body. After a target has closed a connection instead of responding, or in the middle of a body, the VM opens another connection at once; if that is refused, "portClosed" says so. The connection that the check opens is kept for later requests, and counts against the limit of connections. No decision depends on either yet.

--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -55,12 +55,17 @@
 	// Announcement is what the head of a response announced whose body was then lost; nil if no head
 	// was read.
 	Announcement *announcement.Announcement
+	// PortClosed is set if the target closed the connection and then refused a new one: its process is
+	// gone.
+	PortClosed bool
 }
 
 // RelayEnded reports the end of a response that was passed on to the caller.
 type RelayEnded struct {
 	Request request.ID
 	Outcome health.Outcome
+	// PortClosed is as in AttemptFailed.
+	PortClosed bool
 }
 
 // CallerLeft reports that the caller gave up its request.
--- a/core/gateway/inflight.go
+++ b/core/gateway/inflight.go
@@ -42,8 +42,10 @@
 	service string
 	// organisation is empty on open routes.
 	organisation string
-	priority     config.Priority
-	arrived      clock.Instant
+	// fingerprint identifies the content of the request together with its organisation.
+	fingerprint request.Fingerprint
+	priority    config.Priority
+	arrived     clock.Instant
 	// goal is the time by which the route's latency goal wants a response. Without a latency goal it
 	// is the time of arrival: the goal counts as missed at every target alike.
 	goal     clock.Instant
@@ -176,10 +178,12 @@
 		inf.deadline = arrived.Add(req.Timeout)
 	}
 	inf.service = mac.chooseService(rou)
-	if rou.Access == config.AccessOpen {
-		return inf, nil
+	var ref *request.Refusal
+	if rou.Access != config.AccessOpen {
+		ref = mac.authenticate(now, inf)
 	}
-	return inf, mac.authenticate(now, inf)
+	inf.fingerprint = req.Content.Of(inf.organisation)
+	return inf, ref
 }
 
 // chooseService picks one of the services of a route at random, by the weights of its split.
@@ -309,6 +313,7 @@
 	inf.tried = append(inf.tried, tgt.ID)
 	fields := []any{
 		"attempt", inf.attempt, "target", tgt.ID, "route", inf.route.Name, "left", left, "placer", placer, "beside", beside, "version", mac.version(),
+		"content", inf.fingerprint,
 	}
 	if lim := mac.book.Limit(announcement.RunOf(tgt)); lim.Limited {
 		fields = append(fields, "limit", lim.String())
@@ -425,6 +430,7 @@
 	mac.endAttempt(now, inf, att, evt.Outcome, evt.Verdict)
 	mac.emit(LogEntry{Request: inf.ID, Event: "attemptFailed", Fields: []any{
 		"attempt", att.number, "target", att.target.ID, "outcome", evt.Outcome, "verdict", evt.Verdict, "detail", evt.Detail,
+		"content", inf.fingerprint, "portClosed", evt.PortClosed,
 	}})
 	reason := request.TargetFailed
 	if inf.deadline.Mono-now.Mono < minAttemptTime {
@@ -506,6 +512,11 @@
 	if outcome == health.Success {
 		outcome = inf.outcome
 	}
+	if outcome == health.Failure {
+		mac.emit(LogEntry{Request: inf.ID, Event: "responseBrokeOff", Fields: []any{
+			"target", inf.live[0].target.ID, "content", inf.fingerprint, "portClosed", evt.PortClosed,
+		}})
+	}
 	mac.endAllAttempts(now, inf, outcome)
 	delete(mac.requests, inf.ID)
 }
--- /dev/null
+++ b/core/request/fingerprint.go
@@ -0,0 +1,54 @@
+package request
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// fingerprintBytes is long enough that nobody finds a request with the fingerprint of a given one.
+const fingerprintBytes = 16
+
+// Fingerprint identifies what a request asks for, so that a repeated request is recognised at any VM.
+// The zero value stands for a request whose content is not known.
+type Fingerprint [fingerprintBytes]byte
+
+// FingerprintOf returns the fingerprint of a request's content. resource is the path with the query,
+// as the caller sent it. IDs, timeouts and keys differ between repeats and are left out.
+func FingerprintOf(method, host, resource string, body []byte) Fingerprint {
+	return fingerprint([]byte(method), []byte(host), []byte(resource), body)
+}
+
+// Of returns the fingerprint of the content when the given organisation sends it. It includes the
+// organisation, so that none can have a request of another one refused.
+func (fpr Fingerprint) Of(organisation string) Fingerprint {
+	if fpr == (Fingerprint{}) {
+		return fpr
+	}
+	return fingerprint([]byte(organisation), fpr[:])
+}
+
+// String returns the fingerprint in hexadecimal digits.
+func (fpr Fingerprint) String() string { return hex.EncodeToString(fpr[:]) }
+
+// ParseFingerprint parses what String returns.
+func ParseFingerprint(txt string) (fpr Fingerprint, valid bool) {
+	raw, err := hex.DecodeString(txt)
+	if err != nil || len(raw) != fingerprintBytes {
+		return Fingerprint{}, false
+	}
+	return Fingerprint(raw), true
+}
+
+// fingerprint returns the digest of several fields. Each is preceded by its length, so that no two
+// lists of fields are the same bytes.
+func fingerprint(fields ...[]byte) Fingerprint {
+	sum := sha256.New()
+	var length [8]byte
+	for _, fld := range fields {
+		binary.BigEndian.PutUint64(length[:], uint64(len(fld)))
+		sum.Write(length[:])
+		sum.Write(fld)
+	}
+	return Fingerprint(sum.Sum(nil)[:fingerprintBytes])
+}
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -20,6 +20,8 @@
 	// Host is in lower case and has no port.
 	Host string
 	Path string
+	// Content identifies the content of the request.
+	Content Fingerprint
 	// Keys holds the digests of the distinct keys that the request carries.
 	Keys []config.Digest
 	// Timeout is the timeout that the caller set; 0 means none.
--- a/lugd/pkg/http1/handler.go
+++ b/lugd/pkg/http1/handler.go
@@ -82,7 +82,7 @@
 		return
 	}
 	id, actions := srv.decider.Begin(request.Request{
-		Label: han.callerRequestID, Host: normalizeHost(han.req.Host), Path: han.req.URL.Path, Keys: keys, Timeout: timeout,
+		Label: han.callerRequestID, Host: normalizeHost(han.req.Host), Path: han.req.URL.Path, Content: han.content(), Keys: keys, Timeout: timeout,
 	})
 	han.id = id
 	defer srv.decider.End(id)
@@ -108,6 +108,15 @@
 	}
 }
 
+// content returns the fingerprint of the request's content.
+func (han *requestHandler) content() request.Fingerprint {
+	var content []byte
+	if bod, buffered := han.req.Body.(*bufferedBody); buffered {
+		content = bod.content
+	}
+	return request.FingerprintOf(han.req.Method, normalizeHost(han.req.Host), han.req.URL.RequestURI(), content)
+}
+
 // releaseBody subtracts the request's body from the memory in use.
 func (han *requestHandler) releaseBody() {
 	if bod, buffered := han.req.Body.(*bufferedBody); buffered {
@@ -198,7 +207,7 @@
 		srv.observer.Attempt(res.service, res.failure.Outcome)
 		srv.decider.Step(gateway.AttemptFailed{
 			Request: han.id, Attempt: res.attempt, Outcome: res.failure.Outcome, Verdict: res.failure.Verdict, Detail: res.failure.Error(),
-			Announcement: res.failure.Announcement,
+			Announcement: res.failure.Announcement, PortClosed: res.failure.PortClosed,
 		})
 		return
 	}
@@ -265,7 +274,7 @@
 	case err != nil:
 		outcome = health.Canceled
 	}
-	han.con.srv.decider.Step(gateway.RelayEnded{Request: han.id, Outcome: outcome})
+	han.con.srv.decider.Step(gateway.RelayEnded{Request: han.id, Outcome: outcome, PortClosed: src.PortClosed()})
 	if err != nil {
 		han.con.srv.log.WithError(err).WithField("request", han.callerRequestID).Info("cannot relay the whole response of the target to the caller; closing the connection")
 		han.observe("cut")
--- a/lugd/pkg/target/pool.go
+++ b/lugd/pkg/target/pool.go
@@ -49,6 +49,9 @@
 	// Announcement is what the head of the response announced if its body could not be read; nil if no
 	// head was read.
 	Announcement *announcement.Announcement
+	// PortClosed is set if the target closed the connection and then refused a new one: its process is
+	// gone.
+	PortClosed bool
 }
 
 // Error returns the cause.
@@ -318,6 +321,11 @@
 	if !pol.reserve(cal) {
 		return nil, errBusy
 	}
+	return pol.openConn(ctx, address)
+}
+
+// openConn opens a connection that is already counted as open.
+func (pol *Pool) openConn(ctx context.Context, address string) (*conn, error) {
 	raw, err := pol.dial(ctx, address)
 	if err != nil {
 		pol.release(address)
@@ -337,6 +345,8 @@
 	complete bool
 	// readError is the error with which reading the body ended, if any.
 	readError error
+	// portClosed checks the port of the target; see PortClosed.
+	portClosed func() bool
 }
 
 // Rest returns a reader of the body after BodyPrefix, or nil if nothing is left.
@@ -359,6 +369,12 @@
 // ReadError returns the error with which Read ended, or nil.
 func (rsp *Response) ReadError() error { return rsp.readError }
 
+// PortClosed reports whether the target closed the connection before the end of the body and now
+// refuses a new one: its process is gone.
+func (rsp *Response) PortClosed() bool {
+	return rsp.portClosed != nil && closedByPeer(rsp.readError) && rsp.portClosed()
+}
+
 // Length returns the length of the whole body, or -1 if it is not known.
 func (rsp *Response) Length() int64 {
 	if rsp.complete {
@@ -412,16 +428,17 @@
 	if err != nil {
 		err = cause(ctx, err)
 		pol.reuse.noteFailure(con.idleBefore, err)
-		return nil, exc.fail(err)
+		return nil, pol.notePortClosed(cal, err, exc.fail(err))
 	}
 	con.keepAlive = announcedKeepAlive(raw.Header)
 	raw.Body = &body{ReadCloser: raw.Body, exchange: exc, reusable: !raw.Close, end: time.Now().Add(maxBodyTime)}
-	rsp := &Response{Response: raw}
+	rsp := &Response{Response: raw, portClosed: func() bool { return pol.portClosed(cal) }}
 	if pol.set.BodyPrefixBytes > 0 {
 		err = rsp.buffer(pol.set.BodyPrefixBytes)
 	}
 	if err != nil || !timer.Stop() {
-		fail := exc.fail(cause(ctx, err))
+		err = cause(ctx, err)
+		fail := pol.notePortClosed(cal, err, exc.fail(err))
 		if raw.StatusCode != http.StatusMisdirectedRequest {
 			ann := pol.set.Names.Announcement(raw.StatusCode, raw.Header)
 			fail.Announcement = &ann
--- a/lugd/pkg/target/reuse.go
+++ b/lugd/pkg/target/reuse.go
@@ -1,13 +1,10 @@
 package target
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -58,8 +55,7 @@
 // noteFailure records that a request on a connection that had been idle got no response since the
 // connection was closed. The target may have closed it while it was idle.
 func (rus *reusePolicy) noteFailure(idle time.Duration, err error) {
-	closed := errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
-	if idle == 0 || !closed {
+	if idle == 0 || !closedByPeer(err) {
 		return
 	}
 	rus.mut.Lock()
