Show without a network that a request which crashes targets is sent on

The fleets play the request beside restarts of all VMs and of placers, lost messages, a store that is away and a VM that is cut off; and, for requests that are not to blame, crashes of many targets at once, resets, targets that lose power, a release, and the company of such requests.

--- a/core/gateway/announcements_test.go
+++ b/core/gateway/announcements_test.go
@@ -177,6 +177,7 @@
 			}
 		}
 	}
+	out = append(out, sim.crashedTooOften(sim.mostCrashed)...)
 	return append(out, sim.faults...)
 }
 
--- a/core/gateway/fleetsim_test.go
+++ b/core/gateway/fleetsim_test.go
@@ -15,6 +15,7 @@
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/fleet"
+	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/placement"
 	"marigoldlug.example/core/rate"
@@ -66,6 +67,14 @@
 	// joinedAt holds when each VM was last reached again.
 	joinedAt map[string]time.Time
 	faults   []string
+	// storeAway is set while the store answers nobody.
+	storeAway bool
+	// crashers holds the requests that crash targets.
+	crashers []*crasher
+	// mostCrashed is how many targets each of them may crash.
+	mostCrashed int
+	// slowCrashes is set while the targets crash only after a long time.
+	slowCrashes bool
 
 	sent, served, refused, failed int
 }
@@ -86,6 +95,8 @@
 	// callers holds when each request that is in flight arrived.
 	callers map[request.ID]time.Time
 	live    map[simAttempt]*simRequest
+	// crashers holds the requests that crash targets.
+	crashers map[request.ID]*crasher
 }
 
 type simAttempt struct {
@@ -96,6 +107,9 @@
 // simRequest is one request at a target.
 type simRequest struct {
 	target *simTarget
+	vm     *simVM
+	run    int
+	key    simAttempt
 	ended  bool
 	// response is what the target has answered, and limit the index in simTarget.limits of the limit
 	// that it announces.
@@ -138,6 +152,10 @@
 	refuseUntil time.Time
 	arrivals    []arrival
 	pauses      []pause
+	// running holds the requests that have no slot yet or have not been answered.
+	running []*simRequest
+	// silent is set while the target neither answers nor closes connections.
+	silent bool
 	// told holds, for each run of a VM, the first answer with each limit that it passed on.
 	told map[string][]toldLimit
 	// toldLeaving holds when each run of a VM first passed on that the target leaves.
@@ -212,9 +230,17 @@
 		path = "/open/x"
 	}
 	sim.sent++
+	vmm.arrive(path, sim.harmlessContent(), nil)
+}
+
+// arrive delivers a request of a caller; cra is nil unless it crashes targets.
+func (vmm *simVM) arrive(path string, fpr request.Fingerprint, cra *crasher) {
 	vmm.next++
-	vmm.callers[vmm.next] = sim.now
-	vmm.step(Arrived{Request: request.Request{ID: vmm.next, Host: "h", Path: path, Timeout: simDeadline}})
+	vmm.callers[vmm.next] = vmm.sim.now
+	if cra != nil {
+		vmm.crashers[vmm.next] = cra
+	}
+	vmm.step(Arrived{Request: request.Request{ID: vmm.next, Host: "h", Path: path, Content: fpr, Timeout: simDeadline}})
 }
 
 // simContent has open routes, so that no rate limit of an organisation interferes.
@@ -232,7 +258,7 @@
 	vmm.runs++
 	self := member.VM{ID: fmt.Sprintf("%s.%d", vmm.name, vmm.runs), Address: vmm.name, FailureDomain: "a"}
 	vmm.mac = New(Settings{Name: vmm.name, Self: self, Policy: policy()}, rand.New(rand.NewPCG(vmm.sim.rnd.Uint64(), 1)))
-	vmm.callers, vmm.live = make(map[request.ID]time.Time), make(map[simAttempt]*simRequest)
+	vmm.callers, vmm.live, vmm.crashers = make(map[request.ID]time.Time), make(map[simAttempt]*simRequest), make(map[request.ID]*crasher)
 	vmm.tick(vmm.runs)
 }
 
@@ -242,16 +268,18 @@
 		return
 	}
 	now := vmm.sim.instant()
-	vmm.step(ConfigRead{RequestedAt: now})
-	vmm.step(TargetsRead{RequestedAt: now, Update: table.Delta[registry.Entry]{Since: vmm.mac.registry.Revision(), Revision: vmm.mac.registry.Revision()}})
-	vmm.step(FleetRead{RequestedAt: now, Update: table.Delta[fleet.Row]{Since: vmm.mac.fleet.Revision(), Revision: vmm.mac.fleet.Revision()}})
+	if !vmm.sim.storeAway {
+		vmm.step(ConfigRead{RequestedAt: now})
+		vmm.step(TargetsRead{RequestedAt: now, Update: table.Delta[registry.Entry]{Since: vmm.mac.registry.Revision(), Revision: vmm.mac.registry.Revision()}})
+		vmm.step(FleetRead{RequestedAt: now, Update: table.Delta[fleet.Row]{Since: vmm.mac.fleet.Revision(), Revision: vmm.mac.fleet.Revision()}})
+	}
 	vmm.step(Ticked{})
 	vmm.sim.after(TickInterval, func() { vmm.tick(run) })
 }
 
 // sync delivers all objects of the store.
 func (vmm *simVM) sync() {
-	if vmm.mac == nil {
+	if vmm.mac == nil || vmm.sim.storeAway {
 		return
 	}
 	sim, now := vmm.sim, vmm.sim.instant()
@@ -278,7 +306,7 @@
 // write carries out a write of a VM at the store.
 func (sim *fleetSim) write(name string, revision uint64, del table.Delta[fleet.Row]) {
 	sim.after(storeDelay, func() {
-		if row, _ := sim.rows.Get(name); row.Revision != revision {
+		if row, _ := sim.rows.Get(name); row.Revision != revision || sim.storeAway {
 			return
 		}
 		sim.revision++
@@ -321,6 +349,10 @@
 func (vmm *simVM) refuse(act Refuse) {
 	waited := vmm.sim.now.Sub(vmm.callers[act.Request])
 	delete(vmm.callers, act.Request)
+	if cra := vmm.crashers[act.Request]; cra != nil {
+		cra.refused(vmm.sim, act.Refusal)
+		return
+	}
 	if act.Refusal.Verdict != verdict.NotRun {
 		vmm.sim.failed++
 		return
@@ -362,8 +394,9 @@
 func (vmm *simVM) dispatch(act Dispatch) {
 	sim, run, sentAt, runID := vmm.sim, vmm.runs, vmm.callers[act.Request], vmm.mac.set.Self.ID
 	key := simAttempt{act.Request, act.Attempt}
-	req := &simRequest{}
+	req := &simRequest{vm: vmm, run: run, key: key}
 	vmm.live[key] = req
+	cra, dispatchedAt := vmm.crashers[act.Request], sim.now
 	answer := func(rsp Response, after time.Duration) {
 		if sim.rnd.IntN(slowAnswerOdds) == 0 {
 			after += time.Duration(sim.rnd.Int64N(int64(slowAnswerDelay))) // It was lost once.
@@ -373,16 +406,19 @@
 			if vmm.mac == nil || vmm.runs != run || req.ended {
 				return
 			}
+			req.ended = true
 			req.response = rsp
 			vmm.step(Answered{Request: act.Request, Attempt: act.Attempt, Response: rsp})
 		})
 	}
 	sim.after(targetDelay, func() {
 		tgt := sim.target(act.Target.ID)
-		if tgt == nil {
+		if tgt == nil || !tgt.up {
+			req.fail(AttemptFailed{Outcome: health.Unreachable, Verdict: verdict.NotRun})
 			return
 		}
 		req.target = tgt
+		tgt.running = append(tgt.running, req)
 		tgt.arrivals = append(tgt.arrivals, arrival{at: sim.now, sentAt: sentAt, vm: runID, cutOff: sim.cut[vmm.name] || sim.now.Sub(sim.joinedAt[vmm.name]) < stableTime})
 		if sim.now.Before(tgt.refuseUntil) {
 			tgt.pauses = append(tgt.pauses, pause{vm: runID, from: sim.now, until: sim.now.Add(tgt.pauseFor)})
@@ -395,7 +431,16 @@
 		if begin.Sub(sim.now) > simDeadline {
 			return
 		}
-		sim.at(end, func() { answer(Response{Status: 200, Announcement: tgt.announcement()}, targetDelay) })
+		if cra != nil {
+			cra.arrived(sim, tgt, begin, arrival{at: sim.now, sentAt: dispatchedAt, vm: runID, cutOff: sim.cut[vmm.name] || sim.now.Sub(sim.joinedAt[vmm.name]) < stableTime})
+			return
+		}
+		sim.at(end, func() {
+			if tgt.silent || !tgt.up {
+				return
+			}
+			answer(Response{Status: 200, Announcement: tgt.announcement()}, targetDelay)
+		})
 	})
 }
 
@@ -485,6 +530,8 @@
 		return err
 	case "lose-reports":
 		sim.dropReports = args[0] == "on"
+	case "crasher", "crash", "restart-all", "store-away", "silence", "reset", "exit", "slow-crashes":
+		return sim.doCrash(verb, args)
 	case "rate":
 		num, err := strconv.Atoi(args[0])
 		sim.perSecond = num
