Move the identity of a target's run to package health

Runs are about to be counted by the requests that they end under, too, not only by what they announce.

--- a/core/announcement/announcement.go
+++ b/core/announcement/announcement.go
@@ -6,21 +6,9 @@
 	"strconv"
 	"time"
 
-	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/rate"
 )
 
-// Run identifies one run of a target. A target that starts again knows nothing of what it announced
-// before.
-type Run struct {
-	Target string
-	// Born is the start time in Unix milliseconds; see health.Target.
-	Born int64
-}
-
-// RunOf returns the run of a target.
-func RunOf(tgt health.Target) Run { return Run{Target: tgt.ID, Born: tgt.Born} }
-
 // Limit is the most requests that a target takes from the whole fleet. The zero Limit is no limit.
 type Limit struct {
 	Limited bool
--- a/core/announcement/book.go
+++ b/core/announcement/book.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/health"
 )
 
 const (
@@ -16,7 +17,7 @@
 
 // Report tells another VM what is known of one run.
 type Report struct {
-	Run     Run
+	Run     health.Run
 	Limit   Limit
 	Leaving bool
 	// SentAge is the time since the request was sent whose response announced the limit, and HeardAge
@@ -42,15 +43,15 @@
 // Book keeps what one VM knows of the announcements of targets, by itself or from other VMs. Runs of
 // which it has no entry announce nothing, as far as the VM knows. It is not safe for concurrent use.
 type Book struct {
-	entries map[Run]*entry
+	entries map[health.Run]*entry
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{entries: make(map[Run]*entry)} }
+func NewBook() *Book { return &Book{entries: make(map[health.Run]*entry)} }
 
 // Hear records a response of a target to this VM, whose request was sent at sentAt. changed is set if
 // other VMs must know of it, and notable if it says anything that the responses before did not say.
-func (bok *Book) Hear(now, sentAt clock.Instant, run Run, ann Announcement) (changed, notable bool) {
+func (bok *Book) Hear(now, sentAt clock.Instant, run health.Run, ann Announcement) (changed, notable bool) {
 	ent := bok.entries[run]
 	if ent == nil {
 		if ann == (Announcement{}) {
@@ -84,7 +85,7 @@
 	return ent.limit != limit || ent.leaving != leaving
 }
 
-func (bok *Book) add(now clock.Instant, run Run) *entry {
+func (bok *Book) add(now clock.Instant, run health.Run) *entry {
 	ent := &entry{keptUntil: now.Add(retention)}
 	bok.entries[run] = ent
 	return ent
@@ -107,7 +108,7 @@
 func (bok *Book) Empty() bool { return len(bok.entries) == 0 }
 
 // Limit returns the limit that a run announces.
-func (bok *Book) Limit(run Run) Limit {
+func (bok *Book) Limit(run health.Run) Limit {
 	if ent := bok.entries[run]; ent != nil {
 		return ent.limit
 	}
@@ -115,13 +116,13 @@
 }
 
 // Leaving reports whether a run has announced that it is leaving.
-func (bok *Book) Leaving(run Run) bool {
+func (bok *Book) Leaving(run health.Run) bool {
 	ent := bok.entries[run]
 	return ent != nil && ent.leaving
 }
 
 // Paused returns for how long a run wants no request from this VM; 0 if it takes requests.
-func (bok *Book) Paused(now clock.Instant, run Run) time.Duration {
+func (bok *Book) Paused(now clock.Instant, run health.Run) time.Duration {
 	ent := bok.entries[run]
 	if ent == nil || !now.Before(ent.pausedUntil) {
 		return 0
@@ -130,7 +131,7 @@
 }
 
 // Report returns what other VMs must know of a run, and whether anything was announced.
-func (bok *Book) Report(now clock.Instant, run Run) (Report, bool) {
+func (bok *Book) Report(now clock.Instant, run health.Run) (Report, bool) {
 	ent := bok.entries[run]
 	if ent == nil || ent.sentAt == (clock.Instant{}) && !ent.leaving {
 		return Report{}, false
@@ -139,7 +140,7 @@
 }
 
 // Forget drops the entries of runs that were neither registered nor heard of for retention.
-func (bok *Book) Forget(now clock.Instant, registered map[Run]bool) {
+func (bok *Book) Forget(now clock.Instant, registered map[health.Run]bool) {
 	for run, ent := range bok.entries {
 		switch {
 		case registered[run]:
--- a/core/announcement/book_test.go
+++ b/core/announcement/book_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/rate"
 )
 
@@ -20,7 +21,7 @@
 		var out strings.Builder
 		for line := range strings.SplitSeq(dat.Input, "\n") {
 			scr := newScriptLine(t, line)
-			run := Run{Target: "t", Born: int64(scr.number("born", 1))}
+			run := health.Run{Target: "t", Born: int64(scr.number("born", 1))}
 			switch scr.verb {
 			case "hear":
 				ann := Announcement{
@@ -33,7 +34,7 @@
 				changed := bok.Learn(scr.now, Report{Run: run, Limit: scr.limit(), Leaving: scr.has("leaving"), SentAge: scr.seconds("sent", 0.1), HeardAge: scr.seconds("heard", 0)})
 				fmt.Fprintf(&out, "changed %t, ", changed)
 			case "forget":
-				bok.Forget(scr.now, map[Run]bool{run: scr.has("registered")})
+				bok.Forget(scr.now, map[health.Run]bool{run: scr.has("registered")})
 			}
 			fmt.Fprintf(&out, "limit %s, leaving %t, paused %v\n", bok.Limit(run), bok.Leaving(run), bok.Paused(scr.now, run))
 		}
--- a/core/gateway/announced.go
+++ b/core/gateway/announced.go
@@ -26,7 +26,7 @@
 // heard records what a target announces in its response to an attempt, and tells the placer of the
 // target what is new.
 func (mac *Machine) heard(now clock.Instant, inf *inFlight, att *attempt, ann announcement.Announcement) {
-	run := announcement.RunOf(att.target)
+	run := health.RunOf(att.target)
 	before := mac.book.Limit(run)
 	changed, notable := mac.book.Hear(now, att.startedAt, run, ann)
 	if notable {
@@ -63,7 +63,7 @@
 	}
 	var rps []announcement.Report
 	for _, tgt := range par.targets {
-		if rep, known := mac.book.Report(now, announcement.RunOf(tgt)); known {
+		if rep, known := mac.book.Report(now, health.RunOf(tgt)); known {
 			rps = append(rps, rep)
 		}
 	}
@@ -86,7 +86,7 @@
 	}
 	var out []string
 	for _, tgt := range par.targets {
-		run := announcement.RunOf(tgt)
+		run := health.RunOf(tgt)
 		if mac.book.Leaving(run) || mac.book.Paused(now, run) > 0 {
 			out = append(out, tgt.ID)
 		}
@@ -102,7 +102,7 @@
 	if mac.book.Empty() {
 		return ""
 	}
-	run := announcement.RunOf(tgt)
+	run := health.RunOf(tgt)
 	if mac.book.Leaving(run) {
 		return "leaving"
 	}
@@ -134,7 +134,7 @@
 	if att == nil {
 		return false
 	}
-	run := announcement.RunOf(att.target)
+	run := health.RunOf(att.target)
 	return !mac.book.Leaving(run) && mac.book.Paused(now, run) == 0
 }
 
@@ -142,7 +142,7 @@
 func (mac *Machine) limited(par *partition) []string {
 	var out []string
 	for _, tgt := range par.targets {
-		if mac.book.Limit(announcement.RunOf(tgt)).Limited {
+		if mac.book.Limit(health.RunOf(tgt)).Limited {
 			out = append(out, tgt.ID)
 		}
 	}
@@ -200,7 +200,7 @@
 	least, found := time.Duration(0), false
 	for _, par := range svc.partitions {
 		for _, tgt := range par.targets {
-			left := mac.book.Paused(now, announcement.RunOf(tgt))
+			left := mac.book.Paused(now, health.RunOf(tgt))
 			if left > 0 && (!found || left < least) {
 				least, found = left, true
 			}
@@ -221,10 +221,10 @@
 		return
 	}
 	mac.forgotAt = now
-	registered := make(map[announcement.Run]bool)
+	registered := make(map[health.Run]bool)
 	for _, tgs := range mac.registry.Targets() {
 		for _, tgt := range tgs {
-			registered[announcement.RunOf(tgt)] = true
+			registered[health.RunOf(tgt)] = true
 		}
 	}
 	mac.book.Forget(now, registered)
--- a/core/gateway/inflight.go
+++ b/core/gateway/inflight.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/health"
@@ -315,7 +314,7 @@
 		"attempt", inf.attempt, "target", tgt.ID, "route", inf.route.Name, "left", left, "placer", placer, "beside", beside, "version", mac.version(),
 		"content", inf.fingerprint,
 	}
-	if lim := mac.book.Limit(announcement.RunOf(tgt)); lim.Limited {
+	if lim := mac.book.Limit(health.RunOf(tgt)); lim.Limited {
 		fields = append(fields, "limit", lim.String())
 	}
 	mac.emit(LogEntry{Request: inf.ID, Event: "dispatched", Fields: fields})
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -232,7 +232,7 @@
 	if !found {
 		return nil
 	}
-	rep, known := mac.book.Report(now, announcement.RunOf(tgt))
+	rep, known := mac.book.Report(now, health.RunOf(tgt))
 	if !known {
 		return nil
 	}
--- a/core/gateway/status.go
+++ b/core/gateway/status.go
@@ -7,6 +7,7 @@
 
 	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/health"
 )
 
 // Status is a summary of a VM for operators.
@@ -70,7 +71,7 @@
 	var out []TargetStatus
 	for _, row := range mac.registry.Rows() {
 		ent := row.Value
-		run := announcement.Run{Target: row.Name, Born: ent.Born.UnixMilli()}
+		run := health.Run{Target: row.Name, Born: ent.Born.UnixMilli()}
 		tgt := TargetStatus{
 			ID: row.Name, Service: ent.Service, Address: ent.Address, FailureDomain: ent.FailureDomain, Leaving: ent.Leaving || mac.book.Leaving(run),
 			Limit: mac.book.Limit(run), Paused: mac.book.Paused(now, run),
--- a/core/health/outcome.go
+++ b/core/health/outcome.go
@@ -60,6 +60,16 @@
 	Born int64
 }
 
+// Run identifies one run of a target. A target that starts again is another run of itself.
+type Run struct {
+	Target string
+	// Born is the start time in Unix milliseconds; see Target.
+	Born int64
+}
+
+// RunOf returns the run of a target.
+func RunOf(tgt Target) Run { return Run{Target: tgt.ID, Born: tgt.Born} }
+
 // Sorted sorts targets by ID and returns them.
 func Sorted(tgs []Target) []Target {
 	slices.SortFunc(tgs, func(one, two Target) int { return cmp.Compare(one.ID, two.ID) })
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/rate"
 )
 
@@ -68,7 +68,7 @@
 	est := lat.orElse(pla.overall)
 	for _, at := range pla.rnd.Perm(len(pla.targets)) {
 		tgt := pla.targets[at]
-		if now.Before(tgt.avoidUntil) || slices.Contains(cri.Tried, tgt.ID) || pla.announcements.Leaving(announcement.RunOf(tgt.Target)) {
+		if now.Before(tgt.avoidUntil) || slices.Contains(cri.Tried, tgt.ID) || pla.announcements.Leaving(health.RunOf(tgt.Target)) {
 			continue
 		}
 		queueWait := pla.queueWait(now, tgt)
--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -6,6 +6,7 @@
 
 	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/rate"
 )
 
@@ -26,8 +27,8 @@
 
 // Announcements tells what targets announce about the requests that they take.
 type Announcements interface {
-	Limit(run announcement.Run) announcement.Limit
-	Leaving(run announcement.Run) bool
+	Limit(run health.Run) announcement.Limit
+	Leaving(run health.Run) bool
 }
 
 // Limiter decides when a target that announces a limit gets its next request.
@@ -103,7 +104,7 @@
 // limitWait returns the limit that a target announces, and how long it takes until the target may get
 // a request; 0 if it may get one now.
 func (pla *Placer) limitWait(now clock.Instant, tgt *target) (announcement.Limit, time.Duration) {
-	lim := pla.announcements.Limit(announcement.RunOf(tgt.Target))
+	lim := pla.announcements.Limit(health.RunOf(tgt.Target))
 	if !lim.Limited {
 		tgt.allowance = nil
 		return lim, 0
--- a/core/placement/limit_test.go
+++ b/core/placement/limit_test.go
@@ -25,8 +25,8 @@
 	leaving string
 }
 
-func (ann announced) Limit(announcement.Run) announcement.Limit { return ann.limit }
-func (ann announced) Leaving(run announcement.Run) bool         { return run.Target == ann.leaving }
+func (ann announced) Limit(health.Run) announcement.Limit { return ann.limit }
+func (ann announced) Leaving(run health.Run) bool         { return run.Target == ann.leaving }
 
 // limitedPlacer returns a placer of targets t0, t1 and so on which announce a limit.
 func limitedPlacer(now clock.Instant, cnt int, perSecond float64, lim Limiter) *Placer {
--- a/lugd/pkg/peer/codec_test.go
+++ b/lugd/pkg/peer/codec_test.go
@@ -39,7 +39,7 @@
 	}
 	criteria := placement.Criteria{Route: "r", Domain: "a", Idempotent: true, Retry: true, TimeToGoal: 1, TimeLeft: 2, Tried: []string{"t"}, Priority: 3}
 	entry := registry.Entry{Service: "s", Address: "a", FailureDomain: "d", Version: "v", Slots: 3, Leaving: true, Warming: 4, Born: time.UnixMilli(5)}
-	report := announcement.Report{Run: announcement.Run{Target: "t", Born: 5}, Limit: announcement.Limit{Limited: true, Rate: 6}, Leaving: true, SentAge: 7, HeardAge: 8}
+	report := announcement.Report{Run: health.Run{Target: "t", Born: 5}, Limit: announcement.Limit{Limited: true, Rate: 6}, Leaving: true, SentAge: 7, HeardAge: 8}
 	return []any{
 		hello{Version: 1, From: vmm, To: "vm-2.b"},
 		wrongVM{},
@@ -64,7 +64,7 @@
 		placement.Answer{Number: 1, Target: "t", HedgeAfter: 2, ReplaceAfter: 4, RetryAfter: 3, Reason: placement.NoRoom},
 		placement.Answer{Number: 1, Target: "t", HedgeAfter: 2, ReplaceAfter: 4, Announced: &report},
 		placement.Answer{Number: 1, RetryAfter: 3, Reason: placement.Limited, Limits: 9},
-		placement.Announced{Reports: []announcement.Report{report, {Run: announcement.Run{Target: "u"}}}},
+		placement.Announced{Reports: []announcement.Report{report, {Run: health.Run{Target: "u"}}}},
 		placement.Ended{Ends: []placement.End{{Service: "s", Partition: 1, Number: 2, Outcome: health.ServerError}}},
 		placement.Track{Attempts: []placement.RunningAttempt{{Service: "s", Partition: 1, Number: 2, Target: "t", Route: "r", Age: 3, TimeLeft: 4}}},
 	}
--- a/lugd/pkg/peer/placement.go
+++ b/lugd/pkg/peer/placement.go
@@ -145,7 +145,7 @@
 	var out []announcement.Report
 	for cnt := rdr.count(); cnt > 0 && rdr.err == nil; cnt-- {
 		out = append(out, announcement.Report{
-			Run:   announcement.Run{Target: rdr.text(), Born: rdr.signed()},
+			Run:   health.Run{Target: rdr.text(), Born: rdr.signed()},
 			Limit: announcement.Limit{Limited: rdr.boolean(), Rate: rate.PerSecond(rdr.signed())}, Leaving: rdr.boolean(),
 			SentAge: rdr.duration(), HeardAge: rdr.duration(),
 		})
