--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -9,6 +9,7 @@
 
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/member"
+	"marigoldlug.example/core/quarantine"
 	"marigoldlug.example/core/quota"
 	"marigoldlug.example/core/table"
 )
@@ -36,6 +37,10 @@
 // server num.
 func TokenServerName(num int) string { return tokenServerPrefix + strconv.Itoa(num) }
 
+// QuarantineName is the name of the object that holds the contents of requests that crash targets. It has
+// a holder, its last writer, so that programs that do not know it take it for a role.
+const QuarantineName = "duty.quarantine"
+
 const vmPrefix = "vm."
 
 // VMName returns the name of the object of the VM with the given name.
@@ -53,6 +58,10 @@
 	// Busy lists the busy organisations of the holder: those that it may grant their whole
 	// window limit.
 	Busy quota.Busy
+	// Quarantine holds contents under which targets have ended; empty but for the object QuarantineName.
+	Quarantine []quarantine.Report
+	// Malformed is the number of contents in the object that could not be read.
+	Malformed int
 }
 
 // Fleet is the fleet list as one VM knows it. It is not safe for concurrent use.
@@ -298,6 +307,13 @@
 	return row.Value.Busy
 }
 
+// Quarantine returns the contents under which targets have ended, as the store holds them, and how many
+// others could not be read.
+func (fle *Fleet) Quarantine() (rps []quarantine.Report, malformed int) {
+	row, _ := fle.rows.Get(QuarantineName)
+	return row.Value.Quarantine, row.Value.Malformed
+}
+
 // candidate returns the ID of the VM that is to hold the role of token server num: the first in
 // rank of a failure domain. Each role starts with another domain, as far as there are enough,
 // and goes on to the next one if the domain has no VM for it. The VM that has released the role
--- a/core/gateway/announced.go
+++ b/core/gateway/announced.go
@@ -128,10 +128,11 @@
 }
 
 // MaySend reports whether an attempt may still be sent to its target. Opening a connection may have
-// taken long, and the target may have announced meanwhile that it wants no requests.
+// taken long: the target may have announced meanwhile that it wants no requests, or the content of the
+// request may be suspected to crash targets.
 func (mac *Machine) MaySend(now clock.Instant, id request.ID, number int) bool {
-	_, att := mac.currentAttempt(id, number)
-	if att == nil {
+	inf, att := mac.currentAttempt(id, number)
+	if att == nil || !inf.permission.allows(mac.contents.book.State(inf.fingerprint)) {
 		return false
 	}
 	run := health.RunOf(att.target)
--- a/core/gateway/crashsim_test.go
+++ b/core/gateway/crashsim_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -9,7 +8,9 @@
 	"strings"
 	"time"
 
+	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/quarantine"
 	"marigoldlug.example/core/request"
 	"marigoldlug.example/core/verdict"
 )
@@ -37,9 +38,10 @@
 	perSecond float64
 	// arrivals are those of the dispatched attempts at targets; sentAt is when they were dispatched.
 	arrivals []arrival
-	// crashed holds the runs of targets that it has crashed, and crashedAt when it did.
-	crashed   []*simTarget
-	crashedAt []time.Time
+	// crashed holds the runs of targets that it has crashed, crashedAt when it did, and dispatchedAt when the
+	// attempts were dispatched.
+	crashed                 []*simTarget
+	crashedAt, dispatchedAt []time.Time
 	// refusals counts the refusals of its attempts by status.
 	refusals map[int]int
 }
@@ -164,7 +166,7 @@
 		if !tgt.up || tgt.silent || req.ended {
 			return // A request whose connection was closed is dropped.
 		}
-		cra.crashed, cra.crashedAt = append(cra.crashed, tgt), append(cra.crashedAt, sim.now)
+		cra.crashed, cra.crashedAt, cra.dispatchedAt = append(cra.crashed, tgt), append(cra.crashedAt, sim.now), append(cra.dispatchedAt, arr.sentAt)
 		sim.crash(tgt)
 	})
 }
@@ -220,6 +222,19 @@
 	req.vm.step(evt)
 }
 
+// forgetUnstored begins to count anew for the requests of which no VM and not the store knows.
+func (sim *fleetSim) forgetUnstored() {
+	if slices.ContainsFunc(sim.vms, func(vmm *simVM) bool { return vmm.mac != nil }) {
+		return
+	}
+	row, _ := sim.rows.Get(fleet.QuarantineName)
+	for _, cra := range sim.crashers {
+		if !slices.ContainsFunc(row.Value.Quarantine, func(rep quarantine.Report) bool { return rep.Content == cra.content().Of("") }) {
+			cra.crashed, cra.crashedAt, cra.dispatchedAt, cra.arrivals = nil, nil, nil, nil
+		}
+	}
+}
+
 // crashedTooOften returns a line for each request that was sent to targets after it had crashed three, or
 // that crashed more of them than the given number.
 func (sim *fleetSim) crashedTooOften(most int) []string {
@@ -228,19 +243,40 @@
 		if cnt := len(cra.crashed); cnt > most {
 			out = append(out, fmt.Sprintf("%s: crashed %d targets, at most %d expected", cra.name, cnt, most))
 		}
-		if len(cra.crashedAt) < provenCrashes {
-			continue
+		if cnt := cra.crashedBySuspects(); cnt > provenCrashes-1 {
+			out = append(out, fmt.Sprintf("%s: crashed %d targets by attempts later than %v after the first crash", cra.name, cnt, noticeTime))
 		}
-		provenAt := cra.crashedAt[provenCrashes-1]
-		late := slices.DeleteFunc(slices.Clone(cra.arrivals), func(arr arrival) bool { return arr.cutOff || arr.sentAt.Sub(provenAt) <= noticeTime })
-		if len(late) > 0 {
-			first := slices.MinFunc(late, func(one, two arrival) int { return cmp.Compare(one.sentAt.UnixNano(), two.sentAt.UnixNano()) })
+		if late := cra.lateArrivals(noticeTime); len(late) > 0 {
 			out = append(out, fmt.Sprintf("%s: was sent to targets %d times later than %v after it had crashed %d, first by %s after %v",
-				cra.name, len(late), noticeTime, provenCrashes, first.vm, first.sentAt.Sub(provenAt)))
+				cra.name, len(late), noticeTime, provenCrashes, late[0].vm, late[0].sentAt.Sub(cra.crashedAt[provenCrashes-1])))
 		}
 	}
 	return out
 }
 
+// crashedBySuspects returns how many targets were crashed by attempts that were dispatched when the fleet
+// had to know of the first crash.
+func (cra *crasher) crashedBySuspects() int {
+	cnt := 0
+	for _, dispatchedAt := range cra.dispatchedAt {
+		if dispatchedAt.Sub(cra.crashedAt[0]) > noticeTime {
+			cnt++
+		}
+	}
+	return cnt
+}
+
+// lateArrivals returns the arrivals that were dispatched later than a time after the request had crashed
+// provenCrashes targets, by VMs that reach the others.
+func (cra *crasher) lateArrivals(after time.Duration) []arrival {
+	if len(cra.crashedAt) < provenCrashes {
+		return nil
+	}
+	provenAt := cra.crashedAt[provenCrashes-1]
+	late := slices.DeleteFunc(slices.Clone(cra.arrivals), func(arr arrival) bool { return arr.cutOff || arr.sentAt.Sub(provenAt) <= after })
+	slices.SortFunc(late, func(one, two arrival) int { return one.sentAt.Compare(two.sentAt) })
+	return late
+}
+
 // provenCrashes is the number of targets that may crash under a request before it is sent to none any more.
 const provenCrashes = 3
--- a/core/gateway/fleetsim_test.go
+++ b/core/gateway/fleetsim_test.go
@@ -18,6 +18,7 @@
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/placement"
+	"marigoldlug.example/core/quarantine"
 	"marigoldlug.example/core/rate"
 	"marigoldlug.example/core/registry"
 	"marigoldlug.example/core/request"
@@ -40,6 +41,7 @@
 	// slowAnswerOdds is how many answers there are for each one that is late, by slowAnswerDelay at most.
 	slowAnswerOdds  = 20
 	slowAnswerDelay = 400 * time.Millisecond
+	keptReportOdds  = 4
 	// refusalTime is how long a caller may wait for a refusal: two rounds with a silent placer.
 	refusalTime = 300*time.Millisecond + slowAnswerDelay
 )
@@ -62,6 +64,8 @@
 	perSecond int
 	// dropReports is set while messages that tell other VMs of announcements are lost.
 	dropReports bool
+	// dropMostReports is set while one of keptReportOdds of them is not lost.
+	dropMostReports bool
 	// cut holds the names of VMs that no other VM reaches, and that reach none.
 	cut map[string]bool
 	// joinedAt holds when each VM was last reached again.
@@ -347,6 +351,11 @@
 }
 
 func (vmm *simVM) refuse(act Refuse) {
+	for key, req := range vmm.live {
+		if key.request == act.Request {
+			req.ended = true // The driver closes its connection.
+		}
+	}
 	waited := vmm.sim.now.Sub(vmm.callers[act.Request])
 	delete(vmm.callers, act.Request)
 	if cra := vmm.crashers[act.Request]; cra != nil {
@@ -358,6 +367,9 @@
 		return
 	}
 	vmm.sim.refused++
+	if act.Refusal.Reason == request.Quarantined {
+		vmm.sim.faults = append(vmm.sim.faults, fmt.Sprintf("%s: quarantined a request that harms no target: %+v", vmm.name, act.Refusal))
+	}
 	if act.Refusal.RetryAfter <= 0 || waited > refusalTime {
 		vmm.sim.faults = append(vmm.sim.faults, fmt.Sprintf("%s: refused after %v: %+v", vmm.name, waited, act.Refusal))
 	}
@@ -367,7 +379,7 @@
 // learns of it.
 func (vmm *simVM) send(act Send) {
 	sim, from, run := vmm.sim, vmm.mac.set.Self.ID, vmm.runs
-	if sim.dropReports && isReport(act.Message) {
+	if isReport(act.Message) && (sim.dropReports || sim.dropMostReports && sim.rnd.IntN(keptReportOdds) > 0) {
 		return
 	}
 	sim.after(peerDelay, func() {
@@ -529,7 +541,7 @@
 		sim.cut[name] = verb == "cut"
 		return err
 	case "lose-reports":
-		sim.dropReports = args[0] == "on"
+		sim.dropReports, sim.dropMostReports = args[0] == "on", args[0] == "most"
 	case "crasher", "crash", "restart-all", "store-away", "silence", "reset", "exit", "slow-crashes":
 		return sim.doCrash(verb, args)
 	case "rate":
@@ -569,6 +581,7 @@
 		sim.failed++
 	}
 	vmm.mac = nil
+	sim.forgetUnstored()
 	sim.after(restartTime, func() {
 		vmm.start()
 		vmm.sync()
@@ -617,6 +630,9 @@
 
 // isReport reports whether a message tells another VM what targets announce.
 func isReport(msg any) bool {
-	_, is := msg.(placement.Announced)
-	return is
+	switch msg.(type) {
+	case placement.Announced, quarantine.News:
+		return true
+	}
+	return false
 }
--- a/core/gateway/inflight.go
+++ b/core/gateway/inflight.go
@@ -85,6 +85,8 @@
 	outcome  health.Outcome
 	// verdict is the worst verdict of the attempts that have ended.
 	verdict verdict.Verdict
+	// permission is what the request needs while its content is suspected to crash targets.
+	permission permission
 }
 
 // attempt is one sending of a request to a target.
@@ -117,6 +119,10 @@
 	if ref == nil && mac.pastStopDeadline {
 		ref = &request.Refusal{Reason: request.Overloaded, Detail: "the VM stops", RetryAfter: mac.randomRetryAfter()}
 	}
+	if ref == nil && mac.quarantined(inf) && !mac.takeTrial(inf) {
+		refusal := mac.quarantineRefusal(now, inf)
+		ref = &refusal
+	}
 	if ref != nil {
 		mac.logRefusal(inf, req.ID, *ref)
 		mac.emit(Refuse{Request: req.ID, Refusal: *ref})
@@ -274,7 +280,7 @@
 	}
 	switch {
 	case ref == nil:
-		mac.place(now, inf)
+		mac.placePermitted(now, inf)
 	case inf.running():
 		mac.keepWaiting(now, inf, string(ref.Reason))
 	default:
@@ -397,7 +403,7 @@
 // resume waits for the attempts of a request that are running or being placed, or asks for a target
 // for a new one if there are none.
 func (mac *Machine) resume(now clock.Instant, inf *inFlight, detail string) {
-	if !inf.running() && !inf.placing {
+	if !inf.running() && !inf.placing && !inf.permission.waiting {
 		mac.nextAttempt(now, inf, detail)
 	}
 }
@@ -426,11 +432,17 @@
 	if evt.Verdict == verdict.NotRun {
 		inf.sent-- // Nothing reached the target.
 	}
-	mac.endAttempt(now, inf, att, evt.Outcome, evt.Verdict)
 	mac.emit(LogEntry{Request: inf.ID, Event: "attemptFailed", Fields: []any{
 		"attempt", att.number, "target", att.target.ID, "outcome", evt.Outcome, "verdict", evt.Verdict, "detail", evt.Detail,
 		"content", inf.fingerprint, "portClosed", evt.PortClosed,
 	}})
+	if evt.Outcome == health.Failure && evt.Verdict == verdict.MayHaveRun {
+		mac.brokeOff(now, inf, att.target, evt.PortClosed)
+	}
+	if mac.requests[inf.ID] == nil {
+		return // Its content has been quarantined.
+	}
+	mac.endAttempt(now, inf, att, evt.Outcome, evt.Verdict)
 	reason := request.TargetFailed
 	if inf.deadline.Mono-now.Mono < minAttemptTime {
 		reason = request.TimedOut
@@ -452,6 +464,7 @@
 	if ver != verdict.NotRun {
 		inf.mayHaveRun++
 	}
+	mac.returnPermit(inf)
 	mac.reportEnd(now, att.partition, att.queryNumber, att.placer, outcome)
 }
 
@@ -479,7 +492,7 @@
 func (mac *Machine) hedgeAndExpire(now clock.Instant) {
 	for _, id := range sortedRequests(mac.requests) {
 		inf := mac.requests[id]
-		if !inf.running() || inf.relaying {
+		if inf == nil || !inf.running() || inf.relaying {
 			continue
 		}
 		if !now.Before(inf.deadline) {
@@ -510,8 +523,10 @@
 	outcome := evt.Outcome
 	if outcome == health.Success {
 		outcome = inf.outcome
+		mac.contentAnswered(now, inf)
 	}
 	if outcome == health.Failure {
+		mac.brokeOff(now, inf, inf.live[0].target, evt.PortClosed)
 		mac.emit(LogEntry{Request: inf.ID, Event: "responseBrokeOff", Fields: []any{
 			"target", inf.live[0].target.ID, "content", inf.fingerprint, "portClosed", evt.PortClosed,
 		}})
@@ -535,5 +550,7 @@
 func (mac *Machine) remove(inf *inFlight) {
 	mac.tokens.Cancel(inf.organisation, uint64(inf.ID))
 	mac.cancelQuery(inf)
+	delete(mac.contents.asks, inf.permission.question)
+	mac.returnPermit(inf)
 	delete(mac.requests, inf.ID)
 }
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -11,6 +11,7 @@
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/placement"
+	"marigoldlug.example/core/quarantine"
 	"marigoldlug.example/core/quota"
 	"marigoldlug.example/core/registry"
 	"marigoldlug.example/core/request"
@@ -64,6 +65,7 @@
 	// dropped.
 	book     *announcement.Book
 	forgotAt clock.Instant
+	contents contents
 	// queued holds the requests that arrived before this VM knew the configuration and the targets,
 	// in order of arrival.
 	queued []queued
@@ -96,6 +98,7 @@
 		pendingQueries: make(map[uint64]request.ID),
 		requests:       make(map[request.ID]*inFlight),
 		book:           announcement.NewBook(),
+		contents:       newContents(),
 		releases:       make(map[string]release),
 
 		placementCounts: make(map[string]uint64),
@@ -162,6 +165,8 @@
 		mac.tokens.HandleGrant(now, msg)
 	case placement.Message:
 		mac.placementReceived(now, evt.From, msg)
+	case quarantine.Message:
+		mac.quarantineReceived(now, evt.From, msg)
 	}
 }
 
@@ -175,6 +180,7 @@
 	mac.handleQueued(now)
 	mac.follow(now)
 	mac.maintainFleet(now)
+	mac.tickContents(now)
 	mac.tickPlacement(now)
 	mac.tokens.Tick(now)
 	mac.hedgeAndExpire(now)
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -297,7 +297,7 @@
 	return placement.Criteria{
 		Route: inf.route.Name, Domain: mac.set.Self.FailureDomain, Idempotent: inf.route.Idempotent, Retry: inf.sent > 0, Hedge: inf.hedging,
 		TimeToGoal: max(inf.goal.Mono-now.Mono, 0), TimeLeft: max(inf.deadline.Mono-now.Mono, 0), Tried: excluded,
-		Priority: int(inf.priority),
+		Priority: int(inf.priority), Suspected: inf.permission.granted != nil,
 	}
 }
 
@@ -362,6 +362,9 @@
 		mac.placeLocally(now, inf)
 		return
 	}
+	if mac.withhold(now, inf, placer) {
+		return
+	}
 	if why := mac.holdBack(now, inf.queriedPartition, tgt, ans, placer); why != "" {
 		mac.emit(LogEntry{Request: inf.ID, Event: "heldBack", Fields: []any{"target", tgt.ID, "announced", why, "placer", placer}})
 		mac.reportEnd(now, inf.queriedPartition, inf.queryNumber, placer, health.Canceled)
@@ -419,7 +422,7 @@
 func (mac *Machine) tickPlacement(now clock.Instant) {
 	for _, id := range sortedRequests(mac.requests) {
 		inf := mac.requests[id]
-		if !inf.placing || now.Since(inf.queriedAt) < placementTimeout {
+		if inf == nil || !inf.placing || now.Since(inf.queriedAt) < placementTimeout {
 			continue
 		}
 		mac.backOff(now, inf.queriedPartition, inf.queriedPlacer)
--- /dev/null
+++ b/core/gateway/quarantine.go
@@ -0,0 +1,539 @@
+package gateway
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/fleet"
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/quarantine"
+	"marigoldlug.example/core/request"
+)
+
+const (
+	// quarantineKey is the key by which the VMs are ranked to choose the keeper.
+	quarantineKey = "quarantine"
+	// suspectWait is the longest time that a suspected request waits until it may be sent. Another one
+	// with the same content may be answered by then, which clears both.
+	suspectWait = 500 * time.Millisecond
+	// keeperTimeout is how long a suspected request waits for the first reply of the keeper.
+	keeperTimeout = 200 * time.Millisecond
+	// askInterval is how long a VM waits until it asks the keeper again, which was busy or silent.
+	askInterval = 100 * time.Millisecond
+	// The keeper sends all VMs one message each newsInterval, and newsBurst at once after a quiet time: the
+	// sooner a suspicion is known, the fewer targets run the request at the same time.
+	newsInterval = 50 * time.Millisecond
+	newsBurst    = 6
+	// resendInterval is how long a VM waits for the keeper to pass on what it reported until it reports it
+	// again.
+	resendInterval = time.Second
+	// maxNews bounds the reports in one message.
+	maxNews = 64
+	// storeInterval is the least time between two writes of the quarantine to the store.
+	storeInterval = time.Second
+	// repeatInterval is how often the keeper passes on everything once more while the store lacks any of it.
+	repeatInterval = 2 * time.Second
+	// brokenOffTime is how long an attempt that broke off is remembered, to learn from the registry whether
+	// its target has started again. maxBrokenOff bounds their number.
+	brokenOffTime = 10 * time.Second
+	maxBrokenOff  = 256
+)
+
+// contents is what a VM needs to keep requests that crash targets from being sent on.
+type contents struct {
+	book   *quarantine.Book
+	keeper *quarantine.Keeper
+	// keeperID is the ID of the VM that is the keeper.
+	keeperID string
+	// asks holds the requests for which the keeper has not ruled yet, by the number of the question.
+	asks map[uint64]request.ID
+	// unconfirmed holds when each report was last sent to the keeper that it has not passed on yet.
+	unconfirmed map[request.Fingerprint]clock.Instant
+	// changed holds what the keeper has not passed on to all VMs yet.
+	changed map[request.Fingerprint]bool
+	// newsDueAt is the time from which on the keeper may pass on what changed without a burst.
+	newsDueAt clock.Instant
+	// writeDue is set while the store may lack something, and wroteAt is when it was last written.
+	writeDue bool
+	wroteAt  clock.Instant
+	// repeatedAt is when the keeper last passed on everything once more.
+	repeatedAt clock.Instant
+	// readRevision is the revision of the store's object that was last read.
+	readRevision uint64
+	forgotAt     clock.Instant
+	// brokenOff holds attempts that broke off at targets whose process was not known to be gone, the
+	// oldest first.
+	brokenOff []brokenOff
+}
+
+// brokenOff is an attempt that ended without a whole response.
+type brokenOff struct {
+	content request.Fingerprint
+	end     quarantine.End
+	at      clock.Instant
+}
+
+// permit is the keeper's permission for one attempt of a suspected request, or of a quarantined one as a
+// trial.
+type permit struct {
+	keeper string
+	number uint64
+	trial  bool
+}
+
+// permission is what a request needs before it may be sent while its content is suspected.
+type permission struct {
+	// granted is nil without a permit.
+	granted *permit
+	// waiting is set while the request waits for one, until giveUpAt at the latest.
+	waiting  bool
+	giveUpAt clock.Instant
+	// ruled is set once the keeper has replied to it.
+	ruled bool
+	// question is the number of the last question to the keeper, sent at askedAt.
+	question uint64
+	askedAt  clock.Instant
+}
+
+// allows reports whether the request may be sent while its content is in the given state.
+func (per *permission) allows(sta quarantine.State) bool {
+	return sta == quarantine.Clear || per.granted != nil && (per.granted.trial || sta == quarantine.Suspected)
+}
+
+func newContents() contents {
+	bok := quarantine.NewBook()
+	return contents{
+		book: bok, keeper: quarantine.NewKeeper(bok), asks: make(map[uint64]request.ID),
+		unconfirmed: make(map[request.Fingerprint]clock.Instant), changed: make(map[request.Fingerprint]bool),
+	}
+}
+
+// quarantined reports whether the content of a request is quarantined.
+func (mac *Machine) quarantined(inf *inFlight) bool {
+	return mac.contents.book.State(inf.fingerprint) == quarantine.Quarantined
+}
+
+// takeTrial makes a request with a quarantined content its trial, if one is due.
+func (mac *Machine) takeTrial(inf *inFlight) bool {
+	if !mac.contents.keeper.TakeTrial(inf.fingerprint) {
+		return false
+	}
+	inf.permission.granted = &permit{trial: true}
+	mac.emit(LogEntry{Request: inf.ID, Event: "trial", Fields: []any{"content", inf.fingerprint, "ends", mac.contents.book.Count(inf.fingerprint)}})
+	return true
+}
+
+// quarantineRefusal returns the refusal of a request whose content is quarantined.
+func (mac *Machine) quarantineRefusal(now clock.Instant, inf *inFlight) request.Refusal {
+	return request.Refusal{
+		Reason: request.Quarantined, RetryAfter: mac.contents.book.RetryAfter(now, inf.fingerprint),
+		Detail: fmt.Sprintf("%d runs of targets ended while they ran requests with the content %s", mac.contents.book.Count(inf.fingerprint), inf.fingerprint),
+	}
+}
+
+// placePermitted asks for a target once the content of the request may be sent to one.
+func (mac *Machine) placePermitted(now clock.Instant, inf *inFlight) {
+	sta := mac.contents.book.State(inf.fingerprint)
+	switch {
+	case sta != quarantine.Clear && inf.running():
+		mac.keepWaiting(now, inf, sta.String())
+	case inf.permission.allows(sta):
+		mac.place(now, inf)
+	case sta == quarantine.Quarantined:
+		mac.refuse(inf, mac.quarantineRefusal(now, inf))
+	default:
+		inf.permission.waiting = true
+		inf.permission.giveUpAt = now.Add(min(keeperTimeout, inf.deadline.Mono-now.Mono))
+		mac.ask(now, inf)
+	}
+}
+
+// withhold decides, as the last step before a request is sent to a target, whether its content forbids
+// that. It then gives the slot back and decides how the request continues.
+func (mac *Machine) withhold(now clock.Instant, inf *inFlight, placer string) bool {
+	sta := mac.contents.book.State(inf.fingerprint)
+	if sta == quarantine.Clear || inf.permission.allows(sta) && !inf.running() {
+		return false
+	}
+	mac.emit(LogEntry{Request: inf.ID, Event: "withheld", Fields: []any{
+		"content", inf.fingerprint, "state", sta, "ends", mac.contents.book.Count(inf.fingerprint),
+	}})
+	mac.reportEnd(now, inf.queriedPartition, inf.queryNumber, placer, health.Canceled)
+	mac.placePermitted(now, inf)
+	return true
+}
+
+// ask asks the keeper whether a suspected request may be sent.
+func (mac *Machine) ask(now clock.Instant, inf *inFlight) {
+	con := &mac.contents
+	delete(con.asks, inf.permission.question)
+	mac.number++
+	inf.permission.question, inf.permission.askedAt = mac.number, now
+	con.asks[mac.number] = inf.ID
+	mac.sendQuarantine(now, con.keeperID, quarantine.Ask{
+		Number: mac.number, TimeLeft: max(inf.deadline.Mono-now.Mono, 0), Known: con.book.Report(inf.fingerprint),
+	})
+}
+
+// sendQuarantine sends a message to a VM, which may be this one.
+func (mac *Machine) sendQuarantine(now clock.Instant, to string, msg quarantine.Message) {
+	if to == mac.set.Self.ID || to == "" {
+		mac.quarantineReceived(now, mac.set.Self.ID, msg)
+		return
+	}
+	mac.emit(Send{To: to, Message: msg})
+}
+
+func (mac *Machine) quarantineReceived(now clock.Instant, from string, msg quarantine.Message) {
+	con := &mac.contents
+	switch msg := msg.(type) {
+	case quarantine.Ask:
+		mac.learnContent(now, from, msg.Known)
+		allowed := con.keeper.Allow(now, from, msg)
+		mac.log("ruled", "content", msg.Known.Content, "vm", from, "allowed", allowed, "ends", con.book.Count(msg.Known.Content))
+		mac.sendQuarantine(now, from, quarantine.Ruling{Number: msg.Number, Allowed: allowed, Known: con.book.Report(msg.Known.Content)})
+	case quarantine.Ruling:
+		mac.learnContent(now, from, msg.Known)
+		mac.ruled(now, from, msg)
+	case quarantine.Ended:
+		mac.learnContent(now, from, msg.Known)
+		con.keeper.Ended(from, msg.Number)
+	case quarantine.News:
+		for _, rep := range msg.Reports {
+			mac.learnContent(now, from, rep)
+			if from == con.keeperID && rep.Includes(con.book.Report(rep.Content)) {
+				delete(con.unconfirmed, rep.Content)
+			}
+		}
+	}
+}
+
+// ruled handles the keeper's reply for a suspected request.
+func (mac *Machine) ruled(now clock.Instant, from string, msg quarantine.Ruling) {
+	id, asked := mac.contents.asks[msg.Number]
+	delete(mac.contents.asks, msg.Number)
+	inf := mac.requests[id]
+	if !asked || inf == nil || !inf.permission.waiting {
+		if msg.Allowed {
+			mac.sendQuarantine(now, from, quarantine.Ended{Number: msg.Number, Known: msg.Known})
+		}
+		return
+	}
+	if msg.Allowed {
+		inf.permission.granted = &permit{keeper: from, number: msg.Number}
+		mac.continueWaiting(now, inf)
+		return
+	}
+	if !inf.permission.ruled {
+		inf.permission.ruled = true
+		inf.permission.giveUpAt = now.Add(min(suspectWait, inf.deadline.Mono-now.Mono))
+	}
+}
+
+// continueWaiting continues a request that waits for a permit and needs to wait no more.
+func (mac *Machine) continueWaiting(now clock.Instant, inf *inFlight) {
+	inf.permission.waiting, inf.permission.ruled = false, false
+	mac.nextAttempt(now, inf, "the request is suspected to crash targets")
+}
+
+// returnPermit gives the permit of a request back, if it has one.
+func (mac *Machine) returnPermit(inf *inFlight) {
+	per := inf.permission.granted
+	inf.permission.granted = nil
+	switch {
+	case per == nil || per.trial:
+	case per.keeper == mac.set.Self.ID:
+		mac.contents.keeper.Ended(per.keeper, per.number)
+	default:
+		mac.emit(Send{To: per.keeper, Message: quarantine.Ended{Number: per.number, Known: mac.contents.book.Report(inf.fingerprint)}})
+	}
+}
+
+// tickWaiting continues or refuses the requests that wait for a permit.
+func (mac *Machine) tickWaiting(now clock.Instant) {
+	for _, id := range sortedRequests(mac.requests) {
+		inf := mac.requests[id]
+		if inf == nil || !inf.permission.waiting {
+			continue
+		}
+		switch sta := mac.contents.book.State(inf.fingerprint); {
+		case sta != quarantine.Suspected:
+			mac.continueWaiting(now, inf)
+		case !now.Before(inf.permission.giveUpAt):
+			mac.refuse(inf, request.Refusal{
+				Reason: request.Suspected, RetryAfter: mac.randomRetryAfter(),
+				Detail: fmt.Sprintf("%d runs of targets ended under the content %s, and the keeper allows no attempt now", mac.contents.book.Count(inf.fingerprint), inf.fingerprint),
+			})
+		case now.Since(inf.permission.askedAt) >= askInterval:
+			mac.ask(now, inf)
+		}
+	}
+}
+
+// brokeOff records an attempt that ended without a whole response. A target that leaves ends with what it
+// still runs, so that counts for nothing.
+func (mac *Machine) brokeOff(now clock.Instant, inf *inFlight, tgt health.Target, portClosed bool) {
+	run := health.RunOf(tgt)
+	ent, registered := mac.registry.Entry(tgt.ID)
+	if !registered || ent.Leaving || ent.Born.UnixMilli() != run.Born || mac.book.Leaving(run) {
+		return
+	}
+	end := quarantine.End{Run: run, Separate: inf.permission.granted != nil}
+	if portClosed {
+		mac.runEnded(now, inf.fingerprint, end)
+		return
+	}
+	con := &mac.contents
+	con.brokenOff = append(con.brokenOff, brokenOff{content: inf.fingerprint, end: end, at: now})
+	con.brokenOff = con.brokenOff[max(len(con.brokenOff)-maxBrokenOff, 0):]
+}
+
+// checkBrokenOff looks up whether targets at which attempts broke off have started again since. Their
+// responses do not tell: another run may answer already.
+func (mac *Machine) checkBrokenOff(now clock.Instant) {
+	con := &mac.contents
+	var left []brokenOff
+	for _, brk := range con.brokenOff {
+		ent, registered := mac.registry.Entry(brk.end.Run.Target)
+		switch {
+		case registered && ent.Born.UnixMilli() > brk.end.Run.Born:
+			mac.runEnded(now, brk.content, brk.end)
+		case registered && ent.Leaving:
+		case now.Since(brk.at) < brokenOffTime:
+			left = append(left, brk)
+		}
+	}
+	con.brokenOff = left
+}
+
+// runEnded records that a run of a target has ended under a content.
+func (mac *Machine) runEnded(now clock.Instant, fpr request.Fingerprint, end quarantine.End) {
+	before := mac.contents.book.State(fpr)
+	if !mac.contents.book.AddEnd(now, fpr, end) {
+		return
+	}
+	mac.log("runEnded", "content", fpr, "target", end.Run.Target, "born", end.Run.Born, "permitted", end.Separate, "ends", mac.contents.book.Count(fpr))
+	mac.contentChanged(now, fpr, before)
+	mac.spread(now, fpr)
+}
+
+// contentAnswered records that a target has run a request to its end, which clears the content.
+func (mac *Machine) contentAnswered(now clock.Instant, inf *inFlight) {
+	before := mac.contents.book.State(inf.fingerprint)
+	if mac.contents.book.Clear(now, inf.fingerprint) {
+		mac.contentChanged(now, inf.fingerprint, before)
+		mac.spread(now, inf.fingerprint)
+	}
+}
+
+// learnContent adds what another VM reports.
+func (mac *Machine) learnContent(now clock.Instant, from string, rep quarantine.Report) {
+	con := &mac.contents
+	before := con.book.State(rep.Content)
+	if !con.book.Merge(now, rep) {
+		return
+	}
+	mac.log("contentLearned", "content", rep.Content, "ends", con.book.Count(rep.Content), "vm", from)
+	mac.contentChanged(now, rep.Content, before)
+	if con.keeper.Serving() {
+		mac.spread(now, rep.Content)
+	}
+}
+
+// contentChanged acts on a change of what is known of a content.
+func (mac *Machine) contentChanged(now clock.Instant, fpr request.Fingerprint, before quarantine.State) {
+	con := &mac.contents
+	con.writeDue = true
+	sta := con.book.State(fpr)
+	if sta != before {
+		mac.log("content", "content", fpr, "state", sta, "before", before, "ends", con.book.Count(fpr), "targets", targetsOf(con.book.Report(fpr).Ends))
+	}
+	if sta == quarantine.Quarantined {
+		mac.endQuarantined(now, fpr)
+	}
+}
+
+func targetsOf(ends []quarantine.End) []string {
+	var out []string
+	for _, end := range ends {
+		out = append(out, end.Run.Target)
+	}
+	return out
+}
+
+// endQuarantined ends the requests with a content that is quarantined, with their attempts: one that has
+// not begun at its target may not begin any more.
+func (mac *Machine) endQuarantined(now clock.Instant, fpr request.Fingerprint) {
+	for _, id := range sortedRequests(mac.requests) {
+		inf := mac.requests[id]
+		if inf == nil || inf.fingerprint != fpr || inf.relaying || inf.permission.allows(quarantine.Quarantined) {
+			continue
+		}
+		mac.endAllAttempts(now, inf, health.Canceled)
+		mac.refuse(inf, mac.quarantineRefusal(now, inf))
+	}
+}
+
+// spread passes on a change: the keeper to all VMs, any other VM to the keeper.
+func (mac *Machine) spread(now clock.Instant, fpr request.Fingerprint) {
+	con := &mac.contents
+	if con.keeper.Serving() {
+		con.changed[fpr] = true
+		mac.sendNews(now)
+		return
+	}
+	con.unconfirmed[fpr] = now
+	mac.sendQuarantine(now, con.keeperID, quarantine.News{Reports: []quarantine.Report{con.book.Report(fpr)}})
+}
+
+// sendNews sends what has changed from the keeper to all VMs.
+func (mac *Machine) sendNews(now clock.Instant) {
+	con := &mac.contents
+	if len(con.changed) == 0 || con.newsDueAt.Mono-now.Mono > (newsBurst-1)*newsInterval {
+		return
+	}
+	con.newsDueAt = clock.Later(con.newsDueAt, now).Add(newsInterval)
+	var rps []quarantine.Report
+	for _, fpr := range sortedContents(con.changed) {
+		if len(rps) == maxNews {
+			break
+		}
+		rps = append(rps, con.book.Report(fpr))
+		delete(con.changed, fpr)
+	}
+	for _, vmm := range mac.fleet.View().VMs() {
+		if vmm.ID != mac.set.Self.ID {
+			mac.emit(Send{To: vmm.ID, Message: quarantine.News{Reports: rps}})
+		}
+	}
+}
+
+func sortedContents[T any](set map[request.Fingerprint]T) []request.Fingerprint {
+	out := make([]request.Fingerprint, 0, len(set))
+	for fpr := range set {
+		out = append(out, fpr)
+	}
+	slices.SortFunc(out, request.Fingerprint.Compare)
+	return out
+}
+
+// resendUnconfirmed reports to the keeper once more what it has not passed on.
+func (mac *Machine) resendUnconfirmed(now clock.Instant) {
+	con := &mac.contents
+	var rps []quarantine.Report
+	for _, fpr := range sortedContents(con.unconfirmed) {
+		if len(rps) < maxNews && now.Since(con.unconfirmed[fpr]) >= resendInterval {
+			con.unconfirmed[fpr] = now
+			rps = append(rps, con.book.Report(fpr))
+		}
+	}
+	if len(rps) > 0 {
+		mac.sendQuarantine(now, con.keeperID, quarantine.News{Reports: rps})
+	}
+}
+
+// setKeeper determines the keeper. A new one is told what this VM knows.
+func (mac *Machine) setKeeper(now clock.Instant) {
+	con := &mac.contents
+	self, keeper := mac.set.Self.ID, mac.set.Self.ID
+	vie := mac.fleet.View()
+	if first := vie.Ranked(quarantineKey, 1); len(first) > 0 {
+		keeper = first[0].ID
+	}
+	if keeper == con.keeperID {
+		return
+	}
+	if keeper == self || con.keeperID == self {
+		mac.log("keeper", "vm", keeper)
+	}
+	con.keeperID = keeper
+	con.keeper.End()
+	clear(con.unconfirmed)
+	if keeper == self {
+		con.keeper.Begin(now, vie.Size() <= 1)
+		con.writeDue = true
+	}
+	for _, rep := range con.book.Reports(maxNews) {
+		mac.spread(now, rep.Content)
+	}
+}
+
+// learnStored adds what the store holds.
+func (mac *Machine) learnStored(now clock.Instant) {
+	con := &mac.contents
+	rev := mac.fleet.ObjectRevision(fleet.QuarantineName)
+	if rev == con.readRevision {
+		return
+	}
+	con.readRevision, con.writeDue = rev, true
+	rps, malformed := mac.fleet.Quarantine()
+	if malformed > 0 {
+		mac.log("quarantineMalformed", "contents", malformed, "revision", rev)
+	}
+	for _, rep := range rps {
+		mac.learnContent(now, "", rep)
+	}
+	con.book.MarkStored(rps)
+	con.keeper.NoteStored(rps)
+}
+
+// storeQuarantine writes to the store what it lacks.
+func (mac *Machine) storeQuarantine(now clock.Instant) {
+	con := &mac.contents
+	if !con.writeDue || !con.keeper.Serving() || mac.fleet.Revision() == 0 || now.Since(con.wroteAt) < storeInterval {
+		return
+	}
+	want := con.book.Stored()
+	held, malformed := mac.fleet.Quarantine()
+	lacking := slices.ContainsFunc(want, func(rep quarantine.Report) bool {
+		return !slices.ContainsFunc(held, func(one quarantine.Report) bool { return one.Content == rep.Content && one.Includes(rep) })
+	})
+	if !lacking && malformed == 0 {
+		con.writeDue = false
+		return
+	}
+	mac.repeatNews(now)
+	con.wroteAt = now
+	mac.log("storeQuarantine", "contents", len(want), "before", len(held))
+	mac.emit(Write{Name: fleet.QuarantineName, Row: fleet.Row{Holder: mac.set.Self.ID, Quarantine: want}, Revision: mac.fleet.ObjectRevision(fleet.QuarantineName)})
+}
+
+// repeatNews passes on what the store lacks to all VMs once more. They would learn of it from the store even
+// if the first message was lost.
+func (mac *Machine) repeatNews(now clock.Instant) {
+	con := &mac.contents
+	if now.Since(con.repeatedAt) < repeatInterval {
+		return
+	}
+	con.repeatedAt = now
+	for _, rep := range con.book.Stored() {
+		con.changed[rep.Content] = true
+	}
+}
+
+// tickContents does what is due for suspected and quarantined contents.
+func (mac *Machine) tickContents(now clock.Instant) {
+	con := &mac.contents
+	mac.setKeeper(now)
+	if len(con.brokenOff) > 0 {
+		mac.checkBrokenOff(now)
+	}
+	if con.book.Empty() {
+		return
+	}
+	if fpr, counted := con.keeper.Tick(now); counted {
+		mac.log("trialCounted", "content", fpr, "trials", con.book.Report(fpr).Trials)
+		con.writeDue = true
+		mac.spread(now, fpr)
+	}
+	mac.sendNews(now)
+	mac.resendUnconfirmed(now)
+	mac.storeQuarantine(now)
+	mac.tickWaiting(now)
+	if now.Since(con.forgotAt) >= forgetInterval {
+		con.forgotAt = now
+		con.book.Forget(now)
+	}
+}
--- a/core/gateway/queue.go
+++ b/core/gateway/queue.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxQueueTime is how long a request is queued at a VM that has just started and is not in sync
-	// yet. The VM learns both within some tenths of a second, so
+	// yet. The VM learns what it lacks within some tenths of a second, so
 	// queueing spares a refusal to callers that arrive at once, as they do after many VMs were lost.
 	maxQueueTime = 500 * time.Millisecond
 	// startupTime is how long after its start a VM is likely to learn the configuration and the
@@ -23,10 +23,11 @@
 	arrived clock.Instant
 }
 
-// synced reports whether this VM knows the configuration and the targets, and that the configuration
-// was the newest at some time since its start: without that no key can be relied on.
+// synced reports whether this VM knows the configuration, the targets and the list of VMs, with which it
+// learns what is quarantined, and that the configuration was the newest at some time since its start:
+// without that no key can be relied on.
 func (mac *Machine) synced() bool {
-	return mac.config != nil && mac.registry.Revision() > 0 && mac.configConfirmedAt != (clock.Instant{})
+	return mac.config != nil && mac.registry.Revision() > 0 && mac.fleet.Revision() > 0 && mac.configConfirmedAt != (clock.Instant{})
 }
 
 // starting reports whether this VM has just started.
--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -135,6 +135,7 @@
 	if changed {
 		mac.logTargets(del)
 		mac.setServices(now)
+		mac.checkBrokenOff(now)
 	}
 	return mac.registry.Revision() != before && !del.Empty()
 }
@@ -158,6 +159,7 @@
 	vie := mac.fleet.View()
 	mac.log("fleet", "vms", vie.Size(), "revision", vie.Revision(), "holders", mac.fleet.Holders())
 	mac.viewChanged(now, before)
+	mac.learnStored(now)
 	return true
 }
 
@@ -174,6 +176,7 @@
 func (mac *Machine) viewChanged(now clock.Instant, before member.View) {
 	vie := mac.fleet.View()
 	mac.selector.SetView(now, vie)
+	mac.setKeeper(now)
 	for _, name := range sortedNames(mac.services) {
 		for _, par := range mac.services[name].partitions {
 			mac.setPlacer(now, par)
@@ -194,6 +197,7 @@
 		if _, listed := after.VM(vmm.ID); listed {
 			continue
 		}
+		mac.contents.keeper.ForgetVM(vmm.ID)
 		for _, svc := range mac.services {
 			for _, par := range svc.partitions {
 				if par.central != nil {
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -23,6 +23,9 @@
 	crossDomainCost = 0.03
 	// loadCost is the cost of a target whose slots are all in use; it grows with the requests there.
 	loadCost = 0.15
+	// suspectedCost is the cost for a request of running beside one that may crash the target, and for such
+	// a one of each request that it would run beside.
+	suspectedCost = 0.6
 	// connectCost is the cost of a new connection.
 	connectCost = 0.03
 )
@@ -81,6 +84,10 @@
 			obs.add(max(pla.timeToRoom(now, cri, tgt, lat, queueWait), limitWait))
 			continue
 		}
+		if cri.Suspected && tgt.runsSuspected() {
+			obs.add(queueWait) // Two suspects at one target could not be told apart.
+			continue
+		}
 		if limitWait > 0 {
 			obs.add(limitWait)
 			obs.limited, obs.limits = true, obs.limits+lim.Rate
@@ -107,6 +114,12 @@
 	if tgt.FailureDomain != cri.Domain {
 		cost += crossDomainCost
 	}
+	switch {
+	case cri.Suspected:
+		cost += suspectedCost * float64(len(tgt.running))
+	case tgt.runsSuspected():
+		cost += suspectedCost
+	}
 	if !tgt.connected(now, vmm, cri.Idempotent) {
 		cost += connectCost
 	}
--- a/core/placement/message.go
+++ b/core/placement/message.go
@@ -32,6 +32,8 @@
 	Tried []string
 	// Priority ranks requests that compete for targets; 0 is the highest.
 	Priority int
+	// Suspected is set if the request may crash its target, as others with the same content did.
+	Suspected bool
 }
 
 // hedgeBudgetShare is the share of the retry budget up to which hedges are placed. The rest is kept
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -101,6 +101,8 @@
 	// these trials are hedged early and counted in failedTrials, not those of targets that were
 	// merely idle.
 	trial bool
+	// suspected is as in Criteria.
+	suspected bool
 }
 
 // served returns for how long the request has likely been worked on.
@@ -244,7 +246,7 @@
 	trial := tgt.suspected && len(tgt.running) == 0
 	pla.begin(now, &attempt{
 		id: aid, target: tgt, route: cri.Route, idempotent: cri.Idempotent, began: now, deadline: now.Add(cri.TimeLeft), queueWait: best.queueWait,
-		trial: trial,
+		trial: trial, suspected: cri.Suspected,
 	})
 	run := attemptTiming{latency: lat, slowdown: tgt.slowdown(now), sick: tgt.belief.now(now), queueWait: best.queueWait, timeLeft: cri.TimeLeft}
 	return Answer{Number: aid.Number, Target: tgt.ID, ReplaceAfter: run.replaceAfter(), HedgeAfter: run.hedgeAfter(cri.Retry, trial)}
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
@@ -39,6 +40,11 @@
 	return queueDepth*tgt.Slots - min(max(priority, 0), lowestDistinctPriority)*tgt.Slots/priorityStep
 }
 
+// runsSuspected reports whether a request that may crash the target is running there.
+func (tgt *target) runsSuspected() bool {
+	return slices.ContainsFunc(tgt.running, func(att *attempt) bool { return att.suspected })
+}
+
 // connected reports whether a VM likely has a connection to the target that it may reuse for a
 // request.
 func (tgt *target) connected(now clock.Instant, vmm string, idempotent bool) bool {
--- /dev/null
+++ b/core/quarantine/quarantine.go
@@ -0,0 +1,94 @@
+// Package quarantine keeps requests that crash their targets from being sent on. It counts by the content
+// of a request, whoever sends it and wherever it runs, how many runs of targets have ended under it. From the
+// first one on the whole fleet sends the content to one target at a time; after provenEnds it is sent to
+// none any more.
+package quarantine
+
+import (
+	"time"
+
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/request"
+)
+
+// provenEnds is the count of ended runs from which on a content is quarantined. Fewer may end by chance, or
+// under another request that ran beside.
+const provenEnds = 3
+
+// End is the end of a run of a target under a content.
+type End struct {
+	Run health.Run
+	// Separate is set if the end counts by itself: the attempt was the only one with the content in the
+	// whole fleet, or the content had been suspected for sameMoment before.
+	Separate bool
+}
+
+// State says whether a content may be sent to targets.
+type State uint8
+
+const (
+	// Clear contents are sent like any other.
+	Clear State = iota
+	// Suspected contents are sent to one target at a time in the whole fleet; see Keeper.
+	Suspected
+	// Quarantined contents are not sent.
+	Quarantined
+)
+
+// String returns the name of the state used in logs.
+func (sta State) String() string {
+	names := [...]string{"clear", "suspected", "quarantined"}
+	if int(sta) < len(names) {
+		return names[sta]
+	}
+	return "unknown"
+}
+
+// Report is what is known of a content. Two reports of the same content are combined by the unions of
+// their runs, in any order and any number of times.
+type Report struct {
+	Content request.Fingerprint
+	// Ends holds the runs that have ended under the content, and Cleared those that count no more: the content
+	// was answered after that, or an operator has lifted its quarantine.
+	Ends    []End
+	Cleared []health.Run
+	// Trials is the number of trials that were allowed while the content was quarantined.
+	Trials int
+}
+
+// Message is a message between a VM and the keeper.
+type Message interface{ quarantineMessage() }
+
+// Ask asks the keeper whether a suspected content may be sent to a target.
+type Ask struct {
+	// Number increases with each Ask of the sender.
+	Number uint64
+	// TimeLeft is the time until the deadline of the request.
+	TimeLeft time.Duration
+	Known    Report
+}
+
+// Ruling is the reply to the Ask with the same number.
+type Ruling struct {
+	Number uint64
+	// Allowed is set if one attempt may be made.
+	Allowed bool
+	Known   Report
+}
+
+// Ended tells the keeper that the attempt which it allowed has ended or was not made, and what is known of
+// the content now.
+type Ended struct {
+	Number uint64
+	Known  Report
+}
+
+// News tells the keeper, or by the keeper all other VMs, what has changed.
+type News struct {
+	Reports []Report
+}
+
+func (Ask) quarantineMessage()    {}
+func (Ruling) quarantineMessage() {}
+func (Ended) quarantineMessage()  {}
+func (News) quarantineMessage()   {}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -84,6 +84,15 @@
 // Rows returns the entries sorted by name.
 func (reg *Registry) Rows() []table.Row[Entry] { return reg.entries.Rows() }
 
+// Entry returns the entry of a target. An entry that is missing after an outage counts as present.
+func (reg *Registry) Entry(name string) (Entry, bool) {
+	tgt := reg.targets[name]
+	if tgt == nil {
+		return Entry{}, false
+	}
+	return tgt.entry, true
+}
+
 // Len returns the number of entries.
 func (reg *Registry) Len() int { return reg.entries.Len() }
 
--- a/core/request/fingerprint.go
+++ b/core/request/fingerprint.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
@@ -28,6 +29,9 @@
 	return fingerprint([]byte(organisation), fpr[:])
 }
 
+// Compare orders fingerprints.
+func (fpr Fingerprint) Compare(other Fingerprint) int { return bytes.Compare(fpr[:], other[:]) }
+
 // String returns the fingerprint in hexadecimal digits.
 func (fpr Fingerprint) String() string { return hex.EncodeToString(fpr[:]) }
 
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -51,6 +51,10 @@
 	// TooLarge is for the body of the request, and HeadTooLarge for its head.
 	TooLarge     Reason = "tooLarge"
 	HeadTooLarge Reason = "headTooLarge"
+	// Suspected means that targets have ended under requests with the same content, and that another one is
+	// under way. Quarantined means that so many have ended that it is sent to none any more.
+	Suspected   Reason = "suspected"
+	Quarantined Reason = "quarantined"
 	// TooSlow means that the caller took too long to send the request.
 	TooSlow Reason = "tooSlow"
 )
@@ -70,6 +74,8 @@
 	Malformed:          400,
 	TooLarge:           413,
 	HeadTooLarge:       431,
+	Suspected:          503,
+	Quarantined:        503,
 	TooSlow:            408,
 }
 
--- a/lugd/pkg/peer/codec.go
+++ b/lugd/pkg/peer/codec.go
@@ -32,6 +32,13 @@
 	// programs do not know them. The second one is a kindPlacementAnswer with what the target announces.
 	kindPlacementAnnounced = 60
 	kindAnnouncedAnswer    = 61
+	// These are sent only while requests are suspected to crash targets. kindSuspectedQuery is a
+	// kindPlacementQuery of such a request.
+	kindQuarantineAsk    = 62
+	kindQuarantineRuling = 63
+	kindQuarantineEnded  = 64
+	kindQuarantineNews   = 65
+	kindSuspectedQuery   = 66
 )
 
 // protocolVersion is raised when frames change in a way that older programs cannot
--- a/lugd/pkg/peer/codec_test.go
+++ b/lugd/pkg/peer/codec_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"reflect"
@@ -17,9 +18,11 @@
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/placement"
+	"marigoldlug.example/core/quarantine"
 	"marigoldlug.example/core/quota"
 	"marigoldlug.example/core/rate"
 	"marigoldlug.example/core/registry"
+	"marigoldlug.example/core/request"
 	"marigoldlug.example/core/table"
 )
 
@@ -40,6 +43,8 @@
 	criteria := placement.Criteria{Route: "r", Domain: "a", Idempotent: true, Retry: true, TimeToGoal: 1, TimeLeft: 2, Tried: []string{"t"}, Priority: 3}
 	entry := registry.Entry{Service: "s", Address: "a", FailureDomain: "d", Version: "v", Slots: 3, Leaving: true, Warming: 4, Born: time.UnixMilli(5)}
 	report := announcement.Report{Run: health.Run{Target: "t", Born: 5}, Limit: announcement.Limit{Limited: true, Rate: 6}, Leaving: true, SentAge: 7, HeardAge: 8}
+	run := health.Run{Target: "t", Born: 5}
+	suspected := quarantine.Report{Content: request.FingerprintOf("GET", "h", "/", nil), Ends: []quarantine.End{{Run: run, Separate: true}, {Run: health.Run{Target: "u"}}}, Cleared: []health.Run{run}}
 	return []any{
 		hello{Version: 1, From: vmm, To: "vm-2.b"},
 		wrongVM{},
@@ -61,6 +66,11 @@
 		quota.Grant{Organisation: "o", Number: 1, Count: 2, RetryAfter: time.Second},
 		quota.Grant{Organisation: "o", Number: 1, NotServing: true},
 		placement.Query{Service: "s", Partition: 1, Number: 2, Criteria: criteria},
+		placement.Query{Service: "s", Partition: 1, Number: 2, Criteria: placement.Criteria{Route: "r", Suspected: true}},
+		quarantine.Ask{Number: 1, TimeLeft: 2, Known: suspected},
+		quarantine.Ruling{Number: 1, Allowed: true, Known: suspected},
+		quarantine.Ended{Number: 1, Known: suspected},
+		quarantine.News{Reports: []quarantine.Report{suspected, {Content: suspected.Content, Trials: 2}}},
 		placement.Answer{Number: 1, Target: "t", HedgeAfter: 2, ReplaceAfter: 4, RetryAfter: 3, Reason: placement.NoRoom},
 		placement.Answer{Number: 1, Target: "t", HedgeAfter: 2, ReplaceAfter: 4, Announced: &report},
 		placement.Answer{Number: 1, RetryAfter: 3, Reason: placement.Limited, Limits: 9},
@@ -95,6 +105,39 @@
 	}
 }
 
+// TestUpdatesCarryTheQuarantine encodes an update with an object of the quarantine, which stands at the end,
+// and decodes it as this program does and as one does that stops before.
+func TestUpdatesCarryTheQuarantine(t *testing.T) {
+	rps := []quarantine.Report{{Content: request.FingerprintOf("GET", "h", "/", nil), Ends: []quarantine.End{{Run: health.Run{Target: "t", Born: 5}}}, Trials: 1}}
+	upd := gateway.Update{Version: 1, Fleet: table.Delta[fleet.Row]{Since: 1, Revision: 2, Rows: []table.Row[fleet.Row]{
+		{Name: "vm.a", Revision: 2}, {Name: fleet.QuarantineName, Revision: 2, Value: fleet.Row{Holder: "vm.a"}},
+	}}}
+	without, err := encode(upd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	upd.Fleet.Rows[1].Value.Quarantine = rps
+	with, err := encode(upd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.HasPrefix(with, without) {
+		t.Error("the update does not begin as one that older programs read")
+	}
+	decoded, err := decode(with)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if dif := cmp.Diff(upd, decoded, cmp.Exporter(func(reflect.Type) bool { return true })); dif != "" {
+		t.Error(dif)
+	}
+	for cut := len(without) + 1; cut < len(with); cut++ {
+		if _, err := decode(with[:cut]); !errors.Is(err, errMalformed) {
+			t.Errorf("cut to %d bytes: got %v", cut, err)
+		}
+	}
+}
+
 // TestLongMessagesAreCompressed encodes the list of targets that a VM gets when it starts. The frame must
 // be a fraction of the size that it has uncompressed, and every truncated one must give errMalformed.
 func TestLongMessagesAreCompressed(t *testing.T) {
--- a/lugd/pkg/peer/gateway.go
+++ b/lugd/pkg/peer/gateway.go
@@ -41,7 +41,7 @@
 		wrt.duration(msg.RetryAfter)
 		wrt.boolean(msg.NotServing)
 	default:
-		return wrt.encodePlacementMessage(msg)
+		return wrt.encodePlacementMessage(msg) || wrt.encodeQuarantineMessage(msg)
 	}
 	return true
 }
@@ -62,6 +62,9 @@
 	case kindTokenGrant:
 		return quota.Grant{Organisation: rdr.text(), Number: rdr.unsigned(), Count: int(rdr.signed()), RetryAfter: rdr.duration(), NotServing: rdr.boolean()}
 	}
+	if msg := rdr.decodeQuarantineMessage(kind); msg != nil {
+		return msg
+	}
 	return rdr.decodePlacementMessage(kind)
 }
 
@@ -84,6 +87,7 @@
 	}
 	writeDelta(wrt, msg.Targets, wrt.entry)
 	writeDelta(wrt, msg.Fleet, wrt.fleetRow)
+	wrt.quarantineRows(msg.Fleet)
 }
 
 func (rdr *reader) update() gateway.Update {
@@ -102,6 +106,7 @@
 	}
 	msg.Targets = readDelta(rdr, rdr.entry)
 	msg.Fleet = readDelta(rdr, rdr.fleetRow)
+	rdr.quarantineRows(msg.Fleet)
 	return msg
 }
 
--- a/lugd/pkg/peer/placement.go
+++ b/lugd/pkg/peer/placement.go
@@ -11,7 +11,11 @@
 func (wrt *writer) encodePlacementMessage(msg any) bool {
 	switch msg := msg.(type) {
 	case placement.Query:
-		wrt.unsigned(kindPlacementQuery)
+		if msg.Criteria.Suspected {
+			wrt.unsigned(kindSuspectedQuery)
+		} else {
+			wrt.unsigned(kindPlacementQuery)
+		}
 		wrt.text(msg.Service)
 		wrt.signed(int64(msg.Partition))
 		wrt.unsigned(msg.Number)
@@ -101,8 +105,10 @@
 // is unknown.
 func (rdr *reader) decodePlacementMessage(kind uint64) any {
 	switch kind {
-	case kindPlacementQuery:
-		return placement.Query{Service: rdr.text(), Partition: int(rdr.signed()), Number: rdr.unsigned(), Criteria: rdr.criteria()}
+	case kindPlacementQuery, kindSuspectedQuery:
+		msg := placement.Query{Service: rdr.text(), Partition: int(rdr.signed()), Number: rdr.unsigned(), Criteria: rdr.criteria()}
+		msg.Criteria.Suspected = kind == kindSuspectedQuery
+		return msg
 	case kindPlacementAnswer:
 		return rdr.answer()
 	case kindAnnouncedAnswer:
--- a/lugd/pkg/peer/queue.go
+++ b/lugd/pkg/peer/queue.go
@@ -12,6 +12,7 @@
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/placement"
+	"marigoldlug.example/core/quarantine"
 	"marigoldlug.example/core/quota"
 	"marigoldlug.example/lugd/pkg/socket"
 )
@@ -56,7 +57,7 @@
 // wantsAnswer reports whether a VM that works answers the message.
 func wantsAnswer(msg any) bool {
 	switch msg.(type) {
-	case gateway.Ping, feed.Query, quota.Query, placement.Query, stateQuery:
+	case gateway.Ping, feed.Query, quota.Query, placement.Query, quarantine.Ask, stateQuery:
 		return true
 	}
 	return false
