Play requests that crash their targets with real VMs, and count their ends at the keeper

The stand-in for targets crashes under requests with a parameter: port and connections are closed, and it starts again as another run.

Now the keeper counts ends that were observed at different moments one by one, by the ages that reports carry, and a VM that starts asks the keeper what is suspected.

--- a/core/gateway/inflight.go
+++ b/core/gateway/inflight.go
@@ -162,7 +162,7 @@
 			detail = "the VM's own part of the organisation's rate is exceeded, and it reaches no server of tokens"
 		}
 		detail += fmt.Sprintf("; waited for %v", now.Since(inf.arrived).Round(time.Millisecond))
-		mac.refuse(inf, request.Refusal{Reason: request.RateExceeded, Detail: detail, RetryAfter: dec.RetryAfter})
+		mac.refuse(now, inf, request.Refusal{Reason: request.RateExceeded, Detail: detail, RetryAfter: dec.RetryAfter})
 		return
 	}
 	mac.start(now, inf)
@@ -245,7 +245,7 @@
 
 // refuse answers a request without a target's response. The reason, and so the status, depends on
 // the verdict: only a request that has not run may be reported as refused.
-func (mac *Machine) refuse(inf *inFlight, ref request.Refusal) {
+func (mac *Machine) refuse(now clock.Instant, inf *inFlight, ref request.Refusal) {
 	ref.Verdict = inf.verdict
 	if inf.running() {
 		ref.Verdict = ref.Verdict.Worse(verdict.MayHaveRun)
@@ -260,7 +260,7 @@
 	if ref.Verdict == verdict.NotRun && ref.Reason == request.Overloaded && ref.RetryAfter == 0 {
 		ref.RetryAfter = mac.randomRetryAfter()
 	}
-	mac.remove(inf)
+	mac.remove(now, inf)
 	mac.logRefusal(inf, inf.ID, ref)
 	mac.emit(Refuse{Request: inf.ID, Refusal: ref})
 }
@@ -284,7 +284,7 @@
 	case inf.running():
 		mac.keepWaiting(now, inf, string(ref.Reason))
 	default:
-		mac.refuse(inf, *ref)
+		mac.refuse(now, inf, *ref)
 	}
 }
 
@@ -418,7 +418,7 @@
 		mac.resume(now, inf, "the targets are overloaded")
 		return
 	}
-	mac.refuse(inf, request.Refusal{Reason: request.Overloaded, Detail: "the targets are overloaded", RetryAfter: mac.randomRetryAfter()})
+	mac.refuse(now, inf, request.Refusal{Reason: request.Overloaded, Detail: "the targets are overloaded", RetryAfter: mac.randomRetryAfter()})
 }
 
 func (mac *Machine) attemptFailed(now clock.Instant, evt AttemptFailed) {
@@ -453,7 +453,7 @@
 		mac.resume(now, inf, evt.Detail)
 		return
 	}
-	mac.refuse(inf, request.Refusal{Reason: reason, Detail: evt.Detail})
+	mac.refuse(now, inf, request.Refusal{Reason: reason, Detail: evt.Detail})
 }
 
 // endAttempt ends an attempt: the placers are told what its outcome says about the target, and its
@@ -464,7 +464,7 @@
 	if ver != verdict.NotRun {
 		inf.mayHaveRun++
 	}
-	mac.returnPermit(inf)
+	mac.returnPermit(now, inf)
 	mac.reportEnd(now, att.partition, att.queryNumber, att.placer, outcome)
 }
 
@@ -497,7 +497,7 @@
 		}
 		if !now.Before(inf.deadline) {
 			mac.endAllAttempts(now, inf, health.Overdue)
-			mac.refuse(inf, request.Refusal{Reason: request.TimedOut, Detail: "the target did not answer in time"})
+			mac.refuse(now, inf, request.Refusal{Reason: request.TimedOut, Detail: "the target did not answer in time"})
 			continue
 		}
 		if inf.route.Idempotent && !inf.placing && !now.Before(inf.hedgeAt) && mac.mayRetry(now, inf) {
@@ -543,14 +543,14 @@
 	}
 	mac.endAllAttempts(now, inf, health.Canceled)
 	mac.emit(LogEntry{Request: id, Event: "callerLeft", Fields: []any{"attempt", inf.attempt, "after", now.Since(inf.arrived)}})
-	mac.remove(inf)
+	mac.remove(now, inf)
 }
 
 // remove deletes a request and cancels what it waits for.
-func (mac *Machine) remove(inf *inFlight) {
+func (mac *Machine) remove(now clock.Instant, inf *inFlight) {
 	mac.tokens.Cancel(inf.organisation, uint64(inf.ID))
 	mac.cancelQuery(inf)
 	delete(mac.contents.asks, inf.permission.question)
-	mac.returnPermit(inf)
+	mac.returnPermit(now, inf)
 	delete(mac.requests, inf.ID)
 }
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -406,7 +406,7 @@
 	case ans.Reason == placement.NoRetry:
 		ref.Detail = "the budget of retries is spent"
 	}
-	mac.refuse(inf, ref)
+	mac.refuse(now, inf, ref)
 }
 
 // reportEnd reports the outcome of an attempt to the local placer and to the VM that placed it.
--- a/core/gateway/quarantine.go
+++ b/core/gateway/quarantine.go
@@ -142,7 +142,7 @@
 	case inf.permission.allows(sta):
 		mac.place(now, inf)
 	case sta == quarantine.Quarantined:
-		mac.refuse(inf, mac.quarantineRefusal(now, inf))
+		mac.refuse(now, inf, mac.quarantineRefusal(now, inf))
 	default:
 		inf.permission.waiting = true
 		inf.permission.giveUpAt = now.Add(min(keeperTimeout, inf.deadline.Mono-now.Mono))
@@ -173,7 +173,7 @@
 	inf.permission.question, inf.permission.askedAt = mac.number, now
 	con.asks[mac.number] = inf.ID
 	mac.sendQuarantine(now, con.keeperID, quarantine.Ask{
-		Number: mac.number, TimeLeft: max(inf.deadline.Mono-now.Mono, 0), Known: con.book.Report(inf.fingerprint),
+		Number: mac.number, TimeLeft: max(inf.deadline.Mono-now.Mono, 0), Known: con.book.Report(now, inf.fingerprint),
 	})
 }
 
@@ -193,7 +193,7 @@
 		mac.learnContent(now, from, msg.Known)
 		allowed := con.keeper.Allow(now, from, msg)
 		mac.log("ruled", "content", msg.Known.Content, "vm", from, "allowed", allowed, "ends", con.book.Count(msg.Known.Content))
-		mac.sendQuarantine(now, from, quarantine.Ruling{Number: msg.Number, Allowed: allowed, Known: con.book.Report(msg.Known.Content)})
+		mac.sendQuarantine(now, from, quarantine.Ruling{Number: msg.Number, Allowed: allowed, Known: con.book.Report(now, msg.Known.Content)})
 	case quarantine.Ruling:
 		mac.learnContent(now, from, msg.Known)
 		mac.ruled(now, from, msg)
@@ -201,9 +201,12 @@
 		mac.learnContent(now, from, msg.Known)
 		con.keeper.Ended(from, msg.Number)
 	case quarantine.News:
+		if rps := con.book.Reports(now, maxNews); msg.Wanted && len(rps) > 0 {
+			mac.sendQuarantine(now, from, quarantine.News{Reports: rps})
+		}
 		for _, rep := range msg.Reports {
 			mac.learnContent(now, from, rep)
-			if from == con.keeperID && rep.Includes(con.book.Report(rep.Content)) {
+			if from == con.keeperID && rep.Includes(con.book.Report(now, rep.Content)) {
 				delete(con.unconfirmed, rep.Content)
 			}
 		}
@@ -239,7 +242,7 @@
 }
 
 // returnPermit gives the permit of a request back, if it has one.
-func (mac *Machine) returnPermit(inf *inFlight) {
+func (mac *Machine) returnPermit(now clock.Instant, inf *inFlight) {
 	per := inf.permission.granted
 	inf.permission.granted = nil
 	switch {
@@ -247,7 +250,7 @@
 	case per.keeper == mac.set.Self.ID:
 		mac.contents.keeper.Ended(per.keeper, per.number)
 	default:
-		mac.emit(Send{To: per.keeper, Message: quarantine.Ended{Number: per.number, Known: mac.contents.book.Report(inf.fingerprint)}})
+		mac.emit(Send{To: per.keeper, Message: quarantine.Ended{Number: per.number, Known: mac.contents.book.Report(now, inf.fingerprint)}})
 	}
 }
 
@@ -262,7 +265,7 @@
 		case sta != quarantine.Suspected:
 			mac.continueWaiting(now, inf)
 		case !now.Before(inf.permission.giveUpAt):
-			mac.refuse(inf, request.Refusal{
+			mac.refuse(now, inf, request.Refusal{
 				Reason: request.Suspected, RetryAfter: mac.randomRetryAfter(),
 				Detail: fmt.Sprintf("%d runs of targets ended under the content %s, and the keeper allows no attempt now", mac.contents.book.Count(inf.fingerprint), inf.fingerprint),
 			})
@@ -310,8 +313,13 @@
 
 // runEnded records that a run of a target has ended under a content.
 func (mac *Machine) runEnded(now clock.Instant, fpr request.Fingerprint, end quarantine.End) {
-	before := mac.contents.book.State(fpr)
-	if !mac.contents.book.AddEnd(now, fpr, end) {
+	con := &mac.contents
+	before := con.book.State(fpr)
+	rep := quarantine.Report{Content: fpr, Ends: []quarantine.End{end}}
+	if con.keeper.Serving() {
+		rep = con.book.Separated(now, rep)
+	}
+	if !con.book.Merge(now, rep) {
 		return
 	}
 	mac.log("runEnded", "content", fpr, "target", end.Run.Target, "born", end.Run.Born, "permitted", end.Separate, "ends", mac.contents.book.Count(fpr))
@@ -332,6 +340,9 @@
 func (mac *Machine) learnContent(now clock.Instant, from string, rep quarantine.Report) {
 	con := &mac.contents
 	before := con.book.State(rep.Content)
+	if con.keeper.Serving() {
+		rep = con.book.Separated(now, rep)
+	}
 	if !con.book.Merge(now, rep) {
 		return
 	}
@@ -348,7 +359,7 @@
 	con.writeDue = true
 	sta := con.book.State(fpr)
 	if sta != before {
-		mac.log("content", "content", fpr, "state", sta, "before", before, "ends", con.book.Count(fpr), "targets", targetsOf(con.book.Report(fpr).Ends))
+		mac.log("content", "content", fpr, "state", sta, "before", before, "ends", con.book.Count(fpr), "targets", targetsOf(con.book.Report(now, fpr).Ends))
 	}
 	if sta == quarantine.Quarantined {
 		mac.endQuarantined(now, fpr)
@@ -372,7 +383,7 @@
 			continue
 		}
 		mac.endAllAttempts(now, inf, health.Canceled)
-		mac.refuse(inf, mac.quarantineRefusal(now, inf))
+		mac.refuse(now, inf, mac.quarantineRefusal(now, inf))
 	}
 }
 
@@ -385,7 +396,7 @@
 		return
 	}
 	con.unconfirmed[fpr] = now
-	mac.sendQuarantine(now, con.keeperID, quarantine.News{Reports: []quarantine.Report{con.book.Report(fpr)}})
+	mac.sendQuarantine(now, con.keeperID, quarantine.News{Reports: []quarantine.Report{con.book.Report(now, fpr)}})
 }
 
 // sendNews sends what has changed from the keeper to all VMs.
@@ -400,7 +411,7 @@
 		if len(rps) == maxNews {
 			break
 		}
-		rps = append(rps, con.book.Report(fpr))
+		rps = append(rps, con.book.Report(now, fpr))
 		delete(con.changed, fpr)
 	}
 	for _, vmm := range mac.fleet.View().VMs() {
@@ -426,7 +437,7 @@
 	for _, fpr := range sortedContents(con.unconfirmed) {
 		if len(rps) < maxNews && now.Since(con.unconfirmed[fpr]) >= resendInterval {
 			con.unconfirmed[fpr] = now
-			rps = append(rps, con.book.Report(fpr))
+			rps = append(rps, con.book.Report(now, fpr))
 		}
 	}
 	if len(rps) > 0 {
@@ -434,7 +445,7 @@
 	}
 }
 
-// setKeeper determines the keeper. A new one is told what this VM knows.
+// setKeeper determines the keeper. A new one is told what this VM knows, and asked what it knows itself.
 func (mac *Machine) setKeeper(now clock.Instant) {
 	con := &mac.contents
 	self, keeper := mac.set.Self.ID, mac.set.Self.ID
@@ -455,9 +466,15 @@
 		con.keeper.Begin(now, vie.Size() <= 1)
 		con.writeDue = true
 	}
-	for _, rep := range con.book.Reports(maxNews) {
-		mac.spread(now, rep.Content)
+	if con.keeper.Serving() {
+		return
+	}
+	// The keeper replies with what it knows. A VM that has just started knows nothing.
+	rps := con.book.Reports(now, maxNews)
+	for _, rep := range rps {
+		con.unconfirmed[rep.Content] = now
 	}
+	mac.emit(Send{To: keeper, Message: quarantine.News{Reports: rps, Wanted: true}})
 }
 
 // learnStored adds what the store holds.
@@ -476,7 +493,7 @@
 		mac.learnContent(now, "", rep)
 	}
 	con.book.MarkStored(rps)
-	con.keeper.NoteStored(rps)
+	con.keeper.NoteStored(now, rps)
 }
 
 // storeQuarantine writes to the store what it lacks.
@@ -485,7 +502,7 @@
 	if !con.writeDue || !con.keeper.Serving() || mac.fleet.Revision() == 0 || now.Since(con.wroteAt) < storeInterval {
 		return
 	}
-	want := con.book.Stored()
+	want := con.book.Stored(now)
 	held, malformed := mac.fleet.Quarantine()
 	lacking := slices.ContainsFunc(want, func(rep quarantine.Report) bool {
 		return !slices.ContainsFunc(held, func(one quarantine.Report) bool { return one.Content == rep.Content && one.Includes(rep) })
@@ -508,7 +525,7 @@
 		return
 	}
 	con.repeatedAt = now
-	for _, rep := range con.book.Stored() {
+	for _, rep := range con.book.Stored(now) {
 		con.changed[rep.Content] = true
 	}
 }
@@ -524,7 +541,7 @@
 		return
 	}
 	if fpr, counted := con.keeper.Tick(now); counted {
-		mac.log("trialCounted", "content", fpr, "trials", con.book.Report(fpr).Trials)
+		mac.log("trialCounted", "content", fpr, "trials", con.book.Report(now, fpr).Trials)
 		con.writeDue = true
 		mac.spread(now, fpr)
 	}
--- a/core/gateway/stop.go
+++ b/core/gateway/stop.go
@@ -85,6 +85,6 @@
 			continue
 		}
 		mac.endAllAttempts(now, inf, health.Canceled)
-		mac.refuse(inf, request.Refusal{Reason: request.TimedOut, Detail: "the VM stops and the target has not answered", RetryAfter: mac.randomRetryAfter()})
+		mac.refuse(now, inf, request.Refusal{Reason: request.TimedOut, Detail: "the VM stops and the target has not answered", RetryAfter: mac.randomRetryAfter()})
 	}
 }
--- a/core/quarantine/book.go
+++ b/core/quarantine/book.go
@@ -34,10 +34,12 @@
 
 // entry is what is known of one content.
 type entry struct {
-	// ends and cleared have no duplicates, the newest last, and maxRuns at most.
-	ends    []End
-	cleared []health.Run
-	trials  int
+	// ends and cleared have no duplicates, the newest last, and maxRuns at most. The ages of the ends are not
+	// set; observedAt holds when they were observed.
+	ends       []End
+	observedAt map[health.Run]clock.Instant
+	cleared    []health.Run
+	trials     int
 	// stored is set once the content was found in the store.
 	stored    bool
 	changedAt clock.Instant
@@ -106,9 +108,6 @@
 
 // AddEnd records that a run has ended under a content, and reports whether that is new.
 func (bok *Book) AddEnd(now clock.Instant, fpr request.Fingerprint, end End) bool {
-	if bok.State(fpr) != Clear && now.Since(bok.entries[fpr].changedAt) >= sameMoment {
-		end.Separate = true
-	}
 	return bok.Merge(now, Report{Content: fpr, Ends: []End{end}})
 }
 
@@ -132,7 +131,7 @@
 	}
 	ent := bok.entries[rep.Content]
 	if ent == nil {
-		ent = &entry{}
+		ent = &entry{observedAt: make(map[health.Run]clock.Instant)}
 	}
 	ends, newEnds := unionOfEnds(ent.ends, rep.Ends)
 	cleared, newCleared := union(ent.cleared, rep.Cleared)
@@ -144,6 +143,7 @@
 	}
 	bok.entries[rep.Content] = ent
 	ent.ends, ent.cleared, ent.trials, ent.changedAt = ends, cleared, max(ent.trials, rep.Trials), now
+	ent.observe(now, rep.Ends)
 	delete(bok.quarantined, rep.Content)
 	if bok.Count(rep.Content) >= provenEnds {
 		bok.quarantined[rep.Content] = true
@@ -152,6 +152,42 @@
 	return true
 }
 
+// observe records when ends were observed, and forgets those that are not kept.
+func (ent *entry) observe(now clock.Instant, ends []End) {
+	for _, end := range ends {
+		if _, known := ent.observedAt[end.Run]; !known {
+			ent.observedAt[end.Run] = now.Add(-end.Age)
+		}
+	}
+	maps.DeleteFunc(ent.observedAt, func(run health.Run, _ clock.Instant) bool {
+		return !slices.ContainsFunc(ent.ends, func(end End) bool { return end.Run == run })
+	})
+}
+
+// Separated marks the ends in a report that are new and were observed at another moment than all others of
+// the content. Only the keeper does so: two VMs could mark two ends of the same moment.
+func (bok *Book) Separated(now clock.Instant, rep Report) Report {
+	ent := bok.entries[rep.Content]
+	if ent == nil || bok.Count(rep.Content) == 0 {
+		return rep
+	}
+	rep.Ends = slices.Clone(rep.Ends)
+	for num, end := range rep.Ends {
+		if _, known := ent.observedAt[end.Run]; known {
+			continue
+		}
+		at, alone := now.Add(-end.Age), true
+		for _, other := range ent.observedAt {
+			alone = alone && max(at.Since(other), other.Since(at)) >= sameMoment
+		}
+		for _, earlier := range rep.Ends[:num] {
+			alone = alone && (earlier.Age-end.Age).Abs() >= sameMoment
+		}
+		rep.Ends[num].Separate = end.Separate || alone
+	}
+	return rep
+}
+
 // union adds runs to a list, up to maxRuns, and reports whether any of them is new. The oldest make room.
 func union(list, more []health.Run) (out []health.Run, changed bool) {
 	out = list
@@ -174,6 +210,7 @@
 			continue
 		}
 		out, changed = slices.Clone(out), true
+		end.Age = 0
 		if at >= 0 {
 			out[at].Separate = true
 			continue
@@ -225,25 +262,29 @@
 }
 
 // Report returns what is known of a content.
-func (bok *Book) Report(fpr request.Fingerprint) Report {
+func (bok *Book) Report(now clock.Instant, fpr request.Fingerprint) Report {
 	ent := bok.entries[fpr]
 	if ent == nil {
 		return Report{Content: fpr}
 	}
-	return Report{Content: fpr, Ends: ent.ends, Cleared: ent.cleared, Trials: ent.trials}
+	ends := slices.Clone(ent.ends)
+	for num := range ends {
+		ends[num].Age = now.Since(ent.observedAt[ends[num].Run])
+	}
+	return Report{Content: fpr, Ends: ends, Cleared: ent.cleared, Trials: ent.trials}
 }
 
 // Reports returns what is known of the contents that are not clear, those with the most ends first, and
 // most at the most.
-func (bok *Book) Reports(most int) []Report {
-	return bok.sorted(most, func(fpr request.Fingerprint, _ *entry) bool { return bok.State(fpr) != Clear })
+func (bok *Book) Reports(now clock.Instant, most int) []Report {
+	return bok.sorted(now, most, func(fpr request.Fingerprint, _ *entry) bool { return bok.State(fpr) != Clear })
 }
 
 // Stored returns what must be stored: the quarantined contents, those on the way there, and those that
 // were stored and have been cleared since.
-func (bok *Book) Stored() []Report {
-	out := bok.sorted(maxStored-maxStoredCleared, func(fpr request.Fingerprint, _ *entry) bool { return bok.Count(fpr) >= storedEnds })
-	return append(out, bok.sorted(maxStoredCleared, func(fpr request.Fingerprint, ent *entry) bool {
+func (bok *Book) Stored(now clock.Instant) []Report {
+	out := bok.sorted(now, maxStored-maxStoredCleared, func(fpr request.Fingerprint, _ *entry) bool { return bok.Count(fpr) >= storedEnds })
+	return append(out, bok.sorted(now, maxStoredCleared, func(fpr request.Fingerprint, ent *entry) bool {
 		return ent.stored && bok.Count(fpr) < storedEnds
 	})...)
 }
@@ -259,7 +300,7 @@
 
 // sorted returns the reports of the entries that are chosen, those with the most ends first, then the
 // newest.
-func (bok *Book) sorted(most int, chosen func(fpr request.Fingerprint, ent *entry) bool) []Report {
+func (bok *Book) sorted(now clock.Instant, most int, chosen func(fpr request.Fingerprint, ent *entry) bool) []Report {
 	var fprs []request.Fingerprint
 	for fpr, ent := range bok.entries {
 		if chosen(fpr, ent) {
@@ -271,7 +312,7 @@
 	})
 	var out []Report
 	for _, fpr := range fprs[:min(len(fprs), most)] {
-		out = append(out, bok.Report(fpr))
+		out = append(out, bok.Report(now, fpr))
 	}
 	return out
 }
--- a/core/quarantine/keeper.go
+++ b/core/quarantine/keeper.go
@@ -113,7 +113,7 @@
 		return request.Fingerprint{}, false
 	}
 	for _, one := range kee.book.Contents() {
-		rep := kee.book.Report(one)
+		rep := kee.book.Report(now, one)
 		if rep.Trials < maxTrials && now.Since(kee.book.ChangedAt(one)) >= trialDelays[rep.Trials] {
 			rep.Trials++
 			kee.book.Merge(now, rep)
@@ -125,9 +125,9 @@
 }
 
 // NoteStored tells the keeper what the store holds.
-func (kee *Keeper) NoteStored(rps []Report) {
+func (kee *Keeper) NoteStored(now clock.Instant, rps []Report) {
 	for _, rep := range rps {
-		if rep.Content == kee.trial && rep.Trials >= kee.book.Report(kee.trial).Trials {
+		if rep.Content == kee.trial && rep.Trials >= kee.book.Report(now, kee.trial).Trials {
 			kee.trialReady = kee.trial != (request.Fingerprint{})
 		}
 	}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -19,8 +19,10 @@
 type End struct {
 	Run health.Run
 	// Separate is set if the end counts by itself: the attempt was the only one with the content in the
-	// whole fleet, or the content had been suspected for sameMoment before.
+	// whole fleet, or no other run ended under the content at the same moment.
 	Separate bool
+	// Age is the time since the end was observed; 0 if it is not known.
+	Age time.Duration
 }
 
 // State says whether a content may be sent to targets.
@@ -86,6 +88,8 @@
 // News tells the keeper, or by the keeper all other VMs, what has changed.
 type News struct {
 	Reports []Report
+	// Wanted is set if the sender wants to be told what the receiver knows.
+	Wanted bool
 }
 
 func (Ask) quarantineMessage()    {}
--- a/lugbench/pkg/playground/playground.go
+++ b/lugbench/pkg/playground/playground.go
@@ -84,13 +84,16 @@
 	for num := range set.Targets {
 		tgt := targetfake.New(fmt.Sprintf("worker-%d", num+1), "recipes", failureDomain(num), 3, objects.Names(), pgr.Store)
 		tgt.SetFaults(targetfake.Faults{Latency: set.Latency})
-		at, err := pgr.serve(tgt)
+		srv := &targetServer{target: tgt}
+		at, err := srv.start("127.0.0.1:0")
 		if err != nil {
 			return nil, err
 		}
+		pgr.closers = append(pgr.closers, srv.close)
 		if err := tgt.Register(at, false); err != nil {
 			return nil, err
 		}
+		tgt.OnCrash(func() { srv.crash(func() error { return tgt.Register(at, false) }, set.Log) })
 		pgr.Targets, pgr.TargetAddresses = append(pgr.Targets, tgt), append(pgr.TargetAddresses, at)
 	}
 	log := logrus.New()
--- a/lugbench/pkg/soak/conn.go
+++ b/lugbench/pkg/soak/conn.go
@@ -120,6 +120,9 @@
 	}
 	httpReq, err := playground.NewRequest(context.Background(), req.vm.set.CallerAddress, method, req.path, req.id, key, requestTimeout)
 	if err == nil {
+		if req.crash != "" {
+			httpReq.Body, httpReq.ContentLength = http.NoBody, 0 // It asks for the same each time.
+		}
 		err = httpReq.Write(dst)
 	}
 	return err
--- a/lugbench/pkg/soak/process.go
+++ b/lugbench/pkg/soak/process.go
@@ -46,8 +46,9 @@
 
 // programRun is one run of the program, while a targetfake.Run is one of a request.
 type programRun struct {
-	number  int
-	command *exec.Cmd
+	number    int
+	command   *exec.Cmd
+	startedAt time.Time
 	// logs is the read end of the pipe to which the program writes its output.
 	logs *os.File
 	// stopRequestedAt is when the first signal to stop was sent.
@@ -98,7 +99,7 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("cannot start %s: %w", prc.flt.set.Program, err)
 	}
-	run := &programRun{number: prc.starts, command: cmd, logs: logs, exited: make(chan struct{})}
+	run := &programRun{number: prc.starts, command: cmd, startedAt: time.Now(), logs: logs, exited: make(chan struct{})}
 	prc.run.Store(run)
 	go func() { _, _ = io.Copy(logFile, logs) }() // Logs aren't checked.
 	go prc.wait(run, logFile)
--- a/lugbench/pkg/targetfake/target.go
+++ b/lugbench/pkg/targetfake/target.go
@@ -31,6 +31,17 @@
 // LatencyParameter is the query parameter by which a request sets its own latency.
 const LatencyParameter = "work"
 
+// CrashParameter is the query parameter of a request that crashes each target that runs it; its value
+// distinguishes several such requests.
+const CrashParameter = "crash"
+
+// Crash is a crash of a target under a request.
+type Crash struct {
+	// Name is the value of CrashParameter, and Request the ID of the request.
+	Name, Request string
+	At            time.Time
+}
+
 // Run is one execution of a request.
 type Run struct {
 	Request      string
@@ -56,7 +67,9 @@
 // Arrival is a request that has reached a target, refused or not.
 type Arrival struct {
 	Request string
-	At      time.Time
+	// Crash is the value of CrashParameter.
+	Crash string
+	At    time.Time
 	// AnsweredAt is when the head of the response was sent; zero if none was.
 	AnsweredAt time.Time
 	// Announced is what the response announced.
@@ -79,6 +92,9 @@
 	waiting   int
 	runs      []Run
 	arrivals  []Arrival
+	crashes   []Crash
+	// down is called when a request crashes the target; nil if nothing but the request ends then.
+	down func()
 }
 
 // New returns a target that is not registered yet.
@@ -132,6 +148,36 @@
 	tgt.born, tgt.announced = time.Now(), Announcements{}
 }
 
+// OnCrash sets what is called when a request crashes the target, once for each run of it. It must close the
+// target's port and its connections.
+func (tgt *Target) OnCrash(down func()) {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	tgt.down = down
+}
+
+// Crashes returns all crashes.
+func (tgt *Target) Crashes() []Crash {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	return append([]Crash(nil), tgt.crashes...)
+}
+
+// crash records that a request crashes the target, unless it has crashed since its last start.
+func (tgt *Target) crash(req *http.Request) {
+	tgt.mut.Lock()
+	down := tgt.down
+	if last := len(tgt.crashes) - 1; last >= 0 && tgt.crashes[last].At.After(tgt.born) {
+		down = nil
+	} else {
+		tgt.crashes = append(tgt.crashes, Crash{Name: req.URL.Query().Get(CrashParameter), Request: req.Header.Get(tgt.names.Request), At: time.Now()})
+	}
+	tgt.mut.Unlock()
+	if down != nil {
+		down()
+	}
+}
+
 // Arrivals returns all requests that have reached the target.
 func (tgt *Target) Arrivals() []Arrival {
 	tgt.mut.Lock()
@@ -182,6 +228,10 @@
 	if !sleep(req, time.Duration(float64(fls.Latency)*(0.7+0.6*rand.Float64()))) {
 		return
 	}
+	if req.URL.Query().Has(CrashParameter) {
+		tgt.crash(req)
+		panic(http.ErrAbortHandler) // It closes the connection without a response.
+	}
 	tgt.announce(hdr, number)
 	if draw -= fls.HangShare; draw < fls.FailShare {
 		wrt.WriteHeader(http.StatusInternalServerError)
@@ -198,7 +248,7 @@
 func (tgt *Target) arrived(req *http.Request) (number int, refuses bool) {
 	tgt.mut.Lock()
 	defer tgt.mut.Unlock()
-	tgt.arrivals = append(tgt.arrivals, Arrival{Request: req.Header.Get(tgt.names.Request), At: time.Now()})
+	tgt.arrivals = append(tgt.arrivals, Arrival{Request: req.Header.Get(tgt.names.Request), Crash: req.URL.Query().Get(CrashParameter), At: time.Now()})
 	return len(tgt.arrivals) - 1, tgt.announced.RetryAfter != ""
 }
 
--- a/lugd/pkg/peer/quarantine.go
+++ b/lugd/pkg/peer/quarantine.go
@@ -28,6 +28,7 @@
 	case quarantine.News:
 		wrt.unsigned(kindQuarantineNews)
 		wrt.quarantineReports(msg.Reports)
+		wrt.boolean(msg.Wanted)
 	default:
 		return false
 	}
@@ -44,7 +45,7 @@
 	case kindQuarantineEnded:
 		return quarantine.Ended{Number: rdr.unsigned(), Known: rdr.quarantineReport()}
 	case kindQuarantineNews:
-		return quarantine.News{Reports: rdr.quarantineReports()}
+		return quarantine.News{Reports: rdr.quarantineReports(), Wanted: rdr.boolean()}
 	}
 	return nil
 }
@@ -70,6 +71,7 @@
 	for _, end := range rep.Ends {
 		wrt.run(end.Run)
 		wrt.boolean(end.Separate)
+		wrt.duration(end.Age)
 	}
 	wrt.runs(rep.Cleared)
 	wrt.signed(int64(rep.Trials))
@@ -82,7 +84,7 @@
 func (rdr *reader) ends() []quarantine.End {
 	var out []quarantine.End
 	for cnt := rdr.count(); cnt > 0 && rdr.err == nil; cnt-- {
-		out = append(out, quarantine.End{Run: rdr.run(), Separate: rdr.boolean()})
+		out = append(out, quarantine.End{Run: rdr.run(), Separate: rdr.boolean(), Age: rdr.duration()})
 	}
 	return out
 }
