List and lift quarantined requests with lugctl

An operator who has mended the targets needs a way to let a request be sent again before a trial is due. "lugctl quarantine list" shows what a VM knows: the content by which logs name it, state, ends, targets, trials. "lugctl quarantine lift" clears its ends by one conditional replace in the store, from which all VMs learn it. Metrics count suspected, quarantined and dropped contents.

The tests with real VMs list, lift and send the request again.

--- a/core/gateway/status.go
+++ b/core/gateway/status.go
@@ -8,6 +8,7 @@
 	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/quarantine"
 )
 
 // Status is a summary of a VM for operators.
@@ -28,6 +29,10 @@
 	Stopping  bool
 	// Followers is the number of VMs that follow this one.
 	Followers int
+	// SuspectedContents and QuarantinedContents are the numbers of contents of requests that this VM knows to
+	// have crashed targets, and DroppedContents how many it has dropped for want of room.
+	SuspectedContents, QuarantinedContents int
+	DroppedContents                        uint64
 	// Placements counts the answers of this VM as a placer, and Tokens the requests that it decided
 	// on as a token server, both by outcome.
 	Placements, Tokens map[string]uint64
@@ -40,6 +45,7 @@
 		Holders: mac.fleet.Holders(), Ages: mac.ages(now), InFlight: len(mac.requests), Targets: mac.registry.Len(), Stopping: mac.stopping,
 		Followers: len(mac.followers), Placements: maps.Clone(mac.placementCounts), Tokens: maps.Clone(mac.tokenCounts),
 	}
+	sta.SuspectedContents, sta.QuarantinedContents, sta.DroppedContents = mac.contents.book.Sizes()
 	for _, svc := range mac.services {
 		for _, par := range svc.partitions {
 			if par.central != nil {
@@ -51,6 +57,25 @@
 	return sta
 }
 
+// Contents returns what this VM knows of the contents of requests that have crashed targets, those with the
+// most ends first, and most at the most.
+func (mac *Machine) Contents(now clock.Instant, most int) []ContentStatus {
+	var out []ContentStatus
+	for _, rep := range mac.contents.book.Reports(now, most) {
+		out = append(out, ContentStatus{Report: rep, State: mac.contents.book.State(rep.Content), Count: mac.contents.book.Count(rep.Content)})
+	}
+	return out
+}
+
+// ContentStatus is what a VM knows of a content that has crashed targets.
+type ContentStatus struct {
+	quarantine.Report
+
+	State quarantine.State
+	// Count is the number of ends that count.
+	Count int
+}
+
 // TargetStatus is what a VM knows about a target.
 type TargetStatus struct {
 	ID, Service, Address, FailureDomain string
--- a/lugbench/pkg/playground/crashes_test.go
+++ b/lugbench/pkg/playground/crashes_test.go
@@ -9,7 +9,11 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"marigoldlug.example/lugbench/pkg/targetfake"
+	"marigoldlug.example/lugctl/pkg/client"
+	"marigoldlug.example/platform/pkg/objects"
 )
 
 // TestRequestThatCrashesTargetsIsNotSentOn sends a request that crashes its targets five times a second to
@@ -37,10 +41,40 @@
 			if got := pgr.crashes(); got != crashed {
 				t.Errorf("%d targets crashed in the end, %d before", got, crashed)
 			}
+			liftAndSend(t, pgr, path)
+			// The route allows two attempts, and only an idempotent request gets both.
+			if got := pgr.crashes(); got <= crashed || got > crashed+2 {
+				t.Errorf("%d targets crashed after the quarantine was lifted, %d before", got, crashed)
+			}
 		})
 	}
 }
 
+// liftAndSend lets an operator look up and lift the only quarantine, waits until the VMs know that, and sends
+// the request once.
+func liftAndSend(t *testing.T, pgr *Playground, path string) {
+	t.Helper()
+	cli := client.New("http://"+pgr.OperatorAddresses[1], http.DefaultClient)
+	listed, err := cli.Contents(context.Background())
+	if err != nil || len(listed) != 1 || listed[0].State != "quarantined" || listed[0].Ends != 3 {
+		t.Fatalf("listed %+v, %v", listed, err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	if err := objects.NewOperatorStore(objects.New(pgr.StoreAddress, log)).Lift(context.Background(), listed[0].Content); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(3 * time.Second); len(listed) > 0; time.Sleep(50 * time.Millisecond) {
+		if listed, err = cli.Contents(context.Background()); err != nil || time.Now().After(end) {
+			t.Fatalf("3 s after the lift: %+v, %v", listed, err)
+		}
+	}
+	res := pgr.send(1, http.MethodGet, path+"?"+targetfake.CrashParameter+"=one", "again", Key)
+	if res.Status != http.StatusBadGateway && res.Status != http.StatusServiceUnavailable {
+		t.Errorf("got %+v", res)
+	}
+}
+
 // crashes returns how often targets have crashed.
 func (pgr *Playground) crashes() (cnt int) {
 	for _, tgt := range pgr.Targets {
--- a/lugctl/pkg/client/client.go
+++ b/lugctl/pkg/client/client.go
@@ -68,6 +68,13 @@
 	return out, err
 }
 
+// Contents returns the contents of requests that have crashed targets, as the VM knows them.
+func (cli *Client) Contents(ctx context.Context) ([]api.Content, error) {
+	var out []api.Content
+	err := cli.get(ctx, api.PathContents, &out)
+	return out, err
+}
+
 // Rollout returns which VMs hold a version of the configuration.
 func (cli *Client) Rollout(ctx context.Context, version uint64) (api.Rollout, error) {
 	var out api.Rollout
--- a/lugctl/pkg/command/command.go
+++ b/lugctl/pkg/command/command.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"os"
@@ -22,8 +23,19 @@
 	pollInterval = 200 * time.Millisecond
 )
 
+// Store is the store of the platform, as operators use it.
+type Store interface {
+	release.Store
+	// Lift ends the quarantine of the content of requests with a fingerprint. The error is ErrNotQuarantined
+	// if the store has no such content, and release.ErrConcurrentChange if the object has changed meanwhile.
+	Lift(ctx context.Context, content string) error
+}
+
+// ErrNotQuarantined is returned where the store has no quarantined content with the given fingerprint.
+var ErrNotQuarantined = errors.New("the store holds no content with this fingerprint")
+
 // Connect returns the store of the platform at an address, an IP address and port.
-type Connect func(address string) release.Store
+type Connect func(address string) Store
 
 // commandContext holds the global flags and the output streams, which all commands share.
 type commandContext struct {
@@ -53,7 +65,7 @@
 		Usage:  "manage a marigoldlug proxy fleet",
 		Writer: out,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "platform", Usage: "IP address and port of the platform's store, for releases and keys", Destination: &cct.platform, Sources: cli.EnvVars("LUGCTL_PLATFORM")},
+			&cli.StringFlag{Name: "platform", Usage: "IP address and port of the platform's store, for releases, keys and the quarantine", Destination: &cct.platform, Sources: cli.EnvVars("LUGCTL_PLATFORM")},
 			&cli.StringFlag{Name: "address", Usage: "URL of the operator API of any VM", Value: "http://127.0.0.1:8082", Destination: &cct.address, Sources: cli.EnvVars("LUGCTL_ADDRESS")},
 			&cli.StringFlag{Name: "operator", Usage: "name of the operator, kept in the history", Value: os.Getenv("USER"), Destination: &cct.operator, Sources: cli.EnvVars("LUGCTL_OPERATOR")},
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Usage: "json or table", Value: "table", Destination: &cct.output, Sources: cli.EnvVars("LUGCTL_OUTPUT")},
@@ -62,7 +74,7 @@
 			&cli.StringFlag{Name: "authority", Usage: "file of the certificate authority that signs the certificates of VMs", Destination: &cct.files.Authority, Sources: cli.EnvVars("LUGCTL_AUTHORITY")},
 			&cli.DurationFlag{Name: "wait", Usage: "how long to wait until a release is in force", Value: 30 * time.Second, Destination: &cct.wait, Sources: cli.EnvVars("LUGCTL_WAIT")},
 		},
-		Commands: []*cli.Command{cct.releaseCommand(), cct.keyCommand(), cct.vmCommand(), cct.targetCommand(), cct.explainCommand()},
+		Commands: []*cli.Command{cct.releaseCommand(), cct.keyCommand(), cct.vmCommand(), cct.targetCommand(), cct.quarantineCommand(), cct.explainCommand()},
 	}
 }
 
@@ -81,10 +93,19 @@
 
 // applier returns an applier of release notes for the platform's store.
 func (cct *commandContext) applier() (*release.Applier, error) {
+	sto, err := cct.store()
+	if err != nil {
+		return nil, err
+	}
+	return release.New(sto, time.Now), nil
+}
+
+// store returns the platform's store at the address that the flags give.
+func (cct *commandContext) store() (Store, error) {
 	if cct.platform == "" {
 		return nil, &usageError{message: "the address of the platform is missing; set --platform or LUGCTL_PLATFORM"}
 	}
-	return release.New(cct.connect(cct.platform), time.Now), nil
+	return cct.connect(cct.platform), nil
 }
 
 // action is the body of a command. It writes its result to prn.
--- a/lugd/pkg/edge/fleet.go
+++ b/lugd/pkg/edge/fleet.go
@@ -57,6 +57,20 @@
 	return out
 }
 
+// maxContents bounds the contents that are listed.
+const maxContents = 200
+
+// Contents returns the contents of requests that have crashed targets, as this VM knows them.
+func (fle *fleet) Contents() []api.Content {
+	out := []api.Content{}
+	fle.dmn.driver.WithMachine(func(mac *gateway.Machine, now clock.Instant) {
+		for _, con := range mac.Contents(now, maxContents) {
+			out = append(out, api.ConvertContent(con))
+		}
+	})
+	return out
+}
+
 // Rollout returns how many of the listed VMs hold a version, by what they report.
 func (fle *fleet) Rollout(ctx context.Context, version uint64) api.Rollout {
 	members := fle.members()
--- a/lugd/pkg/edge/observer.go
+++ b/lugd/pkg/edge/observer.go
@@ -65,6 +65,18 @@
 		sta, _ := dmn.driver.Status()
 		return float64(len(sta.Suspected))
 	})
+	met.Gauge("contents_suspected", "Contents of requests under which targets have ended, and that are sent to one target at a time.", func() float64 {
+		sta, _ := dmn.driver.Status()
+		return float64(sta.SuspectedContents)
+	})
+	met.Gauge("contents_quarantined", "Contents of requests that are not sent to targets any more, because they crash them.", func() float64 {
+		sta, _ := dmn.driver.Status()
+		return float64(sta.QuarantinedContents)
+	})
+	met.Counter("contents_dropped", "Contents that were forgotten since there were too many.", func() float64 {
+		sta, _ := dmn.driver.Status()
+		return float64(sta.DroppedContents)
+	})
 	met.Gauge("followers", "VMs that learn from this one.", func() float64 {
 		sta, _ := dmn.driver.Status()
 		return float64(sta.Followers)
--- a/lugd/pkg/operator/server.go
+++ b/lugd/pkg/operator/server.go
@@ -16,6 +16,7 @@
 type fleet interface {
 	VMs(ctx context.Context) []api.VM
 	Targets() []api.Target
+	Contents() []api.Content
 	Rollout(ctx context.Context, version uint64) api.Rollout
 }
 
@@ -31,6 +32,7 @@
 	srv := &Server{fleet: fle, log: log, mux: http.NewServeMux()}
 	srv.mux.HandleFunc("GET "+api.PathVMs, srv.vms)
 	srv.mux.HandleFunc("GET "+api.PathTargets, srv.targets)
+	srv.mux.HandleFunc("GET "+api.PathContents, srv.contents)
 	srv.mux.HandleFunc("GET "+api.PathRollout+"{version}", srv.rollout)
 	return srv
 }
@@ -46,6 +48,10 @@
 	srv.writeJSON(wrt, http.StatusOK, srv.fleet.Targets())
 }
 
+func (srv *Server) contents(wrt http.ResponseWriter, _ *http.Request) {
+	srv.writeJSON(wrt, http.StatusOK, srv.fleet.Contents())
+}
+
 func (srv *Server) rollout(wrt http.ResponseWriter, req *http.Request) {
 	version, err := strconv.ParseUint(req.PathValue("version"), 10, 64)
 	if err != nil {
--- a/lugd/service/api/conversions.go
+++ b/lugd/service/api/conversions.go
@@ -27,6 +27,18 @@
 	return out
 }
 
+// ConvertContent converts what a VM knows of a content.
+func ConvertContent(con gateway.ContentStatus) Content {
+	out := Content{Content: con.Content.String(), State: con.State.String(), Ends: con.Count, Targets: []string{}, Trials: con.Trials}
+	for num, end := range con.Ends {
+		out.Targets = append(out.Targets, end.Run.Target)
+		if age := end.Age.Seconds(); num == 0 || age < out.LastEndSeconds {
+			out.LastEndSeconds = age
+		}
+	}
+	return out
+}
+
 // NewRollout returns the rollout of a version to members, the IDs of the listed VMs, by the
 // states of the VMs that answered.
 func NewRollout(version uint64, members []string, states []peer.State) Rollout {
--- a/lugd/service/api/types.go
+++ b/lugd/service/api/types.go
@@ -6,6 +6,8 @@
 const (
 	PathVMs     = "/v1/vms"
 	PathTargets = "/v1/targets"
+	// PathContents lists the contents of requests that have crashed targets.
+	PathContents = "/v1/contents"
 	// PathRollout is followed by the version of a configuration.
 	PathRollout = "/v1/spread/"
 )
@@ -65,6 +67,21 @@
 	Sick float64 `json:"sick"`
 }
 
+// Content is the content of requests under which targets have ended, as one VM knows it.
+type Content struct {
+	// Content is the fingerprint, by which logs name it, too.
+	Content string `json:"content"`
+	// State is "suspected" or "quarantined", and Ends the number of ended runs that count.
+	State string `json:"state"`
+	Ends  int    `json:"ends"`
+	// Targets lists the targets whose runs ended, the last one last.
+	Targets []string `json:"targets"`
+	// LastEndSeconds is the time since the last of them was observed, as far as the VM knows.
+	LastEndSeconds float64 `json:"lastEndSeconds"`
+	// Trials is the number of trials since the content was quarantined.
+	Trials int `json:"trials"`
+}
+
 // CodeMalformed is the only value of Error.Code.
 const CodeMalformed = "malformed"
 
