Count how often a content was cleared instead of which runs were

Likely cause: a book kept the last 16 ended runs and the last 16 cleared ones of a content, and two VMs that kept different ones brought old ends back to each other without end.

Now an answer begins a new epoch of the content, and the later epoch holds. An end that was observed after that counts although the VM that saw it did not know of the answer, by the age in its report. TestContentThatIsClearedOftenStaysClear plays the exchange. The random fleets now also end all faults and want 0.9 of the other requests served after that.

With it: VMs ask the keeper under one number until they are allowed, as a reply that comes after more than 100 ms was lost; what changes is passed on twice more; a VM asks the first keeper that it learns of for what is suspected.

--- a/core/gateway/crashes_test.go
+++ b/core/gateway/crashes_test.go
@@ -39,6 +39,11 @@
 	// maxLateRetries is how often a request may be sent to targets later than stableTime after it has crashed
 	// provenCrashes of them.
 	maxLateRetries = 3
+	// settleTime is how long after the last fault requests are not counted, calmTime for how long they are
+	// then, and minCalmServed the least share of them that must be served.
+	settleTime    = 8 * time.Second
+	calmTime      = 8 * time.Second
+	minCalmServed = 0.9
 	// maxCrashers is the greatest number of requests that crash targets at a time in random fleets.
 	maxCrashers = 4
 )
@@ -62,8 +67,12 @@
 				at := simLoadAfter + time.Duration(rnd.Int64N(int64(randomLength-simLoadAfter)))
 				script = append(script, sim.schedule(at, randomCrashLine(rnd, len(sim.vms), tgs)))
 			}
-			sim.run(randomLength)
+			sim.at(sim.started.Add(randomLength), sim.endFaults)
+			sim.run(randomLength + settleTime + calmTime)
 			out := append(sim.sentOnTooOften(), sim.faults...)
+			if float64(sim.servedCalm) < minCalmServed*float64(sim.sentCalm) {
+				out = append(out, fmt.Sprintf("%d of %d other requests were served once the faults were over", sim.servedCalm, sim.sentCalm))
+			}
 			if len(out) > 0 {
 				slices.Sort(script)
 				t.Errorf("%s\nscript:\n%s", strings.Join(out, "\n"), strings.Join(script, "\n"))
@@ -72,6 +81,22 @@
 	}
 }
 
+// endFaults ends all faults and begins to count requests after settleTime.
+func (sim *fleetSim) endFaults() {
+	for _, line := range []string{"lose-reports off", "store-away off", "slow-crashes off"} {
+		_ = sim.do(strings.Fields(line)[0], strings.Fields(line)[1:]) // These lines are well-formed.
+	}
+	for _, vmm := range sim.vms {
+		sim.cut[vmm.name] = false
+	}
+	for _, tgt := range slices.Clone(sim.tgs) {
+		if tgt.silent {
+			sim.startTarget(tgt.name)
+		}
+	}
+	sim.calmFrom = sim.now.Add(settleTime)
+}
+
 // schedule plays a line of a script at a time, and returns both.
 func (sim *fleetSim) schedule(at time.Duration, line string) string {
 	sim.at(sim.started.Add(at), func() { _ = sim.do(strings.Fields(line)[0], strings.Fields(line)[1:]) }) // The placer may be down.
--- a/core/gateway/fleetsim_test.go
+++ b/core/gateway/fleetsim_test.go
@@ -71,6 +71,8 @@
 	// joinedAt holds when each VM was last reached again.
 	joinedAt map[string]time.Time
 	faults   []string
+	// deafAt is when deaf was last found to hold.
+	deafAt time.Time
 	// storeAway is set while the store answers nobody.
 	storeAway bool
 	// crashers holds the requests that crash targets.
@@ -81,6 +83,9 @@
 	slowCrashes bool
 
 	sent, served, refused, failed int
+	// calmFrom is the time from which sentCalm and servedCalm count the requests that arrive; zero for none.
+	calmFrom             time.Time
+	sentCalm, servedCalm int
 }
 
 type scheduled struct {
@@ -225,6 +230,7 @@
 // arrive sends a request to a random VM, and schedules the next one.
 func (sim *fleetSim) arrive() {
 	sim.after(time.Duration(sim.rnd.ExpFloat64()*float64(time.Second)/float64(sim.perSecond)), sim.arrive)
+	_ = sim.deaf() // It notes the time.
 	vmm := sim.vms[sim.rnd.IntN(len(sim.vms))]
 	if vmm.mac == nil {
 		return // The balancer does not choose VMs that are down.
@@ -234,9 +240,17 @@
 		path = "/open/x"
 	}
 	sim.sent++
+	if sim.calm(sim.now) {
+		sim.sentCalm++
+	}
 	vmm.arrive(path, sim.harmlessContent(), nil)
 }
 
+// calm reports whether requests that arrive at a time are counted as calm.
+func (sim *fleetSim) calm(at time.Time) bool {
+	return !sim.calmFrom.IsZero() && !at.Before(sim.calmFrom)
+}
+
 // arrive delivers a request of a caller; cra is nil unless it crashes targets.
 func (vmm *simVM) arrive(path string, fpr request.Fingerprint, cra *crasher) {
 	vmm.next++
@@ -394,6 +408,20 @@
 	})
 }
 
+// outOfTouch reports whether a VM does not reach others, or did not until shortly before.
+func (sim *fleetSim) outOfTouch(vmm *simVM) bool {
+	return sim.cut[vmm.name] || sim.now.Sub(sim.joinedAt[vmm.name]) < stableTime
+}
+
+// deaf reports whether VMs hear neither of the store nor, for the most part, of what others report, or did not
+// until shortly before.
+func (sim *fleetSim) deaf() bool {
+	if sim.storeAway && (sim.dropReports || sim.dropMostReports) {
+		sim.deafAt = sim.now
+	}
+	return sim.now.Sub(sim.deafAt) < stableTime
+}
+
 // vm returns the VM that a run belongs to.
 func (sim *fleetSim) vm(id string) *simVM {
 	idx := slices.IndexFunc(sim.vms, func(vmm *simVM) bool { return strings.HasPrefix(id, vmm.name+".") })
@@ -431,7 +459,7 @@
 		}
 		req.target = tgt
 		tgt.running = append(tgt.running, req)
-		tgt.arrivals = append(tgt.arrivals, arrival{at: sim.now, sentAt: sentAt, vm: runID, cutOff: sim.cut[vmm.name] || sim.now.Sub(sim.joinedAt[vmm.name]) < stableTime})
+		tgt.arrivals = append(tgt.arrivals, arrival{at: sim.now, sentAt: sentAt, vm: runID, cutOff: sim.outOfTouch(vmm)})
 		if sim.now.Before(tgt.refuseUntil) {
 			tgt.pauses = append(tgt.pauses, pause{vm: runID, from: sim.now, until: sim.now.Add(tgt.pauseFor)})
 			ann := tgt.announcement()
@@ -444,7 +472,7 @@
 			return
 		}
 		if cra != nil {
-			cra.arrived(sim, tgt, begin, arrival{at: sim.now, sentAt: dispatchedAt, vm: runID, cutOff: sim.cut[vmm.name] || sim.now.Sub(sim.joinedAt[vmm.name]) < stableTime})
+			cra.arrived(sim, tgt, begin, arrival{at: sim.now, sentAt: dispatchedAt, vm: runID, cutOff: sim.outOfTouch(vmm) || sim.deaf()})
 			return
 		}
 		sim.at(end, func() {
@@ -485,6 +513,9 @@
 func (vmm *simVM) relay(act Relay) {
 	sim, run := vmm.sim, vmm.runs
 	req := vmm.live[simAttempt{act.Request, act.Attempt}]
+	if sim.calm(vmm.callers[act.Request]) {
+		sim.servedCalm++
+	}
 	delete(vmm.callers, act.Request)
 	sim.served++
 	id := vmm.mac.set.Self.ID
--- a/core/gateway/quarantine.go
+++ b/core/gateway/quarantine.go
@@ -33,7 +33,11 @@
 	maxNews = 64
 	// storeInterval is the least time between two writes of the quarantine to the store.
 	storeInterval = time.Second
-	// repeatInterval is how often the keeper passes on everything once more while the store lacks any of it.
+	// storedAge is the age that ends of the store are taken to have, which is not kept there.
+	storedAge = time.Hour
+	// The keeper passes on what has changed maxRepeats times more, each after repeatInterval, since messages may
+	// be lost, and after that while the store lacks it.
+	maxRepeats     = 2
 	repeatInterval = 2 * time.Second
 	// brokenOffTime is how long an attempt that broke off is remembered, to learn from the registry whether
 	// its target has started again. maxBrokenOff bounds their number.
@@ -47,6 +51,8 @@
 	keeper *quarantine.Keeper
 	// keeperID is the ID of the VM that is the keeper.
 	keeperID string
+	// greeted is set once a keeper was asked for what it knows.
+	greeted bool
 	// asks holds the requests for which the keeper has not ruled yet, by the number of the question.
 	asks map[uint64]request.ID
 	// unconfirmed holds when each report was last sent to the keeper that it has not passed on yet.
@@ -58,7 +64,9 @@
 	// writeDue is set while the store may lack something, and wroteAt is when it was last written.
 	writeDue bool
 	wroteAt  clock.Instant
-	// repeatedAt is when the keeper last passed on everything once more.
+	// repeats holds how often the keeper passes on the state of a content once more, and repeatedAt when it
+	// last did so.
+	repeats    map[request.Fingerprint]int
 	repeatedAt clock.Instant
 	// readRevision is the revision of the store's object that was last read.
 	readRevision uint64
@@ -92,7 +100,7 @@
 	giveUpAt clock.Instant
 	// ruled is set once the keeper has replied to it.
 	ruled bool
-	// question is the number of the last question to the keeper, sent at askedAt.
+	// question is the number under which the keeper is asked until the wait ends, last at askedAt.
 	question uint64
 	askedAt  clock.Instant
 }
@@ -102,11 +110,17 @@
 	return sta == quarantine.Clear || per.granted != nil && (per.granted.trial || sta == quarantine.Suspected)
 }
 
+// holds reports whether the request has the permit that a keeper has given for a question.
+func (per *permission) holds(keeper string, number uint64) bool {
+	return per.granted != nil && !per.granted.trial && per.granted.keeper == keeper && per.granted.number == number
+}
+
 func newContents() contents {
 	bok := quarantine.NewBook()
 	return contents{
 		book: bok, keeper: quarantine.NewKeeper(bok), asks: make(map[uint64]request.ID),
 		unconfirmed: make(map[request.Fingerprint]clock.Instant), changed: make(map[request.Fingerprint]bool),
+		repeats: make(map[request.Fingerprint]int),
 	}
 }
 
@@ -145,6 +159,9 @@
 		mac.refuse(now, inf, mac.quarantineRefusal(now, inf))
 	default:
 		inf.permission.waiting = true
+		mac.number++
+		inf.permission.question = mac.number
+		mac.contents.asks[mac.number] = inf.ID
 		inf.permission.giveUpAt = now.Add(min(keeperTimeout, inf.deadline.Mono-now.Mono))
 		mac.ask(now, inf)
 	}
@@ -168,12 +185,9 @@
 // ask asks the keeper whether a suspected request may be sent.
 func (mac *Machine) ask(now clock.Instant, inf *inFlight) {
 	con := &mac.contents
-	delete(con.asks, inf.permission.question)
-	mac.number++
-	inf.permission.question, inf.permission.askedAt = mac.number, now
-	con.asks[mac.number] = inf.ID
+	inf.permission.askedAt = now
 	mac.sendQuarantine(now, con.keeperID, quarantine.Ask{
-		Number: mac.number, TimeLeft: max(inf.deadline.Mono-now.Mono, 0), Known: con.book.Report(now, inf.fingerprint),
+		Number: inf.permission.question, TimeLeft: max(inf.deadline.Mono-now.Mono, 0), Known: con.book.Report(now, inf.fingerprint),
 	})
 }
 
@@ -216,10 +230,9 @@
 // ruled handles the keeper's reply for a suspected request.
 func (mac *Machine) ruled(now clock.Instant, from string, msg quarantine.Ruling) {
 	id, asked := mac.contents.asks[msg.Number]
-	delete(mac.contents.asks, msg.Number)
 	inf := mac.requests[id]
-	if !asked || inf == nil || !inf.permission.waiting {
-		if msg.Allowed {
+	if !asked || inf == nil || !inf.permission.waiting || inf.permission.question != msg.Number {
+		if msg.Allowed && (inf == nil || !inf.permission.holds(from, msg.Number)) {
 			mac.sendQuarantine(now, from, quarantine.Ended{Number: msg.Number, Known: msg.Known})
 		}
 		return
@@ -238,6 +251,7 @@
 // continueWaiting continues a request that waits for a permit and needs to wait no more.
 func (mac *Machine) continueWaiting(now clock.Instant, inf *inFlight) {
 	inf.permission.waiting, inf.permission.ruled = false, false
+	delete(mac.contents.asks, inf.permission.question)
 	mac.nextAttempt(now, inf, "the request is suspected to crash targets")
 }
 
@@ -315,10 +329,7 @@
 func (mac *Machine) runEnded(now clock.Instant, fpr request.Fingerprint, end quarantine.End) {
 	con := &mac.contents
 	before := con.book.State(fpr)
-	rep := quarantine.Report{Content: fpr, Ends: []quarantine.End{end}}
-	if con.keeper.Serving() {
-		rep = con.book.Separated(now, rep)
-	}
+	rep := con.book.EndReport(now, fpr, end)
 	if !con.book.Merge(now, rep) {
 		return
 	}
@@ -340,9 +351,6 @@
 func (mac *Machine) learnContent(now clock.Instant, from string, rep quarantine.Report) {
 	con := &mac.contents
 	before := con.book.State(rep.Content)
-	if con.keeper.Serving() {
-		rep = con.book.Separated(now, rep)
-	}
 	if !con.book.Merge(now, rep) {
 		return
 	}
@@ -391,7 +399,7 @@
 func (mac *Machine) spread(now clock.Instant, fpr request.Fingerprint) {
 	con := &mac.contents
 	if con.keeper.Serving() {
-		con.changed[fpr] = true
+		con.changed[fpr], con.repeats[fpr] = true, maxRepeats
 		mac.sendNews(now)
 		return
 	}
@@ -445,7 +453,8 @@
 	}
 }
 
-// setKeeper determines the keeper. A new one is told what this VM knows, and asked what it knows itself.
+// setKeeper determines the keeper. A new one is told what this VM knows. The first one is asked for what it
+// knows, since this VM has just started.
 func (mac *Machine) setKeeper(now clock.Instant) {
 	con := &mac.contents
 	self, keeper := mac.set.Self.ID, mac.set.Self.ID
@@ -462,6 +471,8 @@
 	con.keeperID = keeper
 	con.keeper.End()
 	clear(con.unconfirmed)
+	clear(con.changed)
+	clear(con.repeats)
 	if keeper == self {
 		con.keeper.Begin(now, vie.Size() <= 1)
 		con.writeDue = true
@@ -469,12 +480,15 @@
 	if con.keeper.Serving() {
 		return
 	}
-	// The keeper replies with what it knows. A VM that has just started knows nothing.
 	rps := con.book.Reports(now, maxNews)
+	if con.greeted && len(rps) == 0 {
+		return
+	}
 	for _, rep := range rps {
 		con.unconfirmed[rep.Content] = now
 	}
-	mac.emit(Send{To: keeper, Message: quarantine.News{Reports: rps, Wanted: true}})
+	mac.emit(Send{To: keeper, Message: quarantine.News{Reports: rps, Wanted: !con.greeted}})
+	con.greeted = true
 }
 
 // learnStored adds what the store holds.
@@ -490,7 +504,7 @@
 		mac.log("quarantineMalformed", "contents", malformed, "revision", rev)
 	}
 	for _, rep := range rps {
-		mac.learnContent(now, "", rep)
+		mac.learnContent(now, "", rep.WithAge(storedAge))
 	}
 	con.book.MarkStored(rps)
 	con.keeper.NoteStored(now, rps)
@@ -511,22 +525,28 @@
 		con.writeDue = false
 		return
 	}
-	mac.repeatNews(now)
 	con.wroteAt = now
 	mac.log("storeQuarantine", "contents", len(want), "before", len(held))
 	mac.emit(Write{Name: fleet.QuarantineName, Row: fleet.Row{Holder: mac.set.Self.ID, Quarantine: want}, Revision: mac.fleet.ObjectRevision(fleet.QuarantineName)})
 }
 
-// repeatNews passes on what the store lacks to all VMs once more. They would learn of it from the store even
-// if the first message was lost.
+// repeatNews passes on once more what has changed lately, and what the store may lack.
 func (mac *Machine) repeatNews(now clock.Instant) {
 	con := &mac.contents
-	if now.Since(con.repeatedAt) < repeatInterval {
+	if !con.keeper.Serving() || now.Since(con.repeatedAt) < repeatInterval {
 		return
 	}
 	con.repeatedAt = now
-	for _, rep := range con.book.Stored(now) {
-		con.changed[rep.Content] = true
+	for fpr, left := range con.repeats {
+		con.changed[fpr] = true
+		if con.repeats[fpr]--; left <= 1 {
+			delete(con.repeats, fpr)
+		}
+	}
+	if con.writeDue {
+		for _, rep := range con.book.Stored(now) {
+			con.changed[rep.Content] = true
+		}
 	}
 }
 
@@ -545,6 +565,7 @@
 		con.writeDue = true
 		mac.spread(now, fpr)
 	}
+	mac.repeatNews(now)
 	mac.sendNews(now)
 	mac.resendUnconfirmed(now)
 	mac.storeQuarantine(now)
--- a/core/quarantine/book.go
+++ b/core/quarantine/book.go
@@ -15,8 +15,11 @@
 	// maxEntries bounds the contents in a book. Beyond it the content that was suspected longest ago is
 	// dropped, and a quarantined one only if there is no other.
 	maxEntries = 2048
-	// maxRuns bounds the runs that are kept for a content, of either kind.
-	maxRuns = 16
+	// maxEnds bounds the ends that are kept for a content, several times what proves it.
+	maxEnds = 16
+	// clearSlack is how long after a content was cleared an end must have been observed to count, if the VM
+	// that observed it did not know of that.
+	clearSlack = time.Second
 	// clearRetention is how long a content without ends that count is kept, for reports that are late.
 	clearRetention = 5 * time.Minute
 	// suspectRetention is how long a suspected content is kept without news of it.
@@ -34,12 +37,16 @@
 
 // entry is what is known of one content.
 type entry struct {
-	// ends and cleared have no duplicates, the newest last, and maxRuns at most. The ages of the ends are not
-	// set; observedAt holds when they were observed.
+	epoch uint64
+	// clearedAt is when this VM learned that epoch has begun; zero for the first one.
+	clearedAt clock.Instant
+	// ends has no duplicates, the newest last, and maxEnds at most. The ages are not set; observedAt holds
+	// when the ends were observed.
 	ends       []End
 	observedAt map[health.Run]clock.Instant
-	cleared    []health.Run
-	trials     int
+	// suspectedAt is when this VM learned of the first of the ends.
+	suspectedAt clock.Instant
+	trials      int
 	// stored is set once the content was found in the store.
 	stored    bool
 	changedAt clock.Instant
@@ -86,8 +93,8 @@
 }
 
 // Count returns how many ends of runs count against a content: each of those that are separate, and one for
-// all others. Before a content is suspected it may run at many targets at a time, which may all end for one
-// other reason.
+// all others. While a VM does not know that a content is suspected, it may run beside other suspects, and at
+// many targets at a time, which may all end for one other reason.
 func (bok *Book) Count(fpr request.Fingerprint) int {
 	ent := bok.entries[fpr]
 	if ent == nil {
@@ -95,11 +102,9 @@
 	}
 	separate, other := 0, 0
 	for _, end := range ent.ends {
-		switch {
-		case slices.Contains(ent.cleared, end.Run):
-		case end.Separate:
+		if end.Separate {
 			separate++
-		default:
+		} else {
 			other = 1
 		}
 	}
@@ -108,20 +113,28 @@
 
 // AddEnd records that a run has ended under a content, and reports whether that is new.
 func (bok *Book) AddEnd(now clock.Instant, fpr request.Fingerprint, end End) bool {
-	return bok.Merge(now, Report{Content: fpr, Ends: []End{end}})
+	return bok.Merge(now, bok.EndReport(now, fpr, end))
+}
+
+// EndReport returns the report of an end that this VM has observed now.
+func (bok *Book) EndReport(now clock.Instant, fpr request.Fingerprint, end End) Report {
+	ent := bok.entries[fpr]
+	if ent == nil {
+		return Report{Content: fpr, Ends: []End{end}}
+	}
+	if len(ent.ends) > 0 && now.Since(ent.suspectedAt) >= sameMoment {
+		end.Separate = true
+	}
+	return Report{Content: fpr, Epoch: ent.epoch, Ends: []End{end}}
 }
 
 // Clear records that a content does no harm, and reports whether anything counted against it.
 func (bok *Book) Clear(now clock.Instant, fpr request.Fingerprint) bool {
 	ent := bok.entries[fpr]
-	if ent == nil {
+	if ent == nil || len(ent.ends) == 0 {
 		return false
 	}
-	rep := Report{Content: fpr}
-	for _, end := range ent.ends {
-		rep.Cleared = append(rep.Cleared, end.Run)
-	}
-	return bok.Merge(now, rep)
+	return bok.Merge(now, Report{Content: fpr, Epoch: ent.epoch + 1})
 }
 
 // Merge adds what a report says, and reports whether any of it is new.
@@ -133,17 +146,11 @@
 	if ent == nil {
 		ent = &entry{observedAt: make(map[health.Run]clock.Instant)}
 	}
-	ends, newEnds := unionOfEnds(ent.ends, rep.Ends)
-	cleared, newCleared := union(ent.cleared, rep.Cleared)
-	if len(ends) == 0 && len(cleared) == 0 {
-		return false
-	}
-	if !newEnds && !newCleared && rep.Trials <= ent.trials {
+	if !ent.merge(now, rep) {
 		return false
 	}
+	ent.changedAt = now
 	bok.entries[rep.Content] = ent
-	ent.ends, ent.cleared, ent.trials, ent.changedAt = ends, cleared, max(ent.trials, rep.Trials), now
-	ent.observe(now, rep.Ends)
 	delete(bok.quarantined, rep.Content)
 	if bok.Count(rep.Content) >= provenEnds {
 		bok.quarantined[rep.Content] = true
@@ -152,6 +159,40 @@
 	return true
 }
 
+// merge adds what a report says, and reports whether any of it is new.
+func (ent *entry) merge(now clock.Instant, rep Report) bool {
+	changed := rep.Epoch > ent.epoch
+	if changed {
+		ent.epoch, ent.clearedAt, ent.ends, ent.trials = rep.Epoch, now, nil, 0
+	}
+	ends := rep.Ends
+	if rep.Epoch < ent.epoch {
+		ends = ent.since(now, ends)
+	}
+	if len(ent.ends) == 0 {
+		ent.suspectedAt = now
+	}
+	joined, more := union(ent.ends, ends)
+	ent.ends = joined
+	ent.observe(now, ends)
+	if rep.Epoch == ent.epoch && rep.Trials > ent.trials {
+		ent.trials, changed = rep.Trials, true
+	}
+	return changed || more
+}
+
+// since returns the ends that were observed after the content was cleared, though the VM that reports them
+// does not know of that.
+func (ent *entry) since(now clock.Instant, ends []End) []End {
+	var out []End
+	for _, end := range ends {
+		if ent.clearedAt.Add(clearSlack).Before(now.Add(-end.Age)) {
+			out = append(out, end)
+		}
+	}
+	return out
+}
+
 // observe records when ends were observed, and forgets those that are not kept.
 func (ent *entry) observe(now clock.Instant, ends []End) {
 	for _, end := range ends {
@@ -164,59 +205,21 @@
 	})
 }
 
-// Separated marks the ends in a report that are new and were observed at another moment than all others of
-// the content. Only the keeper does so: two VMs could mark two ends of the same moment.
-func (bok *Book) Separated(now clock.Instant, rep Report) Report {
-	ent := bok.entries[rep.Content]
-	if ent == nil || bok.Count(rep.Content) == 0 {
-		return rep
-	}
-	rep.Ends = slices.Clone(rep.Ends)
-	for num, end := range rep.Ends {
-		if _, known := ent.observedAt[end.Run]; known {
-			continue
-		}
-		at, alone := now.Add(-end.Age), true
-		for _, other := range ent.observedAt {
-			alone = alone && max(at.Since(other), other.Since(at)) >= sameMoment
-		}
-		for _, earlier := range rep.Ends[:num] {
-			alone = alone && (earlier.Age-end.Age).Abs() >= sameMoment
-		}
-		rep.Ends[num].Separate = end.Separate || alone
-	}
-	return rep
-}
-
-// union adds runs to a list, up to maxRuns, and reports whether any of them is new. The oldest make room.
-func union(list, more []health.Run) (out []health.Run, changed bool) {
-	out = list
-	for _, run := range more {
-		if slices.Contains(out, run) {
-			continue
-		}
-		out, changed = append(slices.Clone(out), run), true
-		out = out[max(len(out)-maxRuns, 0):]
-	}
-	return out, changed
-}
-
-// unionOfEnds is as union. An end is separate if either list says so.
-func unionOfEnds(list, more []End) (out []End, changed bool) {
+// union adds ends to a list, up to maxEnds, and reports whether it changed. An end is separate if either list
+// says so.
+func union(list, more []End) (out []End, changed bool) {
 	out = list
 	for _, end := range more {
 		at := slices.IndexFunc(out, func(one End) bool { return one.Run == end.Run })
-		if at >= 0 && (out[at].Separate || !end.Separate) {
+		if at >= 0 && (out[at].Separate || !end.Separate) || at < 0 && len(out) >= maxEnds {
 			continue
 		}
 		out, changed = slices.Clone(out), true
-		end.Age = 0
 		if at >= 0 {
 			out[at].Separate = true
 			continue
 		}
-		out = append(out, end)
-		out = out[max(len(out)-maxRuns, 0):]
+		out = append(out, End{Run: end.Run, Separate: end.Separate})
 	}
 	return out, changed
 }
@@ -271,7 +274,7 @@
 	for num := range ends {
 		ends[num].Age = now.Since(ent.observedAt[ends[num].Run])
 	}
-	return Report{Content: fpr, Ends: ends, Cleared: ent.cleared, Trials: ent.trials}
+	return Report{Content: fpr, Epoch: ent.epoch, Ends: ends, Trials: ent.trials}
 }
 
 // Reports returns what is known of the contents that are not clear, those with the most ends first, and
@@ -332,7 +335,9 @@
 
 // Includes reports whether rep says all that other says.
 func (rep Report) Includes(other Report) bool {
-	_, newEnds := unionOfEnds(rep.Ends, other.Ends)
-	_, newCleared := union(rep.Cleared, other.Cleared)
-	return !newEnds && !newCleared && rep.Trials >= other.Trials
+	if rep.Epoch != other.Epoch {
+		return rep.Epoch > other.Epoch
+	}
+	_, more := union(rep.Ends, other.Ends)
+	return !more && rep.Trials >= other.Trials
 }
--- a/core/quarantine/book_test.go
+++ b/core/quarantine/book_test.go
@@ -58,16 +58,6 @@
 		scr.now = scr.now.Add(dur)
 	case "end", "separate-end":
 		scr.bok.AddEnd(scr.now, contentOf(args[0]), End{Run: runOf(t, args[1]), Separate: words[0] == "separate-end"})
-	case "learn-end":
-		end := End{Run: runOf(t, args[1])}
-		if len(args) > 2 {
-			age, err := time.ParseDuration(args[2])
-			if err != nil {
-				t.Fatal(err)
-			}
-			end.Age = age
-		}
-		scr.bok.Merge(scr.now, scr.bok.Separated(scr.now, Report{Content: contentOf(args[0]), Ends: []End{end}}))
 	case "clear":
 		scr.bok.Clear(scr.now, contentOf(args[0]))
 	case "merge-into":
@@ -76,6 +66,13 @@
 			other.do(t, one)
 		}
 		scr.bok.Merge(scr.now, other.bok.Report(other.now, contentOf(args[0])))
+	case "behind":
+		// A VM that does not know that the content was cleared reports an end.
+		age, err := time.ParseDuration(args[2])
+		if err != nil {
+			t.Fatal(err)
+		}
+		scr.bok.Merge(scr.now, Report{Content: contentOf(args[0]), Ends: []End{{Run: runOf(t, args[1]), Separate: true, Age: age}}})
 	case "forget":
 		scr.bok.Forget(scr.now)
 	case "stored":
@@ -124,9 +121,9 @@
 	fpr := contentOf("a")
 	one, two, three := health.Run{Target: "1"}, health.Run{Target: "2"}, health.Run{Target: "3"}
 	rps := []Report{
-		{Content: fpr, Ends: []End{{Run: one}, {Run: two, Separate: true}}},
-		{Content: fpr, Ends: []End{{Run: one, Separate: true}}, Trials: 1},
-		{Content: fpr, Ends: []End{{Run: three, Separate: true}}, Cleared: []health.Run{two}},
+		{Content: fpr, Epoch: 1, Ends: []End{{Run: one}, {Run: two, Separate: true}}},
+		{Content: fpr, Epoch: 1, Ends: []End{{Run: one, Separate: true}}, Trials: 1},
+		{Content: fpr, Ends: []End{{Run: three, Separate: true, Age: time.Minute}}, Trials: 2},
 	}
 	for _, order := range [][]int{{0, 1, 2}, {2, 1, 0}, {1, 0, 2, 1}, {2, 0, 0, 1}} {
 		bok := NewBook()
@@ -134,7 +131,7 @@
 			bok.Merge(clock.At(time.Hour), rps[num])
 		}
 		got := bok.Report(clock.At(time.Hour), fpr)
-		if bok.Count(fpr) != 2 || len(got.Ends) != 3 || len(got.Cleared) != 1 || got.Trials != 1 {
+		if bok.Count(fpr) != 2 || len(got.Ends) != 2 || got.Epoch != 1 || got.Trials != 1 {
 			t.Errorf("order %v: count %d of %+v", order, bok.Count(fpr), got)
 		}
 	}
@@ -161,3 +158,29 @@
 		t.Errorf("%d contents are to be stored, want the quarantined one", got)
 	}
 }
+
+// TestContentThatIsClearedOftenStaysClear lets more runs end under a content that many callers ask for than a
+// book keeps, each followed by an answer. Two books exchange late reports all the while.
+func TestContentThatIsClearedOftenStaysClear(t *testing.T) {
+	fpr, now := contentOf("hot"), clock.At(time.Hour)
+	one, two := NewBook(), NewBook()
+	var late Report
+	for num := range 4 * maxEnds {
+		now = now.Add(5 * time.Second)
+		one.AddEnd(now, fpr, End{Run: health.Run{Target: fmt.Sprint("a", num)}, Separate: true})
+		two.AddEnd(now, fpr, End{Run: health.Run{Target: fmt.Sprint("b", num)}})
+		reported := two.Report(now, fpr)
+		one.Merge(now, reported)
+		one.Clear(now, fpr)
+		one.Merge(now, late)
+		two.Merge(now, one.Report(now, fpr))
+		one.Merge(now, two.Report(now, fpr))
+		late = reported.WithAge(5 * time.Second)
+		if one.State(fpr) != Clear || two.State(fpr) != Clear {
+			t.Fatalf("after %d answers: %v and %v", num+1, one.State(fpr), two.State(fpr))
+		}
+	}
+	if one.Merge(now, two.Report(now, fpr)) || two.Merge(now, one.Report(now, fpr)) {
+		t.Error("the books still have news for each other")
+	}
+}
--- a/core/quarantine/keeper.go
+++ b/core/quarantine/keeper.go
@@ -75,7 +75,7 @@
 		return true
 	}
 	per, found := kee.permits[fpr]
-	busy := found && now.Before(per.until)
+	busy := found && now.Before(per.until) && (per.holder != vmm || per.number != ask.Number)
 	if !kee.Serving() || now.Since(kee.since) < settleTime || sta == Quarantined || busy || !found && len(kee.permits) >= maxPermits {
 		return false
 	}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -5,6 +5,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"marigoldlug.example/core/health"
@@ -18,8 +19,9 @@
 // End is the end of a run of a target under a content.
 type End struct {
 	Run health.Run
-	// Separate is set if the end counts by itself: the attempt was the only one with the content in the
-	// whole fleet, or no other run ended under the content at the same moment.
+	// Separate is set if the end counts by itself: the attempt was the only one with the content in the whole
+	// fleet, at a target that ran no other suspect, or the VM had known for sameMoment that the content is
+	// suspected.
 	Separate bool
 	// Age is the time since the end was observed; 0 if it is not known.
 	Age time.Duration
@@ -46,18 +48,28 @@
 	return "unknown"
 }
 
-// Report is what is known of a content. Two reports of the same content are combined by the unions of
-// their runs, in any order and any number of times.
+// Report is what is known of a content. Two reports of the same content are combined, in any order and any
+// number of times: the one of the later epoch holds, and of the same epoch all ends.
 type Report struct {
 	Content request.Fingerprint
-	// Ends holds the runs that have ended under the content, and Cleared those that count no more: the content
-	// was answered after that, or an operator has lifted its quarantine.
-	Ends    []End
-	Cleared []health.Run
-	// Trials is the number of trials that were allowed while the content was quarantined.
+	// Epoch counts how often the content was cleared: it was answered, or an operator has lifted its
+	// quarantine.
+	Epoch uint64
+	// Ends holds the runs that have ended under the content since then.
+	Ends []End
+	// Trials is the number of trials that were allowed since then while the content was quarantined.
 	Trials int
 }
 
+// WithAge returns the report with the given age of all its ends.
+func (rep Report) WithAge(age time.Duration) Report {
+	rep.Ends = slices.Clone(rep.Ends)
+	for num := range rep.Ends {
+		rep.Ends[num].Age = age
+	}
+	return rep
+}
+
 // Message is a message between a VM and the keeper.
 type Message interface{ quarantineMessage() }
 
--- a/lugd/pkg/peer/codec_test.go
+++ b/lugd/pkg/peer/codec_test.go
@@ -44,7 +44,7 @@
 	entry := registry.Entry{Service: "s", Address: "a", FailureDomain: "d", Version: "v", Slots: 3, Leaving: true, Warming: 4, Born: time.UnixMilli(5)}
 	report := announcement.Report{Run: health.Run{Target: "t", Born: 5}, Limit: announcement.Limit{Limited: true, Rate: 6}, Leaving: true, SentAge: 7, HeardAge: 8}
 	run := health.Run{Target: "t", Born: 5}
-	suspected := quarantine.Report{Content: request.FingerprintOf("GET", "h", "/", nil), Ends: []quarantine.End{{Run: run, Separate: true, Age: 3}, {Run: health.Run{Target: "u"}}}, Cleared: []health.Run{run}}
+	suspected := quarantine.Report{Content: request.FingerprintOf("GET", "h", "/", nil), Ends: []quarantine.End{{Run: run, Separate: true, Age: 3}, {Run: health.Run{Target: "u"}}}, Epoch: 2}
 	return []any{
 		hello{Version: 1, From: vmm, To: "vm-2.b"},
 		wrongVM{},
--- a/lugd/pkg/peer/quarantine.go
+++ b/lugd/pkg/peer/quarantine.go
@@ -73,12 +73,12 @@
 		wrt.boolean(end.Separate)
 		wrt.duration(end.Age)
 	}
-	wrt.runs(rep.Cleared)
+	wrt.unsigned(rep.Epoch)
 	wrt.signed(int64(rep.Trials))
 }
 
 func (rdr *reader) quarantineReport() quarantine.Report {
-	return quarantine.Report{Content: rdr.fingerprint(), Ends: rdr.ends(), Cleared: rdr.runs(), Trials: int(rdr.signed())}
+	return quarantine.Report{Content: rdr.fingerprint(), Ends: rdr.ends(), Epoch: rdr.unsigned(), Trials: int(rdr.signed())}
 }
 
 func (rdr *reader) ends() []quarantine.End {
@@ -100,13 +100,6 @@
 	return fpr
 }
 
-func (wrt *writer) runs(runs []health.Run) {
-	wrt.count(len(runs))
-	for _, run := range runs {
-		wrt.run(run)
-	}
-}
-
 func (wrt *writer) run(run health.Run) {
 	wrt.text(run.Target)
 	wrt.signed(run.Born)
@@ -114,14 +107,6 @@
 
 func (rdr *reader) run() health.Run { return health.Run{Target: rdr.text(), Born: rdr.signed()} }
 
-func (rdr *reader) runs() []health.Run {
-	var out []health.Run
-	for cnt := rdr.count(); cnt > 0 && rdr.err == nil; cnt-- {
-		out = append(out, rdr.run())
-	}
-	return out
-}
-
 // quarantineRows encodes what rows of the fleet list hold of the quarantine. It stands at the end of an
 // update, where older programs do not read.
 func (wrt *writer) quarantineRows(del table.Delta[fleet.Row]) {
