--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -75,14 +75,14 @@
 
 // Ask asks the keeper whether a suspected content may be sent to a target.
 type Ask struct {
-	// Number increases with each Ask of the sender.
+	// Number identifies the attempt that the sender wants to make. It is the same if the sender asks again.
 	Number uint64
 	// TimeLeft is the time until the deadline of the request.
 	TimeLeft time.Duration
 	Known    Report
 }
 
-// Ruling is the reply to the Ask with the same number.
+// Ruling is the reply to an Ask with the same number.
 type Ruling struct {
 	Number uint64
 	// Allowed is set if one attempt may be made.
