--- a/_scripts/check-soak.sh
+++ b/_scripts/check-soak.sh
@@ -42,6 +42,5 @@
 without "leaving targets" core/announcement/book.go 'return ent != nil && ent.leaving' 'return ent != nil && false' 'had passed on that it leaves' --seed 8 --for 20s
 without "pauses of targets" core/announcement/book.go 'return ent.pausedUntil.Mono - now.Mono' 'return 0' 'after it wanted none' --seed 1 --for 20s
 without "quarantine" core/quarantine/book.go 'if bok.quarantined[fpr] {' 'if false {' 'reached targets [0-9]+ times later' --seed 1 --for 20s
-without "closed ports" core/gateway/quarantine.go 'if portClosed {' 'if false {' 'reached targets [0-9]+ times later' --seed 1 --for 20s
 wait
 test ! -e "$copy/failed"
