--- a/core/gateway/inflight.go
+++ b/core/gateway/inflight.go
@@ -317,7 +317,7 @@
 	inf.sent++
 	inf.tried = append(inf.tried, tgt.ID)
 	fields := []any{
-		"attempt", inf.attempt, "target", tgt.ID, "route", inf.route.Name, "left", left, "placer", placer, "beside", beside, "version", mac.version(),
+		"attempt", inf.attempt, "target", tgt.ID, "born", tgt.Born, "route", inf.route.Name, "left", left, "placer", placer, "beside", beside, "version", mac.version(),
 		"content", inf.fingerprint,
 	}
 	if lim := mac.book.Limit(health.RunOf(tgt)); lim.Limited {
--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -143,11 +143,13 @@
 func (mac *Machine) logTargets(del table.Delta[registry.Entry]) {
 	for _, row := range del.Rows {
 		if !del.Whole || len(del.Rows) <= maxLoggedRows {
-			mac.log("target", "target", row.Name, "service", row.Value.Service, "leaving", row.Value.Leaving, "revision", row.Revision)
+			mac.log("target", "target", row.Name, "service", row.Value.Service, "leaving", row.Value.Leaving, "born", row.Value.Born.UnixMilli(),
+				"address", row.Value.Address, "revision", row.Revision)
 		}
 	}
 	for _, name := range del.Removed {
-		mac.log("targetRemoved", "target", name, "revision", del.Revision)
+		_, kept := mac.registry.Entry(name)
+		mac.log("targetRemoved", "target", name, "kept", kept, "revision", del.Revision)
 	}
 }
 
