Show without a network that leaving targets get requests after restarts and late writes

Targets got requests 2.2 to 2.9 s after their last word to the same VM; 2 s are allowed. The simulated targets can now leave by entry, by response, by both or by neither.

--- a/core/gateway/announcements_test.go
+++ b/core/gateway/announcements_test.go
@@ -164,6 +164,9 @@
 				break
 			}
 		}
+		if line := tgt.sentAfterShown(); line != "" {
+			out = append(out, line)
+		}
 		for _, pau := range tgt.pauses {
 			cnt := 0
 			for _, arr := range tgt.arrivals {
--- a/core/gateway/crashsim_test.go
+++ b/core/gateway/crashsim_test.go
@@ -190,7 +190,7 @@
 	}
 	down := minDownTime + time.Duration(sim.rnd.Int64N(int64(downTimeSpread)))
 	if sim.rnd.IntN(2) == 0 {
-		sim.after(down, func() { sim.startTarget(tgt.name) })
+		sim.after(down, func() { sim.registerLate(sim.startUnregistered(tgt.name)) })
 		return
 	}
 	sim.after(down, func() { sim.startTarget(fmt.Sprintf("%s.%d", strings.SplitN(tgt.name, ".", 2)[0], sim.seq)) })
--- a/core/gateway/fleetsim_test.go
+++ b/core/gateway/fleetsim_test.go
@@ -86,6 +86,8 @@
 	crashNotice time.Duration
 	// slowCrashes is set while the targets crash only after a long time.
 	slowCrashes bool
+	// registrationSpread is the longest time after which a target that starts again after a crash registers.
+	registrationSpread time.Duration
 
 	sent, served, refused, failed int
 	// calmFrom is the time from which sentCalm and servedCalm count the requests that arrive; zero for none.
@@ -161,6 +163,11 @@
 	busyUntil []time.Time
 	limits    []announcedLimit
 	leaving   bool
+	// entry is what the target registers, unless it has withdrawn.
+	entry     registry.Entry
+	withdrawn bool
+	// exiting is set once the target has begun to leave.
+	exiting bool
 	// pauseFor is the Retry-After of refusals, and refuseUntil the time until which it refuses.
 	pauseFor    time.Duration
 	refuseUntil time.Time
@@ -174,6 +181,9 @@
 	told map[string][]toldLimit
 	// toldLeaving holds when each run of a VM first passed on that the target leaves.
 	toldLeaving map[string]time.Time
+	// shownLeaving holds when each run of a VM first learned from the store that the target leaves, or is gone
+	// since it has left.
+	shownLeaving map[string]time.Time
 }
 
 // toldLimit is the first answer with a limit that a VM passed on. number is the index of the limit in
@@ -314,6 +324,7 @@
 		del.Rows = append(del.Rows, table.Row[registry.Entry]{Name: name, Revision: sim.revision, Value: sim.entries[name]})
 	}
 	vmm.step(TargetsRead{RequestedAt: now, Update: del})
+	vmm.noteLeaving()
 	vmm.step(FleetRead{RequestedAt: now, Update: table.Delta[fleet.Row]{Whole: true, Revision: sim.revision, Rows: sim.rows.Rows()}})
 }
 
@@ -561,15 +572,25 @@
 }
 
 // startTarget starts a run of a target, in place of an earlier one, and registers it.
-func (sim *fleetSim) startTarget(name string) {
+func (sim *fleetSim) startTarget(name string) { sim.register(sim.startUnregistered(name)) }
+
+// startUnregistered starts a run of a target, in place of an earlier one, whose entry stays.
+func (sim *fleetSim) startUnregistered(name string) *simTarget {
 	sim.stopTarget(name)
-	tgt := &simTarget{name: name, born: sim.now, up: true, busyUntil: make([]time.Time, simSlots), told: make(map[string][]toldLimit), toldLeaving: make(map[string]time.Time)}
+	tgt := &simTarget{
+		name: name, born: sim.now, up: true, busyUntil: make([]time.Time, simSlots), told: make(map[string][]toldLimit),
+		toldLeaving: make(map[string]time.Time), shownLeaving: make(map[string]time.Time),
+		entry: registry.Entry{Service: "svc", Address: name + ":80", FailureDomain: "a", Slots: simSlots, Born: sim.now},
+	}
 	sim.tgs, sim.past = append(sim.tgs, tgt), append(sim.past, tgt)
-	sim.entries[name] = registry.Entry{Service: "svc", Address: name + ":80", FailureDomain: "a", Slots: simSlots, Born: tgt.born}
-	sim.revision++
-	sim.changed()
+	return tgt
 }
 
 func (sim *fleetSim) stopTarget(name string) {
+	for _, tgt := range sim.tgs {
+		if tgt.name == name {
+			tgt.up = false
+		}
+	}
 	sim.tgs = slices.DeleteFunc(sim.tgs, func(tgt *simTarget) bool { return tgt.name == name })
 }
--- a/core/gateway/simscript_test.go
+++ b/core/gateway/simscript_test.go
@@ -16,8 +16,8 @@
 	switch verb {
 	case "limit", "unlimit", "leave", "refuse":
 		return sim.announce(verb, args)
-	case "restart-target":
-		sim.startTarget(args[0])
+	case "restart-target", "withdraw", "late-write", "late-registrations":
+		return sim.changeRegistration(verb, args)
 	case "restart":
 		return sim.restart(args[0])
 	case "cut", "join":
