Bind what targets say to their runs, and let registrations not go back

Callers saw: requests went to a target 2.2 to 4.5 s after it had said to the same VM that it leaves, where 2 s are allowed; such requests may be cut when it exits.

Cause: announcements are kept by run, but filed under the run that the registration showed when the request was sent. A target that has started again answers before its registration is known; once that came, nothing was known of the run. And the registry took every entry that came: an earlier run's, 'ready' after 'draining', or one that a late write brought back after it was removed.

Why it works: the registry remembers the last run of each target and believes an entry that goes back only once it has stood for longer than a late write lasts; responses are attributed to the run that had started when the request was sent, and where either run may have sent it the target is spared until its registration must show whether it leaves (design 016).

--- a/core/announcement/book.go
+++ b/core/announcement/book.go
@@ -1,6 +1,8 @@
 package announcement
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"marigoldlug.example/core/clock"
@@ -30,10 +32,17 @@
 	limit Limit
 	// sentAt and heardAt enclose the time at which the target announced limit.
 	sentAt, heardAt clock.Instant
-	// leaving never ends: a target that leaves does not come back as the same run.
-	leaving bool
-	// pausedUntil is the end of the time in which the target wants no request from this VM.
-	pausedUntil clock.Instant
+	// leaving never ends: a target that leaves does not come back as the same run. leftSentAt and
+	// leftHeardAt enclose the last time at which the target said so.
+	leaving                 bool
+	leftSentAt, leftHeardAt clock.Instant
+	// doubtfulSince is when a response said that the target leaves which may be of this run or of the one
+	// before; zero if there is none. It ends with Confirm.
+	doubtfulSince clock.Instant
+	// pausedUntil is the end of the time in which the target wants no request from this VM. pauseSentAt and
+	// pauseHeardAt enclose the time at which the target said so.
+	pausedUntil               clock.Instant
+	pauseSentAt, pauseHeardAt clock.Instant
 	// unreadable is the last value that could not be read.
 	unreadable string
 	// keptUntil is when the entry may be forgotten.
@@ -44,6 +53,8 @@
 // which it has no entry announce nothing, as far as the VM knows. It is not safe for concurrent use.
 type Book struct {
 	entries map[health.Run]*entry
+	// confirmedAt is the latest time at which the registrations of targets were up to date.
+	confirmedAt clock.Instant
 }
 
 // NewBook returns an empty book.
@@ -61,10 +72,13 @@
 	}
 	ent.keptUntil = now.Add(retention)
 	if ann.RetryAfter > 0 {
-		ent.pausedUntil = clock.Later(ent.pausedUntil, now.Add(ann.RetryAfter))
+		ent.pause(now.Add(ann.RetryAfter), sentAt, now)
 	}
 	limit, leaving, unreadable := ent.limit, ent.leaving, ent.unreadable
-	ent.leaving, ent.unreadable = ent.leaving || ann.Leaving, ann.Unreadable
+	ent.unreadable = ann.Unreadable
+	if ann.Leaving {
+		ent.leave(sentAt, now)
+	}
 	if !ann.LimitUnreadable {
 		ent.setLimit(ann.Limit, sentAt, now)
 	}
@@ -80,8 +94,11 @@
 	}
 	ent.keptUntil = now.Add(retention)
 	limit, leaving := ent.limit, ent.leaving
-	ent.leaving = ent.leaving || rep.Leaving
-	ent.setLimit(rep.Limit, now.Add(-rep.SentAge-maxTransit), now.Add(-rep.HeardAge))
+	sentAt, heardAt := now.Add(-rep.SentAge-maxTransit), now.Add(-rep.HeardAge)
+	if rep.Leaving {
+		ent.leave(sentAt, heardAt)
+	}
+	ent.setLimit(rep.Limit, sentAt, heardAt)
 	return ent.limit != limit || ent.leaving != leaving
 }
 
@@ -91,6 +108,18 @@
 	return ent
 }
 
+// leave records that the target leaves, as it said between sentAt and heardAt.
+func (ent *entry) leave(sentAt, heardAt clock.Instant) {
+	ent.leaving = true
+	ent.leftSentAt, ent.leftHeardAt = clock.Later(ent.leftSentAt, sentAt), clock.Later(ent.leftHeardAt, heardAt)
+}
+
+// pause records that the target wants no request until a time, as it said between sentAt and heardAt.
+func (ent *entry) pause(until, sentAt, heardAt clock.Instant) {
+	ent.pausedUntil = clock.Later(ent.pausedUntil, until)
+	ent.pauseSentAt, ent.pauseHeardAt = clock.Later(ent.pauseSentAt, sentAt), clock.Later(ent.pauseHeardAt, heardAt)
+}
+
 // setLimit replaces the limit by one that was announced between sentAt and heardAt, unless that one
 // is older. Where it is not known which one is older, the stricter one holds.
 func (ent *entry) setLimit(lim Limit, sentAt, heardAt clock.Instant) {
@@ -107,6 +136,15 @@
 // Empty reports whether nothing was announced.
 func (bok *Book) Empty() bool { return len(bok.entries) == 0 }
 
+// Targets returns the targets that have announced anything, sorted.
+func (bok *Book) Targets() []string {
+	set := make(map[string]bool)
+	for run := range bok.entries {
+		set[run.Target] = true
+	}
+	return slices.Sorted(maps.Keys(set))
+}
+
 // Limit returns the limit that a run announces.
 func (bok *Book) Limit(run health.Run) Limit {
 	if ent := bok.entries[run]; ent != nil {
@@ -115,10 +153,10 @@
 	return Limit{}
 }
 
-// Leaving reports whether a run has announced that it is leaving.
+// Leaving reports whether a run has announced that it is leaving, or may have done so.
 func (bok *Book) Leaving(run health.Run) bool {
 	ent := bok.entries[run]
-	return ent != nil && ent.leaving
+	return ent != nil && (ent.leaving || ent.doubtfulSince != clock.Instant{})
 }
 
 // Paused returns for how long a run wants no request from this VM; 0 if it takes requests.
--- a/core/announcement/book_test.go
+++ b/core/announcement/book_test.go
@@ -33,6 +33,11 @@
 			case "learn":
 				changed := bok.Learn(scr.now, Report{Run: run, Limit: scr.limit(), Leaving: scr.has("leaving"), SentAge: scr.seconds("sent", 0.1), HeardAge: scr.seconds("heard", 0)})
 				fmt.Fprintf(&out, "changed %t, ", changed)
+			case "succeed":
+				changed := bok.Succeed(scr.now, run, scr.now.Add(-scr.seconds("started", 0)))
+				fmt.Fprintf(&out, "changed %t, ", changed)
+			case "confirm":
+				bok.Confirm(scr.now)
 			case "forget":
 				bok.Forget(scr.now, map[health.Run]bool{run: scr.has("registered")})
 			}
--- a/core/gateway/contents.go
+++ b/core/gateway/contents.go
@@ -89,7 +89,7 @@
 func (mac *Machine) brokeOff(now clock.Instant, inf *inFlight, tgt health.Target, portClosed bool) {
 	run := health.RunOf(tgt)
 	ent, registered := mac.registry.Entry(tgt.ID)
-	if !registered || ent.Leaving || ent.Born.UnixMilli() != run.Born || mac.book.Leaving(run) {
+	if !registered || ent.Leaving || ent.Run(tgt.ID) != run || mac.book.Leaving(run) {
 		return
 	}
 	end := quarantine.End{Run: run, Separate: inf.permission.granted != nil}
@@ -110,7 +110,7 @@
 	for _, brk := range con.brokenOff {
 		ent, registered := mac.registry.Entry(brk.end.Run.Target)
 		switch {
-		case registered && ent.Born.UnixMilli() > brk.end.Run.Born:
+		case registered && ent.Run(brk.end.Run.Target).Born > brk.end.Run.Born:
 			mac.runEnded(now, brk.content, brk.end)
 		case registered && ent.Leaving:
 		case now.Since(brk.at) < brokenOffTime:
--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -107,7 +107,10 @@
 }
 
 // Ticked reports that time has passed. It is expected every TickInterval.
-type Ticked struct{}
+type Ticked struct {
+	// Wall is the time of day.
+	Wall time.Time
+}
 
 // StopBegan starts a graceful stop.
 type StopBegan struct{}
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -69,6 +69,9 @@
 	// queued holds the requests that arrived before this VM knew the configuration and the targets,
 	// in order of arrival.
 	queued []queued
+	// wall is the time of day that was read at wallReadAt; zero if it is not known.
+	wall       time.Time
+	wallReadAt clock.Instant
 	// startedAt is when the first event was delivered.
 	startedAt clock.Instant
 	stopping  bool
@@ -130,6 +133,7 @@
 	case PeerExited:
 		mac.peerExited(now, evt)
 	case Ticked:
+		mac.wall, mac.wallReadAt = evt.Wall, now
 		mac.tick(now)
 	case StopBegan:
 		mac.stop(now)
@@ -192,6 +196,9 @@
 	if mac.config == nil {
 		return
 	}
+	for _, target := range mac.book.Targets() {
+		mac.passOnAnnounced(now, target)
+	}
 	kept := make(map[string]bool)
 	all := mac.registry.Targets()
 	for _, svc := range mac.config.Snapshot.Services() {
--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -143,7 +143,7 @@
 func (mac *Machine) logTargets(del table.Delta[registry.Entry]) {
 	for _, row := range del.Rows {
 		if !del.Whole || len(del.Rows) <= maxLoggedRows {
-			mac.log("target", "target", row.Name, "service", row.Value.Service, "leaving", row.Value.Leaving, "born", row.Value.Born.UnixMilli(),
+			mac.log("target", "target", row.Name, "service", row.Value.Service, "leaving", row.Value.Leaving, "born", row.Value.Run(row.Name).Born,
 				"address", row.Value.Address, "revision", row.Revision)
 		}
 	}
@@ -232,6 +232,7 @@
 
 func (mac *Machine) confirmTargets(now, at clock.Instant) {
 	mac.registry.Confirm(now, at)
+	mac.book.Confirm(at)
 	mac.targetsConfirmedAt = clock.Later(mac.targetsConfirmedAt, at)
 }
 
--- a/core/registry/history_test.go
+++ b/core/registry/history_test.go
@@ -48,7 +48,9 @@
 // "after DURATION" and "away DURATION". Without BORN an entry does not say when its run started.
 func (scr *script) do(t *testing.T, line string) {
 	words := strings.Fields(line)
-	scr.revision++
+	if words[0] != "after" && words[0] != "away" {
+		scr.revision++
+	}
 	switch words[0] {
 	case "put":
 		scr.reg.Apply(scr.now, table.Delta[Entry]{Since: scr.revision - 1, Revision: scr.revision, Rows: []table.Row[Entry]{scr.row(t, words[1:])}})
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -25,11 +25,18 @@
 	// when it learns of the entry, and anew when it learns of a change of the entry or of its
 	// return after an outage.
 	Warming time.Duration
-	// Born is when the target started, by its own wall clock. A process that is started
-	// later under the same name is another target.
+	// Born is when this run of the target started, by its own wall clock; zero if that is not known.
 	Born time.Time
 }
 
+// Run returns the run of the target with the given name that has registered itself.
+func (ent Entry) Run(name string) health.Run {
+	if ent.Born.IsZero() {
+		return health.Run{Target: name}
+	}
+	return health.Run{Target: name, Born: ent.Born.UnixMilli()}
+}
+
 // ReappearTimeout is how long a target whose entry is missing after an outage of the platform is
 // kept, so that it can register again.
 const ReappearTimeout = 1500 * time.Millisecond
@@ -61,6 +68,12 @@
 	// missing maps targets whose entries are missing after an outage to when the entries
 	// were first missing.
 	missing map[string]clock.Instant
+	// lastRuns holds the last run of each target that says when it started, and doubts the registrations
+	// that go back behind that.
+	lastRuns map[string]lastRun
+	doubts   map[string]doubt
+	// forgotAt is when old lastRuns were last dropped.
+	forgotAt clock.Instant
 	// confirmedAt is the latest time at which the entries are known to have been up to date.
 	confirmedAt clock.Instant
 	// renewedAt is when this VM last learned of a later confirmation. The confirmed time
@@ -72,7 +85,10 @@
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{entries: table.New[Entry](), targets: make(map[string]*target), missing: make(map[string]clock.Instant)}
+	return &Registry{
+		entries: table.New[Entry](), targets: make(map[string]*target), missing: make(map[string]clock.Instant),
+		lastRuns: make(map[string]lastRun), doubts: make(map[string]doubt),
+	}
 }
 
 // Revision returns the revision of the entries.
@@ -121,7 +137,14 @@
 	}
 	changed := false
 	for _, row := range del.Rows {
-		changed = reg.put(now, row.Name, row.Value) || changed
+		if held, found := reg.entries.Get(row.Name); found {
+			changed = reg.put(now, row.Name, held.Value) || changed
+		}
+	}
+	for name := range reg.doubts {
+		if _, found := reg.entries.Get(name); !found {
+			delete(reg.doubts, name)
+		}
 	}
 	for name, tgt := range reg.targets {
 		if _, found := reg.entries.Get(name); found {
@@ -134,6 +157,7 @@
 			}
 			continue
 		}
+		reg.recordRemoval(now, name)
 		reg.drop(name)
 	}
 	return changed
@@ -151,29 +175,42 @@
 		reg.recoveredAt != (clock.Instant{}) && now.Since(reg.recoveredAt) < ReappearTimeout
 }
 
+// put handles the entry of a target, and reports whether the target changed.
 func (reg *Registry) put(now clock.Instant, name string, ent Entry) bool {
+	if reg.goesBack(name, ent) {
+		reg.doubtful(now, name, ent)
+		return false
+	}
+	delete(reg.doubts, name)
+	ent = reg.settled(name, ent)
 	old := reg.targets[name]
 	_, missing := reg.missing[name]
 	if old != nil && old.entry == ent && !missing {
 		return false
 	}
-	delete(reg.missing, name)
-	tgt := &target{entry: ent, warmAt: now.Add(ent.Warming)}
-	reg.targets[name] = tgt
+	reg.adopt(now, name, ent)
 	return true
 }
 
-// Tick removes the targets whose entries have not reappeared in time, and reports whether there
-// were any. It removes none while an outage of the platform lasts.
+// adopt puts an entry in force.
+func (reg *Registry) adopt(now clock.Instant, name string, ent Entry) {
+	delete(reg.missing, name)
+	reg.record(now, name, ent)
+	reg.targets[name] = &target{entry: ent, warmAt: now.Add(ent.Warming)}
+}
+
+// Tick removes the targets whose entries have not reappeared in time, and believes the registrations that
+// go back but stay. It reports whether there were any. It does neither while an outage of the platform lasts.
 func (reg *Registry) Tick(now clock.Instant) bool {
-	dropped := false
+	reg.forgetRuns(now)
+	changed := reg.settle(now)
 	for name, since := range reg.missing {
 		if now.Since(since) >= ReappearTimeout && !reg.stale(now) {
 			reg.drop(name)
-			dropped = true
+			changed = true
 		}
 	}
-	return dropped
+	return changed
 }
 
 // stale reports whether no new confirmation has arrived for more than outageAge.
@@ -188,7 +225,7 @@
 		}
 		out[tgt.entry.Service] = append(out[tgt.entry.Service], health.Target{
 			ID: name, Address: tgt.entry.Address, FailureDomain: tgt.entry.FailureDomain,
-			Slots: tgt.entry.Slots, WarmAt: tgt.warmAt, Born: tgt.entry.Born.UnixMilli(),
+			Slots: tgt.entry.Slots, WarmAt: tgt.warmAt, Born: tgt.entry.Run(name).Born,
 		})
 	}
 	for service, tgs := range out {
--- a/lugd/pkg/driver/driver.go
+++ b/lugd/pkg/driver/driver.go
@@ -94,7 +94,7 @@
 	tck := time.NewTicker(gateway.TickInterval)
 	defer tck.Stop()
 	for {
-		dri.Step(gateway.Ticked{})
+		dri.Step(gateway.Ticked{Wall: time.Now()})
 		select {
 		case <-tck.C:
 		case <-dri.ctx.Done():
