Never take a repeated refusal for one of the request that follows

What callers may see: 'not run, try again' for a request that its target runs, or a second run at another target. Cause: a response is matched by the ID that the caller gave. Requests without an ID, or with the ID of an earlier one on the same kept connection, match a refusal that the target writes once more. Now a connection does not carry an ID twice within 64 requests, and requests without an ID open a connection.

--- a/lugd/pkg/target/pool.go
+++ b/lugd/pkg/target/pool.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -35,6 +36,8 @@
 	// maxBodyTime bounds the time for reading the body of a response, so that one that never ends does
 	// not hold its connection for good.
 	maxBodyTime = 10 * time.Minute
+	// maxCarried is the number of requests for which a connection remembers their IDs.
+	maxCarried = 64
 	// userTimeout is the TCP user timeout: how long sent bytes may stay unacknowledged before the
 	// connection counts as dead.
 	userTimeout = 4 * time.Second
@@ -131,7 +134,17 @@
 	keepAlive time.Duration
 	// idleBefore is how long the connection had been idle before the current request; 0 for the first.
 	idleBefore time.Duration
-	closed     sync.Once
+	// carried holds the IDs of the last requests, maxCarried at most, as their callers gave them.
+	carried []string
+	closed  sync.Once
+}
+
+// carry records the ID of the request that is about to be sent.
+func (con *conn) carry(requestID string) {
+	con.carried = append(con.carried, requestID)
+	if extra := len(con.carried) - maxCarried; extra > 0 {
+		con.carried = slices.Delete(con.carried, 0, extra)
+	}
 }
 
 // Read reads what the target has sent. It fails with errHeadTooLong instead of reading more than
@@ -210,15 +223,20 @@
 	return err == nil && usable
 }
 
-// getIdle returns a usable connection that may carry the request, or nil.
-func (pol *Pool) getIdle(address string, idempotent bool) *conn {
+// getIdle returns a usable connection that may carry the request, or nil. A response can be told from a
+// repeated one to an earlier request only by an ID that none of those had.
+func (pol *Pool) getIdle(cal Call) *conn {
+	if pol.set.Names.Request != "" && cal.CallerRequestID == "" {
+		return nil
+	}
 	for {
-		con := pol.popIdle(address)
+		con := pol.popIdle(cal.Address)
 		if con == nil {
 			return nil
 		}
 		idle := time.Since(con.lastUsed)
-		if idle <= pol.reuse.maxIdle(con.keepAlive, idempotent) && con.usable() {
+		repeated := cal.CallerRequestID != "" && slices.Contains(con.carried, cal.CallerRequestID)
+		if !repeated && idle <= pol.reuse.maxIdle(con.keepAlive, cal.Idempotent) && con.usable() {
 			con.sent, con.idleBefore = 0, idle
 			return con
 		}
@@ -314,14 +332,13 @@
 
 // connect returns an idle connection or opens a new one.
 func (pol *Pool) connect(ctx context.Context, cal Call) (*conn, error) {
-	address := cal.Address
-	if con := pol.getIdle(address, cal.Idempotent); con != nil {
+	if con := pol.getIdle(cal); con != nil {
 		return con, nil
 	}
 	if !pol.reserve(cal) {
 		return nil, errBusy
 	}
-	return pol.openConn(ctx, address)
+	return pol.openConn(ctx, cal.Address)
 }
 
 // openConn opens a connection that is already counted as open.
@@ -421,6 +438,7 @@
 		}
 		return nil, &Error{Verdict: verdict.NotRun, Outcome: outcome, Err: fmt.Errorf("cannot connect to target %s: %w", cal.Address, err)}
 	}
+	con.carry(cal.CallerRequestID)
 	exc := &exchange{con: con, cancel: cancel, callerRequestID: cal.CallerRequestID, written: make(chan error, 1)}
 	exc.stop = context.AfterFunc(ctx, func() { _ = con.Close() })
 	go exc.write(req)
