--- a/lugbench/pkg/soak/announcements.go
+++ b/lugbench/pkg/soak/announcements.go
@@ -65,9 +65,12 @@
 		for num := range cnt {
 			flt.pgr.Targets[(first+num)%len(flt.pgr.Targets)].Announce(ann)
 		}
+		if ann.Leaving == "1" {
+			flt.withdrawEntry(rnd, first)
+		}
 		driver.Sleep(ctx, lasts)
 		for num := range cnt {
-			flt.endAnnouncement((first+num)%len(flt.pgr.Targets), ann)
+			flt.endAnnouncement(rnd, (first+num)%len(flt.pgr.Targets), ann)
 		}
 		driver.Sleep(ctx, time.Duration(rnd.Int64N(int64(time.Second))))
 	}
@@ -82,14 +85,12 @@
 )
 
 // endAnnouncement lets a target announce nothing any more; one that leaves does so as another run.
-func (flt *fleet) endAnnouncement(num int, ann targetfake.Announcements) {
-	tgt := flt.pgr.Targets[num]
+func (flt *fleet) endAnnouncement(rnd *rand.Rand, num int, ann targetfake.Announcements) {
 	if ann.Leaving == "" {
-		tgt.Announce(targetfake.Announcements{})
+		flt.pgr.Targets[num].Announce(targetfake.Announcements{})
 		return
 	}
-	tgt.Restart()
-	flt.rep.check(tgt.Register(flt.targetProxies[num].address(), false))
+	flt.startAgain(rnd, num)
 }
 
 // parseLimit returns the lowest readable limit, and whether there is one.
--- a/lugbench/pkg/targetfake/target.go
+++ b/lugbench/pkg/targetfake/target.go
@@ -3,6 +3,7 @@
 package targetfake
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -111,12 +112,7 @@
 
 // Register writes the target's registry entry, by which VMs reach it at the address.
 func (tgt *Target) Register(address string, leaving bool) error {
-	tgt.mut.Lock()
-	born := tgt.born
-	tgt.mut.Unlock()
-	raw, err := objects.EncodeTarget(registry.Entry{
-		Service: tgt.service, Address: address, FailureDomain: tgt.failureDomain, Version: "v1", Slots: tgt.slots, Leaving: leaving, Born: born,
-	}, 1)
+	raw, err := tgt.encodeEntry(address, leaving)
 	if err != nil {
 		return err
 	}
@@ -124,6 +120,26 @@
 	return nil
 }
 
+// RegisterLate lets the store carry out a write of the present entry after a delay, whatever it has been sent
+// meanwhile.
+func (tgt *Target) RegisterLate(address string, delay time.Duration) error {
+	raw, err := tgt.encodeEntry(address, false)
+	if err != nil {
+		return err
+	}
+	time.AfterFunc(delay, func() { tgt.store.PutRaw(objects.KindTargets, tgt.id, raw) })
+	return nil
+}
+
+func (tgt *Target) encodeEntry(address string, leaving bool) (json.RawMessage, error) {
+	tgt.mut.Lock()
+	born := tgt.born
+	tgt.mut.Unlock()
+	return objects.EncodeTarget(registry.Entry{
+		Service: tgt.service, Address: address, FailureDomain: tgt.failureDomain, Version: "v1", Slots: tgt.slots, Leaving: leaving, Born: born,
+	}, 1)
+}
+
 // Deregister removes the target's registry entry.
 func (tgt *Target) Deregister() { tgt.store.Remove(objects.KindTargets, tgt.id) }
 
