Replace a link that swallows one way while the other VM sends by itself

Cause: any message of a VM counted as a sign that the connection to it works, though each direction has one of its own. Evidence: the new case of TestSilentConnectionsAreReplaced fails before (no answer within 4.5 s). Now only answers count.

The soak's file of late registrations is formatted, too.

--- a/lugbench/pkg/soak/registrations.go
+++ b/lugbench/pkg/soak/registrations.go
@@ -45,4 +45,6 @@
 	flt.rep.check(tgt.Register(flt.targetProxies[num].address(), tgt == flt.leavingTarget))
 }
 
-func randomDelay(rnd *rand.Rand) time.Duration { return time.Duration(rnd.Int64N(int64(maxWriteDelay))) }
+func randomDelay(rnd *rand.Rand) time.Duration {
+	return time.Duration(rnd.Int64N(int64(maxWriteDelay)))
+}
--- a/lugd/pkg/peer/queue.go
+++ b/lugd/pkg/peer/queue.go
@@ -23,8 +23,8 @@
 	// renew holds an element if the connection is to be replaced by another one, unless it is
 	// younger than silenceTimeout.
 	renew chan struct{}
-	// unansweredSince is when the first message that wants an answer was queued since the VM was
-	// last heard of; zero if there is none. Transport.mut protects it.
+	// unansweredSince is when the first message that wants an answer was queued since the VM has last
+	// answered one; zero if there is none. Transport.mut protects it.
 	unansweredSince time.Time
 }
 
@@ -63,6 +63,17 @@
 	return false
 }
 
+// isAnswer reports whether a message answers one of those that want an answer.
+func isAnswer(msg any) bool {
+	switch msg := msg.(type) {
+	case gateway.Pong, quota.Grant, placement.Answer, quarantine.Ruling, State:
+		return true
+	case gateway.Update:
+		return msg.Number > 0
+	}
+	return false
+}
+
 // connect opens a connection to an address.
 func (trn *Transport) connect(address string) (net.Conn, error) {
 	dlr := &net.Dialer{Timeout: dialTimeout, Control: socket.UserTimeout(writeTimeout)}
--- a/lugd/pkg/peer/silence_test.go
+++ b/lugd/pkg/peer/silence_test.go
@@ -12,6 +12,7 @@
 
 	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/member"
+	"marigoldlug.example/core/placement"
 )
 
 // responder is a handler that answers pings and counts what arrives.
@@ -118,7 +119,9 @@
 	for _, one := range []struct {
 		name    string
 		towards string
-	}{{"queries are lost", "two"}, {"answers are lost", "one"}, {"both are lost", "both"}} {
+		// reports is set if the other VM goes on to send messages that answer nothing.
+		reports bool
+	}{{"queries are lost", "two", false}, {"answers are lost", "one", false}, {"both are lost", "both", false}, {"queries are lost beside reports", "two", true}} {
 		t.Run(one.name, func(t *testing.T) {
 			t.Parallel()
 			from, asks, ownProxy := newResponder(t, "one")
@@ -133,6 +136,9 @@
 						return
 					case <-time.After(50 * time.Millisecond):
 						from.Send("two", gateway.Ping{})
+						if one.reports {
+							to.Send("one", placement.Ended{})
+						}
 					}
 				}
 			})
--- a/lugd/pkg/peer/transport.go
+++ b/lugd/pkg/peer/transport.go
@@ -240,7 +240,6 @@
 	for err == nil {
 		var payload []byte
 		if payload, err = trn.readFrame(src); err == nil {
-			trn.noteHeard(from)
 			err = trn.deliver(from, payload)
 		}
 	}
@@ -274,8 +273,9 @@
 	}
 }
 
-// noteHeard records that a message of a VM has arrived.
-func (trn *Transport) noteHeard(from string) {
+// noteAnswered records that a VM has answered a message. What it sends by itself says nothing of the
+// connection to it, since each direction has one of its own.
+func (trn *Transport) noteAnswered(from string) {
 	trn.mut.Lock()
 	defer trn.mut.Unlock()
 	if que := trn.sendQueues[from]; que != nil {
@@ -321,6 +321,9 @@
 	if err != nil {
 		return err
 	}
+	if isAnswer(msg) {
+		trn.noteAnswered(from)
+	}
 	switch msg := msg.(type) {
 	case stateQuery:
 		trn.Send(from, trn.handler.State())
