--- /dev/null
+++ b/core/gateway/runs.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"time"
+
+	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/health"
+)
+
+// passOnAnnounced lets the registered run of a target have what was filed under another run but may be its
+// own.
+func (mac *Machine) passOnAnnounced(now clock.Instant, target string) {
+	ent, registered := mac.registry.Entry(target)
+	if !registered || ent.Born.IsZero() {
+		return
+	}
+	run := ent.Run(target)
+	if mac.book.Succeed(now, run, mac.startOf(now, run)) {
+		mac.log("announcedBefore", "target", target, "born", run.Born, "limit", mac.book.Limit(run).String(), "leaving", mac.book.Leaving(run),
+			"paused", mac.book.Paused(now, run))
+	}
+}
+
+// maxRunAge bounds how long ago a run is taken to have started.
+const maxRunAge = 24 * time.Hour
+
+// startOf returns when a run started, by the time of day of this VM.
+func (mac *Machine) startOf(now clock.Instant, run health.Run) clock.Instant {
+	if mac.wall.IsZero() {
+		return now
+	}
+	age := mac.wall.Add(now.Since(mac.wallReadAt)).Sub(time.UnixMilli(run.Born))
+	return now.Add(-min(max(age, -maxRunAge), maxRunAge))
+}
