--- a/core/gateway/contents.go
+++ b/core/gateway/contents.go
@@ -128,7 +128,7 @@
 	if !con.book.Merge(now, rep) {
 		return
 	}
-	mac.log("runEnded", "content", fpr, "target", end.Run.Target, "born", end.Run.Born, "permitted", end.Separate, "ends", mac.contents.book.Count(fpr))
+	mac.log("runEnded", "content", fpr, "target", end.Run.Target, "born", end.Run.Born, "separate", end.Separate, "ends", mac.contents.book.Count(fpr))
 	mac.contentChanged(now, fpr, before)
 	mac.spread(now, fpr)
 }
--- a/core/gateway/quarantine.go
+++ b/core/gateway/quarantine.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"marigoldlug.example/core/clock"
@@ -203,8 +205,9 @@
 
 // tickWaiting continues or refuses the requests that wait for a permit.
 func (mac *Machine) tickWaiting(now clock.Instant) {
-	for _, id := range sortedRequests(mac.requests) {
-		inf := mac.requests[id]
+	asks := mac.contents.asks
+	for _, question := range slices.Sorted(maps.Keys(asks)) {
+		inf := mac.requests[asks[question]]
 		if inf == nil || !inf.permission.waiting {
 			continue
 		}
