--- a/core/gateway/announcements_test.go
+++ b/core/gateway/announcements_test.go
@@ -32,7 +32,13 @@
 // and refuse with a time to return after, while VMs exit and lose messages. Each script must end
 // without a broken bound.
 func TestTargetsGetNoMoreThanTheyAnnounce(t *testing.T) {
-	datadriven.Walk(t, "testdata/announcements", func(t *testing.T, path string) {
+	playScripts(t, "testdata/announcements", func(*fleetSim, *datadriven.TestData) {})
+}
+
+// playScripts plays the scripts of a directory. prepare sets what a script expects besides.
+func playScripts(t *testing.T, dir string, prepare func(sim *fleetSim, dat *datadriven.TestData)) {
+	t.Helper()
+	datadriven.Walk(t, dir, func(t *testing.T, path string) {
 		var sim *fleetSim
 		datadriven.RunTest(t, path, func(t *testing.T, dat *datadriven.TestData) string {
 			switch dat.Cmd {
@@ -40,6 +46,7 @@
 				sim = newFleetSim(t, dat)
 				return ""
 			case "run":
+				prepare(sim, dat)
 				return sim.play(t, dat)
 			}
 			t.Fatalf("unknown command %s", dat.Cmd)
--- a/core/gateway/crashes_test.go
+++ b/core/gateway/crashes_test.go
@@ -15,28 +15,16 @@
 // that run them, beside exits, cuts, losses and targets that end for other reasons. Each script must end
 // without a broken bound.
 func TestRequestsThatCrashTargetsAreNotSentOn(t *testing.T) {
-	datadriven.Walk(t, "testdata/crashes", func(t *testing.T, path string) {
-		var sim *fleetSim
-		datadriven.RunTest(t, path, func(t *testing.T, dat *datadriven.TestData) string {
-			switch dat.Cmd {
-			case "fleet":
-				sim = newFleetSim(t, dat)
-				return ""
-			case "run":
-				sim.mostCrashed, sim.crashNotice = provenCrashes, noticeTime
-				if dat.HasArg("notice") {
-					var txt string
-					dat.ScanArgs(t, "notice", &txt)
-					sim.crashNotice, _ = time.ParseDuration(txt)
-				}
-				if dat.HasArg("crashed") {
-					dat.ScanArgs(t, "crashed", &sim.mostCrashed)
-				}
-				return sim.play(t, dat)
-			}
-			t.Fatalf("unknown command %s", dat.Cmd)
-			return ""
-		})
+	playScripts(t, "testdata/crashes", func(sim *fleetSim, dat *datadriven.TestData) {
+		sim.mostCrashed, sim.crashNotice = provenCrashes, noticeTime
+		if dat.HasArg("notice") {
+			var txt string
+			dat.ScanArgs(t, "notice", &txt)
+			sim.crashNotice, _ = time.ParseDuration(txt)
+		}
+		if dat.HasArg("crashed") {
+			dat.ScanArgs(t, "crashed", &sim.mostCrashed)
+		}
 	})
 }
 
--- a/core/gateway/registrations_test.go
+++ b/core/gateway/registrations_test.go
@@ -26,16 +26,7 @@
 // TestTargetsThatLeaveGetNoRequest plays fleets whose targets say that they leave, by their entry, by their
 // responses or by both, and start again under their names, while writes of entries are late.
 func TestTargetsThatLeaveGetNoRequest(t *testing.T) {
-	datadriven.Walk(t, "testdata/leaving", func(t *testing.T, path string) {
-		var sim *fleetSim
-		datadriven.RunTest(t, path, func(t *testing.T, dat *datadriven.TestData) string {
-			if dat.Cmd == "fleet" {
-				sim = newFleetSim(t, dat)
-				return ""
-			}
-			return sim.play(t, dat)
-		})
-	})
+	playScripts(t, "testdata/leaving", func(*fleetSim, *datadriven.TestData) {})
 }
 
 // TestTargetsThatLeaveGetNoRequestInRandomFleets plays that at random, beside crashes, requests that crash
--- a/core/quarantine/book.go
+++ b/core/quarantine/book.go
@@ -111,11 +111,6 @@
 	return separate + other
 }
 
-// AddEnd records that a run has ended under a content, and reports whether that is new.
-func (bok *Book) AddEnd(now clock.Instant, fpr request.Fingerprint, end End) bool {
-	return bok.Merge(now, bok.EndReport(now, fpr, end))
-}
-
 // EndReport returns the report of an end that this VM has observed now.
 func (bok *Book) EndReport(now clock.Instant, fpr request.Fingerprint, end End) Report {
 	ent := bok.entries[fpr]
--- a/core/quarantine/book_test.go
+++ b/core/quarantine/book_test.go
@@ -30,6 +30,11 @@
 	return request.FingerprintOf("GET", "h", "/"+name, nil)
 }
 
+// addEnd records that a VM has observed the end of a run under a content.
+func addEnd(bok *Book, now clock.Instant, fpr request.Fingerprint, end End) {
+	bok.Merge(now, bok.EndReport(now, fpr, end))
+}
+
 // runOf returns the run with a name such as "t1" or "t1.5", its start time after the dot.
 func runOf(t *testing.T, name string) health.Run {
 	target, born, _ := strings.Cut(name, ".")
@@ -57,7 +62,7 @@
 		}
 		scr.now = scr.now.Add(dur)
 	case "end", "separate-end":
-		scr.bok.AddEnd(scr.now, contentOf(args[0]), End{Run: runOf(t, args[1]), Separate: words[0] == "separate-end"})
+		addEnd(scr.bok, scr.now, contentOf(args[0]), End{Run: runOf(t, args[1]), Separate: words[0] == "separate-end"})
 	case "clear":
 		scr.bok.Clear(scr.now, contentOf(args[0]))
 	case "merge-into":
@@ -141,11 +146,11 @@
 func TestFullBookKeepsWhatIsQuarantined(t *testing.T) {
 	scr := newScript()
 	for num := range provenEnds {
-		scr.bok.AddEnd(scr.now, contentOf("bad"), End{Run: health.Run{Target: fmt.Sprint(num)}, Separate: true})
+		addEnd(scr.bok, scr.now, contentOf("bad"), End{Run: health.Run{Target: fmt.Sprint(num)}, Separate: true})
 	}
 	for num := range maxEntries + 100 {
 		scr.now = scr.now.Add(time.Millisecond)
-		scr.bok.AddEnd(scr.now, contentOf(fmt.Sprint("other", num)), End{Run: health.Run{Target: "t"}})
+		addEnd(scr.bok, scr.now, contentOf(fmt.Sprint("other", num)), End{Run: health.Run{Target: "t"}})
 	}
 	suspected, quarantined, dropped := scr.bok.Sizes()
 	if suspected != maxEntries-1 || quarantined != 1 || dropped != 101 {
@@ -167,8 +172,8 @@
 	var late Report
 	for num := range 4 * maxEnds {
 		now = now.Add(5 * time.Second)
-		one.AddEnd(now, fpr, End{Run: health.Run{Target: fmt.Sprint("a", num)}, Separate: true})
-		two.AddEnd(now, fpr, End{Run: health.Run{Target: fmt.Sprint("b", num)}})
+		addEnd(one, now, fpr, End{Run: health.Run{Target: fmt.Sprint("a", num)}, Separate: true})
+		addEnd(two, now, fpr, End{Run: health.Run{Target: fmt.Sprint("b", num)}})
 		reported := two.Report(now, fpr)
 		one.Merge(now, reported)
 		one.Clear(now, fpr)
