--- a/core/registry/history.go
+++ b/core/registry/history.go
@@ -35,19 +35,17 @@
 }
 
 // goesBack reports whether an entry says less than what is known of the target already. Targets may be
-// slow to write their entries, and writes that were under way for long may arrive after later ones.
+// slow to write their entries, and writes that were under way for long may arrive after later ones. An entry
+// without a start time, behind one with it, is likely of another writer.
 func (reg *Registry) goesBack(name string, ent Entry) bool {
 	last, known := reg.lastRuns[name]
-	if !known || ent.Born.IsZero() {
-		return false
-	}
-	return ent.Born.Before(last.born) || ent.Born.Equal(last.born) && last.removed
+	return known && (ent.Born.Before(last.born) || ent.Born.Equal(last.born) && last.removed)
 }
 
 // settled returns an entry with what its run has said before.
 func (reg *Registry) settled(name string, ent Entry) Entry {
 	last, known := reg.lastRuns[name]
-	if known && !ent.Born.IsZero() && ent.Born.Equal(last.born) && last.left {
+	if known && ent.Born.Equal(last.born) && last.left {
 		ent.Leaving = true
 	}
 	return ent
