Show which registrations are in doubt in logs and in lugctl target list

targetDoubted, targetBelieved and a column DOUBTED: an operator could not tell why a registered target got no request. The list shows the registration in force in place of the doubted one. No change of what is decided.

--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -177,6 +177,7 @@
 func (mac *Machine) tick(now clock.Instant) {
 	if mac.registry.Tick(now) {
 		mac.log("targetsGone", "left", mac.registry.Len())
+		mac.logDoubts()
 		mac.setServices(now)
 	}
 	mac.updateTokenServers(now)
--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -132,6 +132,7 @@
 func (mac *Machine) applyTargets(now clock.Instant, del table.Delta[registry.Entry]) bool {
 	before := mac.registry.Revision()
 	changed := mac.registry.Apply(now, del)
+	mac.logDoubts()
 	if changed {
 		mac.logTargets(del)
 		mac.setServices(now)
@@ -140,6 +141,17 @@
 	return mac.registry.Revision() != before && !del.Empty()
 }
 
+// logDoubts logs which registrations are in doubt, or are believed.
+func (mac *Machine) logDoubts() {
+	for _, chg := range mac.registry.DrainDoubtChanges() {
+		event := "targetDoubted"
+		if chg.Believed {
+			event = "targetBelieved"
+		}
+		mac.log(event, "target", chg.Target, "born", chg.Born, "lastBorn", chg.LastBorn)
+	}
+}
+
 func (mac *Machine) logTargets(del table.Delta[registry.Entry]) {
 	for _, row := range del.Rows {
 		if !del.Whole || len(del.Rows) <= maxLoggedRows {
--- a/core/gateway/status.go
+++ b/core/gateway/status.go
@@ -7,7 +7,6 @@
 
 	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/clock"
-	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/quarantine"
 )
 
@@ -81,6 +80,9 @@
 	ID, Service, Address, FailureDomain string
 	// Leaving is set once the target wants no new requests, by its registration or by its responses.
 	Leaving bool
+	// Doubted is set while the registration goes back behind what is known of the target. The other fields
+	// are then those of the registration before, if there is one.
+	Doubted bool
 	// Limit is the limit that the target announces, as far as this VM knows, and Paused for how long it
 	// wants no request from this VM.
 	Limit  announcement.Limit
@@ -95,11 +97,14 @@
 func (mac *Machine) Targets(now clock.Instant) []TargetStatus {
 	var out []TargetStatus
 	for _, row := range mac.registry.Rows() {
-		ent := row.Value
-		run := health.Run{Target: row.Name, Born: ent.Born.UnixMilli()}
+		ent, inForce := mac.registry.Entry(row.Name)
+		if !inForce {
+			ent = row.Value
+		}
+		run := ent.Run(row.Name)
 		tgt := TargetStatus{
 			ID: row.Name, Service: ent.Service, Address: ent.Address, FailureDomain: ent.FailureDomain, Leaving: ent.Leaving || mac.book.Leaving(run),
-			Limit: mac.book.Limit(run), Paused: mac.book.Paused(now, run),
+			Doubted: mac.registry.Doubted(row.Name), Limit: mac.book.Limit(run), Paused: mac.book.Paused(now, run),
 		}
 		if svc := mac.services[ent.Service]; svc != nil {
 			par := svc.partitions[partitionOf(row.Name, len(svc.partitions))]
--- a/core/registry/history.go
+++ b/core/registry/history.go
@@ -34,6 +34,28 @@
 	since clock.Instant
 }
 
+// DoubtChange says that a registration is in doubt, or is believed after it has stood for settleTime.
+type DoubtChange struct {
+	Target string
+	// Born is the start of the run that is registered, and LastBorn that of the last run that is known, in Unix
+	// milliseconds; 0 if it does not say so.
+	Born, LastBorn int64
+	Believed       bool
+}
+
+// DrainDoubtChanges returns the changes since the last call and clears them.
+func (reg *Registry) DrainDoubtChanges() []DoubtChange {
+	out := reg.doubtChanges
+	reg.doubtChanges = nil
+	return out
+}
+
+// Doubted reports whether the registration of a target is in doubt.
+func (reg *Registry) Doubted(name string) bool {
+	_, doubted := reg.doubts[name]
+	return doubted
+}
+
 // goesBack reports whether an entry says less than what is known of the target already. Targets may be
 // slow to write their entries, and writes that were under way for long may arrive after later ones. An entry
 // without a start time, behind one with it, is likely of another writer.
@@ -71,11 +93,16 @@
 	dou, known := reg.doubts[name]
 	if !known || !dou.entry.Born.Equal(ent.Born) {
 		dou.since = now
+		reg.noteDoubt(name, ent, false)
 	}
 	dou.entry = ent
 	reg.doubts[name] = dou
 }
 
+func (reg *Registry) noteDoubt(name string, ent Entry, believed bool) {
+	reg.doubtChanges = append(reg.doubtChanges, DoubtChange{Target: name, Born: unixMilli(ent.Born), LastBorn: unixMilli(reg.lastRuns[name].born), Believed: believed})
+}
+
 // settle puts the registrations in force that go back but have stood for settleTime, and reports whether
 // there were any.
 func (reg *Registry) settle(now clock.Instant) bool {
@@ -86,6 +113,7 @@
 	for name, dou := range reg.doubts {
 		if now.Since(dou.since) >= settleTime {
 			delete(reg.doubts, name)
+			reg.noteDoubt(name, dou.entry, true)
 			reg.adopt(now, name, reg.settled(name, dou.entry))
 			changed = true
 		}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -31,10 +31,15 @@
 
 // Run returns the run of the target with the given name that has registered itself.
 func (ent Entry) Run(name string) health.Run {
-	if ent.Born.IsZero() {
-		return health.Run{Target: name}
+	return health.Run{Target: name, Born: unixMilli(ent.Born)}
+}
+
+// unixMilli returns a time in Unix milliseconds, 0 for the zero time.
+func unixMilli(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
 	}
-	return health.Run{Target: name, Born: ent.Born.UnixMilli()}
+	return at.UnixMilli()
 }
 
 // ReappearTimeout is how long a target whose entry is missing after an outage of the platform is
@@ -72,6 +77,8 @@
 	// that go back behind that.
 	lastRuns map[string]lastRun
 	doubts   map[string]doubt
+	// doubtChanges holds the changes of doubts that were not drained yet.
+	doubtChanges []DoubtChange
 	// forgotAt is when old lastRuns were last dropped.
 	forgotAt clock.Instant
 	// confirmedAt is the latest time at which the entries are known to have been up to date.
--- a/lugd/service/api/conversions.go
+++ b/lugd/service/api/conversions.go
@@ -17,7 +17,7 @@
 // ConvertTarget converts the status of a target as a VM sees it.
 func ConvertTarget(tgt gateway.TargetStatus) Target {
 	out := Target{
-		ID: tgt.ID, Service: tgt.Service, Address: tgt.Address, FailureDomain: tgt.FailureDomain, Leaving: tgt.Leaving,
+		ID: tgt.ID, Service: tgt.Service, Address: tgt.Address, FailureDomain: tgt.FailureDomain, Leaving: tgt.Leaving, Doubted: tgt.Doubted,
 		PausedSeconds: tgt.Paused.Seconds(), Placer: tgt.Placer, Sick: tgt.Sick,
 	}
 	if tgt.Limit.Limited {
--- a/lugd/service/api/types.go
+++ b/lugd/service/api/types.go
@@ -55,6 +55,8 @@
 	FailureDomain string `json:"failureDomain"`
 	// Leaving is set once the target accepts no new requests.
 	Leaving bool `json:"leaving"`
+	// Doubted is set while the registration is not believed, since it goes back behind an earlier one.
+	Doubted bool `json:"doubted,omitempty"`
 	// LimitPerSecond is the most requests that the target announces to take from the whole fleet; nil if
 	// the VM knows of no limit.
 	LimitPerSecond *float64 `json:"limitPerSecond,omitempty"`
