--- a/core/announcement/book_test.go
+++ b/core/announcement/book_test.go
@@ -33,8 +33,8 @@
 			case "learn":
 				changed := bok.Learn(scr.now, Report{Run: run, Limit: scr.limit(), Leaving: scr.has("leaving"), SentAge: scr.seconds("sent", 0.1), HeardAge: scr.seconds("heard", 0)})
 				fmt.Fprintf(&out, "changed %t, ", changed)
-			case "succeed":
-				changed := bok.Succeed(scr.now, run, scr.now.Add(-scr.seconds("started", 0)))
+			case "inherit":
+				changed := bok.Inherit(scr.now, run, scr.now.Add(-scr.seconds("started", 0)))
 				fmt.Fprintf(&out, "changed %t, ", changed)
 			case "confirm":
 				bok.Confirm(scr.now)
--- a/core/announcement/succession.go
+++ b/core/announcement/inherit.go
@@ -37,22 +37,22 @@
 	return unknownRun
 }
 
-// Succeed passes on to a run what was filed under other runs of its target but may be its own: responses do
+// Inherit lets a run have what was filed under other runs of its target but may be its own: responses do
 // not name their run, and one that has just started may answer before its registration is known. started is
-// when the run started, as far as is known. Succeed reports whether it passed on anything new.
-func (bok *Book) Succeed(now clock.Instant, run health.Run, started clock.Instant) bool {
+// when the run started, as far as is known. Inherit reports whether the run got anything new.
+func (bok *Book) Inherit(now clock.Instant, run health.Run, started clock.Instant) bool {
 	changed := false
 	for other, ent := range bok.entries {
 		if other.Target == run.Target && other != run {
-			changed = bok.passOn(now, ent, run, started) || changed
+			changed = bok.inheritFrom(now, ent, run, started) || changed
 		}
 	}
 	return changed
 }
 
-// passOn passes on what one entry says. Whether a limit or a pause still holds shows with the next response;
+// inheritFrom passes on what one entry says. Whether a limit or a pause still holds shows with the next response;
 // a target that may be leaving gets no request, so that its registration has to show it.
-func (bok *Book) passOn(now clock.Instant, from *entry, run health.Run, started clock.Instant) bool {
+func (bok *Book) inheritFrom(now clock.Instant, from *entry, run health.Run, started clock.Instant) bool {
 	limited := originOf(from.sentAt, from.heardAt, started) != earlierRun && from.limit.Limited
 	paused := originOf(from.pauseSentAt, from.pauseHeardAt, started) != earlierRun && now.Before(from.pausedUntil)
 	leaving := originOf(from.leftSentAt, from.leftHeardAt, started)
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -198,7 +198,7 @@
 		return
 	}
 	for _, target := range mac.book.Targets() {
-		mac.passOnAnnounced(now, target)
+		mac.inheritAnnounced(now, target)
 	}
 	kept := make(map[string]bool)
 	all := mac.registry.Targets()
--- a/core/gateway/runs.go
+++ b/core/gateway/runs.go
@@ -7,16 +7,16 @@
 	"marigoldlug.example/core/health"
 )
 
-// passOnAnnounced lets the registered run of a target have what was filed under another run but may be its
+// inheritAnnounced lets the registered run of a target have what was filed under another run but may be its
 // own.
-func (mac *Machine) passOnAnnounced(now clock.Instant, target string) {
+func (mac *Machine) inheritAnnounced(now clock.Instant, target string) {
 	ent, registered := mac.registry.Entry(target)
 	if !registered || ent.Born.IsZero() {
 		return
 	}
 	run := ent.Run(target)
-	if mac.book.Succeed(now, run, mac.startOf(now, run)) {
-		mac.log("announcedBefore", "target", target, "born", run.Born, "limit", mac.book.Limit(run).String(), "leaving", mac.book.Leaving(run),
+	if mac.book.Inherit(now, run, mac.startOf(now, run)) {
+		mac.log("announcementInherited", "target", target, "born", run.Born, "limit", mac.book.Limit(run).String(), "leaving", mac.book.Leaving(run),
 			"paused", mac.book.Paused(now, run))
 	}
 }
--- a/core/registry/history.go
+++ b/core/registry/history.go
@@ -64,8 +64,8 @@
 	return known && (ent.Born.Before(last.born) || ent.Born.Equal(last.born) && last.removed)
 }
 
-// settled returns an entry with what its run has said before.
-func (reg *Registry) settled(name string, ent Entry) Entry {
+// withHistory returns an entry with what its run has said before.
+func (reg *Registry) withHistory(name string, ent Entry) Entry {
 	last, known := reg.lastRuns[name]
 	if known && ent.Born.Equal(last.born) && last.left {
 		ent.Leaving = true
@@ -114,7 +114,7 @@
 		if now.Since(dou.since) >= settleTime {
 			delete(reg.doubts, name)
 			reg.noteDoubt(name, dou.entry, true)
-			reg.adopt(now, name, reg.settled(name, dou.entry))
+			reg.adopt(now, name, reg.withHistory(name, dou.entry))
 			changed = true
 		}
 	}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -189,7 +189,7 @@
 		return false
 	}
 	delete(reg.doubts, name)
-	ent = reg.settled(name, ent)
+	ent = reg.withHistory(name, ent)
 	old := reg.targets[name]
 	_, missing := reg.missing[name]
 	if old != nil && old.entry == ent && !missing {
