--- a/core/gateway/crashes_test.go
+++ b/core/gateway/crashes_test.go
@@ -74,6 +74,36 @@
 	}
 }
 
+// TestInnocentRequestsAreNotQuarantinedWhileMessagesAreSlow plays four requests that crash targets, beside
+// crashes for other reasons, while messages between VMs are slow so that placers often do not answer in time.
+func TestInnocentRequestsAreNotQuarantinedWhileMessagesAreSlow(t *testing.T) {
+	const faultInterval = 700 * time.Millisecond
+	for seed := range uint64(randomFleets) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			rnd := rand.New(rand.NewPCG(seed, 5))
+			tgs := 6 + rnd.IntN(20)
+			sim := startFleetSim(rnd, 3+rnd.IntN(40), tgs, 10+rnd.IntN(60))
+			sim.schedule(simLoadAfter, "slow-peers on")
+			for num := range maxCrashers {
+				sim.schedule(simLoadAfter+time.Duration(num)*2*time.Second, fmt.Sprintf("crasher c%d 3 /open/x", num))
+			}
+			for at := simLoadAfter; at < randomLength; at += faultInterval {
+				line := []string{fmt.Sprint("crash t", rnd.IntN(tgs)), "crash all", "lose-reports most"}[min(rnd.IntN(5), 2)]
+				if rnd.IntN(2) == 0 {
+					sim.schedule(at, line)
+				}
+			}
+			sim.run(randomLength)
+			for _, fault := range sim.faults {
+				if strings.Contains(fault, "quarantined") {
+					t.Error(fault)
+				}
+			}
+		})
+	}
+}
+
 // endFaults ends all faults and begins to count requests after settleTime.
 func (sim *fleetSim) endFaults() {
 	for _, line := range []string{"lose-reports off", "store-away off", "slow-crashes off", "slow-peers off"} {
