Look for inherited announcements only where a response was filed under another run

What was wrong: each response of a target asked all announcements of the VM whether the registered run inherits one, also where its own run was the registered one: needless work for every request while any target announces something. Now the run under which something was filed is named, and nothing is done if it is the registered one.

--- a/core/announcement/book.go
+++ b/core/announcement/book.go
@@ -1,6 +1,7 @@
 package announcement
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -136,13 +137,11 @@
 // Empty reports whether nothing was announced.
 func (bok *Book) Empty() bool { return len(bok.entries) == 0 }
 
-// Targets returns the targets that have announced anything, sorted.
-func (bok *Book) Targets() []string {
-	set := make(map[string]bool)
-	for run := range bok.entries {
-		set[run.Target] = true
-	}
-	return slices.Sorted(maps.Keys(set))
+// Runs returns the runs that have announced anything, sorted.
+func (bok *Book) Runs() []health.Run {
+	return slices.SortedFunc(maps.Keys(bok.entries), func(one, two health.Run) int {
+		return cmp.Or(cmp.Compare(one.Target, two.Target), cmp.Compare(one.Born, two.Born))
+	})
 }
 
 // Limit returns the limit that a run announces.
--- a/core/announcement/book_test.go
+++ b/core/announcement/book_test.go
@@ -34,7 +34,7 @@
 				changed := bok.Learn(scr.now, Report{Run: run, Limit: scr.limit(), Leaving: scr.has("leaving"), SentAge: scr.seconds("sent", 0.1), HeardAge: scr.seconds("heard", 0)})
 				fmt.Fprintf(&out, "changed %t, ", changed)
 			case "inherit":
-				changed := bok.Inherit(scr.now, run, scr.now.Add(-scr.seconds("started", 0)))
+				changed := bok.Inherit(scr.now, run, health.Run{Target: "t", Born: 1}, scr.now.Add(-scr.seconds("started", 0)))
 				fmt.Fprintf(&out, "changed %t, ", changed)
 			case "confirm":
 				bok.Confirm(scr.now)
--- a/core/announcement/inherit.go
+++ b/core/announcement/inherit.go
@@ -37,17 +37,12 @@
 	return unknownRun
 }
 
-// Inherit lets a run have what was filed under other runs of its target but may be its own: responses do
+// Inherit lets a run have what was filed under another run of its target but may be its own: responses do
 // not name their run, and one that has just started may answer before its registration is known. started is
 // when the run started, as far as is known. Inherit reports whether the run got anything new.
-func (bok *Book) Inherit(now clock.Instant, run health.Run, started clock.Instant) bool {
-	changed := false
-	for other, ent := range bok.entries {
-		if other.Target == run.Target && other != run {
-			changed = bok.inheritFrom(now, ent, run, started) || changed
-		}
-	}
-	return changed
+func (bok *Book) Inherit(now clock.Instant, run, from health.Run, started clock.Instant) bool {
+	ent := bok.entries[from]
+	return ent != nil && run != from && bok.inheritFrom(now, ent, run, started)
 }
 
 // inheritFrom passes on what one entry says. Whether a limit or a pause still holds shows with the next response;
--- a/core/gateway/announced.go
+++ b/core/gateway/announced.go
@@ -33,7 +33,7 @@
 		mac.log("announced", "target", run.Target, "born", run.Born, "limit", ann.Limit.String(), "limitBefore", before.String(), "leaving", ann.Leaving,
 			"retryAfter", ann.RetryAfter, "unreadable", ann.Unreadable)
 	}
-	mac.inheritAnnounced(now, run.Target)
+	mac.inheritAnnounced(now, run)
 	if rep, known := mac.book.Report(now, run); changed && known {
 		mac.reportAnnounced(now, mac.placerOf(inf.service, run.Target), []announcement.Report{rep})
 	}
@@ -76,7 +76,7 @@
 	for _, rep := range rps {
 		if mac.book.Learn(now, rep) {
 			mac.log("announcementLearned", "target", rep.Run.Target, "born", rep.Run.Born, "limit", rep.Limit.String(), "leaving", rep.Leaving, "age", rep.HeardAge, "vm", from)
-			mac.inheritAnnounced(now, rep.Run.Target)
+			mac.inheritAnnounced(now, rep.Run)
 		}
 	}
 }
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -197,8 +197,8 @@
 	if mac.config == nil {
 		return
 	}
-	for _, target := range mac.book.Targets() {
-		mac.inheritAnnounced(now, target)
+	for _, run := range mac.book.Runs() {
+		mac.inheritAnnounced(now, run)
 	}
 	kept := make(map[string]bool)
 	all := mac.registry.Targets()
--- a/core/gateway/runs.go
+++ b/core/gateway/runs.go
@@ -7,16 +7,16 @@
 	"marigoldlug.example/core/health"
 )
 
-// inheritAnnounced lets the registered run of a target have what was filed under another run but may be its
-// own.
-func (mac *Machine) inheritAnnounced(now clock.Instant, target string) {
-	ent, registered := mac.registry.Entry(target)
+// inheritAnnounced lets the registered run of a target have what was filed under another run, if that may be
+// its own.
+func (mac *Machine) inheritAnnounced(now clock.Instant, from health.Run) {
+	ent, registered := mac.registry.Entry(from.Target)
 	if !registered || ent.Born.IsZero() {
 		return
 	}
-	run := ent.Run(target)
-	if mac.book.Inherit(now, run, mac.startOf(now, run)) {
-		mac.log("announcementInherited", "target", target, "born", run.Born, "limit", mac.book.Limit(run).String(), "leaving", mac.book.Leaving(run),
+	run := ent.Run(from.Target)
+	if run != from && mac.book.Inherit(now, run, from, mac.startOf(now, run)) {
+		mac.log("announcementInherited", "target", run.Target, "born", run.Born, "limit", mac.book.Limit(run).String(), "leaving", mac.book.Leaving(run),
 			"paused", mac.book.Paused(now, run))
 	}
 }
