Log which VMs reach no target of a service

Each VM keeps by itself which of its connections to targets open, probes some where a request makes no progress, and logs pathsLost and pathsFound. Nothing is decided by it yet.

--- a/core/gateway/inflight.go
+++ b/core/gateway/inflight.go
@@ -195,6 +195,7 @@
 		return
 	}
 	rsp := evt.Response
+	mac.paths.Responded(inf.service)
 	if !rsp.Misdirected {
 		mac.heard(now, inf, att, rsp.Announcement)
 	}
@@ -268,6 +269,7 @@
 		"attempt", att.number, "target", att.target.ID, "outcome", evt.Outcome, "verdict", evt.Verdict, "detail", evt.Detail,
 		"content", inf.fingerprint, "portClosed", evt.PortClosed,
 	}})
+	mac.notePath(now, inf, att, evt)
 	if evt.Outcome == health.Failure && evt.Verdict == verdict.MayHaveRun {
 		mac.brokeOff(now, inf, att.target, evt.PortClosed)
 	}
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -10,6 +10,7 @@
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/member"
+	"marigoldlug.example/core/path"
 	"marigoldlug.example/core/placement"
 	"marigoldlug.example/core/quarantine"
 	"marigoldlug.example/core/quota"
@@ -66,6 +67,8 @@
 	book     *announcement.Book
 	forgotAt clock.Instant
 	contents contents
+	// paths is what this VM knows of its paths to the targets.
+	paths *path.Book
 	// queued holds the requests that arrived before this VM knew the configuration and the targets,
 	// in order of arrival.
 	queued []queued
@@ -102,6 +105,7 @@
 		requests:       make(map[request.ID]*inFlight),
 		book:           announcement.NewBook(),
 		contents:       newContents(),
+		paths:          path.NewBook(),
 		releases:       make(map[string]release),
 
 		placementCounts: make(map[string]uint64),
@@ -124,6 +128,10 @@
 		mac.answered(now, evt)
 	case AttemptFailed:
 		mac.attemptFailed(now, evt)
+	case Stalled:
+		mac.stalled(now, evt)
+	case Probed:
+		mac.probed(now, evt)
 	case RelayEnded:
 		mac.relayEnded(now, evt)
 	case CallerLeft:
@@ -186,6 +194,7 @@
 	mac.follow(now)
 	mac.maintainFleet(now)
 	mac.tickContents(now)
+	mac.tickPaths(now)
 	mac.tickPlacement(now)
 	mac.tokens.Tick(now)
 	mac.hedgeAndExpire(now)
--- /dev/null
+++ b/core/path/path.go
@@ -0,0 +1,200 @@
+// Package path tells whether a VM reaches the targets of a service. That is a fact about the network
+// between the two, which says nothing of the targets: they may work well for other VMs.
+package path
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/health"
+)
+
+const (
+	// lostCount is at how many targets in a row connections must fail until a service counts as lost, and
+	// foundCount at how many they must succeed until it counts as found again. A service with fewer targets
+	// needs all of them.
+	lostCount  = 3
+	foundCount = 2
+	// failureTime is how long a failed connection counts.
+	failureTime = 3 * time.Second
+	// doubtInterval is the least time between two rounds of probes for a service that is in doubt.
+	doubtInterval = 300 * time.Millisecond
+	// minLostInterval and maxLostInterval bound the time between two rounds of probes for a lost service. It
+	// grows by lostIntervalFactor each round.
+	minLostInterval    = 400 * time.Millisecond
+	maxLostInterval    = 1500 * time.Millisecond
+	lostIntervalFactor = 1.2
+)
+
+// Doubt is how strongly a sign speaks against the paths to a service.
+type Doubt uint8
+
+const (
+	// None means that nothing speaks against the paths.
+	None Doubt = iota
+	// Slow means that a target took long to answer. It is the path less often than the target, which is
+	// probed alone.
+	Slow
+	// Unanswered means that the network did not deliver: several targets are probed at once.
+	Unanswered
+)
+
+// Book holds what one VM knows of its paths. It is not safe for concurrent use.
+type Book struct {
+	services map[string]*service
+}
+
+type service struct {
+	// failed holds when the last connection to a target failed, for the targets at which none has
+	// succeeded since.
+	failed map[string]clock.Instant
+	// lost is set while the VM reaches no target of the service, and reached holds the targets that it has
+	// reached since a connection last failed.
+	lost    bool
+	reached map[string]bool
+	// doubt is the strongest sign since the VM last reached a target, and suspect the target of the last sign.
+	doubt   Doubt
+	suspect string
+	// probedAt is when targets were last probed, and interval is the time until a lost service is probed again.
+	probedAt clock.Instant
+	interval time.Duration
+}
+
+// NewBook returns a book that takes all paths to work.
+func NewBook() *Book { return &Book{services: make(map[string]*service)} }
+
+// Lost reports whether the VM reaches no target of a service.
+func (bok *Book) Lost(name string) bool {
+	svc := bok.services[name]
+	return svc != nil && svc.lost
+}
+
+// AnyLost reports whether the VM reaches no target of some service.
+func (bok *Book) AnyLost() bool {
+	for _, svc := range bok.services {
+		if svc.lost {
+			return true
+		}
+	}
+	return false
+}
+
+func (bok *Book) service(name string) *service {
+	svc := bok.services[name]
+	if svc == nil {
+		svc = &service{failed: make(map[string]clock.Instant), reached: make(map[string]bool)}
+		bok.services[name] = svc
+	}
+	return svc
+}
+
+// Doubted records a sign against the paths to a service, seen at one of its targets.
+func (bok *Book) Doubted(name, target string, doubt Doubt) {
+	svc := bok.service(name)
+	if doubt >= svc.doubt {
+		svc.doubt, svc.suspect = doubt, target
+	}
+}
+
+// Responded records that a target has answered. That clears doubts, but does not find a lost service:
+// connections may live on while new ones fail.
+func (bok *Book) Responded(name string) {
+	svc := bok.services[name]
+	if svc == nil || svc.lost {
+		return
+	}
+	svc.clear()
+}
+
+func (svc *service) clear() {
+	clear(svc.failed)
+	clear(svc.reached)
+	svc.doubt, svc.suspect, svc.interval = None, "", 0
+}
+
+// Connected records that a connection to a target was opened, and reports whether the service is found
+// again by that. targets is the number of targets of the service.
+func (bok *Book) Connected(name, target string, targets int) (found bool) {
+	svc := bok.services[name]
+	if svc == nil {
+		return false
+	}
+	if !svc.lost {
+		svc.clear()
+		return false
+	}
+	svc.reached[target] = true
+	if len(svc.reached) < min(foundCount, targets) {
+		return false
+	}
+	svc.lost = false
+	svc.clear()
+	return true
+}
+
+// Failed records that no connection to a target could be opened, and reports whether the service is lost by
+// that. targets is the number of targets of the service.
+func (bok *Book) Failed(now clock.Instant, name, target string, targets int) (lost bool) {
+	svc := bok.service(name)
+	clear(svc.reached)
+	maps.DeleteFunc(svc.failed, func(_ string, at clock.Instant) bool { return now.Since(at) > failureTime })
+	svc.failed[target] = now
+	bok.Doubted(name, target, Unanswered)
+	if svc.lost || len(svc.failed) < min(lostCount, targets) {
+		return false
+	}
+	svc.lost, svc.interval = true, minLostInterval
+	return true
+}
+
+// FailedTargets returns the sorted targets at which connections failed lately.
+func (bok *Book) FailedTargets(name string) []string {
+	svc := bok.services[name]
+	if svc == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(svc.failed))
+}
+
+// Probes returns the targets of a service to which the VM should open a connection now, to learn whether
+// it reaches them.
+func (bok *Book) Probes(now clock.Instant, rnd *rand.Rand, name string, tgs []health.Target) []health.Target {
+	svc := bok.services[name]
+	if svc == nil || svc.doubt == None || len(tgs) == 0 {
+		return nil
+	}
+	interval, count := doubtInterval, lostCount
+	if svc.lost {
+		interval, count = svc.interval, foundCount
+	} else if svc.doubt == Slow {
+		count = 1
+	}
+	if svc.probedAt != (clock.Instant{}) && now.Since(svc.probedAt) < interval {
+		return nil
+	}
+	svc.probedAt = now
+	if svc.lost {
+		svc.interval = min(time.Duration(float64(svc.interval)*lostIntervalFactor), maxLostInterval)
+	}
+	return svc.choose(rnd, tgs, count)
+}
+
+// choose returns cnt targets at random, the suspect first unless the service is lost.
+func (svc *service) choose(rnd *rand.Rand, tgs []health.Target, cnt int) []health.Target {
+	out := make([]health.Target, 0, cnt)
+	if at := slices.IndexFunc(tgs, func(tgt health.Target) bool { return tgt.ID == svc.suspect }); at >= 0 && !svc.lost {
+		out = append(out, tgs[at])
+	}
+	for _, at := range rnd.Perm(len(tgs)) {
+		if len(out) >= cnt {
+			break
+		}
+		if tgs[at].ID != svc.suspect || svc.lost {
+			out = append(out, tgs[at])
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/path/path_test.go
@@ -0,0 +1,58 @@
+package path
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/health"
+)
+
+// TestPathsAreLostAndFound records connections and signs in a book, and prints what then holds and how
+// many targets are probed. The service has five targets unless a line says otherwise.
+func TestPathsAreLostAndFound(t *testing.T) {
+	datadriven.RunTest(t, "testdata/book", func(t *testing.T, dat *datadriven.TestData) string {
+		bok, rnd, targets := NewBook(), rand.New(rand.NewPCG(1, 1)), 5
+		var out strings.Builder
+		for line := range strings.SplitSeq(dat.Input, "\n") {
+			words := strings.Fields(line)
+			sec, err := strconv.ParseFloat(words[0], 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := clock.At(time.Hour + time.Duration(sec*float64(time.Second)))
+			switch words[1] {
+			case "targets":
+				if targets, err = strconv.Atoi(words[2]); err != nil {
+					t.Fatal(err)
+				}
+				continue
+			case "fail":
+				bok.Failed(now, "svc", words[2], targets)
+			case "connect":
+				bok.Connected("svc", words[2], targets)
+			case "respond":
+				bok.Responded("svc")
+			case "slow":
+				bok.Doubted("svc", words[2], Slow)
+			case "unanswered":
+				bok.Doubted("svc", words[2], Unanswered)
+			case "tick":
+			default:
+				t.Fatalf("unknown verb %q", words[1])
+			}
+			var tgs []health.Target
+			for num := range targets {
+				tgs = append(tgs, health.Target{ID: fmt.Sprint("t", num)})
+			}
+			fmt.Fprintf(&out, "lost %t, failed %v, probes %d\n", bok.Lost("svc"), bok.FailedTargets("svc"), len(bok.Probes(now, rnd, "svc", tgs)))
+		}
+		return out.String()
+	})
+}
--- a/lugd/pkg/driver/driver.go
+++ b/lugd/pkg/driver/driver.go
@@ -28,6 +28,13 @@
 	Send(to string, msg any)
 }
 
+// prober opens connections to targets.
+type prober interface {
+	// Probe opens a connection to an address, unless most or more of them are open. known is false if it
+	// did not try.
+	Probe(ctx context.Context, address string, most int) (reached, known bool)
+}
+
 // metrics counts the decisions of the VM and its calls to the platform.
 type metrics interface {
 	// Event counts a decision by the name of its log event.
@@ -46,6 +53,8 @@
 	metrics     metrics
 	// transport is set before Run.
 	transport transport
+	// prober is set before Run.
+	prober prober
 	// ctx ends the background work that the machine's actions start.
 	ctx  context.Context
 	work sync.WaitGroup
@@ -88,6 +97,10 @@
 // SetTransport sets the transport to the other VMs. It must be called before Run.
 func (dri *Driver) SetTransport(trn transport) { dri.transport = trn }
 
+// SetProber sets what opens connections to targets to learn whether they are reached. It must be called
+// before Run.
+func (dri *Driver) SetProber(prb prober) { dri.prober = prb }
+
 // Run delivers a tick to the machine every gateway.TickInterval until the driver's
 // context ends, and then waits for the background work.
 func (dri *Driver) Run() {
@@ -140,6 +153,8 @@
 		dri.transport.Send(act.To, act.Message)
 	case gateway.LogEntry:
 		dri.logDecision(act)
+	case gateway.Probe:
+		dri.probe(act)
 	case gateway.SetReading:
 		dri.setReading(act)
 	case gateway.Write:
@@ -180,6 +195,18 @@
 	})
 }
 
+// probe opens a connection to a target in the background, and delivers the result.
+func (dri *Driver) probe(act gateway.Probe) {
+	if dri.ctx.Err() != nil || dri.prober == nil {
+		return
+	}
+	dri.work.Go(func() {
+		if reached, known := dri.prober.Probe(dri.ctx, act.Target.Address, act.Connections); known && dri.ctx.Err() == nil {
+			dri.Step(gateway.Probed{Service: act.Service, Target: act.Target.ID, Reached: reached})
+		}
+	})
+}
+
 // logDecision counts a decision of the machine and passes it to the decision log.
 func (dri *Driver) logDecision(ent gateway.LogEntry) {
 	dri.metrics.Event(ent.Event)
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -137,6 +137,7 @@
 		DialTimeout: set.DialTimeout, IdlePerTarget: idlePerTarget, BodyIdleTimeout: bodyIdleTimeout,
 		Names: adp.Names, BodyPrefixBytes: bodyPrefixBytes, AllowCloseDelimited: true,
 	})
+	dmn.driver.SetProber(dmn.pool)
 	dmn.registerMetrics()
 	dmn.callerServer = http1.New(callerSettings(set, config.Bounds{}), adp.Names, dmn.driver, dmn.pool, &observer{set: met, tracer: dmn.tracer}, lgs.Logger(logflags.Caller))
 	dmn.createHTTPServers(lgs.Logger(logflags.Operator))
--- a/lugd/pkg/http1/handler.go
+++ b/lugd/pkg/http1/handler.go
@@ -13,6 +13,7 @@
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/path"
 	"marigoldlug.example/core/request"
 	"marigoldlug.example/lugd/pkg/header"
 	"marigoldlug.example/lugd/pkg/target"
@@ -172,6 +173,9 @@
 		Address: dis.Target.Address, Idempotent: dis.Idempotent, Timeout: dis.Timeout, MaxConnections: dis.Connections,
 		CallerRequestID: han.callerRequestID,
 		MaySend:         func() bool { return han.con.srv.decider.MaySend(han.id, dis.Attempt) },
+		Stalled: func(dbt path.Doubt) {
+			han.con.srv.decider.Step(gateway.Stalled{Request: han.id, Attempt: dis.Attempt, Doubt: dbt})
+		},
 	}
 	out := han.targetRequest(dis)
 	endSpan := han.con.srv.observer.StartAttempt(ctx, dis, out.Header)
--- a/lugd/pkg/target/pool.go
+++ b/lugd/pkg/target/pool.go
@@ -17,6 +17,7 @@
 
 	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/path"
 	"marigoldlug.example/core/verdict"
 	"marigoldlug.example/lugd/pkg/header"
 	"marigoldlug.example/lugd/pkg/socket"
@@ -322,6 +323,8 @@
 	// MaySend is asked once a new connection is open, which may have taken long. If it returns false, the
 	// request is not sent. nil allows every request.
 	MaySend func() bool
+	// Stalled is told if the request makes no progress; nil if nobody wants to know.
+	Stalled func(doubt path.Doubt)
 }
 
 // errWithdrawn is returned when the request must not be sent any more.
@@ -415,6 +418,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(cal.Timeout, cancel)
 	began := time.Now()
+	var wch progressWatch
+	wch.start(cal.Stalled)
+	defer wch.stop()
 	con, err := pol.connect(ctx, cal)
 	if err == nil && con.idleBefore == 0 && cal.MaySend != nil && !cal.MaySend() {
 		pol.putIdle(con)
@@ -441,6 +447,7 @@
 	con.carry(cal.CallerRequestID)
 	exc := &exchange{con: con, cancel: cancel, callerRequestID: cal.CallerRequestID, written: make(chan error, 1)}
 	exc.stop = context.AfterFunc(ctx, func() { _ = con.Close() })
+	wch.connected(con.Conn)
 	go exc.write(req)
 	raw, err := exc.readHead(req) //nolint:bodyclose // the caller of Send closes the body
 	if err != nil {
