--- a/core/gateway/fleetsim_test.go
+++ b/core/gateway/fleetsim_test.go
@@ -89,6 +89,12 @@
 	// registrationSpread is the longest time after which a target that starts again after a crash registers.
 	registrationSpread time.Duration
 
+	// severed holds the VMs that have lost their paths to all targets since severedAt, and atSevered and
+	// atOthers count the requests that arrive later.
+	severed             map[string]pathFault
+	severedAt           time.Time
+	atSevered, atOthers tries
+
 	sent, served, refused, failed int
 	// calmFrom is the time from which sentCalm and servedCalm count the requests that arrive; zero for none.
 	calmFrom             time.Time
@@ -113,6 +119,10 @@
 	live    map[simAttempt]*simRequest
 	// crashers holds the requests that crash targets.
 	crashers map[request.ID]*crasher
+	// counted holds where a request that is in flight is counted, and connections the targets to which the VM
+	// may have an open connection.
+	counted     map[request.ID]*tries
+	connections map[string]bool
 }
 
 type simAttempt struct {
@@ -200,6 +210,7 @@
 	sim := &fleetSim{
 		rnd: rnd, started: start, now: start, rows: table.New[fleet.Row](), entries: make(map[string]registry.Entry), perSecond: perSecond,
 		cut: make(map[string]bool), joinedAt: make(map[string]time.Time), lastArrivals: make(map[string]time.Time),
+		severed: make(map[string]pathFault),
 	}
 	for num := range tgs {
 		sim.startTarget(fmt.Sprint("t", num))
@@ -272,6 +283,7 @@
 func (vmm *simVM) arrive(path string, fpr request.Fingerprint, cra *crasher) {
 	vmm.next++
 	vmm.callers[vmm.next] = vmm.sim.now
+	vmm.count()
 	if cra != nil {
 		vmm.crashers[vmm.next] = cra
 	}
@@ -294,6 +306,7 @@
 	self := member.VM{ID: fmt.Sprintf("%s.%d", vmm.name, vmm.runs), Address: vmm.name, FailureDomain: "a"}
 	vmm.mac = New(Settings{Name: vmm.name, Self: self, Policy: policy()}, rand.New(rand.NewPCG(vmm.sim.rnd.Uint64(), 1)))
 	vmm.callers, vmm.live, vmm.crashers = make(map[request.ID]time.Time), make(map[simAttempt]*simRequest), make(map[request.ID]*crasher)
+	vmm.counted, vmm.connections = make(map[request.ID]*tries), make(map[string]bool)
 	vmm.tick(vmm.runs)
 }
 
@@ -371,6 +384,8 @@
 		vmm.sim.write(act.Name, act.Revision, table.Delta[fleet.Row]{Removed: []string{act.Name}})
 	case Dispatch:
 		vmm.dispatch(act)
+	case Probe:
+		vmm.probe(act)
 	case CancelAttempt:
 		if req := vmm.live[simAttempt{act.Request, act.Attempt}]; req != nil {
 			req.ended = true
@@ -475,14 +490,18 @@
 		}
 		req.limit = len(req.target.limits) - 1
 		sim.after(after, func() {
-			if vmm.mac == nil || vmm.runs != run || req.ended {
+			if vmm.mac == nil || vmm.runs != run || req.ended || sim.severed[vmm.name] == pathHangs {
 				return
 			}
 			req.ended = true
 			req.response = rsp
+			vmm.connections[act.Target.ID] = true
 			vmm.step(Answered{Request: act.Request, Attempt: act.Attempt, Response: rsp})
 		})
 	}
+	if vmm.blocked(req, act) {
+		return
+	}
 	sim.after(targetDelay, func() {
 		tgt := sim.target(act.Target.ID)
 		if tgt == nil || !tgt.up {
@@ -549,6 +568,9 @@
 		sim.servedCalm++
 	}
 	delete(vmm.callers, act.Request)
+	if cnt := vmm.counted[act.Request]; cnt != nil {
+		cnt.served++
+	}
 	sim.served++
 	id := vmm.mac.set.Self.ID
 	tgt, ann := req.target, req.response.Announcement
--- /dev/null
+++ b/core/gateway/pathsim_test.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+
+	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/path"
+	"marigoldlug.example/core/verdict"
+)
+
+// The times after which the driver reports on paths.
+const (
+	simUnanswered   = 150 * time.Millisecond
+	simDialTimeout  = 500 * time.Millisecond
+	simProbeTimeout = 250 * time.Millisecond
+)
+
+// pathFault is how the paths of a VM to all targets fail.
+type pathFault string
+
+const (
+	// pathHangs delivers nothing.
+	pathHangs pathFault = "hang"
+	// pathResets resets connections and refuses new ones.
+	pathResets pathFault = "reset"
+	// pathRefuses refuses new connections, and lets open ones live on.
+	pathRefuses pathFault = "refuse"
+)
+
+// tries counts the requests of callers at some VMs.
+type tries struct{ sent, served int }
+
+// sever has a share of the VMs lose their paths to all targets: "sever MODE COUNT".
+func (sim *fleetSim) sever(args []string) error {
+	cnt, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	mode := pathFault(args[0])
+	if !slices.Contains([]pathFault{pathHangs, pathResets, pathRefuses}, mode) {
+		return errors.New("unknown fault of paths")
+	}
+	sim.severedAt = sim.now
+	for _, at := range sim.rnd.Perm(len(sim.vms))[:min(cnt, len(sim.vms))] {
+		vmm := sim.vms[at]
+		sim.severed[vmm.name] = mode
+		for _, req := range vmm.live {
+			if mode == pathResets && !req.ended && req.target != nil {
+				req.fail(AttemptFailed{Outcome: health.Failure, Verdict: verdict.MayHaveRun, PortClosed: true})
+			}
+		}
+	}
+	return nil
+}
+
+// count counts a request that arrives once some VMs have been severed for stableTime.
+func (vmm *simVM) count() {
+	sim := vmm.sim
+	if len(sim.severed) == 0 || sim.now.Sub(sim.severedAt) < stableTime {
+		return
+	}
+	_, severed := sim.severed[vmm.name]
+	vmm.counted[vmm.next] = &sim.atOthers
+	if severed {
+		vmm.counted[vmm.next] = &sim.atSevered
+	}
+	vmm.counted[vmm.next].sent++
+}
+
+// connected reports whether a VM has an open connection to a target.
+func (vmm *simVM) connected(target string) bool {
+	return vmm.connections[target] && vmm.sim.rnd.IntN(2) == 0
+}
+
+// blocked handles an attempt of a VM whose path to the targets fails, and reports whether it does.
+func (vmm *simVM) blocked(req *simRequest, act Dispatch) bool {
+	sim := vmm.sim
+	mode, severed := sim.severed[vmm.name]
+	open := vmm.connected(act.Target.ID)
+	unreachable := AttemptFailed{Outcome: health.Unreachable, Verdict: verdict.NotRun}
+	switch {
+	case !severed || mode == pathRefuses && open:
+		return false
+	case mode != pathHangs:
+		sim.after(targetDelay, func() { req.fail(unreachable) })
+		return true
+	}
+	run := vmm.runs
+	sim.after(simUnanswered, func() {
+		if vmm.mac != nil && vmm.runs == run && !req.ended {
+			vmm.step(Stalled{Request: act.Request, Attempt: act.Attempt, Doubt: path.Unanswered})
+		}
+	})
+	if open {
+		vmm.connections[act.Target.ID] = false
+		sim.after(act.Timeout, func() { req.fail(AttemptFailed{Outcome: health.Overdue, Verdict: verdict.MayHaveRun}) })
+		return true
+	}
+	sim.after(simDialTimeout, func() { req.fail(unreachable) })
+	return true
+}
+
+// probe opens a connection to a target.
+func (vmm *simVM) probe(act Probe) {
+	sim, run := vmm.sim, vmm.runs
+	mode, severed := sim.severed[vmm.name]
+	after := targetDelay
+	if severed && mode == pathHangs {
+		after = simProbeTimeout
+	}
+	sim.after(after, func() {
+		if vmm.mac == nil || vmm.runs != run {
+			return
+		}
+		tgt := sim.target(act.Target.ID)
+		vmm.step(Probed{Service: act.Service, Target: act.Target.ID, Reached: !severed && tgt != nil && tgt.up})
+	})
+}
--- a/core/gateway/simscript_test.go
+++ b/core/gateway/simscript_test.go
@@ -33,6 +33,8 @@
 		sim.slowPeers = args[0] == "on"
 	case "crasher", "crash", "restart-all", "store-away", "silence", "reset", "exit", "slow-crashes":
 		return sim.doCrash(verb, args)
+	case "sever":
+		return sim.sever(args)
 	case "rate":
 		num, err := strconv.Atoi(args[0])
 		sim.perSecond = num
