--- a/core/gateway/announced.go
+++ b/core/gateway/announced.go
@@ -26,16 +26,20 @@
 // heard records what a target announces in its response to an attempt, and tells the placer of the
 // target what is new.
 func (mac *Machine) heard(now clock.Instant, inf *inFlight, att *attempt, ann announcement.Announcement) {
-	run := health.RunOf(att.target)
+	mac.heardFrom(now, att.startedAt, inf.service, health.RunOf(att.target), ann)
+}
+
+// heardFrom records what a run of a target announces in its response to a request that was sent at sentAt.
+func (mac *Machine) heardFrom(now, sentAt clock.Instant, service string, run health.Run, ann announcement.Announcement) {
 	before := mac.book.Limit(run)
-	changed, notable := mac.book.Hear(now, att.startedAt, run, ann)
+	changed, notable := mac.book.Hear(now, sentAt, run, ann)
 	if notable {
 		mac.log("announced", "target", run.Target, "born", run.Born, "limit", ann.Limit.String(), "limitBefore", before.String(), "leaving", ann.Leaving,
 			"retryAfter", ann.RetryAfter, "unreadable", ann.Unreadable)
 	}
 	mac.inheritAnnounced(now, run)
 	if rep, known := mac.book.Report(now, run); changed && known {
-		mac.reportAnnounced(now, mac.placerOf(inf.service, run.Target), []announcement.Report{rep})
+		mac.reportAnnounced(now, mac.placerOf(service, run.Target), []announcement.Report{rep})
 	}
 }
 
--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -148,6 +148,8 @@
 	Idempotent bool
 	// Connections limits the connections of this VM to the target.
 	Connections int
+	// Forwarding says how another VM sends the request to the target; nil if this one does.
+	Forwarding *Forwarding
 	// Route and Organisation label traces and metrics.
 	Route        string
 	Organisation string
--- a/core/gateway/fleetsim_test.go
+++ b/core/gateway/fleetsim_test.go
@@ -91,8 +91,12 @@
 
 	// severed holds the VMs that have lost their paths to all targets since severedAt, and atSevered and
 	// atOthers count the requests that arrive later.
-	severed             map[string]pathFault
-	severedAt           time.Time
+	severed   map[string]pathFault
+	severedAt time.Time
+	// suspicions holds which targets placers came to suspect.
+	suspicions []suspicion
+	// steady is set if no answer is late, so that without faults no target is suspected.
+	steady              bool
 	atSevered, atOthers tries
 
 	sent, served, refused, failed int
@@ -382,6 +386,8 @@
 		vmm.sim.write(act.Name, act.Revision, table.Delta[fleet.Row]{Rows: []table.Row[fleet.Row]{{Name: act.Name, Value: act.Row}}})
 	case Delete:
 		vmm.sim.write(act.Name, act.Revision, table.Delta[fleet.Row]{Removed: []string{act.Name}})
+	case LogEntry:
+		vmm.sim.noteSuspicion(act)
 	case Dispatch:
 		vmm.dispatch(act)
 	case Probe:
@@ -485,24 +491,34 @@
 	vmm.live[key] = req
 	cra, dispatchedAt := vmm.crashers[act.Request], sim.now
 	answer := func(rsp Response, after time.Duration) {
-		if sim.rnd.IntN(slowAnswerOdds) == 0 {
+		if !sim.steady && sim.rnd.IntN(slowAnswerOdds) == 0 {
 			after += time.Duration(sim.rnd.Int64N(int64(slowAnswerDelay))) // It was lost once.
 		}
 		req.limit = len(req.target.limits) - 1
 		sim.after(after, func() {
-			if vmm.mac == nil || vmm.runs != run || req.ended || sim.severed[vmm.name] == pathHangs {
+			if vmm.mac == nil || vmm.runs != run || req.ended || act.Forwarding == nil && sim.severed[vmm.name] == pathHangs {
 				return
 			}
+			if by := sim.vm(act.Forwarding.vm()); by != nil && by.mac != nil {
+				by.step(Forwarded{Forwarding: *act.Forwarding, StartedAt: sim.instant(), Outcome: health.Success, Announcement: &rsp.Announcement})
+			}
 			req.ended = true
 			req.response = rsp
 			vmm.connections[act.Target.ID] = true
 			vmm.step(Answered{Request: act.Request, Attempt: act.Attempt, Response: rsp})
 		})
 	}
-	if vmm.blocked(req, act) {
+	if act.Forwarding == nil && vmm.blocked(req, act) {
 		return
 	}
 	sim.after(targetDelay, func() {
+		if act.Forwarding != nil {
+			by := vmm.forward(req, act)
+			if by == nil {
+				return
+			}
+			runID = by.mac.set.Self.ID
+		}
 		tgt := sim.target(act.Target.ID)
 		if tgt == nil || !tgt.up {
 			req.fail(AttemptFailed{Outcome: health.Unreachable, Verdict: verdict.NotRun})
--- a/core/gateway/inflight.go
+++ b/core/gateway/inflight.go
@@ -7,6 +7,7 @@
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/path"
 	"marigoldlug.example/core/placement"
 	"marigoldlug.example/core/request"
 	"marigoldlug.example/core/verdict"
@@ -55,6 +56,10 @@
 	queriedPartition *partition
 	// tried lists the IDs of the targets that the request is not sent to again.
 	tried []string
+	// unreached lists the targets that this VM did not reach. Another VM may reach them.
+	unreached []string
+	// unfit lists the VMs that could not forward the request.
+	unfit []string
 	// heldBack lists the targets that a placer chose and that this VM did not send the request to by
 	// what they announce; see Machine.holdBack.
 	heldBack []string
@@ -92,6 +97,8 @@
 	queryNumber uint64
 	placer      string
 	startedAt   clock.Instant
+	// forwarder is the VM that sends the request to the target; empty if this one does.
+	forwarder string
 }
 
 // running reports whether an attempt is running.
@@ -144,7 +151,10 @@
 	left := inf.deadline.Mono - now.Mono
 	inf.attempt++
 	beside := len(inf.live)
-	inf.live = append(inf.live, &attempt{number: inf.attempt, target: tgt, partition: inf.queriedPartition, queryNumber: inf.queryNumber, placer: placer, startedAt: now})
+	fwd := mac.forwarding(inf, tgt, ans.Forwarder)
+	inf.live = append(inf.live, &attempt{
+		number: inf.attempt, target: tgt, partition: inf.queriedPartition, queryNumber: inf.queryNumber, placer: placer, startedAt: now, forwarder: fwd.vm(),
+	})
 	inf.hedgeAt, inf.replaceAt = now.Add(ans.HedgeAfter), now.Add(ans.ReplaceAfter)
 	inf.sent++
 	inf.tried = append(inf.tried, tgt.ID)
@@ -155,10 +165,13 @@
 	if lim := mac.book.Limit(health.RunOf(tgt)); lim.Limited {
 		fields = append(fields, "limit", lim.String())
 	}
+	if fwd != nil {
+		fields = append(fields, "forwarder", fwd.VM.ID)
+	}
 	mac.emit(LogEntry{Request: inf.ID, Event: "dispatched", Fields: fields})
 	mac.emit(Dispatch{
 		Request: inf.ID, Attempt: inf.attempt, Target: tgt, Service: inf.service, Timeout: left, Idempotent: inf.route.Idempotent,
-		Connections: mac.connections(tgt), Route: inf.route.Name, Organisation: inf.organisation,
+		Connections: mac.connections(tgt), Forwarding: fwd, Route: inf.route.Name, Organisation: inf.organisation,
 	})
 }
 
@@ -195,7 +208,9 @@
 		return
 	}
 	rsp := evt.Response
-	mac.paths.Responded(inf.service)
+	if att.forwarder == "" {
+		mac.paths.Responded(now, inf.service)
+	}
 	if !rsp.Misdirected {
 		mac.heard(now, inf, att, rsp.Announcement)
 	}
@@ -360,6 +375,7 @@
 		mac.contentAnswered(now, inf)
 	}
 	if outcome == health.Failure {
+		mac.doubt(now, inf.service, inf.live[0].target.ID, path.Unanswered)
 		mac.brokeOff(now, inf, inf.live[0].target, evt.PortClosed)
 		mac.emit(LogEntry{Request: inf.ID, Event: "responseBrokeOff", Fields: []any{
 			"target", inf.live[0].target.ID, "content", inf.fingerprint, "portClosed", evt.PortClosed,
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -129,9 +129,11 @@
 	case AttemptFailed:
 		mac.attemptFailed(now, evt)
 	case Stalled:
-		mac.stalled(now, evt)
+		mac.doubt(now, evt.Service, evt.Target, evt.Doubt)
 	case Probed:
 		mac.probed(now, evt)
+	case Forwarded:
+		mac.forwarded(now, evt)
 	case RelayEnded:
 		mac.relayEnded(now, evt)
 	case CallerLeft:
@@ -171,6 +173,8 @@
 		mac.updateReceived(now, evt.From, msg)
 	case Ping:
 		mac.emit(Send{To: evt.From, Message: Pong{}})
+	case PathsWarning:
+		mac.warnedOfPaths(now, msg.Service)
 	case quota.Query:
 		mac.serveTokens(now, evt.From, msg)
 	case quota.Grant:
--- a/core/gateway/paths.go
+++ b/core/gateway/paths.go
@@ -1,17 +1,19 @@
 package gateway
 
 import (
+	"slices"
+	"time"
+
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/path"
-	"marigoldlug.example/core/request"
 	"marigoldlug.example/core/verdict"
 )
 
-// Stalled reports that an attempt makes no progress on its way to the target.
+// Stalled reports that a request makes no progress on its way to a target.
 type Stalled struct {
-	Request request.ID
-	Attempt int
+	Service string
+	Target  string
 	// Doubt says how strongly that speaks against the path.
 	Doubt path.Doubt
 }
@@ -45,6 +47,15 @@
 	return cnt
 }
 
+// targets returns the targets of a service.
+func (svc *service) targets() []health.Target {
+	var tgs []health.Target
+	for _, par := range svc.partitions {
+		tgs = append(tgs, par.targets...)
+	}
+	return tgs
+}
+
 // connectFailed records that no connection to a target could be opened.
 func (mac *Machine) connectFailed(now clock.Instant, name, target string) {
 	svc := mac.services[name]
@@ -63,8 +74,47 @@
 func (mac *Machine) pathsLost(now clock.Instant, name string) {
 	for _, other := range sortedNames(mac.services) {
 		if other != name && !mac.paths.Lost(other) {
-			mac.paths.Doubted(other, "", path.Unanswered)
-			mac.probe(now, other)
+			mac.doubt(now, other, "", path.Unanswered)
+		}
+	}
+	mac.warnOfPaths(name)
+	mac.resendStuck(now, name)
+}
+
+// maxWarned is the greatest number of VMs that are told at once of lost paths.
+const maxWarned = 32
+
+// PathsWarning tells another VM that the sender reaches no target of a service: it may not reach them either.
+type PathsWarning struct{ Service string }
+
+// warnOfPaths has other VMs look after their paths, so that they know before they risk a request.
+func (mac *Machine) warnOfPaths(name string) {
+	vms := mac.fleet.View().VMs()
+	for _, at := range mac.rnd.Perm(len(vms))[:min(len(vms), maxWarned)] {
+		if vms[at].ID != mac.set.Self.ID {
+			mac.emit(Send{To: vms[at].ID, Message: PathsWarning{Service: name}})
+		}
+	}
+}
+
+// warnedOfPaths handles the warning of another VM.
+func (mac *Machine) warnedOfPaths(now clock.Instant, name string) {
+	if !mac.paths.ReachedSince(now.Add(-warnedQuietTime), name) {
+		mac.doubt(now, name, "", path.Unanswered)
+	}
+}
+
+// warnedQuietTime is how long after this VM has reached a target warnings do not concern it.
+const warnedQuietTime = 100 * time.Millisecond
+
+// resendStuck has the idempotent requests sent again at once that this VM has sent to targets of a service that
+// it does not reach any more.
+func (mac *Machine) resendStuck(now clock.Instant, name string) {
+	for _, id := range sortedRequests(mac.requests) {
+		inf := mac.requests[id]
+		forwarded := slices.ContainsFunc(inf.live, func(att *attempt) bool { return att.forwarder != "" })
+		if inf.service == name && inf.running() && !inf.relaying && !forwarded {
+			inf.hedgeAt, inf.replaceAt = now, now
 		}
 	}
 }
@@ -76,7 +126,7 @@
 	case svc == nil:
 	case !evt.Reached:
 		mac.connectFailed(now, evt.Service, evt.Target)
-	case mac.paths.Connected(evt.Service, evt.Target, svc.targetCount()):
+	case mac.paths.Connected(now, evt.Service, evt.Target, svc.targetCount()):
 		mac.log("pathsFound", "service", evt.Service, "target", evt.Target)
 	}
 }
@@ -84,11 +134,7 @@
 // probe opens connections to targets of a service if the paths to them are in doubt.
 func (mac *Machine) probe(now clock.Instant, name string) {
 	svc := mac.services[name]
-	var tgs []health.Target
-	for _, par := range svc.partitions {
-		tgs = append(tgs, par.targets...)
-	}
-	for _, tgt := range mac.paths.Probes(now, mac.rnd, name, tgs) {
+	for _, tgt := range mac.paths.Probes(now, mac.rnd, name, svc.targets()) {
 		mac.emit(Probe{Service: name, Target: tgt, Connections: mac.connections(tgt)})
 	}
 }
@@ -99,21 +145,31 @@
 	}
 }
 
-// stalled handles an attempt that makes no progress.
-func (mac *Machine) stalled(now clock.Instant, evt Stalled) {
-	if inf, att := mac.currentAttempt(evt.Request, evt.Attempt); att != nil {
-		mac.paths.Doubted(inf.service, att.target.ID, evt.Doubt)
-		mac.probe(now, inf.service)
+// doubt records a sign against the path to a target.
+func (mac *Machine) doubt(now clock.Instant, name, target string, dbt path.Doubt) {
+	if mac.services[name] != nil {
+		mac.paths.Doubted(name, target, dbt)
+		mac.probe(now, name)
 	}
 }
 
 // notePath records what the failure of an attempt says about the path to its target.
 func (mac *Machine) notePath(now clock.Instant, inf *inFlight, att *attempt, evt AttemptFailed) {
 	switch {
+	case att.forwarder != "" && evt.Outcome == health.NotForwarded:
+		inf.unfit = append(inf.unfit, att.forwarder)
+		inf.retryAt(att.target.ID)
+	case att.forwarder != "":
 	case evt.Outcome == health.Unreachable:
+		inf.retryAt(att.target.ID)
+		inf.unreached = append(inf.unreached, att.target.ID)
 		mac.connectFailed(now, inf.service, att.target.ID)
-	case evt.Outcome == health.Failure && evt.Verdict == verdict.MayHaveRun && mac.services[inf.service] != nil:
-		mac.paths.Doubted(inf.service, att.target.ID, path.Unanswered)
-		mac.probe(now, inf.service)
+	case evt.Outcome == health.Failure && evt.Verdict == verdict.MayHaveRun:
+		mac.doubt(now, inf.service, att.target.ID, path.Unanswered)
 	}
 }
+
+// retryAt allows a request to be sent to a target again, which it has not reached.
+func (inf *inFlight) retryAt(target string) {
+	inf.tried = slices.DeleteFunc(inf.tried, func(one string) bool { return one == target })
+}
--- a/core/gateway/paths_test.go
+++ b/core/gateway/paths_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"testing"
 	"time"
 )
@@ -16,6 +15,8 @@
 	minSeveredShare = 2.0 / 3
 	// minOthersServed is the least share that the other VMs must serve.
 	minOthersServed = 0.9
+	// blameTime is how long after VMs lost their paths targets may still be suspected by what these VMs report.
+	blameTime = 1500 * time.Millisecond
 )
 
 // playSevered plays a fleet some of whose VMs lose their paths to all targets.
@@ -23,6 +24,7 @@
 	rnd := rand.New(rand.NewPCG(seed, 6))
 	vms, tgs := 6+rnd.IntN(30), 6+rnd.IntN(12)
 	sim := startFleetSim(rnd, vms, tgs, 20+rnd.IntN(30))
+	sim.steady = true
 	at := simLoadAfter + 4*time.Second
 	sim.schedule(at, fmt.Sprintf("sever %s %d", mode, 1+rnd.IntN(vms*2/3)))
 	sim.run(at + severedLength)
@@ -56,20 +58,18 @@
 	})
 }
 
-// TestTargetsAreNotBlamedByVMsWithoutPaths looks for contents that are suspected to crash targets although
-// no target has crashed.
+// TestTargetsAreNotBlamedByVMsWithoutPaths looks for targets that are suspected by what VMs without paths
+// report, and for contents that are suspected to crash targets although no target has crashed.
 func TestTargetsAreNotBlamedByVMsWithoutPaths(t *testing.T) {
 	forSevered(t, func(t *testing.T, sim *fleetSim) {
 		for _, vmm := range sim.vms {
 			if suspected, quarantined, _ := vmm.mac.contents.book.Sizes(); suspected+quarantined > 0 {
 				t.Errorf("%s suspects %d contents and has %d in quarantine", vmm.name, suspected, quarantined)
 			}
-			for _, par := range vmm.mac.services["svc"].partitions {
-				if par.central != nil && par.placer == vmm.mac.set.Self.ID {
-					if list := par.central.Suspected(sim.instant()); len(list) > 0 {
-						t.Errorf("the placer suspects %s", strings.Join(list, ", "))
-					}
-				}
+		}
+		for _, sus := range sim.suspicions {
+			if after := sus.at.Sub(sim.severedAt); after > blameTime && sim.severed[sim.vm(sus.vm).name] != "" {
+				t.Errorf("%v after the paths were lost, a placer suspects %s by what %s reports", after, sus.target, sus.vm)
 			}
 		}
 	})
--- a/core/gateway/pathsim_test.go
+++ b/core/gateway/pathsim_test.go
@@ -15,7 +15,7 @@
 const (
 	simUnanswered   = 150 * time.Millisecond
 	simDialTimeout  = 500 * time.Millisecond
-	simProbeTimeout = 250 * time.Millisecond
+	simProbeTimeout = 150 * time.Millisecond
 )
 
 // pathFault is how the paths of a VM to all targets fail.
@@ -33,6 +33,29 @@
 // tries counts the requests of callers at some VMs.
 type tries struct{ sent, served int }
 
+// suspicion is that a placer came to suspect a target by what a VM reported.
+type suspicion struct {
+	at         time.Time
+	target, vm string
+}
+
+func (sim *fleetSim) noteSuspicion(ent LogEntry) {
+	if ent.Event != "targetSuspected" {
+		return
+	}
+	sus := suspicion{at: sim.now}
+	for num := 0; num < len(ent.Fields); num += 2 {
+		val, _ := ent.Fields[num+1].(string)
+		switch ent.Fields[num] {
+		case "target":
+			sus.target = val
+		case "vm":
+			sus.vm = val
+		}
+	}
+	sim.suspicions = append(sim.suspicions, sus)
+}
+
 // sever has a share of the VMs lose their paths to all targets: "sever MODE COUNT".
 func (sim *fleetSim) sever(args []string) error {
 	cnt, err := strconv.Atoi(args[1])
@@ -91,7 +114,7 @@
 	run := vmm.runs
 	sim.after(simUnanswered, func() {
 		if vmm.mac != nil && vmm.runs == run && !req.ended {
-			vmm.step(Stalled{Request: act.Request, Attempt: act.Attempt, Doubt: path.Unanswered})
+			vmm.step(Stalled{Service: act.Service, Target: act.Target.ID, Doubt: path.Unanswered})
 		}
 	})
 	if open {
@@ -103,6 +126,27 @@
 	return true
 }
 
+// forward delivers an attempt to the VM that is to forward it, and returns it, or nil if it does not forward.
+func (vmm *simVM) forward(req *simRequest, act Dispatch) *simVM {
+	sim := vmm.sim
+	fwd := act.Forwarding
+	by := sim.vm(fwd.VM.ID)
+	if by == nil || by.mac == nil || by.mac.set.Self.ID != fwd.VM.ID || sim.cut[by.name] || sim.cut[vmm.name] {
+		req.fail(AttemptFailed{Outcome: health.NotForwarded, Verdict: verdict.NotRun})
+		return nil
+	}
+	if _, _, rej := by.mac.MayForward(sim.instant(), *fwd); rej != nil {
+		req.fail(AttemptFailed{Outcome: rej.Outcome, Verdict: verdict.NotRun})
+		return nil
+	}
+	if _, severed := sim.severed[by.name]; severed {
+		by.step(Forwarded{Forwarding: *fwd, Outcome: health.Unreachable})
+		req.fail(AttemptFailed{Outcome: health.Unreachable, Verdict: verdict.NotRun})
+		return nil
+	}
+	return by
+}
+
 // probe opens a connection to a target.
 func (vmm *simVM) probe(act Probe) {
 	sim, run := vmm.sim, vmm.runs
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -293,11 +293,15 @@
 }
 
 func (mac *Machine) criteria(now clock.Instant, inf *inFlight) placement.Criteria {
+	lost := mac.paths.Lost(inf.service)
 	excluded := slices.Concat(inf.tried, inf.heldBack, mac.refusing(now, inf.queriedPartition))
+	if !lost {
+		excluded = append(excluded, inf.unreached...)
+	}
 	return placement.Criteria{
 		Route: inf.route.Name, Domain: mac.set.Self.FailureDomain, Idempotent: inf.route.Idempotent, Retry: inf.sent > 0, Hedge: inf.hedging,
 		TimeToGoal: max(inf.goal.Mono-now.Mono, 0), TimeLeft: max(inf.deadline.Mono-now.Mono, 0), Tried: excluded,
-		Priority: int(inf.priority), Suspected: inf.permission.granted != nil,
+		Priority: int(inf.priority), Suspected: inf.permission.granted != nil, PathsLost: lost,
 	}
 }
 
--- a/core/health/outcome.go
+++ b/core/health/outcome.go
@@ -31,11 +31,14 @@
 	// Misdirected is a response of another target, which has the address now. The request has not
 	// run.
 	Misdirected
+	// NotForwarded is an attempt that the VM which was to forward it did not send. That says nothing
+	// about the target.
+	NotForwarded
 )
 
 // String returns the name of the outcome used in metrics.
 func (out Outcome) String() string {
-	names := [...]string{"success", "failure", "unreachable", "shed", "canceled", "erred", "overdue", "stranger"}
+	names := [...]string{"success", "failure", "unreachable", "shed", "canceled", "erred", "overdue", "stranger", "notForwarded"}
 	if int(out) < len(names) {
 		return names[out]
 	}
--- a/core/path/path.go
+++ b/core/path/path.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,11 +14,15 @@
 )
 
 const (
-	// lostCount is at how many targets in a row connections must fail until a service counts as lost, and
-	// foundCount at how many they must succeed until it counts as found again. A service with fewer targets
-	// needs all of them.
-	lostCount  = 3
+	// A service counts as lost once connections have failed in a row at lostShare of its targets, but at
+	// minLost at least and maxLost at most: some of its targets may be down. It counts as found again once
+	// foundCount connections in a row have succeeded. A service with fewer targets needs all of them.
+	lostShare  = 0.67
+	minLost    = 5
+	maxLost    = 12
 	foundCount = 2
+	// firstProbes is how many targets are probed first. Others follow only if these all fail.
+	firstProbes = 3
 	// failureTime is how long a failed connection counts.
 	failureTime = 3 * time.Second
 	// doubtInterval is the least time between two rounds of probes for a service that is in doubt.
@@ -61,6 +66,10 @@
 	// probedAt is when targets were last probed, and interval is the time until a lost service is probed again.
 	probedAt clock.Instant
 	interval time.Duration
+	// widened is set once more than firstProbes targets have been probed since the VM last reached one.
+	widened bool
+	// reachedAt is when a target was last reached.
+	reachedAt clock.Instant
 }
 
 // NewBook returns a book that takes all paths to work.
@@ -101,27 +110,37 @@
 
 // Responded records that a target has answered. That clears doubts, but does not find a lost service:
 // connections may live on while new ones fail.
-func (bok *Book) Responded(name string) {
-	svc := bok.services[name]
-	if svc == nil || svc.lost {
-		return
+func (bok *Book) Responded(now clock.Instant, name string) {
+	svc := bok.service(name)
+	svc.reachedAt = now
+	if !svc.lost {
+		svc.clear()
 	}
-	svc.clear()
+}
+
+// ReachedSince reports whether a target of a service was reached since a time.
+func (bok *Book) ReachedSince(at clock.Instant, name string) bool {
+	svc := bok.services[name]
+	return svc != nil && at.Before(svc.reachedAt)
 }
 
 func (svc *service) clear() {
 	clear(svc.failed)
 	clear(svc.reached)
-	svc.doubt, svc.suspect, svc.interval = None, "", 0
+	svc.doubt, svc.suspect, svc.interval, svc.widened = None, "", 0, false
+}
+
+// lostCount returns at how many of a service's targets connections must fail until it counts as lost.
+func lostCount(targets int) int {
+	cnt := int(math.Ceil(lostShare * float64(targets)))
+	return min(max(cnt, minLost), maxLost, targets)
 }
 
 // Connected records that a connection to a target was opened, and reports whether the service is found
 // again by that. targets is the number of targets of the service.
-func (bok *Book) Connected(name, target string, targets int) (found bool) {
-	svc := bok.services[name]
-	if svc == nil {
-		return false
-	}
+func (bok *Book) Connected(now clock.Instant, name, target string, targets int) (found bool) {
+	svc := bok.service(name)
+	svc.reachedAt = now
 	if !svc.lost {
 		svc.clear()
 		return false
@@ -143,7 +162,7 @@
 	maps.DeleteFunc(svc.failed, func(_ string, at clock.Instant) bool { return now.Since(at) > failureTime })
 	svc.failed[target] = now
 	bok.Doubted(name, target, Unanswered)
-	if svc.lost || len(svc.failed) < min(lostCount, targets) {
+	if svc.lost || len(svc.failed) < lostCount(targets) {
 		return false
 	}
 	svc.lost, svc.interval = true, minLostInterval
@@ -166,11 +185,15 @@
 	if svc == nil || svc.doubt == None || len(tgs) == 0 {
 		return nil
 	}
-	interval, count := doubtInterval, lostCount
-	if svc.lost {
+	interval, count := doubtInterval, firstProbes
+	switch {
+	case svc.lost:
 		interval, count = svc.interval, foundCount
-	} else if svc.doubt == Slow {
+	case svc.doubt == Slow:
 		count = 1
+	case len(svc.failed) >= min(firstProbes, len(tgs)) && !svc.widened:
+		svc.widened, svc.probedAt = true, now
+		return svc.choose(rnd, tgs, lostCount(len(tgs))-len(svc.failed))
 	}
 	if svc.probedAt != (clock.Instant{}) && now.Since(svc.probedAt) < interval {
 		return nil
@@ -182,19 +205,19 @@
 	return svc.choose(rnd, tgs, count)
 }
 
-// choose returns cnt targets at random, the suspect first unless the service is lost.
+// choose returns cnt targets at random: of a lost service any, else those at which no connection has failed, the
+// suspect first.
 func (svc *service) choose(rnd *rand.Rand, tgs []health.Target, cnt int) []health.Target {
-	out := make([]health.Target, 0, cnt)
-	if at := slices.IndexFunc(tgs, func(tgt health.Target) bool { return tgt.ID == svc.suspect }); at >= 0 && !svc.lost {
-		out = append(out, tgs[at])
-	}
+	var out []health.Target
 	for _, at := range rnd.Perm(len(tgs)) {
-		if len(out) >= cnt {
-			break
-		}
-		if tgs[at].ID != svc.suspect || svc.lost {
+		_, failed := svc.failed[tgs[at].ID]
+		switch {
+		case failed && !svc.lost:
+		case tgs[at].ID == svc.suspect:
+			out = slices.Insert(out, 0, tgs[at])
+		default:
 			out = append(out, tgs[at])
 		}
 	}
-	return out
+	return out[:min(cnt, len(out))]
 }
--- a/core/path/path_test.go
+++ b/core/path/path_test.go
@@ -36,9 +36,9 @@
 			case "fail":
 				bok.Failed(now, "svc", words[2], targets)
 			case "connect":
-				bok.Connected("svc", words[2], targets)
+				bok.Connected(now, "svc", words[2], targets)
 			case "respond":
-				bok.Responded("svc")
+				bok.Responded(now, "svc")
 			case "slow":
 				bok.Doubted("svc", words[2], Slow)
 			case "unanswered":
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -17,8 +17,8 @@
 	retryableFailCost = 0.4
 	// lateCost is the cost of a response after the latency goal.
 	lateCost = 0.7
-	// pathCost is the cost of a target at which the VM failed within pathAvoidTime.
-	pathCost = 0.5
+	// failedPathCost is the cost of a target at which the VM failed within pathAvoidTime.
+	failedPathCost = 0.5
 	// crossDomainCost is the cost of a target in another failure domain.
 	crossDomainCost = 0.03
 	// loadCost is the cost of a target whose slots are all in use; it grows with the requests there.
@@ -101,6 +101,18 @@
 	return best, obs
 }
 
+// pathCost returns the part of the cost that depends on the path between a VM and a target.
+func (pla *Placer) pathCost(now clock.Instant, vmm string, cri Criteria, tgt *target) float64 {
+	cost := 0.0
+	if !tgt.connected(now, vmm, cri.Idempotent) {
+		cost += connectCost
+	}
+	if at, failed := tgt.pathFailures[vmm]; failed && now.Since(at) < pathAvoidTime {
+		cost += failedPathCost
+	}
+	return cost
+}
+
 // cost returns the expected cost of a placement, as a fraction of the value of the request.
 func (pla *Placer) cost(now clock.Instant, vmm string, cri Criteria, lat *latency, tgt *target, queueWait time.Duration) float64 {
 	sick := pla.sick(now, tgt)
@@ -120,11 +132,8 @@
 	case tgt.runsSuspected():
 		cost += suspectedCost
 	}
-	if !tgt.connected(now, vmm, cri.Idempotent) {
-		cost += connectCost
-	}
-	if at, failed := tgt.pathFailures[vmm]; failed && now.Since(at) < pathAvoidTime {
-		cost += pathCost
+	if !cri.PathsLost {
+		cost += pla.pathCost(now, vmm, cri, tgt)
 	}
 	if !cri.Retry && tgt.trialDue(now, sick, cri.Idempotent) {
 		cost -= failCost // The target's state is unknown; this request is its trial.
--- a/core/placement/message.go
+++ b/core/placement/message.go
@@ -34,6 +34,8 @@
 	Priority int
 	// Suspected is set if the request may crash its target, as others with the same content did.
 	Suspected bool
+	// PathsLost is set if the VM that sends the request reaches no target, so that another one must forward it.
+	PathsLost bool
 }
 
 // hedgeBudgetShare is the share of the retry budget up to which hedges are placed. The rest is kept
@@ -74,6 +76,8 @@
 	Limits rate.PerSecond
 	// Announced is what the placer knows that Target announces; nil if that is nothing.
 	Announced *announcement.Report
+	// Forwarder is the VM that is to forward the request to Target; empty if none is needed or known.
+	Forwarder string
 }
 
 // End is the end of an attempt.
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -17,7 +17,7 @@
 	// recentResponseTime is how long after a response to one VM the failure of another VM to connect
 	// to the target is attributed to the network path between the two.
 	recentResponseTime = time.Second
-	// pathAvoidTime is how long after a failure of a VM at a target pathCost is added for that target
+	// pathAvoidTime is how long after a failure of a VM at a target failedPathCost is added for that target
 	// to the further requests of the VM.
 	pathAvoidTime = 4 * time.Second
 	// pathRepeatTime is how long after a failure of a VM at a target its next failure there counts
@@ -83,8 +83,12 @@
 
 // attempt is one sending of a request to a target.
 type attempt struct {
-	id         AttemptID
-	target     *target
+	id     AttemptID
+	target *target
+	// forwarded is set if another VM forwards the request to the target: forwarder, which is empty if the
+	// placer knew none.
+	forwarded  bool
+	forwarder  string
 	route      string
 	idempotent bool
 	began      clock.Instant
@@ -105,6 +109,14 @@
 	suspected bool
 }
 
+// sender returns the VM that sends the request to the target; empty if it is not known.
+func (att *attempt) sender() string {
+	if att.forwarded {
+		return att.forwarder
+	}
+	return att.id.VM
+}
+
 // served returns for how long the request has likely been worked on.
 func (att *attempt) served(now clock.Instant) time.Duration {
 	if !att.inSlot {
@@ -143,6 +155,7 @@
 	// announcements and limiter say which targets get requests by what they announce.
 	announcements Announcements
 	limiter       Limiter
+	forwarders    forwarders
 	// limitRetryAt is the latest time at which callers were told to return that were refused for limits.
 	limitRetryAt clock.Instant
 	changes      []SuspicionChange
@@ -160,6 +173,7 @@
 func New(rnd *rand.Rand, bud *request.RetryBudget, ann Announcements, lim Limiter) *Placer {
 	return &Placer{
 		rnd: rnd, budget: bud, announcements: ann, limiter: lim, attempts: make(map[AttemptID]*attempt), latencies: make(map[string]*latency),
+		forwarders: newForwarders(),
 	}
 }
 
@@ -232,6 +246,7 @@
 	if !cri.Retry {
 		lat.goal, lat.goalAt = cri.TimeToGoal, now
 	}
+	pla.forwarders.note(aid.VM, cri)
 	best, obs := pla.choose(now, aid.VM, cri, lat)
 	switch {
 	case best.target != nil && cri.Retry && !pla.budget.TryRetry(now, cri.budgetShare()):
@@ -243,13 +258,17 @@
 	if tgt.allowance != nil {
 		pla.limiter.take(tgt.allowance)
 	}
+	forwarder := ""
+	if cri.PathsLost {
+		forwarder = pla.forwarder(now, aid.VM, cri, tgt)
+	}
 	trial := tgt.suspected && len(tgt.running) == 0
 	pla.begin(now, &attempt{
 		id: aid, target: tgt, route: cri.Route, idempotent: cri.Idempotent, began: now, deadline: now.Add(cri.TimeLeft), queueWait: best.queueWait,
-		trial: trial, suspected: cri.Suspected,
+		trial: trial, suspected: cri.Suspected, forwarded: cri.PathsLost, forwarder: forwarder,
 	})
 	run := attemptTiming{latency: lat, slowdown: tgt.slowdown(now), sick: tgt.belief.now(now), queueWait: best.queueWait, timeLeft: cri.TimeLeft}
-	return Answer{Number: aid.Number, Target: tgt.ID, ReplaceAfter: run.replaceAfter(), HedgeAfter: run.hedgeAfter(cri.Retry, trial)}
+	return Answer{Number: aid.Number, Target: tgt.ID, ReplaceAfter: run.replaceAfter(), HedgeAfter: run.hedgeAfter(cri.Retry, trial), Forwarder: forwarder}
 }
 
 func (pla *Placer) begin(now clock.Instant, att *attempt) {
@@ -301,15 +320,18 @@
 		}
 	case health.Unreachable:
 		factor := float64(unreachableFactor)
-		if tgt.respondsToOthers(now, aid.VM) {
+		if tgt.respondsToOthers(now, att.sender()) {
 			factor = 1 // Other VMs reach the target, so the network path of this VM is at fault.
 		}
+		delete(tgt.lastResponses, att.sender())
 		pla.recordFailure(now, att, factor, 0, "unreachable")
 	case health.Misdirected:
 		tgt.avoidUntil = now.Add(misdirectedTime)
+	case health.NotForwarded:
+		pla.forwarders.unfitUntil[att.sender()] = now.Add(unfitTime)
 	case health.Shed, health.Canceled:
 	}
-	pla.updateSuspicion(now, tgt, outcome.String(), aid.VM)
+	pla.updateSuspicion(now, tgt, outcome.String(), att.sender())
 }
 
 func (pla *Placer) succeeded(now clock.Instant, att *attempt, took, served time.Duration) {
@@ -321,8 +343,8 @@
 	}
 	tgt.belief.observe(now, factor, took)
 	tgt.failedTrials = 0
-	delete(tgt.pathFailures, att.id.VM)
-	tgt.lastResponses[att.id.VM] = now
+	delete(tgt.pathFailures, att.sender())
+	tgt.lastResponses[att.sender()] = now
 	lat := pla.latencies[att.route]
 	// When it got its slot is only likely: at least a quarter of the time counts as spent on the request.
 	served = max(served, took/4)
@@ -354,15 +376,15 @@
 // pathRepeatTime.
 func (pla *Placer) recordFailure(now clock.Instant, att *attempt, factor float64, age time.Duration, cause string) {
 	tgt := att.target
-	at, before := tgt.pathFailures[att.id.VM]
+	at, before := tgt.pathFailures[att.sender()]
 	if !before || now.Since(at) > pathRepeatTime {
 		tgt.belief.observe(now, factor, age)
 		if att.trial {
 			tgt.failedTrials = min(tgt.failedTrials+1, maxFailedTrials)
 		}
 	}
-	tgt.pathFailures[att.id.VM] = now
-	pla.updateSuspicion(now, tgt, cause, att.id.VM)
+	tgt.pathFailures[att.sender()] = now
+	pla.updateSuspicion(now, tgt, cause, att.sender())
 }
 
 // updateSuspicion marks a target as suspected or trusted by its probability to be sick, and records a
@@ -445,6 +467,7 @@
 			pla.remove(now, att)
 		}
 	}
+	pla.forwarders.forget(vmm)
 }
 
 // Sick returns the probability that the target with the given ID is sick; 0 if there is no such target.
--- a/lugbench/pkg/playground/crashes_test.go
+++ b/lugbench/pkg/playground/crashes_test.go
@@ -29,7 +29,7 @@
 			if crashed == 0 || crashed > 3 {
 				t.Errorf("%d targets crashed, want 1 to 3", crashed)
 			}
-			if err := pgr.startVM(context.Background(), 3, pgr.StoreAddress, io.Discard); err != nil {
+			if err := pgr.startVM(context.Background(), 3, pgr.StoreAddress, Settings{Log: io.Discard}); err != nil {
 				t.Fatal(err)
 			}
 			for num := range 4 {
--- a/lugbench/pkg/playground/playground.go
+++ b/lugbench/pkg/playground/playground.go
@@ -54,6 +54,9 @@
 	Log io.Writer
 	// Note replaces the first release note of this package, unless it is empty.
 	Note string
+	// Links are the links to the targets of some VMs, by the number of the VM. The other VMs reach the targets
+	// directly.
+	Links map[int]*Links
 }
 
 // Playground is a small fleet with its store and targets.
@@ -103,7 +106,7 @@
 		return nil, err
 	}
 	for num := range set.VMs {
-		if err := pgr.startVM(ctx, num, address, set.Log); err != nil {
+		if err := pgr.startVM(ctx, num, address, set); err != nil {
 			return nil, err
 		}
 	}
@@ -201,24 +204,30 @@
 	return set, nil
 }
 
-// platformAdapter connects VMs to the platform as lugd does.
-func platformAdapter() edge.PlatformAdapter {
+// platformAdapter connects VMs to the platform as lugd does. lnk is nil for a VM that reaches the targets
+// directly.
+func platformAdapter(lnk *Links) edge.PlatformAdapter {
 	return edge.PlatformAdapter{
-		Names:   objects.Names(),
-		Connect: func(address string, log logrus.FieldLogger) driver.Platform { return objects.New(address, log) },
+		Names: objects.Names(),
+		Connect: func(address string, log logrus.FieldLogger) driver.Platform {
+			if lnk == nil {
+				return objects.New(address, log)
+			}
+			return linkedPlatform{Platform: objects.New(address, log), links: lnk}
+		},
 	}
 }
 
-func (pgr *Playground) startVM(ctx context.Context, num int, platform string, out io.Writer) error {
+func (pgr *Playground) startVM(ctx context.Context, num int, platform string, all Settings) error {
 	set, err := VMSettings(num, platform)
 	if err != nil {
 		return err
 	}
-	lgs, err := logflags.New(out, "json", "")
+	lgs, err := logflags.New(all.Log, "json", "")
 	if err != nil {
 		return err
 	}
-	dmn, err := edge.New(ctx, set, platformAdapter(), lgs)
+	dmn, err := edge.New(ctx, set, platformAdapter(all.Links[num]), lgs)
 	if err != nil {
 		return err
 	}
--- a/lugbench/pkg/playground/process_test.go
+++ b/lugbench/pkg/playground/process_test.go
@@ -26,7 +26,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(programVariable) != "" {
-		os.Exit(edge.Main(platformAdapter(), objects.SettingsVariable))
+		os.Exit(edge.Main(platformAdapter(nil), objects.SettingsVariable))
 	}
 	os.Exit(m.Run())
 }
--- a/lugd/pkg/driver/driver.go
+++ b/lugd/pkg/driver/driver.go
@@ -13,6 +13,7 @@
 
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/gateway"
+	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/request"
 	"marigoldlug.example/lugd/pkg/peer"
@@ -251,6 +252,15 @@
 	return may
 }
 
+// MayForward decides whether a request of another VM is forwarded to its target.
+func (dri *Driver) MayForward(fwd gateway.Forwarding) (tgt health.Target, connections int, rej *gateway.Rejection) {
+	dri.WithMachine(func(mac *gateway.Machine, now clock.Instant) { tgt, connections, rej = mac.MayForward(now, fwd) })
+	return tgt, connections, rej
+}
+
+// Now returns the time of the VM.
+func (dri *Driver) Now() clock.Instant { return dri.clock.Now() }
+
 // Status returns the state of the VM and whether it is ready.
 func (dri *Driver) Status() (sta gateway.Status, ready bool) {
 	dri.WithMachine(func(mac *gateway.Machine, now clock.Instant) {
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -25,6 +25,7 @@
 	"marigoldlug.example/core/quota"
 	"marigoldlug.example/lugd/pkg/certificate"
 	"marigoldlug.example/lugd/pkg/driver"
+	"marigoldlug.example/lugd/pkg/forward"
 	"marigoldlug.example/lugd/pkg/header"
 	"marigoldlug.example/lugd/pkg/http1"
 	"marigoldlug.example/lugd/pkg/logflags"
@@ -84,6 +85,7 @@
 	transport      *peer.Transport
 	pool           *target.Pool
 	callerServer   *http1.Server
+	forwarder      *forward.Server
 	readyServer    *http.Server
 	operatorServer *http.Server
 	tracer         *trace.Tracer
@@ -138,6 +140,9 @@
 		Names: adp.Names, BodyPrefixBytes: bodyPrefixBytes, AllowCloseDelimited: true,
 	})
 	dmn.driver.SetProber(dmn.pool)
+	dmn.pool.SetForwarding(dmn.transport.DialForwarding)
+	dmn.forwarder = forward.New(adp.Names, dmn.driver, dmn.pool, lgs.Logger(logflags.Peer))
+	dmn.transport.SetForwarder(dmn.forwarder)
 	dmn.registerMetrics()
 	dmn.callerServer = http1.New(callerSettings(set, config.Bounds{}), adp.Names, dmn.driver, dmn.pool, &observer{set: met, tracer: dmn.tracer}, lgs.Logger(logflags.Caller))
 	dmn.createHTTPServers(lgs.Logger(logflags.Operator))
@@ -443,6 +448,7 @@
 		cut = dmn.callerServer.Connections()
 		dmn.log.WithField("connections", cut).Warn("the stop time is almost over; cutting the connections of callers that are still open")
 	}
+	dmn.forwarder.Stop(ctx)
 	_ = dmn.readyServer.Close()
 	_ = dmn.operatorServer.Close()
 	if err := dmn.tracer.Shutdown(ctx); err != nil {
--- a/lugd/pkg/http1/handler.go
+++ b/lugd/pkg/http1/handler.go
@@ -24,6 +24,9 @@
 	bearerScheme        = "bearer "
 )
 
+// maxForwardingConns is the greatest number of connections to a VM that forwards requests.
+const maxForwardingConns = 64
+
 // requestHandler handles one request of a caller.
 type requestHandler struct {
 	con *conn
@@ -173,9 +176,14 @@
 		Address: dis.Target.Address, Idempotent: dis.Idempotent, Timeout: dis.Timeout, MaxConnections: dis.Connections,
 		CallerRequestID: han.callerRequestID,
 		MaySend:         func() bool { return han.con.srv.decider.MaySend(han.id, dis.Attempt) },
-		Stalled: func(dbt path.Doubt) {
-			han.con.srv.decider.Step(gateway.Stalled{Request: han.id, Attempt: dis.Attempt, Doubt: dbt})
-		},
+		Forwarding:      dis.Forwarding,
+	}
+	if dis.Forwarding == nil {
+		cal.Stalled = func(dbt path.Doubt) {
+			han.con.srv.decider.Step(gateway.Stalled{Service: dis.Service, Target: dis.Target.ID, Doubt: dbt})
+		}
+	} else {
+		cal.MaxConnections = maxForwardingConns
 	}
 	out := han.targetRequest(dis)
 	endSpan := han.con.srv.observer.StartAttempt(ctx, dis, out.Header)
--- a/lugd/pkg/peer/codec.go
+++ b/lugd/pkg/peer/codec.go
@@ -17,6 +17,10 @@
 	kindSuccessor   = 7
 	// kindCompressed is followed by a compressed payload of another kind.
 	kindCompressed = 8
+	// kindForwardHello and kindForwardReady open a connection on which requests are forwarded. Older programs
+	// do not know them, and close it.
+	kindForwardHello = 9
+	kindForwardReady = 10
 
 	kindFeedQuery       = 50
 	kindFeedUpdate      = 51
@@ -39,6 +43,11 @@
 	kindQuarantineEnded  = 64
 	kindQuarantineNews   = 65
 	kindSuspectedQuery   = 66
+	// These are sent only while VMs reach no target. kindPathsLostQuery is a kindPlacementQuery of such a VM, with
+	// whether the request is suspected, and kindForwardedAnswer a kindAnnouncedAnswer with the VM that forwards.
+	kindPathsLostQuery  = 67
+	kindForwardedAnswer = 68
+	kindPathsWarning    = 70
 )
 
 // protocolVersion is raised when frames change in a way that older programs cannot
@@ -103,6 +112,13 @@
 		wrt.unsigned(msg.Version)
 		wrt.vm(msg.From)
 		wrt.text(msg.To)
+	case forwardHello:
+		wrt.unsigned(kindForwardHello)
+		wrt.unsigned(msg.Version)
+		wrt.vm(msg.From)
+		wrt.text(msg.To)
+	case forwardReady:
+		wrt.unsigned(kindForwardReady)
 	case wrongVM:
 		wrt.unsigned(kindWrongVM)
 	case successor:
@@ -174,6 +190,10 @@
 	switch kind {
 	case kindHello:
 		return hello{Version: rdr.unsigned(), From: rdr.vm(), To: rdr.text()}
+	case kindForwardHello:
+		return forwardHello{Version: rdr.unsigned(), From: rdr.vm(), To: rdr.text()}
+	case kindForwardReady:
+		return forwardReady{}
 	case kindWrongVM:
 		return wrongVM{}
 	case kindSuccessor:
--- a/lugd/pkg/peer/gateway.go
+++ b/lugd/pkg/peer/gateway.go
@@ -26,6 +26,9 @@
 		wrt.unsigned(kindVMPing)
 	case gateway.Pong:
 		wrt.unsigned(kindVMPong)
+	case gateway.PathsWarning:
+		wrt.unsigned(kindPathsWarning)
+		wrt.text(msg.Service)
 	case quota.Query:
 		wrt.unsigned(kindTokenQuery)
 		wrt.text(msg.Organisation)
@@ -57,6 +60,8 @@
 		return gateway.Ping{}
 	case kindVMPong:
 		return gateway.Pong{}
+	case kindPathsWarning:
+		return gateway.PathsWarning{Service: rdr.text()}
 	case kindTokenQuery:
 		return quota.Query{Organisation: rdr.text(), Server: int(rdr.signed()), Number: rdr.unsigned(), Need: int(rdr.signed()), Prefetch: int(rdr.signed())}
 	case kindTokenGrant:
--- a/lugd/pkg/peer/placement.go
+++ b/lugd/pkg/peer/placement.go
@@ -11,15 +11,7 @@
 func (wrt *writer) encodePlacementMessage(msg any) bool {
 	switch msg := msg.(type) {
 	case placement.Query:
-		if msg.Criteria.Suspected {
-			wrt.unsigned(kindSuspectedQuery)
-		} else {
-			wrt.unsigned(kindPlacementQuery)
-		}
-		wrt.text(msg.Service)
-		wrt.signed(int64(msg.Partition))
-		wrt.unsigned(msg.Number)
-		wrt.criteria(msg.Criteria)
+		wrt.query(msg)
 	case placement.Answer:
 		wrt.answer(msg)
 	case placement.Ended:
@@ -52,11 +44,41 @@
 	return true
 }
 
+func (wrt *writer) query(msg placement.Query) {
+	switch {
+	case msg.Criteria.PathsLost:
+		wrt.unsigned(kindPathsLostQuery)
+	case msg.Criteria.Suspected:
+		wrt.unsigned(kindSuspectedQuery)
+	default:
+		wrt.unsigned(kindPlacementQuery)
+	}
+	wrt.text(msg.Service)
+	wrt.signed(int64(msg.Partition))
+	wrt.unsigned(msg.Number)
+	wrt.criteria(msg.Criteria)
+	if msg.Criteria.PathsLost {
+		wrt.boolean(msg.Criteria.Suspected)
+	}
+}
+
+func (rdr *reader) query(kind uint64) placement.Query {
+	msg := placement.Query{Service: rdr.text(), Partition: int(rdr.signed()), Number: rdr.unsigned(), Criteria: rdr.criteria()}
+	msg.Criteria.Suspected = kind == kindSuspectedQuery
+	if kind == kindPathsLostQuery {
+		msg.Criteria.PathsLost, msg.Criteria.Suspected = true, rdr.boolean()
+	}
+	return msg
+}
+
 func (wrt *writer) answer(ans placement.Answer) {
-	extended := ans.Announced != nil || ans.Limits != 0
-	if extended {
+	extended := ans.Announced != nil || ans.Limits != 0 || ans.Forwarder != ""
+	switch {
+	case ans.Forwarder != "":
+		wrt.unsigned(kindForwardedAnswer)
+	case extended:
 		wrt.unsigned(kindAnnouncedAnswer)
-	} else {
+	default:
 		wrt.unsigned(kindPlacementAnswer)
 	}
 	wrt.unsigned(ans.Number)
@@ -74,6 +96,9 @@
 		rps = append(rps, *ans.Announced)
 	}
 	wrt.reports(rps)
+	if ans.Forwarder != "" {
+		wrt.text(ans.Forwarder)
+	}
 }
 
 func (wrt *writer) reports(rps []announcement.Report) {
@@ -105,18 +130,19 @@
 // is unknown.
 func (rdr *reader) decodePlacementMessage(kind uint64) any {
 	switch kind {
-	case kindPlacementQuery, kindSuspectedQuery:
-		msg := placement.Query{Service: rdr.text(), Partition: int(rdr.signed()), Number: rdr.unsigned(), Criteria: rdr.criteria()}
-		msg.Criteria.Suspected = kind == kindSuspectedQuery
-		return msg
+	case kindPlacementQuery, kindSuspectedQuery, kindPathsLostQuery:
+		return rdr.query(kind)
 	case kindPlacementAnswer:
 		return rdr.answer()
-	case kindAnnouncedAnswer:
+	case kindAnnouncedAnswer, kindForwardedAnswer:
 		ans := rdr.answer()
 		ans.Limits = rate.PerSecond(rdr.signed())
 		if rps := rdr.reports(); len(rps) > 0 {
 			ans.Announced = &rps[0]
 		}
+		if kind == kindForwardedAnswer {
+			ans.Forwarder = rdr.text()
+		}
 		return ans
 	case kindPlacementAnnounced:
 		return placement.Announced{Reports: rdr.reports()}
--- a/lugd/pkg/peer/queue.go
+++ b/lugd/pkg/peer/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/tls"
 	"encoding/binary"
 	"errors"
@@ -75,12 +76,15 @@
 }
 
 // connect opens a connection to an address.
-func (trn *Transport) connect(address string) (net.Conn, error) {
+func (trn *Transport) connect(ctx context.Context, address string) (net.Conn, error) {
 	dlr := &net.Dialer{Timeout: dialTimeout, Control: socket.UserTimeout(writeTimeout)}
 	if trn.identity == nil {
-		return dlr.Dial("tcp", address)
+		return dlr.DialContext(ctx, "tcp", address)
 	}
-	return tls.DialWithDialer(dlr, "tcp", address, trn.identity.ClientConfig())
+	tlsDialer := &tls.Dialer{NetDialer: dlr, Config: trn.identity.ClientConfig()}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout) // It includes the handshake.
+	defer cancel()
+	return tlsDialer.DialContext(ctx, "tcp", address)
 }
 
 var (
@@ -119,7 +123,7 @@
 // runConnection sends queued messages over one connection. It returns nil once the
 // queue has been empty for idleTimeout or is closed.
 func (trn *Transport) runConnection(to, address string, que *sendQueue) error {
-	con, err := trn.connect(address)
+	con, err := trn.connect(context.Background(), address)
 	if err != nil {
 		return err
 	}
--- a/lugd/pkg/peer/transport.go
+++ b/lugd/pkg/peer/transport.go
@@ -74,6 +74,8 @@
 	listener net.Listener
 	// identity is nil if VMs communicate without TLS.
 	identity identity
+	// forwarder is nil if this VM does not forward requests.
+	forwarder forwarder
 
 	// sent and received count bytes.
 	sent     atomic.Int64
@@ -285,7 +287,7 @@
 
 // readHello reads the hello that opens a connection and returns the ID of the sender.
 // If the hello is for another VM, it answers with wrongVM and with its own identity, and
-// returns an error.
+// returns an error. A connection on which requests are to be forwarded is served to its end.
 func (trn *Transport) readHello(con net.Conn, src io.Reader) (string, error) {
 	payload, err := trn.readFrame(src)
 	if err != nil {
@@ -295,6 +297,9 @@
 	if err != nil {
 		return "", err
 	}
+	if fwd, is := msg.(forwardHello); is {
+		return "", trn.forward(con, src, fwd)
+	}
 	hel, ok := msg.(hello)
 	if !ok || hel.Version != protocolVersion {
 		return "", fmt.Errorf("%w: expected a hello of protocol version %d", errMalformed, protocolVersion)
@@ -329,7 +334,7 @@
 		trn.Send(from, trn.handler.State())
 	case State:
 		trn.handleState(msg)
-	case hello, wrongVM, successor:
+	case hello, wrongVM, successor, forwardHello, forwardReady:
 		return errMalformed
 	default:
 		trn.handler.Received(from, msg)
--- a/lugd/pkg/target/exchange.go
+++ b/lugd/pkg/target/exchange.go
@@ -167,6 +167,13 @@
 	return &Error{Verdict: verdict.MayHaveRun, Outcome: outcome, Err: fmt.Errorf("target %s: %w", exc.con.address, err)}
 }
 
+// end ends an exchange whose response is not used, and closes its connection.
+func (exc *exchange) end() {
+	exc.stop()
+	exc.cancel()
+	_ = exc.con.Close()
+}
+
 // body is the body of a response. Closing it returns the connection to the pool.
 type body struct {
 	io.ReadCloser
--- a/lugd/pkg/target/pool.go
+++ b/lugd/pkg/target/pool.go
@@ -16,7 +16,9 @@
 	"time"
 
 	"marigoldlug.example/core/announcement"
+	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/path"
 	"marigoldlug.example/core/verdict"
 	"marigoldlug.example/lugd/pkg/header"
@@ -95,6 +97,8 @@
 type Pool struct {
 	set  Settings
 	dial func(ctx context.Context, address string) (net.Conn, error)
+	// dialVM opens a connection on which a VM forwards requests.
+	dialVM func(ctx context.Context, vmm member.VM) (net.Conn, error)
 
 	reuse reusePolicy
 
@@ -118,7 +122,13 @@
 	}
 }
 
-// conn is a connection to a target. It carries one request at a time.
+// SetForwarding sets how connections are opened on which other VMs forward requests. It must be called before
+// Send.
+func (pol *Pool) SetForwarding(dial func(ctx context.Context, vmm member.VM) (net.Conn, error)) {
+	pol.dialVM = dial
+}
+
+// conn is a connection to a target, or to a VM that forwards requests. It carries one request at a time.
 type conn struct {
 	net.Conn
 	pool    *Pool
@@ -184,10 +194,10 @@
 func (pol *Pool) reserve(cal Call) bool {
 	pol.mut.Lock()
 	defer pol.mut.Unlock()
-	if pol.open[cal.Address] >= cal.MaxConnections {
+	if pol.open[cal.peer()] >= cal.MaxConnections {
 		return false
 	}
-	pol.open[cal.Address]++
+	pol.open[cal.peer()]++
 	return true
 }
 
@@ -231,7 +241,7 @@
 		return nil
 	}
 	for {
-		con := pol.popIdle(cal.Address)
+		con := pol.popIdle(cal.peer())
 		if con == nil {
 			return nil
 		}
@@ -325,6 +335,20 @@
 	MaySend func() bool
 	// Stalled is told if the request makes no progress; nil if nobody wants to know.
 	Stalled func(doubt path.Doubt)
+	// Forwarding is set if another VM sends the request to the target.
+	Forwarding *gateway.Forwarding
+}
+
+// forwarderPrefix distinguishes VMs that forward requests from the addresses of targets.
+const forwarderPrefix = "vm "
+
+// peer returns the address of the target, or a text for the VM that forwards the request, by which connections
+// are kept.
+func (cal Call) peer() string {
+	if cal.Forwarding != nil {
+		return forwarderPrefix + cal.Forwarding.VM.ID
+	}
+	return cal.Address
 }
 
 // errWithdrawn is returned when the request must not be sent any more.
@@ -341,17 +365,23 @@
 	if !pol.reserve(cal) {
 		return nil, errBusy
 	}
-	return pol.openConn(ctx, cal.Address)
+	return pol.openConn(ctx, cal)
 }
 
 // openConn opens a connection that is already counted as open.
-func (pol *Pool) openConn(ctx context.Context, address string) (*conn, error) {
-	raw, err := pol.dial(ctx, address)
+func (pol *Pool) openConn(ctx context.Context, cal Call) (*conn, error) {
+	var raw net.Conn
+	var err error
+	if cal.Forwarding != nil {
+		raw, err = pol.dialVM(ctx, cal.Forwarding.VM)
+	} else {
+		raw, err = pol.dial(ctx, cal.Address)
+	}
 	if err != nil {
-		pol.release(address)
+		pol.release(cal.peer())
 		return nil, err
 	}
-	con := &conn{Conn: raw, pool: pol, address: address, headBytesLeft: unlimitedHead}
+	con := &conn{Conn: raw, pool: pol, address: cal.peer(), headBytesLeft: unlimitedHead}
 	con.reader = bufio.NewReaderSize(con, connBufferBytes)
 	return con, nil
 }
@@ -427,7 +457,7 @@
 		err = errWithdrawn
 	}
 	if err == nil {
-		err = pol.setTimeLeft(req, cal.Timeout-time.Since(began))
+		err = pol.setTimeLeft(cal, req, cal.Timeout-time.Since(began))
 		if err != nil {
 			_ = con.Close()
 		}
@@ -442,7 +472,7 @@
 		case errors.Is(err, errTooLate):
 			outcome = health.Canceled // This says nothing about the target.
 		}
-		return nil, &Error{Verdict: verdict.NotRun, Outcome: outcome, Err: fmt.Errorf("cannot connect to target %s: %w", cal.Address, err)}
+		return nil, blameForwarder(cal, &Error{Verdict: verdict.NotRun, Outcome: outcome, Err: fmt.Errorf("cannot connect to target %s: %w", cal.peer(), err)})
 	}
 	con.carry(cal.CallerRequestID)
 	exc := &exchange{con: con, cancel: cancel, callerRequestID: cal.CallerRequestID, written: make(chan error, 1)}
@@ -453,17 +483,23 @@
 	if err != nil {
 		err = cause(ctx, err)
 		pol.reuse.noteFailure(con.idleBefore, err)
-		return nil, pol.notePortClosed(cal, err, exc.fail(err))
+		return nil, blameForwarder(cal, pol.notePortClosed(cal, err, exc.fail(err)))
+	}
+	if cal.Forwarding != nil {
+		if fail := takeResult(raw.Header, cal.Forwarding.VM.ID); fail != nil {
+			exc.end()
+			return nil, fail
+		}
 	}
 	con.keepAlive = announcedKeepAlive(raw.Header)
 	raw.Body = &body{ReadCloser: raw.Body, exchange: exc, reusable: !raw.Close, end: time.Now().Add(maxBodyTime)}
-	rsp := &Response{Response: raw, portClosed: func() bool { return pol.portClosed(cal) }}
+	rsp := &Response{Response: raw, portClosed: func() bool { return cal.Forwarding == nil && pol.portClosed(cal) }}
 	if pol.set.BodyPrefixBytes > 0 {
 		err = rsp.buffer(pol.set.BodyPrefixBytes)
 	}
 	if err != nil || !timer.Stop() {
 		err = cause(ctx, err)
-		fail := pol.notePortClosed(cal, err, exc.fail(err))
+		fail := blameForwarder(cal, pol.notePortClosed(cal, err, exc.fail(err)))
 		if raw.StatusCode != http.StatusMisdirectedRequest {
 			ann := pol.set.Names.Announcement(raw.StatusCode, raw.Header)
 			fail.Announcement = &ann
@@ -482,10 +518,13 @@
 
 // setTimeLeft sets the time that the target has for a request which is about to be sent: what is left
 // of the timeout after connecting. It returns errTooLate if nothing is left.
-func (pol *Pool) setTimeLeft(req *http.Request, left time.Duration) error {
+func (pol *Pool) setTimeLeft(cal Call, req *http.Request, left time.Duration) error {
 	if left <= 0 {
 		return errTooLate
 	}
+	if cal.Forwarding != nil {
+		setForwarding(req.Header, cal, left)
+	}
 	if nms := pol.set.Names; nms.Timeout != "" && nms.TimeoutUnit > 0 {
 		req.Header.Set(nms.Timeout, nms.FormatTimeout(left))
 	}
--- a/lugd/pkg/target/portcheck.go
+++ b/lugd/pkg/target/portcheck.go
@@ -22,7 +22,7 @@
 
 // notePortClosed records in the failure of an attempt whether the process of its target is gone.
 func (pol *Pool) notePortClosed(cal Call, err error, fail *Error) *Error {
-	if fail.Outcome == health.Failure && fail.Verdict == verdict.MayHaveRun && closedByPeer(err) {
+	if cal.Forwarding == nil && fail.Outcome == health.Failure && fail.Verdict == verdict.MayHaveRun && closedByPeer(err) {
 		fail.PortClosed = pol.portClosed(cal)
 	}
 	return fail
@@ -36,7 +36,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), portCheckTimeout)
 	defer cancel()
-	con, err := pol.openConn(ctx, cal.Address)
+	con, err := pol.openConn(ctx, cal)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/lugd/pkg/target/progress.go
+++ b/lugd/pkg/target/progress.go
@@ -17,18 +17,19 @@
 	// slowTime is how long a response may take until the path is in doubt.
 	slowTime = 900 * time.Millisecond
 	// probeTimeout bounds a probe.
-	probeTimeout = 250 * time.Millisecond
+	probeTimeout = 150 * time.Millisecond
 )
 
 // Probe opens a connection to an address and keeps it for later requests, to learn whether this VM reaches
 // the target. known is false if it did not try, since most connections are open.
 func (pol *Pool) Probe(ctx context.Context, address string, most int) (reached, known bool) {
-	if !pol.reserve(Call{Address: address, MaxConnections: most}) {
+	cal := Call{Address: address, MaxConnections: most}
+	if !pol.reserve(cal) {
 		return false, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	con, err := pol.openConn(ctx, address)
+	con, err := pol.openConn(ctx, cal)
 	if err != nil {
 		return false, true
 	}
