Refuse requests late in a stop that may last until its deadline

Cause: a stopping VM admitted requests like any other until its deadline. The fix: the machine is told when the deadline will be. In the second half of the stop a request that may last until then is refused at once, has not run, and its caller returns to another VM. Requests whose own time ends before are served as before.

--- a/core/gateway/admission.go
+++ b/core/gateway/admission.go
@@ -31,8 +31,9 @@
 // handleRequest admits or refuses a request. arrived is before now if the request was queued.
 func (mac *Machine) handleRequest(now, arrived clock.Instant, req request.Request) {
 	inf, ref := mac.newInFlight(now, arrived, req)
-	if ref == nil && mac.pastStopDeadline {
-		ref = &request.Refusal{Reason: request.Overloaded, Detail: "the VM stops", RetryAfter: mac.randomRetryAfter()}
+	if ref == nil && mac.tooLateToStart(now, inf) {
+		refusal := mac.stopRefusal()
+		ref = &refusal
 	}
 	if ref == nil && mac.quarantined(inf) && !mac.takeTrial(inf) {
 		refusal := mac.quarantineRefusal(now, inf)
--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -113,7 +113,10 @@
 }
 
 // StopBegan starts a graceful stop.
-type StopBegan struct{}
+type StopBegan struct {
+	// TimeLeft is the time until StopDeadline; 0 if that is not known.
+	TimeLeft time.Duration
+}
 
 // StopDeadline is the last moment of a graceful stop at which callers can still be answered.
 type StopDeadline struct{}
--- a/core/gateway/inflight.go
+++ b/core/gateway/inflight.go
@@ -104,8 +104,14 @@
 // running reports whether an attempt is running.
 func (inf *inFlight) running() bool { return len(inf.live) > 0 }
 
-// start asks for a target for the first attempt of an admitted request.
-func (mac *Machine) start(now clock.Instant, inf *inFlight) { mac.nextAttempt(now, inf, "") }
+// start asks for a target for the first attempt of an admitted request, which may have waited for tokens.
+func (mac *Machine) start(now clock.Instant, inf *inFlight) {
+	if mac.tooLateToStart(now, inf) {
+		mac.refuse(now, inf, mac.stopRefusal())
+		return
+	}
+	mac.nextAttempt(now, inf, "")
+}
 
 // nextAttempt asks for a target for the next attempt of a request. If the request may have no
 // further attempt, it waits for the running ones or, without any, is refused. detail describes the
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -83,6 +83,8 @@
 	stopping  bool
 	// stopStartedAt is when the graceful stop began.
 	stopStartedAt clock.Instant
+	// stopDeadline is when StopDeadline is expected; zero if that is not known.
+	stopDeadline clock.Instant
 	// pastStopDeadline is set at the deadline of a stop; no request is sent to a target after that.
 	pastStopDeadline bool
 	// releases holds the last request to the store to release each object of the fleet that
@@ -150,7 +152,7 @@
 		mac.wall, mac.wallReadAt = evt.Wall, now
 		mac.tick(now)
 	case StopBegan:
-		mac.stop(now)
+		mac.stop(now, evt.TimeLeft)
 	case StopDeadline:
 		mac.refuseAll(now)
 	default:
--- a/core/gateway/stop.go
+++ b/core/gateway/stop.go
@@ -25,15 +25,41 @@
 	at       clock.Instant
 }
 
-// stop begins a graceful stop.
-func (mac *Machine) stop(now clock.Instant) {
+// lastRequestShare is the share of the stop time after which no request is admitted any more that may last until
+// the stop deadline. The rest is for those that run: targets that hang or are slow may need it, and callers who are
+// refused can be served by other VMs at once.
+const lastRequestShare = 0.5
+
+// stop begins a graceful stop. left is the time until its deadline, 0 if that is not known.
+func (mac *Machine) stop(now clock.Instant, left time.Duration) {
 	if !mac.stopping {
 		mac.stopping, mac.stopStartedAt = true, now
 	}
+	if left > 0 {
+		mac.stopDeadline = now.Add(left)
+	}
 	mac.tokens.SetServerView(mac.tokenServerView())
 	mac.releaseAll(now)
 }
 
+// tooLateToStart reports whether a request may not be sent to a target any more, since it may still run at the
+// deadline of a stop.
+func (mac *Machine) tooLateToStart(now clock.Instant, inf *inFlight) bool {
+	if mac.pastStopDeadline {
+		return true
+	}
+	if mac.stopDeadline == (clock.Instant{}) || inf.deadline.Before(mac.stopDeadline) {
+		return false
+	}
+	total := mac.stopDeadline.Mono - mac.stopStartedAt.Mono
+	return float64(now.Since(mac.stopStartedAt)) > lastRequestShare*float64(total)
+}
+
+// stopRefusal returns the refusal of a request that a stopping VM does not send any more.
+func (mac *Machine) stopRefusal() request.Refusal {
+	return request.Refusal{Reason: request.Overloaded, Detail: "the VM stops", RetryAfter: mac.randomRetryAfter()}
+}
+
 // releaseAll releases the token servers that the list says this VM holds, and then takes the VM off
 // the list. A stopping VM does so whenever the list contains them: a write made before the stop may
 // take effect during it, and the store may refuse or lose a change. The token servers go first: one
--- a/core/gateway/stopdeadline_test.go
+++ b/core/gateway/stopdeadline_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -47,6 +48,39 @@
 	}
 }
 
+// TestRequestsThatArriveLateInAStopAreRefused delivers requests at several moments of a stop that lasts 4 s. One that
+// may last beyond its deadline is refused in the second half; one that ends before is served.
+func TestRequestsThatArriveLateInAStopAreRefused(t *testing.T) {
+	const stopTime = 4 * time.Second
+	for _, one := range []struct {
+		after, timeout time.Duration
+		refused        bool
+	}{
+		{after: time.Second, timeout: 9 * time.Second},
+		{after: 1900 * time.Millisecond, timeout: 9 * time.Second},
+		{after: 2100 * time.Millisecond, timeout: 9 * time.Second, refused: true},
+		{after: 2100 * time.Millisecond, timeout: time.Second},
+		{after: 3500 * time.Millisecond, timeout: time.Second, refused: true},
+	} {
+		t.Run(fmt.Sprint(one.after, " with ", one.timeout), func(t *testing.T) {
+			vmm := newVM(t).load()
+			vmm.step(StopBegan{TimeLeft: stopTime})
+			vmm.advance(one.after)
+			vmm.next++
+			acts := vmm.step(Arrived{Request: request.Request{ID: vmm.next, Host: "h", Path: "/open/x", Timeout: one.timeout}})
+			if !one.refused {
+				if _, sent := dispatched(acts); !sent {
+					t.Fatal("not dispatched")
+				}
+				return
+			}
+			if ref := vmm.mustRefuse(acts, request.Overloaded, verdict.NotRun); ref.RetryAfter <= 0 {
+				t.Error("the caller was not told when to retry")
+			}
+		})
+	}
+}
+
 // TestNothingIsQueuedAfterTheStopDeadline stops a VM before it knows anything. A request that
 // arrives after the deadline must be refused at once.
 func TestNothingIsQueuedAfterTheStopDeadline(t *testing.T) {
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -438,7 +438,7 @@
 	ctx, cancel := context.WithTimeout(ctx, set.StopTime-cutMargin)
 	defer cancel()
 	dmn.log.WithFields(logrus.Fields{"cause": cause, "connections": dmn.callerServer.Connections(), "stopTime": set.StopTime.String()}).Info("stop")
-	dmn.driver.Step(gateway.StopBegan{})
+	dmn.driver.Step(gateway.StopBegan{TimeLeft: set.StopTime - deadlineMargin})
 	dmn.callerServer.Stop()
 	driver.Sleep(ctx, set.BalancerLag)
 	_ = dmn.listeners.callers.Close()
