Keep to limits of targets where requests are forwarded

The last step of the VM that forwards did not compare limits. The VM with the caller now says by which limit it goes. What is forwarded is logged with the VM that has the caller.

--- a/core/gateway/forward.go
+++ b/core/gateway/forward.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"slices"
 
 	"marigoldlug.example/core/announcement"
@@ -23,6 +24,9 @@
 	// that content to be sent.
 	Content   request.Fingerprint
 	Permitted quarantine.State
+	// From is the VM that has the caller, and Limit what the target announces as far as that VM knows.
+	From  string
+	Limit announcement.Limit
 }
 
 // Forwarded reports to the VM that has forwarded a request how that went.
@@ -57,7 +61,8 @@
 	if !found {
 		return nil
 	}
-	fwd := &Forwarding{VM: vmm, Service: inf.service, Run: health.RunOf(tgt), Content: inf.fingerprint}
+	run := health.RunOf(tgt)
+	fwd := &Forwarding{VM: vmm, Service: inf.service, Run: run, Content: inf.fingerprint, From: mac.set.Self.ID, Limit: mac.book.Limit(run)}
 	if per := inf.permission.granted; per != nil {
 		fwd.Permitted = quarantine.Suspected
 		if per.trial {
@@ -106,6 +111,8 @@
 		rej = &Rejection{Outcome: health.NotForwarded, Detail: "the VM reaches no target either"}
 	case mac.book.Leaving(fwd.Run) || mac.book.Paused(now, fwd.Run) > 0:
 		rej = &Rejection{Outcome: health.Shed, Detail: "the target wants no requests"}
+	case mac.book.Limit(fwd.Run).StricterThan(fwd.Limit):
+		rej = &Rejection{Outcome: health.Shed, Detail: fmt.Sprintf("limit %s, the VM with the caller goes by %s", mac.book.Limit(fwd.Run), fwd.Limit)}
 	case mac.contents.book.State(fwd.Content) > fwd.Permitted:
 		rej = &Rejection{Outcome: health.Shed, Detail: "the content of the request crashes targets"}
 	}
@@ -115,6 +122,7 @@
 // forwarded records what a forwarded request tells this VM about the target and the path to it.
 func (mac *Machine) forwarded(now clock.Instant, evt Forwarded) {
 	fwd := evt.Forwarding
+	mac.log("forwarded", "vm", fwd.From, "service", fwd.Service, "target", fwd.Run.Target, "born", fwd.Run.Born, "content", fwd.Content, "outcome", evt.Outcome)
 	if evt.Announcement != nil {
 		mac.heardFrom(now, evt.StartedAt, fwd.Service, fwd.Run, *evt.Announcement)
 	}
--- a/core/gateway/paths_test.go
+++ b/core/gateway/paths_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -74,3 +76,31 @@
 		}
 	})
 }
+
+// TestTargetsGetNoMoreThanTheyAnnounceThroughOtherVMs plays random announcements beside random exits, cuts and
+// losses, while VMs lose their paths to all targets and find them again.
+func TestTargetsGetNoMoreThanTheyAnnounceThroughOtherVMs(t *testing.T) {
+	for seed := range uint64(randomFleets) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			rnd := rand.New(rand.NewPCG(seed, 7))
+			vms, tgs := 3+rnd.IntN(40), 2+rnd.IntN(20)
+			sim := startFleetSim(rnd, vms, tgs, 10+rnd.IntN(60))
+			var script []string
+			for range 4 + rnd.IntN(24) {
+				at := simLoadAfter + time.Duration(rnd.Int64N(int64(randomLength-simLoadAfter)))
+				line := randomLine(rnd, vms, tgs)
+				if rnd.IntN(3) == 0 {
+					mode := []pathFault{pathHangs, pathResets, pathRefuses}[rnd.IntN(3)]
+					line = []string{"mend", fmt.Sprintf("sever %s %d", mode, 1+rnd.IntN(vms))}[min(rnd.IntN(3), 1)]
+				}
+				script = append(script, sim.schedule(at, line))
+			}
+			sim.run(randomLength)
+			if out := sim.broken(); len(out) > 0 {
+				slices.Sort(script)
+				t.Errorf("%s\nscript:\n%s", strings.Join(out, "\n"), strings.Join(script, "\n"))
+			}
+		})
+	}
+}
--- a/core/gateway/pathsim_test.go
+++ b/core/gateway/pathsim_test.go
@@ -79,6 +79,9 @@
 	return nil
 }
 
+// mend has all paths work again.
+func (sim *fleetSim) mend() { clear(sim.severed) }
+
 // count counts a request that arrives once some VMs have been severed for stableTime.
 func (vmm *simVM) count() {
 	sim := vmm.sim
--- a/core/gateway/simscript_test.go
+++ b/core/gateway/simscript_test.go
@@ -35,6 +35,8 @@
 		return sim.doCrash(verb, args)
 	case "sever":
 		return sim.sever(args)
+	case "mend":
+		sim.mend()
 	case "rate":
 		num, err := strconv.Atoi(args[0])
 		sim.perSecond = num
--- a/lugd/pkg/forward/server.go
+++ b/lugd/pkg/forward/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"net/url"
@@ -77,7 +78,7 @@
 		names: nms, decider: dec, sender: sen, log: log, conns: make(chan net.Conn),
 		slots: make(chan struct{}, maxForwarded), closed: make(chan struct{}),
 	}
-	srv.server = &http.Server{Handler: srv, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, DisableGeneralOptionsHandler: true}
+	srv.server = &http.Server{Handler: srv, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, DisableGeneralOptionsHandler: true, ErrorLog: stdlog.New(io.Discard, "", 0)}
 	go func() { _ = srv.server.Serve(srv) }() // Serve always returns an error, http.ErrServerClosed after Close.
 	return srv
 }
--- a/lugd/pkg/target/forwarding.go
+++ b/lugd/pkg/target/forwarding.go
@@ -8,9 +8,11 @@
 	"strconv"
 	"time"
 
+	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/quarantine"
+	"marigoldlug.example/core/rate"
 	"marigoldlug.example/core/request"
 	"marigoldlug.example/core/verdict"
 )
@@ -37,6 +39,10 @@
 	val.Set("service", fwd.Service)
 	val.Set("target", fwd.Run.Target)
 	val.Set("born", strconv.FormatInt(fwd.Run.Born, 10))
+	val.Set("from", fwd.From)
+	if fwd.Limit.Limited {
+		val.Set("limit", strconv.FormatInt(int64(fwd.Limit.Rate), 10))
+	}
 	val.Set("content", fwd.Content.String())
 	val.Set("permitted", strconv.Itoa(int(fwd.Permitted)))
 	val.Set("idempotent", strconv.FormatBool(cal.Idempotent))
@@ -57,15 +63,26 @@
 	idempotent, ierr := strconv.ParseBool(val.Get("idempotent"))
 	left, lerr := time.ParseDuration(val.Get("timeLeft"))
 	content, valid := request.ParseFingerprint(val.Get("content"))
-	if errors.Join(berr, perr, ierr, lerr) != nil || !valid || left <= 0 {
+	lim, limErr := parseLimit(val.Get("limit"))
+	if errors.Join(berr, perr, ierr, lerr, limErr) != nil || !valid || left <= 0 {
 		return gateway.Forwarding{}, Call{}, errForwardingMalformed
 	}
 	fwd := gateway.Forwarding{
 		Service: val.Get("service"), Run: health.Run{Target: val.Get("target"), Born: born}, Content: content, Permitted: quarantine.State(permitted),
+		From: val.Get("from"), Limit: lim,
 	}
 	return fwd, Call{Idempotent: idempotent, Timeout: left}, nil
 }
 
+// parseLimit parses a limit; without a text there is none.
+func parseLimit(txt string) (announcement.Limit, error) {
+	if txt == "" {
+		return announcement.Limit{}, nil
+	}
+	num, err := strconv.ParseInt(txt, 10, 64)
+	return announcement.Limit{Limited: true, Rate: rate.PerSecond(num)}, err
+}
+
 // MarkAnswered marks a response as that of the target.
 func MarkAnswered(hdr http.Header) { hdr.Set(resultHeader, resultAnswered) }
 
