--- a/core/gateway/forward.go
+++ b/core/gateway/forward.go
@@ -91,6 +91,20 @@
 	return fit[mac.rnd.IntN(len(fit))], true
 }
 
+// refuseUnreachable refuses a request whose service this VM does not reach, once all others were asked to forward
+// it in vain, and reports whether it did.
+func (mac *Machine) refuseUnreachable(now clock.Instant, inf *inFlight, placer string) bool {
+	if !mac.paths.Lost(inf.service) || len(inf.unfit) == 0 || inf.running() {
+		return false
+	}
+	if _, found := mac.forwarder(inf, ""); found {
+		return false
+	}
+	mac.reportEnd(now, inf.queriedPartition, inf.queryNumber, placer, health.Canceled)
+	mac.refuse(now, inf, request.Refusal{Reason: request.Overloaded, Detail: "neither this VM nor those that it asked reach a target", RetryAfter: mac.randomRetryAfter()})
+	return true
+}
+
 // Rejection says why a VM does not forward a request.
 type Rejection struct {
 	// Outcome is Shed if the target or the content is why, and NotForwarded if it is this VM.
--- a/core/gateway/paths_test.go
+++ b/core/gateway/paths_test.go
@@ -12,6 +12,8 @@
 const (
 	// severedLength is how long VMs are without paths to the targets.
 	severedLength = 10 * time.Second
+	// answerTime is how long requests may take that have arrived by then.
+	answerTime = 2 * time.Second
 	// minSeveredShare is the least share of the requests at VMs without paths that must be served, of the share
 	// that the other VMs serve.
 	minSeveredShare = 2.0 / 3
@@ -30,6 +32,8 @@
 	at := simLoadAfter + 4*time.Second
 	sim.schedule(at, fmt.Sprintf("sever %s %d", mode, 1+rnd.IntN(vms*2/3)))
 	sim.run(at + severedLength)
+	sim.perSecond = 0
+	sim.run(at + severedLength + answerTime)
 	return sim
 }
 
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -370,7 +370,7 @@
 		mac.placeLocally(now, inf)
 		return
 	}
-	if mac.withhold(now, inf, placer) {
+	if mac.withhold(now, inf, placer) || mac.refuseUnreachable(now, inf, placer) {
 		return
 	}
 	if why := mac.holdBack(now, inf.queriedPartition, tgt, ans, placer); why != "" {
