--- a/lugd/pkg/forward/server.go
+++ b/lugd/pkg/forward/server.go
@@ -9,7 +9,6 @@
 	stdlog "log"
 	"net"
 	"net/http"
-	"net/url"
 	"sync"
 	"time"
 
@@ -192,15 +191,9 @@
 func targetRequest(req *http.Request, address string) *http.Request {
 	hdr := req.Header.Clone()
 	header.RemoveHopByHop(hdr)
-	if _, found := hdr["User-Agent"]; !found {
-		hdr.Set("User-Agent", "") // net/http would add its own otherwise.
-	}
-	out := &http.Request{
-		Method: req.Method, Host: req.Host, Header: hdr, ContentLength: req.ContentLength, TransferEncoding: req.TransferEncoding,
-		URL: &url.URL{Scheme: "http", Host: address, Path: req.URL.Path, RawPath: req.URL.RawPath, RawQuery: req.URL.RawQuery, ForceQuery: req.URL.ForceQuery},
-	}
+	out := target.NewRequest(req, hdr, address)
 	if req.ContentLength != 0 {
-		out.Body = req.Body
+		out.Body, out.ContentLength, out.TransferEncoding = req.Body, req.ContentLength, req.TransferEncoding
 	}
 	return out
 }
--- a/lugd/pkg/http1/handler.go
+++ b/lugd/pkg/http1/handler.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strings"
 	"time"
 
@@ -354,13 +353,7 @@
 		hdr.Set(nms.ExpectTarget, dis.Target.ID)
 	}
 	hdr.Set(nms.Timeout, nms.FormatTimeout(dis.Timeout))
-	if _, found := hdr["User-Agent"]; !found {
-		hdr.Set("User-Agent", "") // net/http would add its own otherwise.
-	}
-	out := &http.Request{
-		Method: in.Method, Host: in.Host, Header: hdr,
-		URL: &url.URL{Scheme: "http", Host: dis.Target.Address, Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery, ForceQuery: in.URL.ForceQuery},
-	}
+	out := target.NewRequest(in, hdr, dis.Target.Address)
 	if bod, buffered := in.Body.(*bufferedBody); buffered {
 		out.ContentLength = in.ContentLength
 		out.Body = io.NopCloser(bytes.NewReader(bod.content))
--- a/lugd/pkg/target/pool.go
+++ b/lugd/pkg/target/pool.go
@@ -7,12 +7,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"marigoldlug.example/core/announcement"
@@ -128,67 +125,6 @@
 	pol.dialVM = dial
 }
 
-// conn is a connection to a target, or to a VM that forwards requests. It carries one request at a time.
-type conn struct {
-	net.Conn
-	pool    *Pool
-	address string
-	reader  *bufio.Reader
-	// headBytesLeft is how many bytes may still be read for the head that is being read, or
-	// unlimitedHead.
-	headBytesLeft int
-	// sent counts the bytes of the current request that were handed to the kernel.
-	sent     int64
-	lastUsed time.Time
-	// keepAlive is for how long the target has said that it keeps the idle connection open, 0 if it
-	// has not said so.
-	keepAlive time.Duration
-	// idleBefore is how long the connection had been idle before the current request; 0 for the first.
-	idleBefore time.Duration
-	// carried holds the IDs of the last requests, maxCarried at most, as their callers gave them.
-	carried []string
-	closed  sync.Once
-}
-
-// carry records the ID of the request that is about to be sent.
-func (con *conn) carry(requestID string) {
-	con.carried = append(con.carried, requestID)
-	if extra := len(con.carried) - maxCarried; extra > 0 {
-		con.carried = slices.Delete(con.carried, 0, extra)
-	}
-}
-
-// Read reads what the target has sent. It fails with errHeadTooLong instead of reading more than
-// headBytesLeft.
-func (con *conn) Read(buf []byte) (int, error) {
-	if con.headBytesLeft == unlimitedHead {
-		return con.Conn.Read(buf)
-	}
-	if con.headBytesLeft == 0 {
-		return 0, errHeadTooLong
-	}
-	cnt, err := con.Conn.Read(buf[:min(len(buf), con.headBytesLeft)])
-	con.headBytesLeft -= cnt
-	return cnt, err
-}
-
-// Write sends bytes and counts those handed to the kernel.
-func (con *conn) Write(buf []byte) (int, error) {
-	cnt, err := con.Conn.Write(buf)
-	con.sent += int64(cnt)
-	return cnt, err
-}
-
-// Close closes the connection and releases its place among the open ones. Further calls do nothing.
-func (con *conn) Close() error {
-	var err error
-	con.closed.Do(func() {
-		err = con.Conn.Close()
-		con.pool.release(con.address)
-	})
-	return err
-}
-
 // reserve counts a connection that is about to be opened as open. It returns false if that would
 // exceed the call's limit.
 func (pol *Pool) reserve(cal Call) bool {
@@ -210,103 +146,6 @@
 	}
 }
 
-// usable reports whether an idle connection is open and has nothing to read. If there is something
-// to read, the target has closed it or has sent bytes that belong to no request.
-func (con *conn) usable() bool {
-	if con.reader.Buffered() > 0 {
-		return false
-	}
-	sys, ok := con.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	usable := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		usable = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && usable
-}
-
-// getIdle returns a usable connection that may carry the request, or nil. A response can be told from a
-// repeated one to an earlier request only by an ID that none of those had.
-func (pol *Pool) getIdle(cal Call) *conn {
-	if pol.set.Names.Request != "" && cal.CallerRequestID == "" {
-		return nil
-	}
-	for {
-		con := pol.popIdle(cal.peer())
-		if con == nil {
-			return nil
-		}
-		idle := time.Since(con.lastUsed)
-		repeated := cal.CallerRequestID != "" && slices.Contains(con.carried, cal.CallerRequestID)
-		if !repeated && idle <= pol.reuse.maxIdle(con.keepAlive, cal.Idempotent) && con.usable() {
-			con.sent, con.idleBefore = 0, idle
-			return con
-		}
-		_ = con.Close()
-	}
-}
-
-// popIdle removes and returns the most recently used idle connection, or nil.
-func (pol *Pool) popIdle(address string) *conn {
-	pol.mut.Lock()
-	defer pol.mut.Unlock()
-	list := pol.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	con := list[len(list)-1]
-	pol.idle[address] = list[:len(list)-1]
-	return con
-}
-
-// putIdle adds a connection whose exchange is complete to the idle ones, or closes it if there are
-// IdlePerTarget of them.
-func (pol *Pool) putIdle(con *conn) {
-	con.lastUsed = time.Now()
-	pol.mut.Lock()
-	full := len(pol.idle[con.address]) >= pol.set.IdlePerTarget
-	if !full {
-		pol.idle[con.address] = append(pol.idle[con.address], con)
-	}
-	pol.mut.Unlock()
-	if full {
-		_ = con.Close()
-	}
-}
-
-// Sweep closes the connections that have been idle for longer than maxIdleTime.
-func (pol *Pool) Sweep(now time.Time) {
-	var old []*conn
-	pol.mut.Lock()
-	for address, list := range pol.idle {
-		kept := list[:0]
-		for _, con := range list {
-			if now.Sub(con.lastUsed) > maxIdleTime {
-				old = append(old, con)
-				continue
-			}
-			kept = append(kept, con)
-		}
-		pol.idle[address] = kept
-		if len(kept) == 0 {
-			delete(pol.idle, address)
-		}
-	}
-	pol.mut.Unlock()
-	for _, con := range old {
-		_ = con.Close()
-	}
-}
-
 // Open returns the number of open connections by address.
 func (pol *Pool) Open() map[string]int {
 	pol.mut.Lock()
@@ -386,61 +225,6 @@
 	return con, nil
 }
 
-// Response is the response of a target. Its Body must be closed.
-type Response struct {
-	*http.Response
-	// BodyPrefix is the buffered first part of the body; see Settings.BodyPrefixBytes.
-	BodyPrefix []byte
-	// complete is set if BodyPrefix is the whole body.
-	complete bool
-	// readError is the error with which reading the body ended, if any.
-	readError error
-	// portClosed checks the port of the target; see PortClosed.
-	portClosed func() bool
-}
-
-// Rest returns a reader of the body after BodyPrefix, or nil if nothing is left.
-func (rsp *Response) Rest() io.Reader {
-	if rsp.complete {
-		return nil
-	}
-	return rsp
-}
-
-// Read reads the body after BodyPrefix.
-func (rsp *Response) Read(buf []byte) (int, error) {
-	cnt, err := rsp.Body.Read(buf)
-	if err != nil && !errors.Is(err, io.EOF) {
-		rsp.readError = err
-	}
-	return cnt, err
-}
-
-// ReadError returns the error with which Read ended, or nil.
-func (rsp *Response) ReadError() error { return rsp.readError }
-
-// PortClosed reports whether the target closed the connection before the end of the body and now
-// refuses a new one: its process is gone.
-func (rsp *Response) PortClosed() bool {
-	return rsp.portClosed != nil && closedByPeer(rsp.readError) && rsp.portClosed()
-}
-
-// Length returns the length of the whole body, or -1 if it is not known.
-func (rsp *Response) Length() int64 {
-	if rsp.complete {
-		return int64(len(rsp.BodyPrefix))
-	}
-	return rsp.ContentLength
-}
-
-// buffer reads up to limit bytes of the body into BodyPrefix.
-func (rsp *Response) buffer(limit int) error {
-	var err error
-	rsp.BodyPrefix, err = io.ReadAll(io.LimitReader(rsp.Body, int64(limit)))
-	rsp.complete = err == nil && len(rsp.BodyPrefix) < limit
-	return err
-}
-
 // Send sends req once, with the parameters in cal, and returns when the head of the response and
 // the buffered part of its body have arrived or the timeout has passed. Canceling ctx closes the
 // connection, also while the rest of the body is read.
@@ -530,9 +314,3 @@
 	}
 	return nil
 }
-
-// NewResponse returns a response with a buffered first part of its body, which is the whole body if
-// complete is set.
-func NewResponse(raw *http.Response, prefix []byte, complete bool) *Response {
-	return &Response{Response: raw, BodyPrefix: prefix, complete: complete}
-}
