--- a/core/gateway/closedport.go
+++ b/core/gateway/closedport.go
@@ -117,10 +117,13 @@
 	if !found {
 		return
 	}
-	if len(mac.portAskers[qry.Run]) == 0 {
-		mac.emit(Probe{Service: qry.Service, Target: tgt, Connections: mac.connections(tgt)})
+	if len(mac.portAskers) >= maxClosedPorts {
+		clear(mac.portAskers) // A probe that was not made is not answered.
+	}
+	mac.emit(Probe{Service: qry.Service, Target: tgt, Connections: mac.connections(tgt)})
+	if !slices.Contains(mac.portAskers[qry.Run], from) {
+		mac.portAskers[qry.Run] = append(mac.portAskers[qry.Run], from)
 	}
-	mac.portAskers[qry.Run] = append(mac.portAskers[qry.Run], from)
 }
 
 // targetOf returns a target of a service if the given run of it is registered.
--- a/core/gateway/paths.go
+++ b/core/gateway/paths.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
@@ -96,32 +95,6 @@
 	mac.resendStuck(now, name)
 }
 
-// maxWarned is the greatest number of VMs that are told at once of lost paths.
-const maxWarned = 32
-
-// PathsWarning tells another VM that the sender reaches no target of a service: it may not reach them either.
-type PathsWarning struct{ Service string }
-
-// warnOfPaths has other VMs look after their paths, so that they know before they risk a request.
-func (mac *Machine) warnOfPaths(name string) {
-	vms := mac.fleet.View().VMs()
-	for _, at := range mac.rnd.Perm(len(vms))[:min(len(vms), maxWarned)] {
-		if vms[at].ID != mac.set.Self.ID {
-			mac.emit(Send{To: vms[at].ID, Message: PathsWarning{Service: name}})
-		}
-	}
-}
-
-// warnedOfPaths handles the warning of another VM.
-func (mac *Machine) warnedOfPaths(now clock.Instant, name string) {
-	if !mac.paths.ReachedSince(now.Add(-warnedQuietTime), name) {
-		mac.doubt(now, name, "", path.Unanswered)
-	}
-}
-
-// warnedQuietTime is how long after this VM has reached a target warnings do not concern it.
-const warnedQuietTime = 100 * time.Millisecond
-
 // resendStuck has the idempotent requests sent again at once that this VM has sent to targets of a service that
 // it does not reach any more.
 func (mac *Machine) resendStuck(now clock.Instant, name string) {
@@ -150,12 +123,15 @@
 
 // probe opens connections to targets of a service if the paths to them are in doubt.
 func (mac *Machine) probe(now clock.Instant, name string) {
-	svc := mac.services[name]
-	for _, tgt := range mac.paths.Probes(now, mac.rnd, name, svc.targets()) {
+	if !mac.paths.Doubtful(name) {
+		return
+	}
+	for _, tgt := range mac.paths.Probes(now, mac.rnd, name, mac.services[name].targets()) {
 		mac.emit(Probe{Service: name, Target: tgt, Connections: mac.connections(tgt)})
 	}
 }
 
+// tickPaths probes targets of the services to which the paths are in doubt.
 func (mac *Machine) tickPaths(now clock.Instant) {
 	for _, name := range sortedNames(mac.services) {
 		mac.probe(now, name)
--- a/core/path/path.go
+++ b/core/path/path.go
@@ -81,14 +81,10 @@
 	return svc != nil && svc.lost
 }
 
-// AnyLost reports whether the VM reaches no target of some service.
-func (bok *Book) AnyLost() bool {
-	for _, svc := range bok.services {
-		if svc.lost {
-			return true
-		}
-	}
-	return false
+// Doubtful reports whether something speaks against the paths to a service.
+func (bok *Book) Doubtful(name string) bool {
+	svc := bok.services[name]
+	return svc != nil && svc.doubt != None
 }
 
 func (bok *Book) service(name string) *service {
