--- a/core/gateway/closedport.go
+++ b/core/gateway/closedport.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -138,14 +139,21 @@
 
 // replyAboutPorts tells the VMs that have asked whether this one reaches a target.
 func (mac *Machine) replyAboutPorts(evt Probed) {
-	for run, vms := range mac.portAskers {
-		if run.Target != evt.Target {
-			continue
+	if len(mac.portAskers) == 0 {
+		return
+	}
+	var runs []health.Run
+	for run := range mac.portAskers {
+		if run.Target == evt.Target {
+			runs = append(runs, run)
 		}
-		delete(mac.portAskers, run)
-		for _, vmm := range vms {
+	}
+	slices.SortFunc(runs, func(one, two health.Run) int { return cmp.Compare(one.Born, two.Born) })
+	for _, run := range runs {
+		for _, vmm := range mac.portAskers[run] {
 			mac.emit(Send{To: vmm, Message: PortReply{Run: run, Reached: evt.Reached}})
 		}
+		delete(mac.portAskers, run)
 	}
 }
 
