Deliver a response that is ready while its content is quarantined

What callers would see: a request whose response had arrived is refused with 502, and the machine relays the response of a request that has ended. Cause: closed ports were judged in the middle of handling a response, before it was passed on. Found by reading the change. Evidence: TestReadyResponseIsDeliveredAsItsContentIsQuarantined, red before ('the request that was answered is refused'), green now. Ports are judged after the response is passed on, which quarantine leaves alone.

--- a/core/gateway/inflight.go
+++ b/core/gateway/inflight.go
@@ -216,7 +216,6 @@
 	rsp := evt.Response
 	if att.forwarder == "" {
 		mac.paths.Responded(now, inf.service)
-		mac.judgeClosedPorts(now)
 	}
 	if !rsp.Misdirected {
 		mac.heard(now, inf, att, rsp.Announcement)
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -132,6 +132,7 @@
 		mac.arrived(now, evt.Request)
 	case Answered:
 		mac.answered(now, evt)
+		mac.judgeClosedPorts(now) // After the response is passed on: what is ready is delivered.
 	case AttemptFailed:
 		mac.attemptFailed(now, evt)
 	case Stalled:
