--- a/core/gateway/closedport.go
+++ b/core/gateway/closedport.go
@@ -102,13 +102,8 @@
 
 // askAboutPort asks other VMs whether they reach a target.
 func (mac *Machine) askAboutPort(prt closedPort) {
-	vms := mac.fleet.View().VMs()
-	left := askedAboutPort
-	for _, at := range mac.rnd.Perm(len(vms)) {
-		if vms[at].ID != mac.set.Self.ID && left > 0 {
-			left--
-			mac.emit(Send{To: vms[at].ID, Message: PortQuery{Service: prt.service, Run: prt.end.Run}})
-		}
+	for _, vmm := range mac.otherVMs(askedAboutPort) {
+		mac.emit(Send{To: vmm.ID, Message: PortQuery{Service: prt.service, Run: prt.end.Run}})
 	}
 }
 
--- a/core/gateway/pathwarning.go
+++ b/core/gateway/pathwarning.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/path"
 )
 
@@ -19,12 +20,24 @@
 
 // warnOfPaths has other VMs look after their paths, so that they know before they risk a request.
 func (mac *Machine) warnOfPaths(name string) {
+	for _, vmm := range mac.otherVMs(maxWarned) {
+		mac.emit(Send{To: vmm.ID, Message: PathsWarning{Service: name}})
+	}
+}
+
+// otherVMs returns listed VMs other than this one, chosen at random, most at the most.
+func (mac *Machine) otherVMs(most int) []member.VM {
 	vms := mac.fleet.View().VMs()
-	for _, at := range mac.rnd.Perm(len(vms))[:min(len(vms), maxWarned)] {
+	out := make([]member.VM, 0, most)
+	for _, at := range mac.rnd.Perm(len(vms)) {
+		if len(out) == most {
+			break
+		}
 		if vms[at].ID != mac.set.Self.ID {
-			mac.emit(Send{To: vms[at].ID, Message: PathsWarning{Service: name}})
+			out = append(out, vms[at])
 		}
 	}
+	return out
 }
 
 // warnedOfPaths handles the warning of another VM.
