Show that an answer that breaks off takes others on its connection along

Cause: all requests that a caller sends on a connection go to workers at once. A response is begun once 64 KiB of it are there; where its worker then breaks it off, the connection can only be reset, and the requests behind it get no answer though sound workers have run them.

--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -131,8 +131,10 @@
 	sent, ended            time.Time
 	status                 int
 	signed                 bool
-	bytes                  int64
-	err                    error
+	// kept is set if the connection had carried requests before.
+	kept  bool
+	bytes int64
+	err   error
 }
 
 // clients sends requests and keeps their results.
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -30,8 +31,11 @@
 	server                     *http.Server
 	born                       int64
 	free                       chan struct{}
-	// spoil decides whether the answer to the n-th request has a body without end.
-	spoil func(n int) bool
+	// spoil decides whether the answer to the n-th request has a body without end, and breakOff whether it is broken
+	// off after brokenBytes.
+	spoil, breakOff func(n int) bool
+	// bodyBytes is the length of an answer; 0 means a line of text.
+	bodyBytes int
 
 	mut      sync.Mutex
 	runs     []run
@@ -144,7 +148,7 @@
 	defer func() { wkr.free <- struct{}{} }()
 	wkr.mut.Lock()
 	wkr.count++
-	spoiled := wkr.spoil != nil && wkr.spoil(wkr.count)
+	spoiled, broken := wkr.spoil != nil && wkr.spoil(wkr.count), wkr.breakOff != nil && wkr.breakOff(wkr.count)
 	at := len(wkr.runs)
 	wkr.runs = append(wkr.runs, run{attempt: attempt, worker: wkr.id, tenant: req.Header.Get("Tenant"), path: req.URL.Path, at: time.Now()})
 	wkr.mut.Unlock()
@@ -157,8 +161,13 @@
 	wkr.runs[at].done = true
 	wkr.mut.Unlock()
 	wrt.Header().Set("Response-Signature", "sig."+attempt)
+	if broken {
+		wkr.breakAnswerOff(wrt)
+		return
+	}
 	if !spoiled {
 		body := fmt.Sprintf("body of %s by %s\n", attempt, wkr.id)
+		body += strings.Repeat("x", max(wkr.bodyBytes-len(body), 0))
 		wrt.Header().Set("Content-Length", fmt.Sprint(len(body)))
 		_, _ = io.WriteString(wrt, body)
 		return
@@ -166,6 +175,21 @@
 	wkr.floodBody(wrt, req)
 }
 
+// brokenBytes is after how much of its body an answer is broken off.
+const brokenBytes = 80 << 10
+
+// breakAnswerOff sends the first part of an answer and resets the connection.
+func (wkr *worker) breakAnswerOff(wrt http.ResponseWriter) {
+	wrt.Header().Set("Content-Length", fmt.Sprint(wkr.bodyBytes))
+	_, _ = wrt.Write(make([]byte, brokenBytes))
+	wrt.(http.Flusher).Flush()
+	time.Sleep(50 * time.Millisecond)
+	if con, _, err := wrt.(http.Hijacker).Hijack(); err == nil {
+		_ = con.(*net.TCPConn).SetLinger(0)
+		_ = con.Close()
+	}
+}
+
 // floodBody sends a body without end, until the connection is closed.
 func (wkr *worker) floodBody(wrt http.ResponseWriter, req *http.Request) {
 	chunk := bytes.Repeat([]byte("x"), 32<<10)
