Let each case read TROUBLE in its script, and keep the rate of its load

Cause: only the program that run.sh starts looked at TROUBLE. Played again, case 1 kept its rule once (1,134 of 1,142) beside four other cases: the load drops ticks while the machine is busy, and had sent 9,682 requests instead of about 13,400.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -20,6 +20,12 @@
 	failed = 2
 )
 
+// The second argument says whether the case is played with its disruption.
+const (
+	withTrouble    = "trouble"
+	withoutTrouble = "calm"
+)
+
 // scene is one run of a case.
 type scene struct {
 	dir     string
@@ -97,18 +103,25 @@
 	return awaitReady(scn.vms)
 }
 
-// load sends requests to the VMs that run by turns, at a rate, until the returned function is called.
+// loadInterval is how often load looks how many requests are due.
+const loadInterval = 2 * time.Millisecond
+
+// load sends requests to the VMs that run by turns, at a rate, until the returned function is called. Requests that are
+// late, since the machine is busy, are sent as soon as possible, so that the rate holds.
 func (scn *scene) load(perSecond float64, method, host, path, key string, deadline time.Duration) (stop func()) {
 	quit, done := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(done)
-		tick := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
+		tick := time.NewTicker(loadInterval)
 		defer tick.Stop()
-		for num := 0; ; num++ {
+		began := time.Now()
+		for num := 0; ; {
 			select {
 			case <-quit:
 				return
 			case <-tick.C:
+			}
+			for due := int(time.Since(began).Seconds() * perSecond); num < due; num++ {
 				if one := scn.vms[num%len(scn.vms)]; !one.down.Load() {
 					scn.clients.send(one, method, host, path, key, deadline)
 				}
@@ -157,8 +170,8 @@
 func main() { os.Exit(play()) }
 
 func play() int {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil || os.Args[2] != withTrouble && os.Args[2] != withoutTrouble {
+		fmt.Fprintln(os.Stderr, "usage: rig CASE "+withTrouble+"|"+withoutTrouble+" RECORD")
 		return failed
 	}
 	dir, err := os.MkdirTemp("", "review")
@@ -169,13 +182,13 @@
 	if os.Getenv("KEEP") == "" {
 		defer func() { _ = os.RemoveAll(dir) }()
 	}
-	record, err := os.Create(filepath.Clean(os.Args[2]))
+	record, err := os.Create(filepath.Clean(os.Args[3]))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return failed
 	}
 	defer func() { _ = record.Close() }()
-	scn := &scene{dir: dir, trouble: os.Getenv("TROUBLE") != "0", clients: newClients(), began: time.Now(), record: record}
+	scn := &scene{dir: dir, trouble: os.Args[2] == withTrouble, clients: newClients(), began: time.Now(), record: record}
 	if scn.sto, err = newStore(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return failed
