--- a/core/config/config.go
+++ b/core/config/config.go
@@ -79,6 +79,8 @@
 	Split []Share
 	// Idempotent allows a request to be sent to a target again after one may have run it.
 	Idempotent bool
+	// LargeResponses is set if responses are many times as large as usual: tens to hundreds of kilobytes.
+	LargeResponses bool
 	// Timeout is the maximum time from the arrival of a request to its response.
 	Timeout time.Duration
 	// LatencyGoal is the time within which a response has its full value for the caller; 0 if
