Decode each entry of the store by itself

One field that could not be read made a VM refuse the whole configuration, or an entry of a target, so that others suffered for it.

- Entries are decoded field by field.
What is unknown, missing or mistyped has the most careful meaning; docs/design/021 has the table.
- Requests of routes, keys and organisations that cannot be read are answered 503 with Retry-After instead of 404, 401 or 429.
- What is not understood is logged once for each version, counted in the gauge store_unread and listed by lugctl release show.
- lugctl keeps the stored value of each field that a note does not change, also unknown kinds and fields inside limits and splits.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -16,6 +16,13 @@
 // DigestOf returns the digest of an API key.
 func DigestOf(key string) Digest { return sha256.Sum256([]byte(key)) }
 
+// UnreadKeys is the digest of a key in place of those that could not be read. No key that a caller presents has it, so
+// that an unknown key may be one of them.
+var UnreadKeys Digest
+
+// UnreadHost is the host of a route whose host could not be read. No host has this name.
+const UnreadHost = "?"
+
 // Access says whether the callers of a route need an API key.
 type Access string
 
@@ -70,10 +77,10 @@
 	// Host is in lower case and without a port; empty matches every host.
 	Host string
 	// PathPrefix starts with a slash and matches whole path segments. A prefix that ends with a
-	// slash does not match the path without that slash.
+	// slash does not match the path without that slash. It is empty if it could not be read.
 	PathPrefix string
 	Access     Access
-	// Service is empty where Split is set.
+	// Service is empty where Split is set. Both are empty if neither could be read.
 	Service string
 	// Split divides the requests among services; empty if all go to Service.
 	Split []Share
@@ -93,6 +100,11 @@
 	MaxAttempts int
 }
 
+// Servable reports whether it is known which requests the route matches and where they go.
+func (rou *Route) Servable() bool {
+	return rou.Host != UnreadHost && rou.PathPrefix != "" && (rou.Service != "" || len(rou.Split) > 0)
+}
+
 // Service is a set of interchangeable targets, which register themselves.
 type Service struct {
 	Name string
--- a/core/config/snapshot.go
+++ b/core/config/snapshot.go
@@ -61,14 +61,29 @@
 // Bounds returns the limits on the size and duration of requests.
 func (sna *Snapshot) Bounds() Bounds { return sna.bounds }
 
+// KeysUnread reports whether there may be keys beside those that Key returns, which could not be read.
+func (sna *Snapshot) KeysUnread() bool { return sna.keys[UnreadKeys] != nil }
+
 // Route returns the route with the longest matching prefix among those of the host. If none
-// matches, it looks among the routes for every host, and returns nil if none of these matches
+// matches, it looks among the routes for every host, then among those that are not servable, since their host or path
+// prefix could not be read: the request may be one of theirs. It returns nil if none of these matches
 // either. The host must be in lower case and without a port.
 func (sna *Snapshot) Route(host, path string) *Route {
-	if rou := longestMatch(sna.hosts[host], path); rou != nil || host == "" {
+	if rou := longestMatch(sna.hosts[host], path); rou != nil {
+		return rou
+	}
+	if rou := longestMatch(sna.hosts[""], path); rou != nil {
+		return rou
+	}
+	for _, one := range []string{host, ""} {
+		if rou := sna.hosts[one][""]; rou != nil {
+			return rou
+		}
+	}
+	if rou := longestMatch(sna.hosts[UnreadHost], path); rou != nil {
 		return rou
 	}
-	return longestMatch(sna.hosts[""], path)
+	return sna.hosts[UnreadHost][""]
 }
 
 func longestMatch(prefixes map[string]*Route, path string) *Route {
--- a/core/gateway/admission.go
+++ b/core/gateway/admission.go
@@ -98,6 +98,9 @@
 	if req.Timeout > 0 && (req.Timeout < rou.Timeout || rou.Timeout <= 0) {
 		inf.deadline = arrived.Add(req.Timeout)
 	}
+	if !rou.Servable() {
+		return inf, mac.unreadRefusal("the configuration of the route cannot be read")
+	}
 	inf.service = mac.chooseService(rou)
 	var ref *request.Refusal
 	if rou.Access != config.AccessOpen {
@@ -143,16 +146,28 @@
 		}
 	}
 	key := mac.config.Snapshot.Key(inf.Keys[0])
+	if key == nil && mac.config.Snapshot.KeysUnread() {
+		return mac.unreadRefusal("the key is unknown, and some of the configuration cannot be read")
+	}
 	if key == nil {
 		return &request.Refusal{Reason: request.UnknownKey, Detail: "the key is unknown or withdrawn"}
 	}
 	inf.organisation = key.Organisation
-	if org := mac.config.Snapshot.Organisation(key.Organisation); org != nil && org.Priority != nil {
+	org := mac.config.Snapshot.Organisation(key.Organisation)
+	if org == nil {
+		return mac.unreadRefusal("the limits of the organisation are not known")
+	}
+	if org.Priority != nil {
 		inf.priority = *org.Priority
 	}
 	return nil
 }
 
+// unreadRefusal refuses a request for which the configuration in force says something that this VM cannot read.
+func (mac *Machine) unreadRefusal(detail string) *request.Refusal {
+	return &request.Refusal{Reason: request.NoConfiguration, RetryAfter: mac.randomRetryAfter(), Detail: detail}
+}
+
 // randomRetryAfter returns a random time to retry after, so that callers who are refused together
 // do not return together.
 func (mac *Machine) randomRetryAfter() time.Duration {
--- a/lugbench/pkg/playground/playground_test.go
+++ b/lugbench/pkg/playground/playground_test.go
@@ -206,7 +206,7 @@
 func TestWithdrawnKeyIsRefused(t *testing.T) {
 	pgr := start(t, 3)
 	settle()
-	if txt, err := pgr.Releases.Show(context.Background(), 0); err != nil || txt == "" {
+	if txt, _, err := pgr.Releases.Show(context.Background(), 0); err != nil || txt == "" {
 		t.Fatalf("got %q, %v", txt, err)
 	}
 	for num := range 3 {
--- a/lugctl/pkg/command/release.go
+++ b/lugctl/pkg/command/release.go
@@ -10,6 +10,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"marigoldlug.example/core/issue"
 	"marigoldlug.example/core/note"
 	"marigoldlug.example/lugctl/pkg/client"
 	"marigoldlug.example/lugd/service/api"
@@ -225,6 +226,16 @@
 // document is the JSON output of a configuration in text form.
 type document struct {
 	Text string `json:"text"`
+	// NotUnderstood is empty for versions that are not current.
+	NotUnderstood []issueLine `json:"notUnderstood,omitempty"`
+}
+
+// issueLine is the JSON output of a part of the configuration that is not understood.
+type issueLine struct {
+	Object  string `json:"object"`
+	Field   string `json:"field"`
+	Found   string `json:"found"`
+	Assumed string `json:"assumed"`
 }
 
 func (cct *commandContext) showRelease(ctx context.Context, cmd *cli.Command, prn *printer) error {
@@ -236,13 +247,26 @@
 	if err != nil {
 		return err
 	}
-	txt, err := app.Show(ctx, version)
+	txt, iss, err := app.Show(ctx, version)
 	if err != nil {
 		return err
 	}
+	return printDocument(prn, txt, iss)
+}
+
+// printDocument prints a configuration and what could not be understood of it, in plain text as comments, so that the
+// output can be read as a part of a release note.
+func printDocument(prn *printer, txt string, iss []issue.Issue) error {
 	if prn.json {
-		return prn.print(document{Text: txt}, nil, nil)
+		doc := document{Text: txt}
+		for _, one := range iss {
+			doc.NotUnderstood = append(doc.NotUnderstood, issueLine(one))
+		}
+		return prn.print(doc, nil, nil)
+	}
+	for _, one := range iss {
+		txt += "# not understood: " + strings.ReplaceAll(one.String(), "\n", " ") + "\n"
 	}
-	_, err = fmt.Fprint(prn.out, txt)
+	_, err := fmt.Fprint(prn.out, txt)
 	return err
 }
--- a/lugctl/pkg/release/release.go
+++ b/lugctl/pkg/release/release.go
@@ -11,6 +11,7 @@
 	errs "github.com/juju/errors"
 
 	"marigoldlug.example/core/config"
+	"marigoldlug.example/core/issue"
 	"marigoldlug.example/core/note"
 )
 
@@ -21,6 +22,9 @@
 	// Revision is the revision of the stored object. A replacement is conditional on it.
 	Revision uint64
 	Content  config.Content
+	// Issues lists what could not be understood of the stored configuration. Replace keeps it as it is stored, as far as
+	// the new content does not change it.
+	Issues []issue.Issue
 }
 
 // Entry is a release in the history.
@@ -196,20 +200,20 @@
 func (app *Applier) History(ctx context.Context) ([]Entry, error) { return app.store.Releases(ctx) }
 
 // Show returns the configuration at a version, or the current one for 0, in the form of
-// the added section of a note.
-func (app *Applier) Show(ctx context.Context, version uint64) (string, error) {
+// the added section of a note. Of the current one it also returns what could not be understood.
+func (app *Applier) Show(ctx context.Context, version uint64) (string, []issue.Issue, error) {
 	cur, err := app.store.Current(ctx)
 	if err != nil {
-		return "", errs.Annotate(err, "cannot read the configuration")
+		return "", nil, errs.Annotate(err, "cannot read the configuration")
 	}
 	if version == 0 || version == cur.Version {
-		return note.Render(cur.Content), nil
+		return note.Render(cur.Content), cur.Issues, nil
 	}
 	ent, err := app.store.Release(ctx, version)
 	if err != nil {
-		return "", errs.Annotatef(err, "version %d", version)
+		return "", nil, errs.Annotatef(err, "version %d", version)
 	}
-	return note.Render(ent.Content), nil
+	return note.Render(ent.Content), nil, nil
 }
 
 // Version returns the version of the current configuration.
--- a/lugd/pkg/driver/driver.go
+++ b/lugd/pkg/driver/driver.go
@@ -173,6 +173,9 @@
 	}
 }
 
+// Unread returns how many fields and words of the platform's objects could not be understood when this VM last read them.
+func (dri *Driver) Unread() int { return dri.platform.Unread() }
+
 // writeTimeout bounds a write or delete at the platform.
 const writeTimeout = 2 * time.Second
 
--- a/lugd/pkg/driver/fleet_test.go
+++ b/lugd/pkg/driver/fleet_test.go
@@ -114,6 +114,8 @@
 }
 
 // Config implements Platform.
+func (sto *memoryStore) Unread() int { return 0 }
+
 func (sto *memoryStore) Config() Source[*gateway.Config] {
 	return &fixedSource[*gateway.Config]{sto: sto, rows: []table.Row[*gateway.Config]{{Name: "main", Revision: 1, Value: gateway.NewConfig(1, config.Content{})}}}
 }
--- a/lugd/pkg/driver/reader.go
+++ b/lugd/pkg/driver/reader.go
@@ -40,6 +40,8 @@
 	Write(ctx context.Context, name string, row fleet.Row, revision uint64) error
 	// Delete removes a fleet object if its present revision is the given one.
 	Delete(ctx context.Context, name string, revision uint64) error
+	// Unread returns how many fields and words of the objects could not be understood when they were last read.
+	Unread() int
 }
 
 // readOptions configure how one kind of object is read.
--- a/lugd/pkg/edge/observer.go
+++ b/lugd/pkg/edge/observer.go
@@ -57,6 +57,9 @@
 		sta, _ := dmn.driver.Status()
 		return sta.Ages.Config.Seconds()
 	})
+	met.Gauge("store_unread", "Fields and words of objects in the store that were not understood when this VM last read them. VMs that follow others read none.", func() float64 {
+		return float64(dmn.driver.Unread())
+	})
 	met.Gauge("store_era", "Latest era that the platform's store has told: how often it was restored. -1 if it has told none.", func() float64 {
 		sta, _ := dmn.driver.Status()
 		if era, known := sta.Era.Told(); known {
