Carry large responses in notes and frames, and apply notes beside what is not understood

config.Route.LargeResponses was lost on the way to followers and could not be written in a note.

- Updates name the routes with large responses in their appendix, in a form that older programs read as contents of no row.
- Notes have the field largeResponses, which needs idempotent: true.
- A note is no longer refused for errors between objects that the stored configuration has without it, as one does that cannot be read whole.

--- a/core/note/apply.go
+++ b/core/note/apply.go
@@ -59,7 +59,7 @@
 	if len(app.conflicts) > 0 {
 		return config.Content{}, &ConflictError{Base: nte.Base, Current: currentVersion, Conflicts: app.conflicts}
 	}
-	app.checkReferences()
+	app.errs = append(app.errs, app.newReferenceErrors(current)...)
 	if len(app.errs) > 0 {
 		return config.Content{}, app.errs
 	}
@@ -145,6 +145,16 @@
 	app.errs = append(app.errs, FieldError{Line: line, Field: kindName + "/" + id, Message: message})
 }
 
+// newReferenceErrors returns the errors of the objects together that current does not have without the note. The stored
+// configuration may have some, because not all of it could be read; a note that has nothing to do with them can be applied.
+func (app *applier) newReferenceErrors(current config.Content) ValidationError {
+	before := &applier{current: newObjects(current)}
+	before.checkReferences()
+	after := &applier{current: app.current}
+	after.checkReferences()
+	return slices.DeleteFunc(after.errs, func(fie FieldError) bool { return slices.Contains(before.errs, fie) })
+}
+
 func (app *applier) checkReferences() {
 	for _, key := range sortedValues(app.current.keys) {
 		if _, found := app.current.organisations[key.Organisation]; !found {
@@ -161,6 +171,9 @@
 		if (rou.Service == "") == (len(rou.Split) == 0) {
 			app.addError(0, routeKind.name, rou.Name, "must have either a service or a split among services")
 		}
+		if rou.LargeResponses && !rou.Idempotent {
+			app.addError(0, routeKind.name, rou.Name, "has large responses, so that it must be idempotent")
+		}
 		for _, svc := range servicesOf(rou) {
 			if _, found := app.current.services[svc]; !found {
 				app.addError(0, routeKind.name, rou.Name, "refers to service "+svc+", which does not exist")
--- a/core/note/fuzz_test.go
+++ b/core/note/fuzz_test.go
@@ -15,6 +15,7 @@
 	f.Add([]byte(`{"release": "a", "withdrawn": {"keys": ["k"]}}`))
 	f.Add([]byte("release: a\nadded:\n  services: [{name: s}]\n  routes: [{name: r, pathPrefix: /, split: {s: 1}, idempotent: true, timeout: 1s}]"))
 	f.Add([]byte("release: a\nadded:\n  services: [{name: s, healthyFloor: 0.5}]\n  routes: [{name: r, pathPrefix: /, service: s, idempotent: true, timeout: 1s, methods: [GET]}]"))
+	f.Add([]byte("release: a\nadded:\n  services: [{name: s}]\n  routes: [{name: r, pathPrefix: /, service: s, idempotent: true, largeResponses: true, timeout: 1s}]"))
 	f.Add([]byte("a: &a [*a]"))
 	f.Add([]byte("release: [\n"))
 	f.Fuzz(func(t *testing.T, doc []byte) {
--- a/core/note/kind.go
+++ b/core/note/kind.go
@@ -166,6 +166,18 @@
 			},
 			func(rou config.Route) string { return strconv.FormatBool(rou.Idempotent) },
 		},
+		{
+			"largeResponses", false,
+			func(rdr *reader, nod *yaml.Node, path string, rou *config.Route) {
+				rou.LargeResponses = rdr.boolean(nod, path)
+			},
+			func(rou config.Route) string {
+				if !rou.LargeResponses {
+					return ""
+				}
+				return strconv.FormatBool(true)
+			},
+		},
 		{
 			"timeout", true,
 			func(rdr *reader, nod *yaml.Node, path string, rou *config.Route) {
--- a/lugctl/pkg/command/output_test.go
+++ b/lugctl/pkg/command/output_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"marigoldlug.example/core/config"
+	"marigoldlug.example/core/issue"
+	"marigoldlug.example/core/note"
 	"marigoldlug.example/lugctl/pkg/client"
 )
 
@@ -32,6 +34,23 @@
 	}
 }
 
+// TestShownConfigurationIsANote prints a configuration of which something is not understood. Each item must be shown, and the text
+// must remain a part of a release note.
+func TestShownConfigurationIsANote(t *testing.T) {
+	var out bytes.Buffer
+	iss := []issue.Issue{{Object: "routes/odd", Field: "kind", Found: "\"a\nb\"", Assumed: "served at most once"}}
+	if err := printDocument(&printer{out: &out}, note.Render(config.Content{}), iss); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := note.Read([]byte("release: shown\n" + out.String())); err != nil || !strings.Contains(out.String(), "# not understood: routes/odd.kind") {
+		t.Errorf("got %q, %v", out.String(), err)
+	}
+	out.Reset()
+	if err := printDocument(&printer{out: &out, json: true}, "", iss); err != nil || !strings.Contains(out.String(), `"notUnderstood"`) {
+		t.Errorf("got %q, %v", out.String(), err)
+	}
+}
+
 // TestWaitNamesTheUnreachableVM waits for a release to be in force at a VM that cannot be reached. The
 // release is stored, so the exit code must say that; the error must say why nothing more is known.
 func TestWaitNamesTheUnreachableVM(t *testing.T) {
--- a/lugd/pkg/peer/codec_test.go
+++ b/lugd/pkg/peer/codec_test.go
@@ -214,6 +214,40 @@
 	}
 }
 
+// TestUpdatesCarryLargeResponses encodes updates with a route with large responses, whole and as a patch. It must reach VMs of
+// this build; older programs either stop before, or read names with contents of the quarantine to the end of the frame.
+func TestUpdatesCarryLargeResponses(t *testing.T) {
+	con := config.Content{Routes: []config.Route{{Name: "download", LargeResponses: true}, {Name: "read"}}}
+	rows := []table.Row[fleet.Row]{{Name: fleet.QuarantineName, Value: fleet.Row{Holder: "vm.a", Quarantine: []quarantine.Report{{Trials: 1}}}}}
+	for _, upd := range []gateway.Update{
+		{Version: 1, Config: gateway.NewConfig(1, con), Fleet: table.Delta[fleet.Row]{Rows: rows}},
+		{Version: 2, Patch: &gateway.Patch{Base: 1, Version: 2, Change: config.Patch{Changed: con}}, Fleet: table.Delta[fleet.Row]{Rows: rows}},
+	} {
+		payload, err := encode(upd)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := decode(payload)
+		if dif := cmp.Diff(upd, decoded, cmp.Exporter(func(reflect.Type) bool { return true })); dif != "" || err != nil {
+			t.Errorf("%v: %s", err, dif)
+		}
+		wrt := newWriter()
+		wrt.appendix(upd)
+		if !bytes.HasSuffix(payload, wrt.buf.Bytes()) {
+			t.Error("the update does not end with its appendix")
+		}
+		rdr := newReader(wrt.buf.Bytes())
+		found := make(map[string]int)
+		for rdr.src.Len() > 0 && rdr.err == nil {
+			name := rdr.text()
+			found[name] = len(rdr.quarantineReports())
+		}
+		if dif := cmp.Diff(map[string]int{fleet.QuarantineName: 1, largeRoutePrefix + "download": 0}, found); dif != "" || rdr.err != nil {
+			t.Errorf("%v: %s", rdr.err, dif)
+		}
+	}
+}
+
 // TestLongMessagesAreCompressed encodes the list of targets that a VM gets when it starts. The frame must
 // be a fraction of the size that it has uncompressed, and every truncated one must give errMalformed.
 func TestLongMessagesAreCompressed(t *testing.T) {
--- a/lugd/pkg/peer/gateway.go
+++ b/lugd/pkg/peer/gateway.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/gateway"
@@ -206,18 +207,17 @@
 	}
 	writeDelta(wrt, msg.Targets, wrt.entry)
 	writeDelta(wrt, msg.Fleet, wrt.fleetRow)
-	wrt.quarantineRows(msg.Fleet)
+	wrt.appendix(msg)
 }
 
 func (rdr *reader) update() gateway.Update {
 	msg := gateway.Update{Number: rdr.unsigned(), Ages: gateway.Ages{Config: rdr.duration(), Targets: rdr.duration(), Fleet: rdr.duration(), Contact: rdr.duration()}}
 	msg.Version = rdr.unsigned()
-	if rdr.boolean() {
-		version := rdr.unsigned()
-		con := rdr.content()
-		if rdr.err == nil {
-			msg.Config = gateway.NewConfig(version, con)
-		}
+	whole := rdr.boolean()
+	var version uint64
+	var con config.Content
+	if whole {
+		version, con = rdr.unsigned(), rdr.content()
 	}
 	if rdr.boolean() {
 		pat := rdr.patch()
@@ -225,7 +225,10 @@
 	}
 	msg.Targets = readDelta(rdr, rdr.entry)
 	msg.Fleet = readDelta(rdr, rdr.fleetRow)
-	rdr.quarantineRows(msg.Fleet)
+	rdr.appendix(&msg, &con)
+	if whole && rdr.err == nil {
+		msg.Config = gateway.NewConfig(version, con)
+	}
 	return msg
 }
 
--- a/lugd/pkg/peer/quarantine.go
+++ b/lugd/pkg/peer/quarantine.go
@@ -107,8 +107,7 @@
 
 func (rdr *reader) run() health.Run { return health.Run{Target: rdr.text(), Born: rdr.signed()} }
 
-// quarantineRows encodes what rows of the fleet list hold of the quarantine. It stands at the end of an
-// update, where older programs do not read.
+// quarantineRows encodes what rows of the fleet list hold of the quarantine. It stands in the appendix of an update.
 func (wrt *writer) quarantineRows(del table.Delta[fleet.Row]) {
 	for _, row := range del.Rows {
 		if len(row.Value.Quarantine) > 0 {
@@ -117,15 +116,3 @@
 		}
 	}
 }
-
-// quarantineRows adds to the rows of the fleet list what follows in the update.
-func (rdr *reader) quarantineRows(del table.Delta[fleet.Row]) {
-	for rdr.err == nil && rdr.src.Len() > 0 {
-		name, rps := rdr.text(), rdr.quarantineReports()
-		for num := range del.Rows {
-			if del.Rows[num].Name == name {
-				del.Rows[num].Value.Quarantine = rps
-			}
-		}
-	}
-}
