Keep to drained failure domains and limit the rate of cold targets

The platform has objects that drain a failure domain, and services whose targets crash if they get too many requests shortly after a start. VMs knew neither.

- core/drain holds the drained domains: what the store shows, and for 10 s what a restore may have lost.
VMs that read the store watch the objects; followers that say so in their queries are told the whole set (frame 74) before each update.
A VM does not follow one that does not tell it the drains.
- Drained targets are left out of the placers' targets and are met again by holdBack, MaySend and MayForward.
A placer that does not know the drain is asked once more without them.
Until a VM knows the drains it is not ready.
- core/warmup limits what one target gets: the bucket of announced limits while it is cold, else 0.75 of the limit in a sliding second, and 0.25 of it in the first second of a placer.
Targets of a domain that returns count as cold.
- Settings domain-drain-time, cold-excess and cold-slack; all 0 by default, and then nothing is read, sent or limited.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -101,6 +101,10 @@
 	// a stated maximum a VM thus has a single connection to each target, and a maximum below
 	// the number of VMs may be exceeded.
 	Connections int
+	// ColdStart is how long a target is cold after its start.
+	ColdStart time.Duration
+	// ColdRate is how many requests a cold target tolerates from the whole fleet; 0 if there is no limit.
+	ColdRate rate.PerSecond
 }
 
 // Bounds limit the size of requests and how long a caller may take. Where a field is 0, the
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -61,6 +61,8 @@
 	Config, Targets, Fleet uint64
 	// KnowsEras is set if the sender distinguishes the eras of the store; see package revision.
 	KnowsEras bool
+	// KnowsDrains is set if the sender keeps to the drains of failure domains and wants to be told them.
+	KnowsDrains bool
 }
 
 // Send is a Query that has to be sent to the VM with the ID To.
--- a/core/gateway/admission.go
+++ b/core/gateway/admission.go
@@ -90,6 +90,9 @@
 	if mac.config == nil {
 		return nil, &request.Refusal{Reason: request.NoConfiguration, Detail: "this VM has no configuration yet", RetryAfter: mac.randomRetryAfter()}
 	}
+	if !mac.drainsKnown() {
+		return nil, &request.Refusal{Reason: request.NoConfiguration, Detail: "this VM does not know yet which failure domains are drained", RetryAfter: mac.randomRetryAfter()}
+	}
 	rou := mac.config.Snapshot.Route(req.Host, req.Path)
 	if rou == nil {
 		return nil, &request.Refusal{Reason: request.NoRoute, Detail: "no route matches the host, path and method"}
--- a/core/gateway/announced.go
+++ b/core/gateway/announced.go
@@ -101,10 +101,13 @@
 }
 
 // holdBack decides, as the last step before a request is sent to a target, whether the target takes it
-// by what it announces as far as this VM knows. It returns the announcement that forbids it, or an
+// by what it announces and by the drains as far as this VM knows. It returns what forbids it, or an
 // empty text. placer is the VM that chose the target; empty if this VM did so without it. A placer that
 // goes by another limit than this VM is told what this one knows.
 func (mac *Machine) holdBack(now clock.Instant, par *partition, tgt health.Target, ans placement.Answer, placer string) string {
+	if mac.drained(tgt) {
+		return "drained"
+	}
 	if mac.book.Empty() {
 		return ""
 	}
@@ -134,7 +137,7 @@
 }
 
 // MaySend reports whether an attempt may still be sent to its target. Opening a connection may have
-// taken long: the target may have announced meanwhile that it wants no requests, or the content of the
+// taken long: the target may have announced meanwhile that it wants no requests, its failure domain may be drained, or the content of the
 // request may be suspected to crash targets.
 func (mac *Machine) MaySend(now clock.Instant, id request.ID, number int) bool {
 	inf, att := mac.currentAttempt(id, number)
@@ -142,7 +145,7 @@
 		return false
 	}
 	run := health.RunOf(att.target)
-	return !mac.book.Leaving(run) && mac.book.Paused(now, run) == 0
+	return !mac.drained(att.target) && !mac.book.Leaving(run) && mac.book.Paused(now, run) == 0
 }
 
 // limited returns the targets of a partition that announce a limit, as far as this VM knows.
@@ -175,7 +178,7 @@
 // announce, and reports whether that is so.
 func (mac *Machine) announcedRefusal(now clock.Instant, inf *inFlight, ans placement.Answer, ref *request.Refusal) bool {
 	if ans.Reason == placement.Limited {
-		ref.Detail = fmt.Sprintf("the targets with room take only %g requests a second, as they announce", ans.Limits.Float())
+		ref.Detail = fmt.Sprintf("the targets with room take only %g requests a second, as they announce or since they may be cold", ans.Limits.Float())
 		if inf.queriedPlacer == "" || now.Before(inf.queriedPartition.backoffUntil) {
 			ref.RetryAfter = max(ref.RetryAfter, mac.randomRetryAfter()) // The placer may answer by then.
 		}
--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -188,6 +188,8 @@
 	// VM reads for the others. Any other VM reads while it has no VM to follow, and reads less often,
 	// as many may do so at the same time.
 	Sparing bool
+	// Drains is set if the drained failure domains are read, too.
+	Drains bool
 	// FleetOnly is set while the VM has just started and looks for one to follow: it reads the list of
 	// VMs alone.
 	FleetOnly bool
--- a/core/gateway/fleetsim_test.go
+++ b/core/gateway/fleetsim_test.go
@@ -96,6 +96,12 @@
 	steady              bool
 	atSevered, atOthers tries
 
+	// policy is that of all VMs, and slots the number of slots of each target.
+	policy Policy
+	slots  int
+	// domains has the state of failure domains that are drained; nil if there is just one domain.
+	domains *simDomains
+
 	sent, served, refused, failed int
 	// calmFrom is the time from which sentCalm and servedCalm count the requests that arrive; zero for none.
 	calmFrom             time.Time
@@ -153,12 +159,22 @@
 }
 
 func startFleetSim(rnd *rand.Rand, vms, tgs, perSecond int) *fleetSim {
+	sim := emptyFleetSim(rnd, perSecond)
+	sim.begin(vms, tgs)
+	return sim
+}
+
+func emptyFleetSim(rnd *rand.Rand, perSecond int) *fleetSim {
 	start := time.Unix(1_000_000, 0)
-	sim := &fleetSim{
+	return &fleetSim{
 		rnd: rnd, started: start, now: start, rows: table.New[fleet.Row](), entries: make(map[string]registry.Entry), perSecond: perSecond,
 		cut: make(map[string]bool), joinedAt: make(map[string]time.Time), lastArrivals: make(map[string]time.Time),
-		severed: make(map[string]pathFault),
+		severed: make(map[string]pathFault), policy: policy(), slots: simSlots,
 	}
+}
+
+// begin starts the targets and the VMs.
+func (sim *fleetSim) begin(vms, tgs int) {
 	for num := range tgs {
 		sim.startTarget(fmt.Sprint("t", num))
 	}
@@ -174,8 +190,7 @@
 	for _, vmm := range sim.vms {
 		vmm.sync()
 	}
-	sim.at(start.Add(simLoadAfter), sim.arrive)
-	return sim
+	sim.at(sim.started.Add(simLoadAfter), sim.arrive)
 }
 
 // at schedules a function.
@@ -253,8 +268,8 @@
 // start starts a run of the VM, which knows nothing yet.
 func (vmm *simVM) start() {
 	vmm.runs++
-	self := member.VM{ID: fmt.Sprintf("%s.%d", vmm.name, vmm.runs), Address: vmm.name, FailureDomain: "a"}
-	vmm.mac = New(Settings{Name: vmm.name, Self: self, Policy: policy()}, rand.New(rand.NewPCG(vmm.sim.rnd.Uint64(), 1)))
+	self := member.VM{ID: fmt.Sprintf("%s.%d", vmm.name, vmm.runs), Address: vmm.name, FailureDomain: vmm.sim.domains.of(vmm.name)}
+	vmm.mac = New(Settings{Name: vmm.name, Self: self, Policy: vmm.sim.policy}, rand.New(rand.NewPCG(vmm.sim.rnd.Uint64(), 1)))
 	vmm.callers, vmm.live, vmm.crashers = make(map[request.ID]time.Time), make(map[simAttempt]*simRequest), make(map[request.ID]*crasher)
 	vmm.counted, vmm.connections = make(map[request.ID]*tries), make(map[string]bool)
 	vmm.tick(vmm.runs)
@@ -282,7 +297,7 @@
 	}
 	sim, now := vmm.sim, vmm.sim.instant()
 	if vmm.mac.config == nil {
-		vmm.step(ConfigRead{RequestedAt: now, Update: NewConfig(1, simContent())})
+		vmm.step(ConfigRead{RequestedAt: now, Update: NewConfig(1, sim.domains.content())})
 	}
 	del := table.Delta[registry.Entry]{Whole: true, Revision: sim.revision}
 	for _, name := range sortedNames(sim.entries) {
@@ -290,6 +305,7 @@
 	}
 	vmm.step(TargetsRead{RequestedAt: now, Update: del})
 	vmm.noteLeaving()
+	sim.domains.sync(vmm)
 	vmm.step(FleetRead{RequestedAt: now, Update: table.Delta[fleet.Row]{Whole: true, Revision: sim.revision, Rows: sim.rows.Rows()}})
 }
 
--- a/core/gateway/followers.go
+++ b/core/gateway/followers.go
@@ -21,7 +21,9 @@
 type follower struct {
 	lastQueried clock.Instant
 	// knowsEras is as in feed.Query.
-	knowsEras              bool
+	knowsEras bool
+	// knowsDrains is as in feed.Query.
+	knowsDrains            bool
 	config, targets, fleet progress
 }
 
@@ -90,7 +92,7 @@
 		fol = new(follower)
 		mac.followers[from] = fol
 	}
-	fol.lastQueried, fol.knowsEras = now, qry.KnowsEras
+	fol.lastQueried, fol.knowsEras, fol.knowsDrains = now, qry.KnowsEras, qry.KnowsDrains
 	fol.config.acknowledge(now, qry.Config)
 	fol.targets.acknowledge(now, qry.Targets)
 	fol.fleet.acknowledge(now, qry.Fleet)
@@ -101,6 +103,7 @@
 }
 
 func (mac *Machine) sendUpdate(now clock.Instant, to string, fol *follower, number uint64) {
+	mac.tellDrains(now, to, fol)
 	upd := Update{
 		Number: number, Ages: mac.ages(now), Version: mac.version(),
 		Targets: mac.registry.Since(fol.targets.held), Fleet: mac.fleet.Since(fol.fleet.held),
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -7,6 +7,7 @@
 
 	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/drain"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/health"
@@ -17,6 +18,7 @@
 	"marigoldlug.example/core/quota"
 	"marigoldlug.example/core/registry"
 	"marigoldlug.example/core/request"
+	"marigoldlug.example/core/warmup"
 )
 
 // TickInterval is how often the driver delivers Ticked.
@@ -37,6 +39,11 @@
 	RetryWindow time.Duration
 	// Quota is the policy for the rate limits of organisations.
 	Quota quota.Policy
+	// DrainTime is how long after an operator drained a failure domain requests may still be sent to its targets; 0 if
+	// the platform knows no such drains.
+	DrainTime time.Duration
+	// Warmup is the policy for the rate of cold targets.
+	Warmup warmup.Policy
 }
 
 // Settings are the identity of a VM and the policy that it keeps to.
@@ -68,6 +75,7 @@
 	book     *announcement.Book
 	forgotAt clock.Instant
 	contents contents
+	drains   drains
 	// paths is what this VM knows of its paths to the targets.
 	paths *path.Book
 	// portAskers holds the VMs that wait to hear whether this one reaches a run.
@@ -110,6 +118,7 @@
 		requests:       make(map[request.ID]*inFlight),
 		book:           announcement.NewBook(),
 		contents:       newContents(),
+		drains:         newDrains(),
 		paths:          path.NewBook(),
 		portAskers:     make(map[health.Run][]string),
 		releases:       make(map[string]release),
@@ -186,6 +195,8 @@
 		mac.portReplied(now, msg)
 	case PathsWarning:
 		mac.warnedOfPaths(now, msg.Service)
+	case drain.Report:
+		mac.drainsTold(now, evt.From, msg)
 	case quota.Query:
 		mac.serveTokens(now, evt.From, msg)
 	case quota.Grant:
@@ -205,6 +216,7 @@
 	}
 	mac.updateTokenServers(now)
 	mac.tokens.SetServerView(mac.tokenServerView())
+	mac.tickDrains(now)
 	mac.handleQueued(now)
 	mac.follow(now)
 	mac.maintainFleet(now)
@@ -230,7 +242,7 @@
 		kept[svc.Name] = true
 		tgs := all[svc.Name]
 		for num := range tgs {
-			tgs[num].Connections = svc.Connections
+			tgs[num] = mac.describe(tgs[num], svc)
 		}
 		mac.setService(now, svc.Name, tgs)
 	}
@@ -259,10 +271,10 @@
 // feedKey is the key by which Selector.SetView of core/feed ranks the VMs of a failure domain.
 func feedKey(domain string) string { return "feed/" + domain }
 
-// Ready reports whether callers may be sent to the VM: it knows the configuration and the targets,
-// and is not stopping.
+// Ready reports whether callers may be sent to the VM: it knows the configuration, the targets and the drained failure
+// domains, and is not stopping.
 func (mac *Machine) Ready() bool {
-	return !mac.stopping && mac.config != nil && mac.registry.Revision() > 0
+	return !mac.stopping && mac.config != nil && mac.registry.Revision() > 0 && mac.drainsKnown()
 }
 
 // Stopping reports whether a graceful stop has begun.
@@ -277,9 +289,10 @@
 // View returns the VMs of the fleet.
 func (mac *Machine) View() member.View { return mac.fleet.View() }
 
-// SetPolicy replaces the policy. Existing retry budgets keep the limits that they were created
-// with.
+// SetPolicy replaces the policy, except what it says of drains and cold targets. Existing retry budgets keep the limits
+// that they were created with.
 func (mac *Machine) SetPolicy(pol Policy) {
+	pol.DrainTime, pol.Warmup = mac.set.Policy.DrainTime, mac.set.Policy.Warmup
 	mac.set.Policy = pol
 	mac.tokens.SetPolicy(pol.Quota)
 }
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -41,6 +41,8 @@
 	service string
 	number  int
 	targets []health.Target
+	// drained lists the other targets of the subset, whose failure domains are drained.
+	drained []string
 	// placer is the ID of the VM that is the placer of the partition.
 	placer string
 	// backoffUntil is the time until which the placer is not queried, because it did not answer.
@@ -74,7 +76,7 @@
 // all partitions are replaced, and what their placers have learned is lost.
 func (mac *Machine) setService(now clock.Instant, name string, tgs []health.Target) {
 	svc := mac.services[name]
-	cnt := partitionCount(len(tgs))
+	cnt := partitionCount(len(tgs)) // Drained targets count, so that no partition is replaced for a drain.
 	created := svc == nil || len(svc.partitions) != cnt
 	if created {
 		svc = &service{name: name}
@@ -83,13 +85,17 @@
 		}
 		mac.services[name] = svc
 	}
-	byPartition := make([][]health.Target, cnt)
+	byPartition, drained := make([][]health.Target, cnt), make([][]string, cnt)
 	for _, tgt := range tgs {
 		num := partitionOf(tgt.ID, cnt)
+		if mac.drained(tgt) {
+			drained[num] = append(drained[num], tgt.ID)
+			continue
+		}
 		byPartition[num] = append(byPartition[num], tgt)
 	}
 	for num, par := range svc.partitions {
-		par.targets = byPartition[num]
+		par.targets, par.drained = byPartition[num], drained[num]
 		par.local.SetTargets(now, par.targets)
 		if par.central != nil {
 			par.central.SetTargets(now, par.targets)
@@ -139,7 +145,7 @@
 	par.placer = placer
 	par.backoffUntil = clock.Instant{}
 	if placer == self {
-		mac.ensureCentral(now, par)
+		mac.ensureCentral(now, par).Inherit(now)
 	}
 	mac.reportRunning(now, par)
 	mac.reportPartition(now, par, placer)
@@ -258,7 +264,7 @@
 // place asks for a target for the next attempt of a request.
 func (mac *Machine) place(now clock.Instant, inf *inFlight) {
 	svc := mac.services[inf.service]
-	if svc == nil {
+	if svc == nil || mac.drains.book.Len() > 0 && svc.targetCount() == 0 {
 		mac.placementFailed(now, inf, placement.Answer{Reason: placement.NoTargetLeft})
 		return
 	}
@@ -367,6 +373,9 @@
 	if !found {
 		// This VM does not know the target yet, or no longer.
 		mac.reportEnd(now, inf.queriedPartition, inf.queryNumber, placer, health.Canceled)
+		if mac.placeBesideDrained(now, inf, ans.Target) {
+			return
+		}
 		mac.placeLocally(now, inf)
 		return
 	}
@@ -410,7 +419,7 @@
 	case ans.Reason == placement.NoTargetLeft && inf.attempt > 0:
 		ref.Detail, ref.RetryAfter = "no target is left that has not been tried", mac.randomRetryAfter()
 	case ans.Reason == placement.NoTargetLeft:
-		ref.Reason, ref.Detail, ref.RetryAfter = request.NoTarget, "no target is registered", mac.randomRetryAfter()
+		ref.Reason, ref.Detail, ref.RetryAfter = request.NoTarget, mac.noTargetDetail(inf.service), mac.randomRetryAfter()
 	case ans.Reason == placement.NoRetry:
 		ref.Detail = "the budget of retries is spent"
 	}
--- a/core/gateway/queue.go
+++ b/core/gateway/queue.go
@@ -23,11 +23,11 @@
 	arrived clock.Instant
 }
 
-// synced reports whether this VM knows the configuration, the targets and the list of VMs, with which it
-// learns what is quarantined, and that the configuration was the newest at some time since its start:
+// synced reports whether this VM knows the configuration, the targets, the drained failure domains and the list of VMs,
+// with which it learns what is quarantined, and that the configuration was the newest at some time since its start:
 // without that no key can be relied on.
 func (mac *Machine) synced() bool {
-	return mac.config != nil && mac.registry.Revision() > 0 && mac.fleet.Revision() > 0 && mac.configConfirmedAt != (clock.Instant{})
+	return mac.config != nil && mac.registry.Revision() > 0 && mac.fleet.Revision() > 0 && mac.drainsKnown() && mac.configConfirmedAt != (clock.Instant{})
 }
 
 // starting reports whether this VM has just started.
--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
@@ -19,6 +21,9 @@
 type replica struct {
 	config            *Config
 	configConfirmedAt clock.Instant
+	// configPartial is set if the configuration came from a VM that may be of an older program, which leaves out fields
+	// of services.
+	configPartial bool
 	// formerConfigs holds the former configurations, the newest last, while the VM has followers.
 	// patches caches the patches from them to the configuration in force, by base version.
 	formerConfigs []*Config
@@ -55,11 +60,16 @@
 	return feed.Query{Config: mac.version(), Targets: mac.registry.Revision(), Fleet: mac.fleet.Revision()}
 }
 
-// adoptConfig puts a configuration in force if it is newer than the current one.
-func (mac *Machine) adoptConfig(now clock.Instant, con *Config) bool {
-	if con == nil || con.Version <= mac.version() {
+// adoptConfig puts a configuration in force if it is newer than the current one, or of the same version and complete
+// other than that one. complete is set if it certainly has all its fields.
+func (mac *Machine) adoptConfig(now clock.Instant, con *Config, complete bool) bool {
+	if con == nil || con.Version < mac.version() {
+		return false
+	}
+	if con.Version == mac.version() && (!mac.configPartial || !complete) {
 		return false
 	}
+	mac.configPartial = !complete
 	mac.log("configuration", "version", con.Version, "before", mac.version())
 	if mac.config != nil && len(mac.followers) > 0 {
 		mac.formerConfigs = append(mac.formerConfigs, mac.config)
@@ -145,6 +155,10 @@
 		}
 	}
 	mac.releaseSlotsOfVMs(now, before, vie)
+	maps.DeleteFunc(mac.drains.toldAt, func(id string, _ clock.Instant) bool {
+		_, listed := vie.VM(id)
+		return !listed
+	})
 	for id := range mac.lastHeard {
 		if _, listed := vie.VM(id); !listed {
 			delete(mac.lastHeard, id)
@@ -181,6 +195,8 @@
 		if revision.Covers(mac.registry.Revision(), evt.Update.Revision) {
 			mac.confirmTargets(now, evt.RequestedAt)
 		}
+	case DrainsRead:
+		changed = mac.applyDrains(now, evt.Update)
 	case FleetRead:
 		changed = mac.applyFleet(now, evt.Update)
 		if revision.Covers(mac.fleet.Revision(), evt.Update.Revision) {
@@ -201,14 +217,15 @@
 // updateReceived handles an update from the VM that is followed.
 func (mac *Machine) updateReceived(now clock.Instant, from string, upd Update) {
 	mac.noteEra(upd.Era)
-	changed := mac.adoptConfig(now, mac.updatedConfig(upd))
+	changed := mac.adoptConfig(now, mac.updatedConfig(upd), mac.tellsDrains(now, from) && (upd.Config != nil || !mac.configPartial))
 	changed = mac.applyTargets(now, upd.Targets) || changed
 	changed = mac.applyFleet(now, upd.Fleet) || changed
 	contact := upd.Ages.Contact
-	if !mac.trusts(upd) {
+	trusted := mac.trusts(now, from, upd)
+	if !trusted {
 		contact = untrustedContact
 	}
-	if sent, known := mac.selector.HandleUpdate(now, from, upd.Number, contact); known && mac.trusts(upd) {
+	if sent, known := mac.selector.HandleUpdate(now, from, upd.Number, contact); known && trusted {
 		mac.confirmUpdate(now, sent, upd)
 	}
 	if upd.Number == 0 {
@@ -248,10 +265,15 @@
 
 // follow decides whether this VM follows another one or reads the platform itself.
 func (mac *Machine) follow(now clock.Instant) {
-	for _, snd := range mac.selector.Tick(now, mac.Revisions(), now.Since(mac.configAnsweredAt)) {
+	held := mac.Revisions()
+	held.KnowsDrains = mac.keepsDrains()
+	for _, snd := range mac.selector.Tick(now, held, now.Since(mac.configAnsweredAt)) {
+		if mac.configPartial && mac.tellsDrains(now, snd.To) {
+			snd.Query.Config = 0 // The VM is to send the whole configuration.
+		}
 		mac.emit(Send{To: snd.To, Message: snd.Query})
 	}
-	set := SetReading{On: mac.selector.Reading(now), Sparing: !mac.selector.IsPrimary()}
+	set := SetReading{On: mac.selector.Reading(now), Sparing: !mac.selector.IsPrimary(), Drains: mac.keepsDrains()}
 	if !set.On && mac.config == nil && mac.selector.Followed() == "" {
 		set.On, set.FleetOnly = true, true // To find a VM to follow.
 	}
--- a/core/gateway/restore.go
+++ b/core/gateway/restore.go
@@ -59,7 +59,7 @@
 	res := &mac.restores
 	era := revision.EraOf(evt.Revision)
 	mac.noteEra(era)
-	changed := mac.adoptConfig(now, evt.Update)
+	changed := mac.adoptConfig(now, evt.Update, true)
 	mac.configAnsweredAt = now
 	if era < res.configEra {
 		return changed
@@ -121,6 +121,9 @@
 	return qry
 }
 
-// trusts reports whether an update may confirm what this VM holds. A program that knows no eras goes on from
-// revisions that a restored store has given out again.
-func (mac *Machine) trusts(upd Update) bool { return upd.Era != 0 || mac.restores.era == 0 }
+// trusts reports whether an update may confirm what this VM holds, and whether its sender may be followed. A program
+// that knows no eras goes on from revisions that a restored store has given out again; from one that does not tell the
+// drains this VM would not learn of them.
+func (mac *Machine) trusts(now clock.Instant, from string, upd Update) bool {
+	return (upd.Era != 0 || mac.restores.era == 0) && mac.tellsDrains(now, from)
+}
--- a/core/gateway/simtarget_test.go
+++ b/core/gateway/simtarget_test.go
@@ -55,6 +55,8 @@
 	// shownLeaving holds when each run of a VM first learned from the store that the target leaves, or is gone
 	// since it has left.
 	shownLeaving map[string]time.Time
+	// coldFrom holds when the target turned cold.
+	coldFrom []time.Time
 }
 
 // toldLimit is the first answer with a limit that a VM passed on. number is the index of the limit in
@@ -104,9 +106,9 @@
 func (sim *fleetSim) startUnregistered(name string) *simTarget {
 	sim.stopTarget(name)
 	tgt := &simTarget{
-		name: name, born: sim.now, up: true, busyUntil: make([]time.Time, simSlots), told: make(map[string][]toldLimit),
+		name: name, born: sim.now, up: true, busyUntil: make([]time.Time, sim.slots), told: make(map[string][]toldLimit),
 		toldLeaving: make(map[string]time.Time), shownLeaving: make(map[string]time.Time), shownTo: make(map[string]bool),
-		entry: registry.Entry{Service: "svc", Address: name + ":80", FailureDomain: "a", Slots: simSlots, Born: sim.now},
+		entry: registry.Entry{Service: "svc", Address: name + ":80", FailureDomain: sim.domains.of(name), Slots: sim.slots, Born: sim.now},
 	}
 	sim.tgs, sim.past = append(sim.tgs, tgt), append(sim.past, tgt)
 	return tgt
--- a/core/health/outcome.go
+++ b/core/health/outcome.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/warmup"
 )
 
 // Outcome classifies how one attempt ended, so that its target can be judged by it.
@@ -58,6 +59,8 @@
 	Connections int
 	// WarmAt is when the target has warmed up and reaches its full speed.
 	WarmAt clock.Instant
+	// Warmup limits the rate of the target's requests with regard to its start.
+	Warmup warmup.Limit
 	// Born is the start time of the target in Unix milliseconds, by which restarts are recognised; 0 if
 	// it is not known.
 	Born int64
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -76,7 +77,9 @@
 		}
 		queueWait := pla.queueWait(now, tgt)
 		lim, limitWait := pla.limitWait(now, tgt)
-		if cri.Hedge && (queueWait > 0 || lim.Limited) {
+		warmupWait, warmupRate := pla.warmupWait(now, tgt)
+		limitWait = max(limitWait, warmupWait)
+		if cri.Hedge && (queueWait > 0 || lim.Limited || tgt.coldLimited(now)) {
 			obs.wait = max(obs.wait, 0)
 			continue // A hedge must not take a slot for which other requests wait, nor what a limit leaves.
 		}
@@ -90,7 +93,7 @@
 		}
 		if limitWait > 0 {
 			obs.add(limitWait)
-			obs.limited, obs.limits = true, obs.limits+lim.Rate
+			obs.limited, obs.limits = true, obs.limits+cmp.Or(lim.Rate, warmupRate)
 			continue
 		}
 		can := candidate{target: tgt, queueWait: queueWait, cost: pla.cost(now, vmm, cri, lat, tgt, queueWait)}
--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -31,25 +31,30 @@
 	Leaving(run health.Run) bool
 }
 
-// Limiter decides when a target that announces a limit gets its next request.
+// Limiter decides when a target gets its next request that announces a limit, or may be cold.
 type Limiter interface {
 	// wait returns the time until the target may get a request, 0 if it may get one now.
 	wait(now clock.Instant, alw *allowance, per rate.PerSecond) time.Duration
 	// take records that the target gets a request.
 	take(alw *allowance)
+	// warmupWait is like wait with regard to the target's start, and warmupTake like take.
+	warmupWait(now clock.Instant, tgt *target) time.Duration
+	warmupTake(now clock.Instant, tgt *target)
 }
 
 // allowance is what a Limiter keeps of one target.
 type allowance struct {
-	// tokens is what the target may get at once, as of refilledAt. remainder is what rate.Accrue carries
-	// over.
-	tokens     rate.Tokens
-	remainder  uint64
-	refilledAt clock.Instant
-	// interval is the number of the interval for which tokens was drawn, of a shareLimiter.
+	// bucket is that of a fleetLimiter.
+	bucket *rate.Bucket
+	// tokens is what a shareLimiter may still send in the interval with the number interval.
+	tokens   rate.Tokens
 	interval int64
 }
 
+func newAllowance(now clock.Instant) *allowance {
+	return &allowance{bucket: rate.NewBucket(now.Mono), interval: -1}
+}
+
 // fleetLimiter is the Limiter of the placer, which places the requests of all VMs: a token bucket that
 // is empty at first, since the placer before may have spent what is allowed.
 type fleetLimiter struct{}
@@ -58,18 +63,16 @@
 func NewFleetLimiter() Limiter { return fleetLimiter{} }
 
 func (fleetLimiter) wait(now clock.Instant, alw *allowance, per rate.PerSecond) time.Duration {
-	var tok rate.Tokens
-	tok, alw.remainder = rate.Accrue(per, now.Mono-alw.refilledAt.Mono, alw.remainder)
-	burst, _ := rate.Accrue(per, limitBurst, 0)
-	alw.tokens = min(alw.tokens+tok, burst+rate.Request)
-	alw.refilledAt = now
-	if alw.tokens >= rate.Request {
-		return 0
-	}
-	return max(rate.Wait(per, rate.Request-alw.tokens), time.Millisecond)
+	return alw.bucket.Wait(now.Mono, per, limitBurst)
 }
 
-func (fleetLimiter) take(alw *allowance) { alw.tokens -= rate.Request }
+func (fleetLimiter) take(alw *allowance) { alw.bucket.Take(rate.Request) }
+
+func (fleetLimiter) warmupWait(now clock.Instant, tgt *target) time.Duration {
+	return tgt.warmup.Wait(now, now.Before(tgt.WarmAt), tgt.Warmup)
+}
+
+func (fleetLimiter) warmupTake(now clock.Instant, tgt *target) { tgt.warmup.Take(now) }
 
 // shareLimiter is the Limiter of a VM that places by itself, as all other VMs may do at the same time.
 // Each draws at random how many requests it may send in an interval, so that all together send their
@@ -101,6 +104,19 @@
 
 func (*shareLimiter) take(alw *allowance) { alw.tokens -= rate.Request }
 
+func (shl *shareLimiter) warmupWait(now clock.Instant, tgt *target) time.Duration {
+	if tgt.warmupShare == nil {
+		tgt.warmupShare = newAllowance(now)
+	}
+	return shl.wait(now, tgt.warmupShare, tgt.Warmup.AloneRate(now.Before(tgt.WarmAt)))
+}
+
+func (shl *shareLimiter) warmupTake(_ clock.Instant, tgt *target) {
+	if tgt.warmupShare != nil {
+		shl.take(tgt.warmupShare)
+	}
+}
+
 // limitWait returns the limit that a target announces, and how long it takes until the target may get
 // a request; 0 if it may get one now.
 func (pla *Placer) limitWait(now clock.Instant, tgt *target) (announcement.Limit, time.Duration) {
@@ -110,11 +126,30 @@
 		return lim, 0
 	}
 	if tgt.allowance == nil {
-		tgt.allowance = &allowance{refilledAt: now, interval: -1}
+		tgt.allowance = newAllowance(now)
 	}
 	return lim, pla.limiter.wait(now, tgt.allowance, max(lim.Rate, minRate))
 }
 
+// warmupWait returns how long it takes until a target may get a request with regard to its start, and at which rate
+// it gets them.
+func (pla *Placer) warmupWait(now clock.Instant, tgt *target) (time.Duration, rate.PerSecond) {
+	if !tgt.Warmup.Limited() {
+		return 0, 0
+	}
+	return pla.limiter.warmupWait(now, tgt), tgt.Warmup.PlacerRate(now.Before(tgt.WarmAt))
+}
+
+// spend records that a target gets a request, where its rate is limited.
+func (pla *Placer) spend(now clock.Instant, tgt *target) {
+	if tgt.allowance != nil {
+		pla.limiter.take(tgt.allowance)
+	}
+	if tgt.Warmup.Limited() {
+		pla.limiter.warmupTake(now, tgt)
+	}
+}
+
 // limitRetry returns when a caller may return that is refused since the targets which have room
 // announce limits, together sum. Callers that are refused one after the other return at the pace at
 // which the targets take requests.
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -9,6 +9,7 @@
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/request"
+	"marigoldlug.example/core/warmup"
 )
 
 const (
@@ -201,11 +202,19 @@
 		}
 		pla.targets = append(pla.targets, &target{
 			Target: tgt, belief: belief{sick: stationaryBelief / 2, asOf: now}, measuredSlowdown: 1, lastUsed: now.Add(-idleTime),
-			pathFailures: make(map[string]clock.Instant), lastResponses: make(map[string]clock.Instant),
+			pathFailures: make(map[string]clock.Instant), lastResponses: make(map[string]clock.Instant), warmup: warmup.NewAllowance(now),
 		})
 	}
 }
 
+// Inherit records that another placer may have sent requests to the targets until now, as is assumed of targets that
+// are new to this placer.
+func (pla *Placer) Inherit(now clock.Instant) {
+	for _, tgt := range pla.targets {
+		tgt.warmup = warmup.NewAllowance(now)
+	}
+}
+
 func (pla *Placer) target(id string) *target {
 	idx := slices.IndexFunc(pla.targets, func(tgt *target) bool { return tgt.ID == id })
 	if idx < 0 {
@@ -257,9 +266,7 @@
 		return pla.refusal(now, aid, obs)
 	}
 	tgt := best.target
-	if tgt.allowance != nil {
-		pla.limiter.take(tgt.allowance)
-	}
+	pla.spend(now, tgt)
 	forwarder := ""
 	if cri.PathsLost {
 		forwarder = pla.forwarder(now, aid.VM, cri, tgt)
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -7,6 +7,7 @@
 
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/warmup"
 )
 
 // target is the placer's state of one target.
@@ -35,6 +36,10 @@
 	avoidUntil clock.Instant
 	// allowance is nil unless the target announces a limit.
 	allowance *allowance
+	// warmup limits what a placer sends to the target with regard to its start, and warmupShare what a VM sends that
+	// places alone; nil before the first such request.
+	warmup      *warmup.Allowance
+	warmupShare *allowance
 }
 
 // evidence is a failure that counted against a target.
@@ -132,3 +137,8 @@
 	}
 	return tgt.measuredSlowdown
 }
+
+// coldLimited reports whether the target is known to be cold and may get few requests for that.
+func (tgt *target) coldLimited(now clock.Instant) bool {
+	return tgt.Warmup.Limited() && now.Before(tgt.WarmAt)
+}
--- a/lugd/pkg/driver/fleet_test.go
+++ b/lugd/pkg/driver/fleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldlug.example/core/config"
+	"marigoldlug.example/core/drain"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/member"
@@ -126,6 +127,9 @@
 // Fleet implements Platform.
 func (sto *memoryStore) Fleet() Source[fleet.Row] { return (*fleetSource)(sto) }
 
+// Drains implements Platform.
+func (sto *memoryStore) Drains() Source[drain.Entry] { return &fixedSource[drain.Entry]{sto: sto} }
+
 // fixedSource is a Source whose objects never change.
 type fixedSource[T any] struct {
 	sto  *memoryStore
--- a/lugd/pkg/driver/reader.go
+++ b/lugd/pkg/driver/reader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/drain"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/gateway"
@@ -35,6 +36,8 @@
 	Config() Source[*gateway.Config]
 	Targets() Source[registry.Entry]
 	Fleet() Source[fleet.Row]
+	// Drains is the source of the drained failure domains. It is read only where they are kept to.
+	Drains() Source[drain.Entry]
 	// Write stores a fleet object if its present revision is the given one; 0 stands
 	// for an object that does not exist yet.
 	Write(ctx context.Context, name string, row fleet.Row, revision uint64) error
@@ -81,7 +84,11 @@
 	// shortWatchDelay, and shows them the VMs that have registered by then.
 	sparingConfigReadOptions  = readOptions{watchDelay: longWatchDelay, wait: feed.WatchTimeout, backoffLimit: sparingMaxBackoff, relistDelay: sparingRelistDelay}
 	sparingTargetsReadOptions = readOptions{allowStale: true, watchDelay: longWatchDelay, wait: 1500 * time.Millisecond, minInterval: 900 * time.Millisecond, backoffLimit: sparingMaxBackoff, relistDelay: sparingRelistDelay}
-	sparingFleetReadOptions   = readOptions{allowStale: true, watchDelay: shortWatchDelay, wait: 2500 * time.Millisecond, minInterval: 1500 * time.Millisecond, backoffLimit: sparingMaxBackoff, relistDelay: sparingRelistDelay}
+	// The drains are listed as they are, since a list that is seconds old may lack a drain that must be kept to.
+	drainsReadOptions        = readOptions{wait: 2 * time.Second, backoffLimit: maxBackoff}
+	sparingDrainsReadOptions = readOptions{wait: 2500 * time.Millisecond, minInterval: 250 * time.Millisecond, backoffLimit: maxBackoff, relistDelay: sparingRelistDelay}
+
+	sparingFleetReadOptions = readOptions{allowStale: true, watchDelay: shortWatchDelay, wait: 2500 * time.Millisecond, minInterval: 1500 * time.Millisecond, backoffLimit: sparingMaxBackoff, relistDelay: sparingRelistDelay}
 )
 
 const (
@@ -120,7 +127,7 @@
 	ctx, cancel := context.WithCancel(dri.ctx)
 	dri.stopReading = cancel
 	revisions, since := dri.mac.Revisions(), dri.configRevision
-	con, tgs, flt := configReadOptions, targetsReadOptions, fleetReadOptions
+	con, tgs, flt, drs := configReadOptions, targetsReadOptions, fleetReadOptions, drainsReadOptions
 	if set.FleetOnly {
 		dri.work.Go(func() { dri.readFleet(ctx, revisions.Fleet, sparingFleetReadOptions) })
 		return
@@ -130,7 +137,7 @@
 	answered := make(chan struct{})
 	markAnswered := sync.OnceFunc(func() { close(answered) })
 	if set.Sparing {
-		con, tgs, flt = sparingConfigReadOptions, sparingTargetsReadOptions, sparingFleetReadOptions
+		con, tgs, flt, drs = sparingConfigReadOptions, sparingTargetsReadOptions, sparingFleetReadOptions, sparingDrainsReadOptions
 	} else {
 		markAnswered()
 	}
@@ -153,6 +160,21 @@
 			dri.readFleet(ctx, revisions.Fleet, flt)
 		}
 	})
+	if set.Drains {
+		sinceDrains := dri.mac.DrainsRevision()
+		dri.work.Go(func() {
+			if await(ctx, answered) {
+				dri.readDrains(ctx, sinceDrains, drs)
+			}
+		})
+	}
+}
+
+// readDrains reads the drained failure domains until ctx is done.
+func (dri *Driver) readDrains(ctx context.Context, since uint64, opt readOptions) {
+	read(ctx, dri, drainsKind, dri.platform.Drains(), since, opt, func(_ clock.Instant, del table.Delta[drain.Entry]) {
+		dri.Step(gateway.DrainsRead{Update: del})
+	})
 }
 
 // readFleet reads the list of VMs until ctx is done.
@@ -245,6 +267,7 @@
 	configKind  = "config"
 	targetsKind = "targets"
 	fleetKind   = "fleet"
+	drainsKind  = "drains"
 )
 
 // callName returns the name of a read in metrics.
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -23,6 +23,7 @@
 	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/quota"
+	"marigoldlug.example/core/warmup"
 	"marigoldlug.example/lugd/pkg/certificate"
 	"marigoldlug.example/lugd/pkg/driver"
 	"marigoldlug.example/lugd/pkg/forward"
@@ -152,7 +153,8 @@
 func policy(set Settings) gateway.Policy {
 	return gateway.Policy{
 		RevokeTime: set.RevokeTime, RetryShare: set.RetryShare, RetryExtra: set.RetryExtra, RetryWindow: set.RetryWindow,
-		Quota: quota.Policy{Window: set.QuotaWindow, Excess: set.QuotaExcess, Slack: set.QuotaSlack},
+		Quota:     quota.Policy{Window: set.QuotaWindow, Excess: set.QuotaExcess, Slack: set.QuotaSlack},
+		DrainTime: set.DrainTime, Warmup: warmup.Policy{Excess: set.ColdExcess, Slack: set.ColdSlack},
 	}
 }
 
--- a/lugd/pkg/edge/settings.go
+++ b/lugd/pkg/edge/settings.go
@@ -52,6 +52,13 @@
 	// limit, plus a fixed number of requests.
 	QuotaExcess float64
 	QuotaSlack  float64
+	// DrainTime is how long after an operator drained a failure domain requests may still be sent to its targets. 0
+	// stands for a platform without such drains, which are not read then.
+	DrainTime time.Duration
+	// ColdExcess and ColdSlack are how many requests a cold target may get in a second: a factor of what it tolerates,
+	// plus a fixed number. 0 for both sets no limit.
+	ColdExcess float64
+	ColdSlack  float64
 	// StopTime is how long a graceful stop may take.
 	StopTime time.Duration
 	// BalancerLag is how long the balancer takes to notice that a VM is not
@@ -169,6 +176,12 @@
 	if set.QuotaExcess < 0 || set.QuotaSlack < 0 {
 		errs = append(errs, fmt.Errorf("quota-excess: must be at least 0, and so must quota-slack; they are %v and %v", set.QuotaExcess, set.QuotaSlack))
 	}
+	if set.ColdExcess < 0 || set.ColdSlack < 0 || math.IsInf(set.ColdExcess, 0) || math.IsInf(set.ColdSlack, 0) || math.IsNaN(set.ColdExcess+set.ColdSlack) {
+		errs = append(errs, fmt.Errorf("cold-excess: must be a finite number of at least 0, and so must cold-slack; they are %v and %v", set.ColdExcess, set.ColdSlack))
+	}
+	if set.DrainTime != 0 && set.DrainTime < minDrainTime {
+		errs = append(errs, fmt.Errorf("domain-drain-time: %v is neither 0 nor at least %v", set.DrainTime, minDrainTime))
+	}
 	if set.HeaderBytes < 1<<10 || set.BodyBytes < 0 || set.MemoryMiB < 16 {
 		errs = append(errs, errors.New("max-header-bytes: must be at least 1024, max-body-bytes at least 0 and memory-mib at least 16"))
 	}
@@ -178,6 +191,10 @@
 	return errs
 }
 
+// minDrainTime is the least domain-drain-time. A watch of the drains that the store does not answer is given up after
+// 2.8 s, or 3.3 s while the VM reads sparingly (see package driver), and only then repeated.
+const minDrainTime = 4 * time.Second
+
 // The values of Settings.PlainText: who can be served without TLS.
 const (
 	PlainCallers   = "callers"
@@ -258,6 +275,9 @@
 		durationFlag("quota-window", "time over which the rate and burst of organisations are enforced", &set.QuotaWindow),
 		floatFlag("quota-excess", "what organisations may get beyond their limit in a quota-window while VMs are lost, as a share of the limit", &set.QuotaExcess),
 		floatFlag("quota-slack", "requests in a quota-window that organisations may get in addition to quota-excess", &set.QuotaSlack),
+		durationFlag("domain-drain-time", "how long after a failure domain was drained requests may still be sent to its targets; 0 if the platform has no such drains", &set.DrainTime),
+		floatFlag("cold-excess", "requests that a cold target may get in a second, as a multiple of those that it tolerates", &set.ColdExcess),
+		floatFlag("cold-slack", "requests that a cold target may get in a second in addition to cold-excess", &set.ColdSlack),
 		durationFlag("stop-time", "how long a graceful stop may take", &set.StopTime),
 		durationFlag("balancer-lag", "time that the balancer takes to notice that a VM is not ready", &set.BalancerLag),
 		intFlag("max-header-bytes", "maximum size of the request line and headers of a request", &set.HeaderBytes),
--- a/lugd/pkg/peer/codec.go
+++ b/lugd/pkg/peer/codec.go
@@ -54,6 +54,8 @@
 	kindPortReply       = 72
 	// kindEraUpdate is a kindFeedUpdate with the eras of its revisions. It is sent only to VMs whose queries tell eras.
 	kindEraUpdate = 73
+	// kindDrains is sent only to VMs whose queries say that they keep to the drains of failure domains.
+	kindDrains = 74
 )
 
 // protocolVersion is raised when frames change in a way that older programs cannot
--- a/lugd/pkg/peer/codec_test.go
+++ b/lugd/pkg/peer/codec_test.go
@@ -12,6 +12,7 @@
 
 	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/config"
+	"marigoldlug.example/core/drain"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/gateway"
@@ -70,6 +71,7 @@
 				{Name: "f", Revision: revision.Join(2, 8), Value: fleet.Row{Holder: "h", Era: 2, Waiting: true}}, {Name: "g", Revision: revision.Join(2, 7), Value: fleet.Row{VM: vmm, Name: "g"}},
 			}},
 		},
+		drain.Report{Revision: revision.Join(3, 5), Shown: []string{"a", "b"}, Retained: []drain.Retained{{Domain: "c", Left: time.Second}}},
 		gateway.PathsWarning{Service: "s"},
 		gateway.PortQuery{Service: "s", Run: run},
 		gateway.PortReply{Run: run, Reached: true},
--- a/lugd/pkg/peer/gateway.go
+++ b/lugd/pkg/peer/gateway.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"marigoldlug.example/core/drain"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/gateway"
@@ -35,6 +36,8 @@
 	case gateway.PathsWarning:
 		wrt.unsigned(kindPathsWarning)
 		wrt.text(msg.Service)
+	case drain.Report:
+		wrt.drains(msg)
 	case quota.Query:
 		wrt.unsigned(kindTokenQuery)
 		wrt.text(msg.Organisation)
@@ -64,6 +67,8 @@
 		return rdr.update()
 	case kindEraUpdate:
 		return rdr.eraUpdate()
+	case kindDrains:
+		return rdr.drains()
 	case kindVMPing:
 		return gateway.Ping{}
 	case kindVMPong:
@@ -85,7 +90,8 @@
 	return rdr.decodePlacementMessage(kind)
 }
 
-// feedQuery encodes a query. The eras of the revisions stand at the end, where older programs do not read.
+// feedQuery encodes a query. The eras of the revisions, and then whether the sender keeps to drains, stand at the end,
+// where older programs do not read.
 func (wrt *writer) feedQuery(msg feed.Query) {
 	wrt.unsigned(kindFeedQuery)
 	wrt.unsigned(msg.Number)
@@ -96,6 +102,9 @@
 		wrt.era(revision.EraOf(msg.Targets))
 		wrt.era(revision.EraOf(msg.Fleet))
 	}
+	if msg.KnowsEras && msg.KnowsDrains {
+		wrt.boolean(true)
+	}
 }
 
 func (rdr *reader) feedQuery() feed.Query {
@@ -106,6 +115,9 @@
 	msg.KnowsEras = true
 	msg.Targets = revision.Join(rdr.era(), msg.Targets)
 	msg.Fleet = revision.Join(rdr.era(), msg.Fleet)
+	if rdr.err == nil && rdr.src.Len() > 0 {
+		msg.KnowsDrains = rdr.boolean()
+	}
 	return msg
 }
 
@@ -207,6 +219,7 @@
 	writeDelta(wrt, msg.Targets, wrt.entry)
 	writeDelta(wrt, msg.Fleet, wrt.fleetRow)
 	wrt.quarantineRows(msg.Fleet)
+	wrt.serviceFields(msg)
 }
 
 func (rdr *reader) update() gateway.Update {
@@ -225,7 +238,7 @@
 	}
 	msg.Targets = readDelta(rdr, rdr.entry)
 	msg.Fleet = readDelta(rdr, rdr.fleetRow)
-	rdr.quarantineRows(msg.Fleet)
+	rdr.rowsAtEnd(&msg)
 	return msg
 }
 
--- a/lugd/pkg/peer/quarantine.go
+++ b/lugd/pkg/peer/quarantine.go
@@ -118,14 +118,11 @@
 	}
 }
 
-// quarantineRows adds to the rows of the fleet list what follows in the update.
-func (rdr *reader) quarantineRows(del table.Delta[fleet.Row]) {
-	for rdr.err == nil && rdr.src.Len() > 0 {
-		name, rps := rdr.text(), rdr.quarantineReports()
-		for num := range del.Rows {
-			if del.Rows[num].Name == name {
-				del.Rows[num].Value.Quarantine = rps
-			}
+// setQuarantine adds what an update holds of the quarantine to the row of the fleet list with the given name.
+func setQuarantine(del table.Delta[fleet.Row], name string, rps []quarantine.Report) {
+	for num := range del.Rows {
+		if del.Rows[num].Name == name {
+			del.Rows[num].Value.Quarantine = rps
 		}
 	}
 }
