--- a/lugd/pkg/peer/appendix.go
+++ b/lugd/pkg/peer/appendix.go
@@ -23,6 +23,7 @@
 	if msg.Patch != nil {
 		wrt.largeRoutes(msg.Patch.Change.Changed.Routes)
 	}
+	wrt.serviceFields(msg)
 }
 
 func (wrt *writer) largeRoutes(rous []config.Route) {
@@ -45,11 +46,11 @@
 			}
 			continue
 		}
-		for num := range msg.Fleet.Rows {
-			if msg.Fleet.Rows[num].Name == name {
-				msg.Fleet.Rows[num].Value.Quarantine = rps
-			}
+		if fields, found := strings.CutPrefix(name, serviceFieldsPrefix); found && rdr.err == nil {
+			rdr.keep(setServiceFields(msg, con, []byte(fields)))
+			continue
 		}
+		setQuarantine(msg.Fleet, name, rps)
 	}
 }
 
--- a/lugd/pkg/peer/gateway.go
+++ b/lugd/pkg/peer/gateway.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"marigoldlug.example/core/config"
+	"marigoldlug.example/core/drain"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/gateway"
@@ -36,6 +37,8 @@
 	case gateway.PathsWarning:
 		wrt.unsigned(kindPathsWarning)
 		wrt.text(msg.Service)
+	case drain.Report:
+		wrt.drains(msg)
 	case quota.Query:
 		wrt.unsigned(kindTokenQuery)
 		wrt.text(msg.Organisation)
@@ -65,6 +68,8 @@
 		return rdr.update()
 	case kindEraUpdate:
 		return rdr.eraUpdate()
+	case kindDrains:
+		return rdr.drains()
 	case kindVMPing:
 		return gateway.Ping{}
 	case kindVMPong:
@@ -86,7 +91,8 @@
 	return rdr.decodePlacementMessage(kind)
 }
 
-// feedQuery encodes a query. The eras of the revisions stand at the end, where older programs do not read.
+// feedQuery encodes a query. The eras of the revisions, and then whether the sender keeps to drains, stand at the end,
+// where older programs do not read.
 func (wrt *writer) feedQuery(msg feed.Query) {
 	wrt.unsigned(kindFeedQuery)
 	wrt.unsigned(msg.Number)
@@ -97,6 +103,9 @@
 		wrt.era(revision.EraOf(msg.Targets))
 		wrt.era(revision.EraOf(msg.Fleet))
 	}
+	if msg.KnowsEras && msg.KnowsDrains {
+		wrt.boolean(true)
+	}
 }
 
 func (rdr *reader) feedQuery() feed.Query {
@@ -107,6 +116,9 @@
 	msg.KnowsEras = true
 	msg.Targets = revision.Join(rdr.era(), msg.Targets)
 	msg.Fleet = revision.Join(rdr.era(), msg.Fleet)
+	if rdr.err == nil && rdr.src.Len() > 0 {
+		msg.KnowsDrains = rdr.boolean()
+	}
 	return msg
 }
 
--- a/lugd/pkg/peer/quarantine.go
+++ b/lugd/pkg/peer/quarantine.go
@@ -116,3 +116,12 @@
 		}
 	}
 }
+
+// setQuarantine adds what an update holds of the quarantine to the row of the fleet list with the given name.
+func setQuarantine(del table.Delta[fleet.Row], name string, rps []quarantine.Report) {
+	for num := range del.Rows {
+		if del.Rows[num].Name == name {
+			del.Rows[num].Value.Quarantine = rps
+		}
+	}
+}
