Let operators drain failure domains and see them

Drains could only be written by hand, and nothing showed what a VM knew of them.

lugctl domain list, drain and restore act on the store; /v1/domains and the gauge domains_drained show what a VM knows. A request that is to be forwarded to a drained target is refused as shed, not as "target not known", which made the VM with the caller ask others to forward it.

--- a/core/gateway/drains.go
+++ b/core/gateway/drains.go
@@ -107,6 +107,12 @@
 	return mac.drains.book.Drained(tgt.FailureDomain)
 }
 
+// runDrained is like drained for a run that another VM names.
+func (mac *Machine) runDrained(run health.Run) bool {
+	ent, registered := mac.registry.Entry(run.Target)
+	return registered && mac.drains.book.Drained(ent.FailureDomain)
+}
+
 // placeBesideDrained asks the placer again for a request for which it chose a drained target, without all drained ones,
 // and reports whether it did so. The placer may be of an older program, or may not know of the drain yet.
 func (mac *Machine) placeBesideDrained(now clock.Instant, inf *inFlight, chosen string) bool {
@@ -137,3 +143,44 @@
 	}
 	return "no target is registered"
 }
+
+// DomainStatus is what a VM knows about a failure domain.
+type DomainStatus struct {
+	Name    string
+	Drained bool
+	// Retained is set if the store does not show the drain after a restore.
+	Retained bool
+	// DrainedFor is how long ago this VM learned of the drain.
+	DrainedFor time.Duration
+	// Targets is the number of registered targets, and Running the number of attempts of this VM that still run there.
+	Targets, Running int
+}
+
+// Domains returns the failure domains that have targets or are drained, sorted by name.
+func (mac *Machine) Domains(now clock.Instant) []DomainStatus {
+	byName := make(map[string]DomainStatus)
+	for _, row := range mac.registry.Rows() {
+		dom := byName[row.Value.FailureDomain]
+		dom.Targets++
+		byName[row.Value.FailureDomain] = dom
+	}
+	for _, drn := range mac.drains.book.Domains() {
+		dom := byName[drn.Name]
+		dom.Drained, dom.Retained, dom.DrainedFor = true, drn.Retained, now.Since(drn.Since)
+		byName[drn.Name] = dom
+	}
+	for _, inf := range mac.requests {
+		for _, att := range inf.live {
+			dom := byName[att.target.FailureDomain]
+			dom.Running++
+			byName[att.target.FailureDomain] = dom
+		}
+	}
+	var out []DomainStatus
+	for _, name := range sortedNames(byName) {
+		dom := byName[name]
+		dom.Name = name
+		out = append(out, dom)
+	}
+	return out
+}
--- a/core/gateway/forward.go
+++ b/core/gateway/forward.go
@@ -119,10 +119,10 @@
 	switch {
 	case mac.stopping:
 		rej = &Rejection{Outcome: health.NotForwarded, Detail: "the VM stops"}
+	case mac.runDrained(fwd.Run):
+		rej = &Rejection{Outcome: health.Shed, Detail: "the failure domain of the target is drained"}
 	case !found:
 		rej = &Rejection{Outcome: health.NotForwarded, Detail: "the VM does not know the target"}
-	case mac.drained(tgt):
-		rej = &Rejection{Outcome: health.Shed, Detail: "the failure domain of the target is drained"}
 	case mac.paths.Lost(fwd.Service):
 		rej = &Rejection{Outcome: health.NotForwarded, Detail: "the VM reaches no target either"}
 	case mac.book.Leaving(fwd.Run) || mac.book.Paused(now, fwd.Run) > 0:
--- a/core/gateway/status.go
+++ b/core/gateway/status.go
@@ -35,6 +35,8 @@
 	// have crashed targets, and DroppedContents how many it has dropped for want of room.
 	SuspectedContents, QuarantinedContents int
 	DroppedContents                        uint64
+	// DrainedDomains is the number of failure domains that are drained as far as this VM knows.
+	DrainedDomains int
 	// Placements counts the answers of this VM as a placer, and Tokens the requests that it decided
 	// on as a token server, both by outcome.
 	Placements, Tokens map[string]uint64
@@ -47,6 +49,7 @@
 		Holders: mac.fleet.Holders(), Ages: mac.ages(now), InFlight: len(mac.requests), Targets: mac.registry.Len(), Stopping: mac.stopping,
 		Followers: len(mac.followers), Placements: maps.Clone(mac.placementCounts), Tokens: maps.Clone(mac.tokenCounts),
 	}
+	sta.DrainedDomains = mac.drains.book.Len()
 	sta.SuspectedContents, sta.QuarantinedContents, sta.DroppedContents = mac.contents.book.Sizes()
 	for _, svc := range mac.services {
 		for _, par := range svc.partitions {
--- a/lugctl/pkg/client/client.go
+++ b/lugctl/pkg/client/client.go
@@ -75,6 +75,13 @@
 	return out, err
 }
 
+// Domains returns the failure domains as the VM knows them.
+func (cli *Client) Domains(ctx context.Context) ([]api.Domain, error) {
+	var out []api.Domain
+	err := cli.get(ctx, api.PathDomains, &out)
+	return out, err
+}
+
 // Rollout returns which VMs hold a version of the configuration.
 func (cli *Client) Rollout(ctx context.Context, version uint64) (api.Rollout, error) {
 	var out api.Rollout
--- a/lugctl/pkg/command/command.go
+++ b/lugctl/pkg/command/command.go
@@ -29,11 +29,20 @@
 	// Lift ends the quarantine of the content of requests with a fingerprint. The error is ErrNotQuarantined
 	// if the store has no such content, and release.ErrConcurrentChange if the object has changed meanwhile.
 	Lift(ctx context.Context, content string) error
+	// Drained returns the failure domains that are drained, sorted by name.
+	Drained(ctx context.Context) ([]string, error)
+	// Drain drains a failure domain. It does nothing if that is drained already.
+	Drain(ctx context.Context, domain string) error
+	// Restore ends the drain of a failure domain. The error is ErrNotDrained if it is not drained.
+	Restore(ctx context.Context, domain string) error
 }
 
 // ErrNotQuarantined is returned where the store has no quarantined content with the given fingerprint.
 var ErrNotQuarantined = errors.New("the store holds no content with this fingerprint")
 
+// ErrNotDrained is returned where the store has no drain of the given failure domain.
+var ErrNotDrained = errors.New("the store holds no drain of this failure domain")
+
 // Connect returns the store of the platform at an address, an IP address and port.
 type Connect func(address string) Store
 
@@ -65,7 +74,7 @@
 		Usage:  "manage a marigoldlug proxy fleet",
 		Writer: out,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "platform", Usage: "IP address and port of the platform's store, for releases, keys and the quarantine", Destination: &cct.platform, Sources: cli.EnvVars("LUGCTL_PLATFORM")},
+			&cli.StringFlag{Name: "platform", Usage: "IP address and port of the platform's store, for releases, keys, the quarantine and drains", Destination: &cct.platform, Sources: cli.EnvVars("LUGCTL_PLATFORM")},
 			&cli.StringFlag{Name: "address", Usage: "URL of the operator API of any VM", Value: "http://127.0.0.1:8082", Destination: &cct.address, Sources: cli.EnvVars("LUGCTL_ADDRESS")},
 			&cli.StringFlag{Name: "operator", Usage: "name of the operator, kept in the history", Value: os.Getenv("USER"), Destination: &cct.operator, Sources: cli.EnvVars("LUGCTL_OPERATOR")},
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Usage: "json or table", Value: "table", Destination: &cct.output, Sources: cli.EnvVars("LUGCTL_OUTPUT")},
@@ -74,7 +83,7 @@
 			&cli.StringFlag{Name: "authority", Usage: "file of the certificate authority that signs the certificates of VMs", Destination: &cct.files.Authority, Sources: cli.EnvVars("LUGCTL_AUTHORITY")},
 			&cli.DurationFlag{Name: "wait", Usage: "how long to wait until a release is in force", Value: 30 * time.Second, Destination: &cct.wait, Sources: cli.EnvVars("LUGCTL_WAIT")},
 		},
-		Commands: []*cli.Command{cct.releaseCommand(), cct.keyCommand(), cct.vmCommand(), cct.targetCommand(), cct.quarantineCommand(), cct.explainCommand()},
+		Commands: []*cli.Command{cct.releaseCommand(), cct.keyCommand(), cct.vmCommand(), cct.targetCommand(), cct.quarantineCommand(), cct.domainCommand(), cct.explainCommand()},
 	}
 }
 
--- a/lugctl/pkg/command/exit.go
+++ b/lugctl/pkg/command/exit.go
@@ -46,7 +46,7 @@
 		return ExitNotInForce
 	case errors.Is(err, release.ErrBaseLost):
 		return ExitConflict
-	case errors.As(err, &invalid), errors.Is(err, release.ErrNoRelease), errors.Is(err, ErrNotQuarantined):
+	case errors.As(err, &invalid), errors.Is(err, release.ErrNoRelease), errors.Is(err, ErrNotQuarantined), errors.Is(err, ErrNotDrained):
 		return ExitInvalid
 	case errors.As(err, &conflict), errors.Is(err, release.ErrIDReused), errors.Is(err, release.ErrConcurrentChange):
 		return ExitConflict
--- a/lugd/pkg/edge/fleet.go
+++ b/lugd/pkg/edge/fleet.go
@@ -71,6 +71,17 @@
 	return out
 }
 
+// Domains returns the failure domains as this VM sees them.
+func (fle *fleet) Domains() []api.Domain {
+	out := []api.Domain{}
+	fle.dmn.driver.WithMachine(func(mac *gateway.Machine, now clock.Instant) {
+		for _, dom := range mac.Domains(now) {
+			out = append(out, api.ConvertDomain(dom))
+		}
+	})
+	return out
+}
+
 // Rollout returns how many of the listed VMs hold a version, by what they report.
 func (fle *fleet) Rollout(ctx context.Context, version uint64) api.Rollout {
 	members := fle.members()
--- a/lugd/pkg/edge/observer.go
+++ b/lugd/pkg/edge/observer.go
@@ -84,6 +84,10 @@
 		sta, _ := dmn.driver.Status()
 		return float64(sta.DroppedContents)
 	})
+	met.Gauge("domains_drained", "Failure domains that are drained: nothing more is sent to their targets.", func() float64 {
+		sta, _ := dmn.driver.Status()
+		return float64(sta.DrainedDomains)
+	})
 	met.Gauge("followers", "VMs that learn from this one.", func() float64 {
 		sta, _ := dmn.driver.Status()
 		return float64(sta.Followers)
--- a/lugd/pkg/operator/server.go
+++ b/lugd/pkg/operator/server.go
@@ -17,6 +17,7 @@
 	VMs(ctx context.Context) []api.VM
 	Targets() []api.Target
 	Contents() []api.Content
+	Domains() []api.Domain
 	Rollout(ctx context.Context, version uint64) api.Rollout
 }
 
@@ -33,6 +34,7 @@
 	srv.mux.HandleFunc("GET "+api.PathVMs, srv.vms)
 	srv.mux.HandleFunc("GET "+api.PathTargets, srv.targets)
 	srv.mux.HandleFunc("GET "+api.PathContents, srv.contents)
+	srv.mux.HandleFunc("GET "+api.PathDomains, srv.domains)
 	srv.mux.HandleFunc("GET "+api.PathRollout+"{version}", srv.rollout)
 	return srv
 }
@@ -52,6 +54,10 @@
 	srv.writeJSON(wrt, http.StatusOK, srv.fleet.Contents())
 }
 
+func (srv *Server) domains(wrt http.ResponseWriter, _ *http.Request) {
+	srv.writeJSON(wrt, http.StatusOK, srv.fleet.Domains())
+}
+
 func (srv *Server) rollout(wrt http.ResponseWriter, req *http.Request) {
 	version, err := strconv.ParseUint(req.PathValue("version"), 10, 64)
 	if err != nil {
--- a/lugd/service/api/conversions.go
+++ b/lugd/service/api/conversions.go
@@ -43,6 +43,13 @@
 	return out
 }
 
+// ConvertDomain converts what a VM knows of a failure domain.
+func ConvertDomain(dom gateway.DomainStatus) Domain {
+	return Domain{
+		Name: dom.Name, Drained: dom.Drained, Retained: dom.Retained, DrainedSeconds: dom.DrainedFor.Seconds(), Targets: dom.Targets, Requests: dom.Running,
+	}
+}
+
 // NewRollout returns the rollout of a version to members, the IDs of the listed VMs, by the
 // states of the VMs that answered.
 func NewRollout(version uint64, members []string, states []peer.State) Rollout {
--- a/lugd/service/api/types.go
+++ b/lugd/service/api/types.go
@@ -8,6 +8,8 @@
 	PathTargets = "/v1/targets"
 	// PathContents lists the contents of requests that have crashed targets.
 	PathContents = "/v1/contents"
+	// PathDomains lists the failure domains that have targets or are drained.
+	PathDomains = "/v1/domains"
 	// PathRollout is followed by the version of a configuration.
 	PathRollout = "/v1/spread/"
 )
@@ -87,6 +89,20 @@
 	Trials int `json:"trials"`
 }
 
+// Domain is a failure domain as one VM sees it.
+type Domain struct {
+	Name string `json:"name"`
+	// Drained is set while nothing more is sent to the targets there.
+	Drained bool `json:"drained"`
+	// Retained is set if the store does not show the drain after a restore, so that it ends unless it is written again.
+	Retained bool `json:"retained,omitempty"`
+	// DrainedSeconds is how long ago the VM learned of the drain.
+	DrainedSeconds float64 `json:"drainedSeconds,omitempty"`
+	// Targets is the number of registered targets, and Requests the number of requests of the VM that still run there.
+	Targets  int `json:"targets"`
+	Requests int `json:"requests"`
+}
+
 // CodeMalformed is the only value of Error.Code.
 const CodeMalformed = "malformed"
 
