Show in release check what is suspicious in a note

release check found errors and conflicts only. Entries without effect and limits that contradict each other were noticed once they were in force.

- core/inspection finds them; release check shows them with errors, changes by field and what is not understood, as a table or JSON.
- release apply prints new warnings.

Measured: go test passes in core/inspection and in all of lugctl.

--- a/lugctl/pkg/command/exit.go
+++ b/lugctl/pkg/command/exit.go
@@ -8,7 +8,7 @@
 	"marigoldlug.example/lugctl/pkg/release"
 )
 
-// The exit codes of lugctl.
+// The exit codes of lugctl. The codes of release check for a note with errors and, if asked for, one with warnings are 1 and 2.
 const (
 	ExitOK          = 0
 	ExitFailure     = 1
@@ -17,6 +17,9 @@
 	ExitConflict    = 4
 	ExitUnavailable = 5
 	ExitNotInForce  = 6
+
+	exitNoteErrors   = 1
+	exitNoteWarnings = 2
 )
 
 var (
@@ -37,9 +40,14 @@
 	var invalid note.ValidationError
 	var conflict *note.ConflictError
 	var unreachable *client.UnreachableError
+	var findings *findingsError
 	switch {
 	case err == nil:
 		return ExitOK
+	case errors.As(err, &findings) && findings.errors > 0:
+		return exitNoteErrors
+	case errors.As(err, &findings):
+		return exitNoteWarnings
 	case errors.As(err, &usage):
 		return ExitUsage
 	case errors.Is(err, errNotInForce):
--- a/lugctl/pkg/command/release.go
+++ b/lugctl/pkg/command/release.go
@@ -22,7 +22,7 @@
 		Aliases: []string{"rel"},
 		Usage:   "check, apply and follow release notes",
 		Commands: []*cli.Command{
-			{Name: "check", Usage: "report every error and conflict of a note", ArgsUsage: "FILE", Action: cct.run(cct.checkRelease)},
+			cct.checkCommand(),
 			{Name: "diff", Usage: "show every field that a note changes", ArgsUsage: "FILE", Action: cct.run(cct.diffRelease)},
 			{Name: "apply", Usage: "apply a note and wait until it is in force", ArgsUsage: "FILE", Action: cct.run(cct.applyRelease)},
 			{Name: "status", Usage: "show how many VMs hold a version", ArgsUsage: "VERSION", Action: cct.run(cct.releaseStatus)},
@@ -58,7 +58,7 @@
 	return app.Check(ctx, doc)
 }
 
-// checkResult is the JSON output of release check and release diff.
+// checkResult is the JSON output of release diff.
 type checkResult struct {
 	Differences []difference `json:"differences"`
 }
@@ -78,25 +78,12 @@
 	return res
 }
 
-func (cct *commandContext) checkRelease(ctx context.Context, cmd *cli.Command, prn *printer) error {
-	difs, err := cct.check(ctx, cmd)
-	if err != nil {
-		return err
-	}
-	summary := fmt.Sprintf("the note is valid and changes %d fields", len(difs))
-	return prn.print(convertDifferences(difs), []string{"RESULT"}, [][]string{{summary}})
-}
-
 func (cct *commandContext) diffRelease(ctx context.Context, cmd *cli.Command, prn *printer) error {
 	difs, err := cct.check(ctx, cmd)
 	if err != nil {
 		return err
 	}
-	var rows [][]string
-	for _, dif := range difs {
-		rows = append(rows, []string{dif.Object, dif.Field, dif.Before, dif.After})
-	}
-	return prn.print(convertDifferences(difs), []string{"OBJECT", "FIELD", "BEFORE", "AFTER"}, rows)
+	return prn.print(convertDifferences(difs), differenceTitles, differenceRows(difs))
 }
 
 func (cct *commandContext) applyRelease(ctx context.Context, cmd *cli.Command, prn *printer) error {
@@ -119,6 +106,9 @@
 		return err
 	}
 	// Errors of progress output are ignored: a closed terminal must not fail the command.
+	for _, one := range res.Warnings {
+		_, _ = fmt.Fprintf(cct.progress, "warning: %s: %s\n", findingPath(one), one.Message)
+	}
 	_, _ = fmt.Fprintf(cct.progress, "version %d: stored\n", res.Version)
 	cli, err := cct.client()
 	if err != nil {
--- a/lugctl/pkg/release/release.go
+++ b/lugctl/pkg/release/release.go
@@ -11,6 +11,7 @@
 	errs "github.com/juju/errors"
 
 	"marigoldlug.example/core/config"
+	"marigoldlug.example/core/inspection"
 	"marigoldlug.example/core/issue"
 	"marigoldlug.example/core/note"
 )
@@ -89,6 +90,8 @@
 	ID          string
 	Version     uint64
 	Differences []note.Difference
+	// Warnings lists what is suspicious in the configuration and was not so before.
+	Warnings []inspection.Finding
 	// AlreadyApplied is set if the same note had been applied before and nothing was
 	// changed. Version is then that of the earlier release.
 	AlreadyApplied bool
@@ -179,7 +182,9 @@
 	if err := app.store.AddRelease(ctx, ent); err != nil {
 		return Result{}, errs.Annotatef(err, "version %d is stored, but its release cannot be added to the history", version)
 	}
-	return Result{ID: nte.ID, Version: version, Differences: note.Diff(cur.Content, next)}, nil
+	return Result{
+		ID: nte.ID, Version: version, Differences: note.Diff(cur.Content, next), Warnings: inspection.New(cur.Content, next, inspection.Budget{}),
+	}, nil
 }
 
 // findRelease returns the release with an ID, or nil.
