Choose the less loaded of two partitions, and ask one other before a refusal

A request was sent to a partition drawn at random, and refused there for lack of room while other partitions had free slots.

Answers of placers now end with the load of their partition, in one byte that older programs do not read. A VM keeps it with its age in core/balance, lets it fade towards the mean of the service, adds the queries it has sent since, and takes the less loaded of two partitions that are drawn in proportion to their targets. What is unknown, old, or of a silent or replaced placer means a choice as before. A request without room is sent to one other partition, unless that one is known to be full for its priority; a request still asks at most one other partition. Services of one partition are placed as before, and their frames are unchanged.

--- /dev/null
+++ b/core/balance/chooser.go
@@ -0,0 +1,190 @@
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"marigoldlug.example/core/clock"
+)
+
+const (
+	// fadeTime is the time in which the difference between what is known of a partition and the mean of the
+	// service fades to 1/e. Requests that ended meanwhile have made room, and other VMs have used it.
+	fadeTime = 400 * time.Millisecond
+	// minGain is the least difference of loads for which the second partition drawn is preferred to the
+	// first: a smaller one is lost in the rounding of loads and in what other VMs send meanwhile.
+	minGain = 1.0 / loadSteps
+	// meanWeight is the weight of one load in the moving average over the partitions.
+	meanWeight = 0.1
+)
+
+// partition is what a Chooser knows of one partition.
+type partition struct {
+	targets, slots int
+	// load is the load that was told at learnedAt; unknown if none was told since Forget.
+	load      Load
+	learnedAt clock.Instant
+	// sent counts the queries since then.
+	sent int
+	// fullUntil is the time until which the partition is taken to have no room for requests of the priority
+	// fullFor and lower ones, that is, of greater numbers.
+	fullUntil clock.Instant
+	fullFor   int
+}
+
+// full reports whether the partition is known to have no room for requests of a priority.
+func (par *partition) full(now clock.Instant, priority int) bool {
+	return now.Before(par.fullUntil) && priority >= par.fullFor
+}
+
+// Chooser chooses among the partitions of one service for one VM. It is not safe for concurrent use.
+type Chooser struct {
+	rnd        *rand.Rand
+	partitions []partition
+	// mean is the moving average of the loads that were told, as a share; meaningless until one was told.
+	mean     float64
+	anyKnown bool
+}
+
+// New returns a chooser for a number of partitions, at least one, of which nothing is known.
+func New(rnd *rand.Rand, partitions int) *Chooser {
+	return &Chooser{rnd: rnd, partitions: make([]partition, partitions)}
+}
+
+// SetTargets sets how many targets a partition has, and how many slots they have together.
+func (cho *Chooser) SetTargets(number, targets, slots int) {
+	cho.partitions[number].targets, cho.partitions[number].slots = targets, slots
+}
+
+// Learn records the load that the placer of a partition tells. An older program tells none, which leaves
+// what is known to fade.
+func (cho *Chooser) Learn(now clock.Instant, number int, loa Load) {
+	if !loa.Known() {
+		return
+	}
+	par := &cho.partitions[number]
+	par.load, par.learnedAt, par.sent = loa, now, 0
+	if !cho.anyKnown {
+		cho.mean, cho.anyKnown = loa.Share(), true
+	}
+	cho.mean += meanWeight * (loa.Share() - cho.mean)
+}
+
+// Refused records that a placer had no room for a request of a priority, and after which time it expects
+// some.
+func (cho *Chooser) Refused(now clock.Instant, number, priority int, retryAfter time.Duration) {
+	par := &cho.partitions[number]
+	if par.full(now, priority) {
+		return
+	}
+	par.fullUntil, par.fullFor = now.Add(min(retryAfter, fadeTime)), priority
+}
+
+// Sent records that a partition is asked for a target.
+func (cho *Chooser) Sent(number int) { cho.partitions[number].sent++ }
+
+// Forget drops what is known of a partition, because another VM places its requests from now on, or
+// because its placer is silent.
+func (cho *Chooser) Forget(number int) {
+	par := &cho.partitions[number]
+	par.load, par.sent, par.fullUntil = 0, 0, clock.Instant{}
+}
+
+// Estimate returns the expected load of a partition as requests per slot, and whether anything is known of
+// it. The load that was told last fades towards the mean of the service, and the queries since are added.
+func (cho *Chooser) Estimate(now clock.Instant, number int) (float64, bool) {
+	par := &cho.partitions[number]
+	if !par.load.Known() {
+		return 0, false
+	}
+	fade := math.Exp(-now.Since(par.learnedAt).Seconds() / fadeTime.Seconds())
+	return cho.mean + fade*(par.load.Share()-cho.mean+float64(par.sent)/float64(max(par.slots, 1))), true
+}
+
+// Choose returns the partition for a request of a priority: the less loaded one of two that are drawn in
+// proportion to their numbers of targets, or the first of them if too little is known of both. So VMs
+// that know the same choose different partitions.
+func (cho *Chooser) Choose(now clock.Instant, priority int) int {
+	first := cho.draw(-1)
+	if len(cho.partitions) == 1 {
+		return first
+	}
+	return cho.better(now, priority, first, cho.draw(-1))
+}
+
+// Other returns a partition to ask after another one had no room for a request, chosen as Choose does, and
+// false if there is none that is not known to be full.
+func (cho *Chooser) Other(now clock.Instant, priority, refused int) (int, bool) {
+	if len(cho.partitions) < 2 {
+		return 0, false
+	}
+	next := cho.better(now, priority, cho.draw(refused), cho.draw(refused))
+	if !cho.open(now, priority, next) {
+		next = cho.firstOpen(now, priority, refused)
+	}
+	return next, next >= 0
+}
+
+// open reports whether a partition has targets and is not known to be full.
+func (cho *Chooser) open(now clock.Instant, priority, number int) bool {
+	par := &cho.partitions[number]
+	return par.targets > 0 && !par.full(now, priority)
+}
+
+// firstOpen returns the first open partition from a random one on, except for one; -1 if there is none.
+func (cho *Chooser) firstOpen(now clock.Instant, priority, except int) int {
+	from := cho.rnd.IntN(len(cho.partitions))
+	for off := range cho.partitions {
+		num := (from + off) % len(cho.partitions)
+		if num != except && cho.open(now, priority, num) {
+			return num
+		}
+	}
+	return -1
+}
+
+// better returns the second partition if it is known to be better than the first.
+func (cho *Chooser) better(now clock.Instant, priority, first, second int) int {
+	fullFirst, fullSecond := cho.partitions[first].full(now, priority), cho.partitions[second].full(now, priority)
+	if fullFirst != fullSecond {
+		if fullFirst {
+			return second
+		}
+		return first
+	}
+	one, knownOne := cho.Estimate(now, first)
+	two, knownTwo := cho.Estimate(now, second)
+	if knownOne && knownTwo && one-two > minGain {
+		return second
+	}
+	return first
+}
+
+// draw returns a random partition in proportion to its number of targets, except for one unless that is
+// negative. Without any target it returns the first partition that is allowed.
+func (cho *Chooser) draw(except int) int {
+	all := 0
+	for num, par := range cho.partitions {
+		if num != except {
+			all += par.targets
+		}
+	}
+	fallback := 0
+	if except == 0 {
+		fallback = 1
+	}
+	if all == 0 {
+		return fallback
+	}
+	at := cho.rnd.IntN(all)
+	for num, par := range cho.partitions {
+		if num == except {
+			continue
+		}
+		if at -= par.targets; at < 0 {
+			return num
+		}
+	}
+	return fallback
+}
--- a/core/gateway/announced.go
+++ b/core/gateway/announced.go
@@ -156,17 +156,19 @@
 	return out
 }
 
-// tryOtherPartition asks once for a target of another partition if what targets announce is why a
-// request has none: unlike load, that need not be the same in all partitions.
+// tryOtherPartition asks once for a target of another partition, one that is not known to be full, if a
+// request has none for lack of room or for what targets announce.
 func (mac *Machine) tryOtherPartition(now clock.Instant, inf *inFlight, ans placement.Answer) bool {
 	svc := mac.services[inf.service]
-	announced := ans.Reason == placement.Limited || ans.Reason == placement.NoTargetLeft && !mac.book.Empty()
-	if svc == nil || len(svc.partitions) < 2 || inf.otherPartition || !announced {
+	eligible := ans.Reason == placement.NoRoom || ans.Reason == placement.Limited || ans.Reason == placement.NoTargetLeft && !mac.book.Empty()
+	if svc == nil || len(svc.partitions) < 2 || inf.otherPartition || !eligible {
+		return false
+	}
+	next, found := svc.chooser.Other(now, int(inf.priority), slices.Index(svc.partitions, inf.queriedPartition))
+	if !found {
 		return false
 	}
 	inf.otherPartition = true
-	at := slices.Index(svc.partitions, inf.queriedPartition)
-	next := (at + 1 + mac.rnd.IntN(len(svc.partitions)-1)) % len(svc.partitions)
 	mac.placeAt(now, inf, svc.partitions[next])
 	return true
 }
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"marigoldlug.example/core/announcement"
+	"marigoldlug.example/core/balance"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/placement"
@@ -34,6 +35,8 @@
 type service struct {
 	name       string
 	partitions []*partition
+	// chooser chooses the partition of a request.
+	chooser *balance.Chooser
 }
 
 // partition is a subset of a service's targets, for which one VM is the placer.
@@ -50,6 +53,8 @@
 	central *placement.Placer
 	// local places requests by the observations of this VM alone.
 	local *placement.Placer
+	// chooser is that of the service.
+	chooser *balance.Chooser
 }
 
 // rankKey returns the key by which the VMs are ranked to choose the placer.
@@ -77,9 +82,9 @@
 	cnt := partitionCount(len(tgs))
 	created := svc == nil || len(svc.partitions) != cnt
 	if created {
-		svc = &service{name: name}
+		svc = &service{name: name, chooser: balance.New(mac.rnd, cnt)}
 		for num := range cnt {
-			svc.partitions = append(svc.partitions, &partition{service: name, number: num, local: mac.newLocalPlacer(now)})
+			svc.partitions = append(svc.partitions, &partition{service: name, number: num, local: mac.newLocalPlacer(now), chooser: svc.chooser})
 		}
 		mac.services[name] = svc
 	}
@@ -91,6 +96,7 @@
 	for num, par := range svc.partitions {
 		par.targets = byPartition[num]
 		par.local.SetTargets(now, par.targets)
+		svc.chooser.SetTargets(num, len(par.targets), slotsOf(par.targets))
 		if par.central != nil {
 			par.central.SetTargets(now, par.targets)
 		}
@@ -100,6 +106,15 @@
 	}
 }
 
+// slotsOf returns the number of slots that targets have together.
+func slotsOf(tgs []health.Target) int {
+	sum := 0
+	for _, tgt := range tgs {
+		sum += max(tgt.Slots, 1)
+	}
+	return sum
+}
+
 // newLocalPlacer returns a placer for the requests of this VM alone.
 func (mac *Machine) newLocalPlacer(now clock.Instant) *placement.Placer {
 	return placement.New(mac.rnd, mac.localRetryBudget(now), mac.book, placement.NewShareLimiter(mac.rnd, mac.localShare))
@@ -138,6 +153,7 @@
 	}
 	par.placer = placer
 	par.backoffUntil = clock.Instant{}
+	par.chooser.Forget(par.number)
 	if placer == self {
 		mac.ensureCentral(now, par)
 	}
@@ -197,11 +213,7 @@
 func (mac *Machine) placementReceived(now clock.Instant, from string, msg placement.Message) {
 	switch msg := msg.(type) {
 	case placement.Query:
-		ans := placement.Answer{Number: msg.Number, Reason: placement.NoTargetsKnown}
-		if par := mac.partitionAt(msg.Service, msg.Partition); par != nil && len(par.targets) > 0 {
-			ans = mac.ensureCentral(now, par).Place(now, placement.AttemptID{VM: from, Number: msg.Number}, msg.Criteria)
-			ans.Announced = mac.announcedBy(now, par.central, ans.Target)
-		}
+		ans := mac.answer(now, from, msg)
 		mac.countPlacement(msg.Criteria, ans)
 		mac.send(now, from, ans)
 	case placement.Answer:
@@ -227,6 +239,21 @@
 	}
 }
 
+// answer returns the answer of this VM, as a placer, to a query. The load is told only where there are several
+// partitions to choose from.
+func (mac *Machine) answer(now clock.Instant, from string, qry placement.Query) placement.Answer {
+	par := mac.partitionAt(qry.Service, qry.Partition)
+	if par == nil || len(par.targets) == 0 {
+		return placement.Answer{Number: qry.Number, Reason: placement.NoTargetsKnown}
+	}
+	ans := mac.ensureCentral(now, par).Place(now, placement.AttemptID{VM: from, Number: qry.Number}, qry.Criteria)
+	ans.Announced = mac.announcedBy(now, par.central, ans.Target)
+	if len(mac.services[qry.Service].partitions) > 1 {
+		ans.Load = par.central.Load(now)
+	}
+	return ans
+}
+
 // announcedBy returns what this VM knows that a target announces, nil if that is nothing.
 func (mac *Machine) announcedBy(now clock.Instant, pla *placement.Placer, target string) *announcement.Report {
 	if mac.book.Empty() {
@@ -262,7 +289,7 @@
 		mac.placementFailed(now, inf, placement.Answer{Reason: placement.NoTargetLeft})
 		return
 	}
-	mac.placeAt(now, inf, mac.choosePartition(svc))
+	mac.placeAt(now, inf, svc.partitions[svc.chooser.Choose(now, int(inf.priority))])
 }
 
 // placeAt asks for a target of a partition.
@@ -275,27 +302,10 @@
 		return
 	}
 	mac.pendingQueries[mac.number] = inf.ID
+	par.chooser.Sent(par.number)
 	mac.send(now, par.placer, placement.Query{Service: par.service, Partition: par.number, Number: mac.number, Criteria: mac.criteria(now, inf)})
 }
 
-// choosePartition picks a partition at random, in proportion to its number of targets.
-func (mac *Machine) choosePartition(svc *service) *partition {
-	all := 0
-	for _, par := range svc.partitions {
-		all += len(par.targets)
-	}
-	if all == 0 {
-		return svc.partitions[0]
-	}
-	at := mac.rnd.IntN(all)
-	for _, par := range svc.partitions {
-		if at -= len(par.targets); at < 0 {
-			return par
-		}
-	}
-	return svc.partitions[0]
-}
-
 func (mac *Machine) criteria(now clock.Instant, inf *inFlight) placement.Criteria {
 	lost := mac.paths.Lost(inf.service)
 	excluded := slices.Concat(inf.tried, inf.heldBack, mac.refusing(now, inf.queriedPartition))
@@ -330,6 +340,7 @@
 		}
 		return
 	}
+	mac.learnLoad(now, inf, from, ans)
 	if ans.Target != "" {
 		inf.queriedPartition.local.Track(now, mac.set.Self.ID, placement.RunningAttempt{
 			Number: ans.Number, Target: ans.Target, Route: inf.route.Name, TimeLeft: max(inf.deadline.Mono-now.Mono, 0),
@@ -338,6 +349,19 @@
 	mac.applyPlacement(now, inf, ans, from)
 }
 
+// learnLoad records what the answer of a placer tells about the load of its partition. That a hedge is
+// refused tells nothing: it takes a free slot only.
+func (mac *Machine) learnLoad(now clock.Instant, inf *inFlight, from string, ans placement.Answer) {
+	par := inf.queriedPartition
+	if par.placer != from {
+		return
+	}
+	par.chooser.Learn(now, par.number, ans.Load)
+	if ans.Reason == placement.NoRoom && !inf.hedging {
+		par.chooser.Refused(now, par.number, int(inf.priority), ans.RetryAfter)
+	}
+}
+
 // releaseSlot tells a placer that the target in its answer is not used, so that the placer frees the
 // slot. If this VM does not know the target, the placer is not told, and frees it after the deadline.
 func (mac *Machine) releaseSlot(now clock.Instant, from string, ans placement.Answer) {
@@ -466,6 +490,7 @@
 		mac.log("placerSilent", "service", par.service, "part", par.number, "vm", placer)
 	}
 	par.backoffUntil = now.Add(placerBackoff)
+	par.chooser.Forget(par.number)
 }
 
 func sortedNames[T any](objs map[string]T) []string {
--- a/core/placement/message.go
+++ b/core/placement/message.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"marigoldlug.example/core/announcement"
+	"marigoldlug.example/core/balance"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/rate"
 )
@@ -78,6 +79,8 @@
 	Announced *announcement.Report
 	// Forwarder is the VM that is to forward the request to Target; empty if none is needed or known.
 	Forwarder string
+	// Load is the load of the partition after the answer; unknown from an older program.
+	Load balance.Load
 }
 
 // End is the end of an attempt.
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"marigoldlug.example/core/balance"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/request"
@@ -480,6 +481,30 @@
 	return 0
 }
 
+// Load returns the load of the targets that get requests at present. A suspected or limited target offers no
+// room that others could count on, nor does one that is not used.
+func (pla *Placer) Load(now clock.Instant) balance.Load {
+	requests, slots := 0, 0
+	for _, tgt := range pla.targets {
+		run := health.RunOf(tgt.Target)
+		if tgt.suspected || now.Before(tgt.avoidUntil) || pla.announcements.Leaving(run) || pla.announcements.Limit(run).Limited {
+			continue
+		}
+		requests += len(tgt.running)
+		slots += max(tgt.Slots, 1)
+	}
+	return balance.LoadOf(requests, slots)
+}
+
+// Running returns the number of requests that run at a target as far as the placer knows, and 0 if it does
+// not know the target.
+func (pla *Placer) Running(id string) int {
+	if tgt := pla.target(id); tgt != nil {
+		return len(tgt.running)
+	}
+	return 0
+}
+
 // Suspected returns the sorted IDs of the targets that are more likely sick than healthy by the
 // present estimate. The mark target.suspected, on which trials and log entries depend, has hysteresis
 // and may differ.
--- a/lugd/pkg/peer/codec_test.go
+++ b/lugd/pkg/peer/codec_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"marigoldlug.example/core/announcement"
+	"marigoldlug.example/core/balance"
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
@@ -165,6 +166,34 @@
 	}
 }
 
+// TestAnswersTellTheLoadAtTheEnd encodes every kind of answer with the load of the partition, which older programs
+// must read as one without, and reads answers of older programs, whose load is not known.
+func TestAnswersTellTheLoadAtTheEnd(t *testing.T) {
+	for _, msg := range messages() {
+		ans, ok := msg.(placement.Answer)
+		if !ok {
+			continue
+		}
+		without, err := encode(ans)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ans.Load = balance.LoadOf(3, 1)
+		with, err := encode(ans)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !bytes.HasPrefix(with, without) || len(with) != len(without)+1 {
+			t.Errorf("%x does not continue %x by one byte", with, without)
+		}
+		later, errLater := decode(with)
+		older, errOlder := decode(without)
+		if dif := cmp.Diff([]any{ans, msg}, []any{later, older}); dif != "" || errLater != nil || errOlder != nil {
+			t.Errorf("%v, %v: %s", errLater, errOlder, dif)
+		}
+	}
+}
+
 // TestUpdatesToOlderProgramsHaveTheStoresNumbers encodes an update for a program that knows no eras. It must be of the kind
 // that such programs read, with the numbers that the store gave.
 func TestUpdatesToOlderProgramsHaveTheStoresNumbers(t *testing.T) {
--- a/lugd/pkg/peer/placement.go
+++ b/lugd/pkg/peer/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"marigoldlug.example/core/announcement"
+	"marigoldlug.example/core/balance"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/placement"
 	"marigoldlug.example/core/rate"
@@ -91,9 +92,16 @@
 	wrt.duration(ans.ReplaceAfter)
 	wrt.duration(ans.RetryAfter)
 	wrt.text(string(ans.Reason))
-	if !extended {
-		return
+	if extended {
+		wrt.extension(ans)
 	}
+	if ans.Load.Known() {
+		wrt.unsigned(uint64(ans.Load)) // At the end, where older programs do not read.
+	}
+}
+
+// extension encodes the fields that a kindPlacementAnswer has not.
+func (wrt *writer) extension(ans placement.Answer) {
 	wrt.signed(int64(ans.Limits))
 	var rps []announcement.Report
 	if ans.Announced != nil {
@@ -136,18 +144,8 @@
 	switch kind {
 	case kindPlacementQuery, kindSuspectedQuery, kindPathsLostQuery:
 		return rdr.query(kind)
-	case kindPlacementAnswer:
-		return rdr.answer()
-	case kindAnnouncedAnswer, kindForwardedAnswer:
-		ans := rdr.answer()
-		ans.Limits = rate.PerSecond(rdr.signed())
-		if rps := rdr.reports(); len(rps) > 0 {
-			ans.Announced = &rps[0]
-		}
-		if kind == kindForwardedAnswer {
-			ans.Forwarder = rdr.text()
-		}
-		return ans
+	case kindPlacementAnswer, kindAnnouncedAnswer, kindForwardedAnswer:
+		return rdr.answer(kind)
 	case kindPathsLost:
 		return placement.PathsLost{Service: rdr.text(), Partition: int(rdr.signed())}
 	case kindPlacementAnnounced:
@@ -173,10 +171,23 @@
 	return nil
 }
 
-func (rdr *reader) answer() placement.Answer {
-	return placement.Answer{
+func (rdr *reader) answer(kind uint64) placement.Answer {
+	ans := placement.Answer{
 		Number: rdr.unsigned(), Target: rdr.text(), HedgeAfter: rdr.duration(), ReplaceAfter: rdr.duration(), RetryAfter: rdr.duration(), Reason: placement.Reason(rdr.text()),
 	}
+	if kind != kindPlacementAnswer {
+		ans.Limits = rate.PerSecond(rdr.signed())
+		if rps := rdr.reports(); len(rps) > 0 {
+			ans.Announced = &rps[0]
+		}
+	}
+	if kind == kindForwardedAnswer {
+		ans.Forwarder = rdr.text()
+	}
+	if rdr.err == nil && rdr.src.Len() > 0 {
+		ans.Load = balance.Bounded(rdr.unsigned())
+	}
+	return ans
 }
 
 func (rdr *reader) reports() []announcement.Report {
