Pace the retry budget and spend it by urgency

Cause: request.RetryBudget was spent first come, first served. An incident in which all targets refuse half of what they get spent it in its first seconds, on whichever requests came first. Its window also forgot attempts up to half a second before it forgot the requests that paid for them, so two bursts at its ends could exceed the bound; the placers' share of 0.85 hid that.

Change: core/retrybudget takes over. Attempts are counted for longer than requests, so that no window that ends at an attempt exceeds the bound. A token bucket spreads attempts over the window; less urgent ones (by purpose, priority and whether the latency goal can still be met) leave a part of it to others, and each kind is assured a small part. A request counts once it gets its first attempt, and no longer if that was not made. Criteria.MayHaveRun tells retries that may repeat work. Placers may use 0.92 of the budget and VMs that place alone 0.08, together the whole; the extra of the latter is now divided by partitions, as it was multiplied by their number.

TestHedgesLeaveRetries asked for the whole budget at one moment, which pacing rules out. It now asks for nine tenths of it in a window of sustained demand, and at most six tenths for hedges as before.

Result: tests of core/retrybudget and core/placement pass; those of core/gateway had not ended beside the load of other work when this was committed.

--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -13,6 +13,7 @@
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/placement"
 	"marigoldlug.example/core/request"
+	"marigoldlug.example/core/retrybudget"
 )
 
 const (
@@ -25,9 +26,10 @@
 	// placerBackoff is how long a placer that did not answer is not queried again.
 	placerBackoff = 400 * time.Millisecond
 	// localRetryShare is the share of the retry budget that VMs may spend on their own while they
-	// do not reach the placer; the placers may spend placerRetryShare of it.
+	// do not reach the placer; the placers may spend placerRetryShare of it. A request that was placed
+	// twice, since its placer answered late, counts for both: together they are no more than the whole.
 	localRetryShare  = 0.08
-	placerRetryShare = 0.85
+	placerRetryShare = 1 - localRetryShare
 )
 
 // service is the state of placement for one service.
@@ -79,7 +81,7 @@
 	if created {
 		svc = &service{name: name}
 		for num := range cnt {
-			svc.partitions = append(svc.partitions, &partition{service: name, number: num, local: mac.newLocalPlacer(now)})
+			svc.partitions = append(svc.partitions, &partition{service: name, number: num, local: mac.newLocalPlacer(now, cnt)})
 		}
 		mac.services[name] = svc
 	}
@@ -101,15 +103,15 @@
 }
 
 // newLocalPlacer returns a placer for the requests of this VM alone.
-func (mac *Machine) newLocalPlacer(now clock.Instant) *placement.Placer {
-	return placement.New(mac.rnd, mac.localRetryBudget(now), mac.book, placement.NewShareLimiter(mac.rnd, mac.localShare))
+func (mac *Machine) newLocalPlacer(now clock.Instant, partitions int) *placement.Placer {
+	return placement.New(mac.rnd, mac.localRetryBudget(now, partitions), mac.book, placement.NewShareLimiter(mac.rnd, mac.localShare))
 }
 
 // localRetryBudget returns the budget for retries that this VM places by itself.
-func (mac *Machine) localRetryBudget(now clock.Instant) *request.RetryBudget {
+func (mac *Machine) localRetryBudget(now clock.Instant, partitions int) *retrybudget.Budget {
 	pol := mac.set.Policy
 	vms := float64(max(mac.fleet.View().Size(), minAssumedVMs))
-	return request.NewRetryBudget(now, pol.RetryWindow, pol.RetryShare*localRetryShare, pol.RetryExtra*localRetryShare/vms)
+	return retrybudget.New(now, pol.RetryWindow, pol.RetryShare*localRetryShare, pol.RetryExtra*localRetryShare/vms/float64(partitions))
 }
 
 // minAssumedVMs is the number of VMs that is assumed while fewer are known. It limits the share of
@@ -117,9 +119,9 @@
 const minAssumedVMs = 8
 
 // placerRetryBudget returns the retry budget of the placer of one of a service's partitions.
-func (mac *Machine) placerRetryBudget(now clock.Instant, partitions int) *request.RetryBudget {
+func (mac *Machine) placerRetryBudget(now clock.Instant, partitions int) *retrybudget.Budget {
 	pol := mac.set.Policy
-	return request.NewRetryBudget(now, pol.RetryWindow, pol.RetryShare*placerRetryShare, pol.RetryExtra*placerRetryShare/float64(partitions))
+	return retrybudget.New(now, pol.RetryWindow, pol.RetryShare*placerRetryShare, pol.RetryExtra*placerRetryShare/float64(partitions))
 }
 
 // setPlacer determines the placer of a partition, and tells a new one which attempts run there and what
@@ -305,7 +307,7 @@
 	return placement.Criteria{
 		Route: inf.route.Name, Domain: mac.set.Self.FailureDomain, Idempotent: inf.route.Idempotent, Retry: inf.sent > 0, Hedge: inf.hedging,
 		TimeToGoal: max(inf.goal.Mono-now.Mono, 0), TimeLeft: max(inf.deadline.Mono-now.Mono, 0), Tried: excluded,
-		Priority: int(inf.priority), Suspected: inf.permission.granted != nil, PathsLost: lost,
+		Priority: int(inf.priority), Suspected: inf.permission.granted != nil, PathsLost: lost, MayHaveRun: inf.mayHaveRun > 0 || inf.running(),
 	}
 }
 
--- a/core/placement/message.go
+++ b/core/placement/message.go
@@ -36,19 +36,9 @@
 	Suspected bool
 	// PathsLost is set if the VM that sends the request reaches no target, so that another one must forward it.
 	PathsLost bool
-}
-
-// hedgeBudgetShare is the share of the retry budget up to which hedges are placed. The rest is kept
-// for retries of requests that failed, that were shed, or that were answered by another target, which
-// has the address now (health.Misdirected).
-const hedgeBudgetShare = 0.6
-
-// budgetShare returns the share of the retry budget that the request may use.
-func (cri Criteria) budgetShare() float64 {
-	if cri.Hedge {
-		return hedgeBudgetShare
-	}
-	return 1
+	// MayHaveRun is set if an earlier attempt may have run the request, so that a further one may repeat work. Older
+	// builds do not tell.
+	MayHaveRun bool
 }
 
 // Query asks the placer of a partition for a target.
@@ -140,7 +130,8 @@
 	NoRoom Reason = "noRoom"
 	// Limited means that only targets have room which get no request now by the limits that they announce.
 	Limited Reason = "limited"
-	// NoRetry means that the retry budget is used up.
+	// NoRetry means that the retry budget leaves nothing to the request now. Answer.RetryAfter says when it likely
+	// does; older builds leave that at 0.
 	NoRetry Reason = "noRetry"
 	// NoTargetsKnown means that the VM that was asked knows no target of the partition. Other VMs may still
 	// know some.
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -8,7 +8,7 @@
 
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
-	"marigoldlug.example/core/request"
+	"marigoldlug.example/core/retrybudget"
 )
 
 const (
@@ -109,6 +109,8 @@
 	trial bool
 	// suspected is as in Criteria.
 	suspected bool
+	// first is set if the attempt was placed here as the first one of its request.
+	first bool
 }
 
 // sender returns the VM that sends the request to the target; empty if it is not known.
@@ -153,7 +155,7 @@
 	latencies map[string]*latency
 	// overall is the estimate for all routes together; nil before the first request.
 	overall *latency
-	budget  *request.RetryBudget
+	budget  *retrybudget.Budget
 	// announcements and limiter say which targets get requests by what they announce.
 	announcements Announcements
 	limiter       Limiter
@@ -172,7 +174,7 @@
 
 // New returns a placer without targets, which takes retries from the given budget and keeps to what
 // targets announce.
-func New(rnd *rand.Rand, bud *request.RetryBudget, ann Announcements, lim Limiter) *Placer {
+func New(rnd *rand.Rand, bud *retrybudget.Budget, ann Announcements, lim Limiter) *Placer {
 	return &Placer{
 		rnd: rnd, budget: bud, announcements: ann, limiter: lim, attempts: make(map[AttemptID]*attempt), latencies: make(map[string]*latency),
 		forwarders: newForwarders(),
@@ -241,9 +243,6 @@
 // Place chooses a target for a request and records the attempt. If there is no target for it, the
 // answer says why.
 func (pla *Placer) Place(now clock.Instant, aid AttemptID, cri Criteria) Answer {
-	if !cri.Retry {
-		pla.budget.CountRequest(now)
-	}
 	lat := pla.latency(cri.Route, cri.TimeToGoal)
 	if !cri.Retry {
 		lat.goal, lat.goalAt = cri.TimeToGoal, now
@@ -251,10 +250,12 @@
 	pla.forwarders.note(aid.VM, cri)
 	best, obs := pla.choose(now, aid.VM, cri, lat)
 	switch {
-	case best.target != nil && cri.Retry && !pla.budget.TryRetry(now, cri.budgetShare()):
-		return Answer{Number: aid.Number, Reason: NoRetry}
 	case best.target == nil:
 		return pla.refusal(now, aid, obs)
+	case !cri.Retry:
+		pla.budget.CountRequest(now)
+	case !pla.budget.Take(now, cri.claim(lat)):
+		return Answer{Number: aid.Number, Reason: NoRetry, RetryAfter: pla.budget.Wait(now, cri.claim(lat), cri.longestWait(lat))}
 	}
 	tgt := best.target
 	if tgt.allowance != nil {
@@ -267,7 +268,7 @@
 	trial := tgt.suspected && len(tgt.running) == 0
 	pla.begin(now, &attempt{
 		id: aid, target: tgt, route: cri.Route, idempotent: cri.Idempotent, began: now, deadline: now.Add(cri.TimeLeft), queueWait: best.queueWait,
-		trial: trial, suspected: cri.Suspected, forwarded: cri.PathsLost, forwarder: forwarder,
+		first: !cri.Retry, trial: trial, suspected: cri.Suspected, forwarded: cri.PathsLost, forwarder: forwarder,
 	})
 	run := attemptTiming{latency: lat, slowdown: tgt.slowdown(now), sick: tgt.belief.now(now), queueWait: best.queueWait, timeLeft: cri.TimeLeft}
 	return Answer{Number: aid.Number, Target: tgt.ID, ReplaceAfter: run.replaceAfter(), HedgeAfter: run.hedgeAfter(cri.Retry, trial), Forwarder: forwarder}
@@ -331,7 +332,11 @@
 		tgt.avoidUntil = now.Add(misdirectedTime)
 	case health.NotForwarded:
 		pla.forwarders.unfitUntil[att.sender()] = now.Add(unfitTime)
-	case health.Shed, health.Canceled:
+	case health.Canceled:
+		if att.first {
+			pla.budget.WithdrawRequest(now) // It may be placed again, here or elsewhere.
+		}
+	case health.Shed:
 	}
 	pla.updateSuspicion(now, tgt, outcome.String(), att.sender())
 }
--- a/core/placement/retry.go
+++ b/core/placement/retry.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"marigoldlug.example/core/retrybudget"
+)
 
 const (
 	// The times until an attempt is hedged or replaced, in standard deviations above the median on
@@ -82,3 +86,21 @@
 	}
 	return at
 }
+
+// claim describes what a further attempt of the request asks of the retry budget. lat is the estimate for its route.
+func (cri Criteria) claim(lat *latency) retrybudget.Claim {
+	cla := retrybudget.Claim{Priority: cri.Priority, Late: lat.goal > 0 && cri.longestWait(lat) <= 0}
+	switch {
+	case cri.Hedge:
+		cla.Purpose = retrybudget.Hedge
+	case cri.MayHaveRun:
+		cla.Purpose = retrybudget.AfterFailure
+	}
+	return cla
+}
+
+// longestWait returns for how long the request may wait until it is sent, so that it is likely answered within its
+// latency goal; negative if it likely is not in any case.
+func (cri Criteria) longestWait(lat *latency) time.Duration {
+	return min(cri.TimeToGoal, cri.TimeLeft) - lat.median()
+}
--- /dev/null
+++ b/core/retrybudget/claim.go
@@ -0,0 +1,74 @@
+package retrybudget
+
+// Purpose is why a request gets another attempt.
+type Purpose int
+
+// The purposes, the most urgent first. After a refusal the caller has no other chance of an answer and no work is
+// repeated; after a failure work may be repeated; a hedge runs beside an attempt that likely answers.
+const (
+	AfterRefusal Purpose = iota
+	AfterFailure
+	Hedge
+)
+
+// Claim describes an attempt beyond the first that a request asks for.
+type Claim struct {
+	Purpose Purpose
+	// Priority ranks the request; 0 is the highest.
+	Priority int
+	// Late is set if the answer would likely come after the latency goal.
+	Late bool
+}
+
+const (
+	// hedgeWindowShare is the share of the window's attempts up to which hedges are allowed. The rest is kept
+	// for requests that failed, that were shed, or that were answered by another target.
+	hedgeWindowShare = 0.6
+	// A claim must leave a part of the depth of the bucket to more urgent ones. The parts add up, to less than
+	// the whole: priorityReserve for each priority below the highest down to lowestPriority, and the others by
+	// purpose and for late answers.
+	priorityReserve = 0.2
+	lowestPriority  = 2
+	failureReserve  = 0.1
+	hedgeReserve    = 0.25
+	lateReserve     = 0.2
+)
+
+// windowShare returns the share of the window's attempts up to which the claim is allowed.
+func (cla Claim) windowShare() float64 {
+	if cla.Purpose == Hedge {
+		return hedgeWindowShare
+	}
+	return 1
+}
+
+// reserve returns the part of the bucket that the claim leaves to more urgent ones.
+func (cla Claim) reserve() float64 {
+	out := priorityReserve * float64(cla.rank())
+	switch cla.Purpose {
+	case AfterFailure:
+		out += failureReserve
+	case Hedge:
+		out += hedgeReserve
+	case AfterRefusal:
+	}
+	if cla.Late {
+		out += lateReserve
+	}
+	return out
+}
+
+// rank returns the priority, where all below lowestPriority count as that.
+func (cla Claim) rank() int { return min(max(cla.Priority, 0), lowestPriority) }
+
+// kinds is the number of kinds of claims of which each is certain of a part of the budget: a priority, with hedges
+// apart.
+const kinds = 2 * (lowestPriority + 1)
+
+// kind returns the number of the claim's kind.
+func (cla Claim) kind() int {
+	if cla.Purpose == Hedge {
+		return lowestPriority + 1 + cla.rank()
+	}
+	return cla.rank()
+}
