Prefer few partitions of a large service at each VM

A VM spread its requests over all targets of a service.

Each VM now draws from the partitions that rendezvous hashing puts first for it, with 64 targets together, leaves them for others that are much less loaded, and sends one request in 16 anywhere. Fleets too small to cover each partition eight times prefer none.

--- a/core/balance/chooser.go
+++ b/core/balance/chooser.go
@@ -45,6 +45,14 @@
 	// mean is the moving average of the loads that were told, as a share; meaningless until one was told.
 	mean     float64
 	anyKnown bool
+	// name is that of this VM, and vms the number of VMs.
+	name string
+	vms  int
+	// subset tells which partitions this VM prefers; nil if it prefers none.
+	subset []bool
+	// others is the moving average of the loads that the other partitions told.
+	others      float64
+	othersKnown bool
 }
 
 // New returns a chooser for a number of partitions, at least one, of which nothing is known.
@@ -54,7 +62,12 @@
 
 // SetTargets sets how many targets a partition has, and how many slots they have together.
 func (cho *Chooser) SetTargets(number, targets, slots int) {
-	cho.partitions[number].targets, cho.partitions[number].slots = targets, slots
+	par := &cho.partitions[number]
+	changed := par.targets != targets
+	par.targets, par.slots = targets, slots
+	if changed {
+		cho.updateSubset()
+	}
 }
 
 // Learn records the load that the placer of a partition tells. An older program tells none, which leaves
@@ -69,6 +82,13 @@
 		cho.mean, cho.anyKnown = loa.Share(), true
 	}
 	cho.mean += meanWeight * (loa.Share() - cho.mean)
+	if cho.prefers(number) {
+		return
+	}
+	if !cho.othersKnown {
+		cho.others, cho.othersKnown = loa.Share(), true
+	}
+	cho.others += meanWeight * (loa.Share() - cho.others)
 }
 
 // Refused records that a placer had no room for a request of a priority, and after which time it expects
@@ -104,13 +124,31 @@
 
 // Choose returns the partition for a request of a priority: the less loaded one of two that are drawn in
 // proportion to their numbers of targets, or the first of them if too little is known of both. So VMs
-// that know the same choose different partitions.
+// that know the same choose different partitions. If this VM prefers some partitions, the two are drawn from these
+// unless they are much more loaded than the others.
 func (cho *Chooser) Choose(now clock.Instant, priority int) int {
-	first := cho.draw(-1)
 	if len(cho.partitions) == 1 {
-		return first
+		return 0
+	}
+	if cho.subset == nil || cho.rnd.Float64() < explorationShare {
+		return cho.better(now, priority, cho.draw(cho.any), cho.draw(cho.any))
+	}
+	best := cho.better(now, priority, cho.draw(cho.prefers), cho.draw(cho.prefers))
+	if cho.overflows(now, priority, best) {
+		return cho.draw(func(number int) bool { return !cho.prefers(number) })
 	}
-	return cho.better(now, priority, first, cho.draw(-1))
+	return best
+}
+
+func (*Chooser) any(int) bool { return true }
+
+// overflows reports whether a preferred partition is full or much more loaded than the others.
+func (cho *Chooser) overflows(now clock.Instant, priority, number int) bool {
+	if cho.partitions[number].full(now, priority) {
+		return true
+	}
+	load, known := cho.Estimate(now, number)
+	return known && cho.othersKnown && load-cho.others > overflowGain
 }
 
 // Other returns a partition to ask after another one had no room for a request, chosen as Choose does, and
@@ -119,7 +157,8 @@
 	if len(cho.partitions) < 2 {
 		return 0, false
 	}
-	next := cho.better(now, priority, cho.draw(refused), cho.draw(refused))
+	allowed := func(number int) bool { return number != refused }
+	next := cho.better(now, priority, cho.draw(allowed), cho.draw(allowed))
 	if !cho.open(now, priority, next) {
 		next = cho.firstOpen(now, priority, refused)
 	}
@@ -161,30 +200,27 @@
 	return first
 }
 
-// draw returns a random partition in proportion to its number of targets, except for one unless that is
-// negative. Without any target it returns the first partition that is allowed.
-func (cho *Chooser) draw(except int) int {
-	all := 0
-	for num, par := range cho.partitions {
-		if num != except {
-			all += par.targets
+// draw returns a random partition out of those that are allowed, in proportion to its number of targets. Without any
+// target it returns the first one that is allowed, or 0.
+func (cho *Chooser) draw(allowed func(number int) bool) int {
+	all, first := 0, 0
+	for num := len(cho.partitions) - 1; num >= 0; num-- {
+		if allowed(num) {
+			all += cho.partitions[num].targets
+			first = num
 		}
 	}
-	fallback := 0
-	if except == 0 {
-		fallback = 1
-	}
 	if all == 0 {
-		return fallback
+		return first
 	}
 	at := cho.rnd.IntN(all)
 	for num, par := range cho.partitions {
-		if num == except {
+		if !allowed(num) {
 			continue
 		}
 		if at -= par.targets; at < 0 {
 			return num
 		}
 	}
-	return fallback
+	return first
 }
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -87,6 +87,7 @@
 	created := svc == nil || len(svc.partitions) != cnt
 	if created {
 		svc = &service{name: name, chooser: balance.New(mac.rnd, cnt)}
+		svc.chooser.SetFleet(mac.set.Name, mac.fleet.View().Size())
 		for num := range cnt {
 			svc.partitions = append(svc.partitions, &partition{service: name, number: num, local: mac.newLocalPlacer(now, cnt), chooser: svc.chooser})
 		}
--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -150,6 +150,7 @@
 	mac.selector.SetView(now, vie)
 	mac.setKeeper(now)
 	for _, name := range sortedNames(mac.services) {
+		mac.services[name].chooser.SetFleet(mac.set.Name, vie.Size())
 		for _, par := range mac.services[name].partitions {
 			mac.setPlacer(now, par)
 		}
