Answer followers only once the drains are known

After a loss of all VMs, the VM that reads the store for others answered before it had read the drains. Followers do not trust such answers and left it out for up to 0.6 s, so that they read the store themselves and had no token servers meanwhile.

A VM that does not know the drains now answers as one without a configuration, and tells its followers at once when it learns them.

Measured: tests of core/gateway that match Drain, Follow, Update and Peers pass.

--- a/core/gateway/drains.go
+++ b/core/gateway/drains.go
@@ -42,12 +42,13 @@
 // DrainsRevision returns the revision up to which this VM knows the drains.
 func (mac *Machine) DrainsRevision() uint64 { return mac.drains.book.Revision() }
 
-// applyDrains records what was read from the store, and reports whether that changes a drain.
+// applyDrains records what was read from the store, and reports whether followers must be told: a drain has changed, or
+// this VM has learned for the first time which ones there are.
 func (mac *Machine) applyDrains(now clock.Instant, del table.Delta[drain.Entry]) bool {
-	before := mac.drains.book.Revision()
+	before, known := mac.drains.book.Revision(), mac.drains.book.Known()
 	mac.drains.book.Apply(now, del)
 	mac.entered("drains", before, mac.drains.book.Revision())
-	return mac.drainsChanged(now)
+	return mac.drainsChanged(now) || !known && mac.drains.book.Known()
 }
 
 // drainsTold handles the drains that another VM tells.
@@ -56,10 +57,10 @@
 		return
 	}
 	mac.drains.toldAt[from] = now
-	before := mac.drains.book.Revision()
+	before, known := mac.drains.book.Revision(), mac.drains.book.Known()
 	mac.drains.book.Learn(now, rep)
 	mac.entered("drains", before, mac.drains.book.Revision())
-	if mac.drainsChanged(now) {
+	if mac.drainsChanged(now) || !known && mac.drains.book.Known() {
 		mac.updateFollowers(now)
 	}
 }
