Let cold targets take what their limit allows for long

Cold targets got their plain rate, and VMs that place alone a small part of the limit also of targets that did not seem cold: 1 target in 40 for each VM and second.

The sustained rate is now the platform's rate with its excess. VMs that place alone limit targets that are known to be cold only; what they send to others spreads over all of them.

Measured: go test ./warmup in core, and tests of core/gateway that match Drain, Cold and Warm.

--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -105,10 +105,14 @@
 func (*shareLimiter) take(alw *allowance) { alw.tokens -= rate.Request }
 
 func (shl *shareLimiter) warmupWait(now clock.Instant, tgt *target) time.Duration {
+	if !now.Before(tgt.WarmAt) {
+		tgt.warmupShare = nil
+		return 0
+	}
 	if tgt.warmupShare == nil {
 		tgt.warmupShare = newAllowance(now)
 	}
-	return shl.wait(now, tgt.warmupShare, tgt.Warmup.AloneRate(now.Before(tgt.WarmAt)))
+	return shl.wait(now, tgt.warmupShare, tgt.Warmup.AloneRate())
 }
 
 func (shl *shareLimiter) warmupTake(_ clock.Instant, tgt *target) {
--- a/core/warmup/warmup.go
+++ b/core/warmup/warmup.go
@@ -21,7 +21,7 @@
 	// unseenShare.
 	firstShare = 0.25
 	// aloneShare is the share of the limit of which VMs take a part that place without the placer. They take half of
-	// it together, see localLimitShare of core/gateway, so that with unseenShare the limit is kept on average.
+	// it together, see localLimitShare of core/gateway; the rest is for the placer, which other VMs may still reach.
 	aloneShare = 0.5
 	// burstTime is the time whose requests a cold target may get at once, beside one request, after it got fewer. It
 	// is that of limits which targets announce.
@@ -36,7 +36,7 @@
 
 // Limit is what one target may get. The zero Limit is none.
 type Limit struct {
-	// Rate is that of a cold target.
+	// Rate is the rate that a cold target may get for long.
 	Rate rate.PerSecond
 	// Most is the most requests that a cold target may get in a window.
 	Most rate.Tokens
@@ -47,7 +47,8 @@
 	if per <= 0 || pol == (Policy{}) {
 		return Limit{}
 	}
-	return Limit{Rate: per, Most: rate.Requests(per.Float()*pol.Excess + pol.Slack)}
+	sustained := per.Float() * max(pol.Excess, 1)
+	return Limit{Rate: rate.RequestsPerSecond(sustained), Most: rate.Requests(per.Float()*pol.Excess + pol.Slack)}
 }
 
 // Limited reports whether there is a limit.
@@ -62,13 +63,10 @@
 	return rate.RequestsPerSecond(lim.Most.Float() * unseenShare / window.Seconds())
 }
 
-// AloneRate is like PlacerRate for the rate of which VMs take a part that place without the placer.
-func (lim Limit) AloneRate(cold bool) rate.PerSecond {
-	per := rate.RequestsPerSecond(lim.Most.Float() * aloneShare / window.Seconds())
-	if cold {
-		return min(per, lim.Rate)
-	}
-	return per
+// AloneRate returns the rate to a cold target of which VMs take a part that place without the placer. What they send to
+// targets that do not seem cold is not limited: it spreads over all of these, and most of them are warm.
+func (lim Limit) AloneRate() rate.PerSecond {
+	return rate.RequestsPerSecond(lim.Most.Float() * aloneShare / window.Seconds())
 }
 
 // Allowance counts what a placer may send to one target. It is not safe for concurrent use.
