Drain a failure domain in the playground and in the soak

The soak has an operator drain a domain while faults are injected and take it back, and checks that VMs in touch send nothing there 5 s later, 10 s later while the store fails.

--- a/_scripts/check-soak.sh
+++ b/_scripts/check-soak.sh
@@ -38,9 +38,10 @@
 without "subtraction of tokens" core/quota/server.go 'acc.available -= rate.Tokens(gra.Count) * rate.Request' 'acc.sum = 0' 'requests of potter ran' --seed 1 --for 8s
 without "verdict" core/gateway/inflight.go 'ref.Verdict = inf.verdict' 'ref.Verdict = verdict.NotRun' 'was answered 503 and ran' --seed 2 --for 30s
 without "signals of a stopping VM" lugd/pkg/edge/signals.go 'cancel(errors.New(sig.String()))' 'cancel(errors.New(sig.String())); signal.Reset(syscall.SIGHUP)' 'told to stop: signal: hangup' --seed 1 --for 20s
-without "limits of targets" core/placement/limit.go 'if alw.tokens >= rate.Request {' 'if alw.tokens >= -1<<60 {' 'requests in 4s from VMs that had heard of its limit' --seed 1 --for 20s
+without "limits of targets" core/rate/bucket.go 'if bkt.tokens >= Request {' 'if bkt.tokens >= -1<<60 {' 'requests in 4s from VMs that had heard of its limit' --seed 1 --for 20s
 without "leaving targets" core/announcement/book.go 'return ent != nil && ent.leaving' 'return ent != nil && false' 'had passed on that it leaves' --seed 8 --for 20s
 without "pauses of targets" core/announcement/book.go 'return ent.pausedUntil.Mono - now.Mono' 'return 0' 'after it wanted none' --seed 1 --for 20s
+without "drained domains" core/drain/drain.go 'return drained' 'return drained && domain == ""' 'after its failure domain was drained' --seed 1 --for 20s
 without "quarantine" core/quarantine/book.go 'if bok.quarantined[fpr] {' 'if false {' 'reached targets [0-9]+ times later' --seed 1 --for 20s
 wait
 test ! -e "$copy/failed"
--- a/lugbench/pkg/playground/playground.go
+++ b/lugbench/pkg/playground/playground.go
@@ -57,6 +57,8 @@
 	// Links are the links to the targets of some VMs, by the number of the VM. The other VMs reach the targets
 	// directly.
 	Links map[int]*Links
+	// DrainTime is the domain-drain-time of the VMs.
+	DrainTime time.Duration
 }
 
 // Playground is a small fleet with its store and targets.
@@ -223,6 +225,7 @@
 	if err != nil {
 		return err
 	}
+	set.DrainTime = all.DrainTime
 	lgs, err := logflags.New(all.Log, "json", "")
 	if err != nil {
 		return err
--- a/lugbench/pkg/soak/load.go
+++ b/lugbench/pkg/soak/load.go
@@ -196,6 +196,7 @@
 	rep.verifyRetries(runs)
 	rep.verifyAnnouncements(flt)
 	rep.verifyCrashes(flt)
+	rep.verifyDrain(flt)
 	for _, req := range rep.requests {
 		rep.verifyResponse(req, runs[req.id])
 		rep.verifyRuns(flt, req, runs[req.id])
--- a/lugbench/pkg/soak/restores.go
+++ b/lugbench/pkg/soak/restores.go
@@ -33,6 +33,7 @@
 	configKind   = "config"
 	releasesKind = "releases"
 	targetsKind  = objects.KindTargets
+	drainsKind   = objects.KindDrains
 )
 
 // restoreStore restores the store from a backup at random times, sometimes twice in a row, until ctx is done.
@@ -55,6 +56,8 @@
 	driver.Sleep(ctx, randomTime(rnd, maxBackupAge))
 	flt.operating.Lock()
 	defer flt.operating.Unlock()
+	flt.storeFaults.set(true)
+	defer flt.storeFaults.set(false)
 	sto.SetFaults(storefake.Faults{Reset: true})
 	time.Sleep(randomTime(rnd, maxAwayTime))
 	lost := sto.Backup()
@@ -72,7 +75,7 @@
 		time.AfterFunc(wait, func() { sto.Redo(targetsKind, name, lost, bak) })
 	}
 	time.Sleep(randomTime(rnd, maxRedoTime))
-	for _, kind := range []string{configKind, releasesKind} {
+	for _, kind := range []string{configKind, releasesKind, drainsKind} {
 		for _, name := range storefake.Lost(kind, lost, bak) {
 			sto.Redo(kind, name, lost, bak)
 		}
--- a/lugbench/pkg/soak/soak.go
+++ b/lugbench/pkg/soak/soak.go
@@ -88,6 +88,10 @@
 	withdrawnAt map[string]time.Time
 	// operating is held while an operator writes, and during a restore of the store.
 	operating sync.Mutex
+	// drained is the failure domain that an operator drains.
+	drained drainedDomain
+	// storeFaults records when the store was away or being restored.
+	storeFaults spans
 	// registering is held while a target is registered after a crash, or leaves at the end of the soak.
 	registering sync.Mutex
 	// leavingTarget is the target that left at the end of the soak, at leftAt.
@@ -130,6 +134,7 @@
 	for stream := range uint64(announcementStreams) {
 		wgr.Go(func() { flt.announce(announceCtx, stream) })
 	}
+	wgr.Go(func() { flt.drain(announceCtx) })
 	if set.Restores {
 		wgr.Go(func() {
 			restoreCtx, stopRestoring := context.WithTimeout(announceCtx, max(set.FaultTime-leaseTime, 0))
@@ -307,9 +312,11 @@
 	}
 	fls := all[int(dur/time.Millisecond)%len(all)]
 	flt.rep.faultf("store: %+v for %v", fls, dur)
+	flt.storeFaults.set(true)
 	flt.pgr.Store.SetFaults(fls)
 	time.Sleep(dur)
 	flt.pgr.Store.SetFaults(storefake.Faults{})
+	flt.storeFaults.set(false)
 	flt.pgr.Store.Compact()
 }
 
--- a/lugbench/pkg/targetfake/target.go
+++ b/lugbench/pkg/targetfake/target.go
@@ -110,6 +110,9 @@
 // ID returns the ID of the target.
 func (tgt *Target) ID() string { return tgt.id }
 
+// FailureDomain returns the failure domain of the target.
+func (tgt *Target) FailureDomain() string { return tgt.failureDomain }
+
 // Register writes the target's registry entry, by which VMs reach it at the address.
 func (tgt *Target) Register(address string, leaving bool) error {
 	raw, err := tgt.encodeEntry(address, leaving)
