--- a/core/gateway/drains_test.go
+++ b/core/gateway/drains_test.go
@@ -58,9 +58,9 @@
 	return vmm.mac.Step(vmm.now, DrainsRead{Update: del})
 }
 
-// arrive delivers a request, and returns its dispatch or refusal.
-func (vmm *drainedVM) arrive(id request.ID) (*Dispatch, *Refuse) {
-	return decisionsOf(vmm.mac.Step(vmm.now, Arrived{Request: request.Request{ID: id, Host: "h", Path: "/open/x", Timeout: time.Second}}))
+// arrive delivers a request with the ID 1, and returns its dispatch or refusal.
+func (vmm *drainedVM) arrive() (*Dispatch, *Refuse) {
+	return decisionsOf(vmm.mac.Step(vmm.now, Arrived{Request: request.Request{ID: 1, Host: "h", Path: "/open/x", Timeout: time.Second}}))
 }
 
 func decisionsOf(acts []Action) (dis *Dispatch, ref *Refuse) {
@@ -82,7 +82,7 @@
 	if vmm.mac.Ready() {
 		t.Error("the VM is ready")
 	}
-	if dis, ref := vmm.arrive(1); dis != nil || ref != nil {
+	if dis, ref := vmm.arrive(); dis != nil || ref != nil {
 		t.Errorf("the request was not queued: %+v, %+v", dis, ref)
 	}
 	vmm.drain("b")
@@ -96,7 +96,7 @@
 func TestVMRefusesWhileItDoesNotKnowTheDrains(t *testing.T) {
 	vmm := newDrainedVM(t)
 	vmm.know()
-	_, _ = vmm.arrive(1)
+	_, _ = vmm.arrive()
 	vmm.now = vmm.now.Add(maxQueueTime)
 	if _, ref := decisionsOf(vmm.mac.Step(vmm.now, Ticked{})); ref == nil || ref.Refusal.RetryAfter <= 0 {
 		t.Errorf("got %+v", ref)
@@ -136,7 +136,7 @@
 	vmm := newDrainedVM(t)
 	vmm.know()
 	vmm.drain("a")
-	dis, _ := vmm.arrive(1)
+	dis, _ := vmm.arrive()
 	if dis == nil || !vmm.mac.MaySend(vmm.now, 1, dis.Attempt) {
 		t.Fatalf("not sent: %+v", dis)
 	}
@@ -163,7 +163,7 @@
 	vmm := newDrainedVM(t)
 	vmm.know()
 	vmm.drain("a", "b")
-	if _, ref := vmm.arrive(1); ref == nil || ref.Refusal.RetryAfter <= 0 || ref.Refusal.Detail != "all targets are in drained failure domains" {
+	if _, ref := vmm.arrive(); ref == nil || ref.Refusal.RetryAfter <= 0 || ref.Refusal.Detail != "all targets are in drained failure domains" {
 		t.Errorf("got %+v", ref)
 	}
 }
--- a/core/gateway/drainsim_test.go
+++ b/core/gateway/drainsim_test.go
@@ -133,11 +133,11 @@
 }
 
 // startDrainSim starts a fleet with targets in three failure domains.
-func startDrainSim(seed uint64, perSecond int) *fleetSim {
+func startDrainSim(seed uint64, vms, tgs, perSecond int) *fleetSim {
 	sim := emptyFleetSim(rand.New(rand.NewPCG(seed, 11)), perSecond)
 	sim.policy.DrainTime, sim.policy.Warmup, sim.slots = simDrainTime, simWarmup, 2
 	sim.domains = &simDomains{sim: sim, count: 3, revision: 1, drained: make(map[string]bool), drainedAt: make(map[string]time.Time)}
-	sim.begin(24, 231)
+	sim.begin(vms, tgs)
 	sim.after(0, sim.domains.check)
 	return sim
 }
@@ -164,7 +164,7 @@
 	for seed := range uint64(2) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			sim := startDrainSim(seed, 400)
+			sim := startDrainSim(seed, 24, 231, 400)
 			dms, lost := sim.domains, 0
 			sim.at(sim.started.Add(drainAt), func() { dms.set("b", true) })
 			sim.at(sim.started.Add(returnAt-300*time.Millisecond), func() {
@@ -196,3 +196,29 @@
 		})
 	}
 }
+
+// TestColdTargetsKeepToTheirLimitInABurst plays more requests than targets may get that may have turned cold, while targets
+// do so unseen, placers change, and VMs place alone since answers of placers are late. It guards against a target that gets
+// more than it tolerates.
+func TestColdTargetsKeepToTheirLimitInABurst(t *testing.T) {
+	const length = 12 * time.Second
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			sim := startDrainSim(seed, 12, 24, 220)
+			dms := sim.domains
+			for at := simLoadAfter + time.Second; at < length; at += 500 * time.Millisecond {
+				sim.at(sim.started.Add(at), func() { dms.turnCold(sim.tgs[sim.rnd.IntN(len(sim.tgs))]) })
+			}
+			for at := simLoadAfter + time.Second; at < length; at += 1900 * time.Millisecond {
+				sim.schedule(at, []string{"restart placer", "slow-peers on", "slow-peers off"}[sim.rnd.IntN(3)])
+			}
+			sim.run(length)
+			most, target := dms.mostWhileCold()
+			t.Logf("sent %d, served %d, refused %d, failed %d; at most %d requests in a second at a cold target", sim.sent, sim.served, sim.refused, sim.failed, most)
+			if limit := simColdRate*simWarmup.Excess + simWarmup.Slack; float64(most) > limit {
+				t.Errorf("%s got %d requests in a second while it was cold, allowed are %v", target, most, limit)
+			}
+		})
+	}
+}
--- a/lugbench/pkg/playground/drains_test.go
+++ b/lugbench/pkg/playground/drains_test.go
@@ -18,6 +18,9 @@
 // drainNotice is how long after a drain, or after it ends, all VMs know it while the store works.
 const drainNotice = time.Second
 
+// drainedName is the failure domain that is drained.
+const drainedName = "domain-2"
+
 // startDrainable starts VMs that keep to drains, and sends them requests until the test ends. lastRefused is the number
 // of requests that were not answered by a target.
 func startDrainable(t *testing.T) (pgr *Playground, ops *objects.OperatorStore, lastRefused *atomic.Int64) {
@@ -45,11 +48,11 @@
 	return pgr, objects.NewOperatorStore(objects.New(pgr.StoreAddress, log)), lastRefused
 }
 
-// arrivedAt returns how many requests have reached the targets of a failure domain.
-func (pgr *Playground) arrivedAt(domain string) int {
+// arrivedAtDrained returns how many requests have reached the targets of the failure domain that is drained.
+func (pgr *Playground) arrivedAtDrained() int {
 	cnt := 0
 	for _, tgt := range pgr.Targets {
-		if tgt.FailureDomain() == domain {
+		if tgt.FailureDomain() == drainedName {
 			cnt += len(tgt.Arrivals())
 		}
 	}
@@ -60,20 +63,20 @@
 // the store or follow another VM, and against callers that notice.
 func TestDrainedDomainGetsNoRequestsUntilItIsTakenBack(t *testing.T) {
 	pgr, ops, refused := startDrainable(t)
-	if err := ops.Drain(context.Background(), "domain-2"); err != nil {
+	if err := ops.Drain(context.Background(), drainedName); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(drainNotice)
-	before := pgr.arrivedAt("domain-2")
+	before := pgr.arrivedAtDrained()
 	time.Sleep(2 * time.Second)
-	if after := pgr.arrivedAt("domain-2"); after != before {
+	if after := pgr.arrivedAtDrained(); after != before {
 		t.Errorf("%d requests reached the drained domain", after-before)
 	}
-	if err := ops.Restore(context.Background(), "domain-2"); err != nil {
+	if err := ops.Restore(context.Background(), drainedName); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(drainNotice)
-	if pgr.arrivedAt("domain-2") == before {
+	if pgr.arrivedAtDrained() == before {
 		t.Error("no request reached the domain after it was taken back")
 	}
 	if cnt := refused.Load(); cnt > 0 {
@@ -86,20 +89,20 @@
 func TestDrainStaysWhileTheStoreIsAwayOrRestored(t *testing.T) {
 	pgr, ops, _ := startDrainable(t)
 	bak := pgr.Store.Backup()
-	if err := ops.Drain(context.Background(), "domain-2"); err != nil {
+	if err := ops.Drain(context.Background(), drainedName); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(drainNotice)
-	before := pgr.arrivedAt("domain-2")
+	before := pgr.arrivedAtDrained()
 	pgr.Store.SetFaults(storefake.Faults{Silent: true})
 	time.Sleep(2 * time.Second)
 	pgr.restore(bak)
 	time.Sleep(3 * time.Second)
-	if err := ops.Drain(context.Background(), "domain-2"); err != nil {
+	if err := ops.Drain(context.Background(), drainedName); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(drainNotice)
-	if after := pgr.arrivedAt("domain-2"); after != before {
+	if after := pgr.arrivedAtDrained(); after != before {
 		t.Errorf("%d requests reached the drained domain", after-before)
 	}
 }
