--- a/core/gateway/drains_test.go
+++ b/core/gateway/drains_test.go
@@ -12,6 +12,7 @@
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/member"
+	"marigoldlug.example/core/placement"
 	"marigoldlug.example/core/registry"
 	"marigoldlug.example/core/request"
 	"marigoldlug.example/core/table"
@@ -262,3 +263,83 @@
 		}
 	}
 }
+
+// newDrainedPair returns a pair of VMs that keep to drains, of which one follows the other.
+func newDrainedPair(t *testing.T) *pair {
+	t.Helper()
+	pai := newPair(t)
+	pai.followed.set.Policy.DrainTime, pai.follower.set.Policy.DrainTime = simDrainTime, simDrainTime
+	pai.config(1, (&simDomains{}).content())
+	pai.followed.Step(pai.now, DrainsRead{Update: table.Delta[drain.Entry]{Whole: true, Revision: 7}})
+	pai.advance(2 * time.Second)
+	if pai.follower.selector.Followed() == "" || !pai.follower.drainsKnown() {
+		t.Fatalf("follows %q, drains known %t", pai.follower.selector.Followed(), pai.follower.drainsKnown())
+	}
+	return pai
+}
+
+// TestLostReportOfDrainsIsMadeGood guards against a follower that learns of a drain only with the next change.
+func TestLostReportOfDrainsIsMadeGood(t *testing.T) {
+	pai := newDrainedPair(t)
+	losses := 2
+	pai.loseDrains = func() bool {
+		losses--
+		return losses >= 0
+	}
+	del := table.Delta[drain.Entry]{Since: 7, Revision: 8, Rows: []table.Row[drain.Entry]{{Name: "b", Revision: 8}}}
+	pai.deliver(pai.followed, pai.followed.Step(pai.now, DrainsRead{Update: del}))
+	if pai.follower.drains.book.Drained("b") {
+		t.Fatal("the first report was not lost")
+	}
+	pai.advance(time.Second)
+	if !pai.follower.drains.book.Drained("b") {
+		t.Error("the follower does not know the drain 1 s after two reports were lost")
+	}
+	if pai.follower.selector.Followed() == "" {
+		t.Error("two lost reports make the follower read the store itself")
+	}
+}
+
+// TestFieldsThatAnOlderProgramLeavesOutAreLearnedLater guards against a VM that keeps a configuration without the rate of
+// cold targets, since it has got that version from a VM of an older program.
+func TestFieldsThatAnOlderProgramLeavesOutAreLearnedLater(t *testing.T) {
+	cold := func(mac *Machine) time.Duration { return mac.config.Snapshot.Service("svc").ColdStart }
+	for _, byStore := range []bool{true, false} {
+		pai := newDrainedPair(t)
+		next := (&simDomains{}).content()
+		pai.follower.Step(pai.now, Received{From: "old.1", Message: Update{Version: 2, Config: NewConfig(2, simContent())}})
+		if pai.follower.version() != 2 || cold(pai.follower) != 0 {
+			t.Fatal("the configuration of the older program is not in force")
+		}
+		if byStore {
+			pai.follower.Step(pai.now, ConfigRead{RequestedAt: pai.now, Update: NewConfig(2, next)})
+		} else {
+			pai.config(2, next)
+			pai.advance(resendDelay + 400*time.Millisecond) // The next query after that asks for the whole of it.
+		}
+		if cold(pai.follower) != simColdStart || pai.follower.configPartial {
+			t.Errorf("from the store %t: targets are cold for %v", byStore, cold(pai.follower))
+		}
+	}
+}
+
+// TestPlacerThatDoesNotKnowADrainIsAskedAgain guards against requests that are placed without the placer, and so refused
+// for want of a share, since a placer of an older program chooses drained targets.
+func TestPlacerThatDoesNotKnowADrainIsAskedAgain(t *testing.T) {
+	vmm := newDrainedVM(t)
+	vmm.know()
+	vmm.drain("b")
+	par := vmm.mac.services["svc"].partitions[0]
+	par.placer = "old.1"
+	vmm.mac.Step(vmm.now, Arrived{Request: request.Request{ID: 1, Host: "h", Path: "/open/x", Timeout: time.Second}})
+	acts := vmm.mac.Step(vmm.now, Received{From: "old.1", Message: placement.Answer{Number: vmm.mac.number, Target: "tb"}})
+	dis, _ := decisionsOf(acts)
+	qry, asked := sent(acts)["old.1"].(placement.Query)
+	if dis != nil || !asked || !slices.Contains(qry.Criteria.Tried, "tb") {
+		t.Fatalf("sent %+v, asked %+v", dis, qry)
+	}
+	acts = vmm.mac.Step(vmm.now, Received{From: "old.1", Message: placement.Answer{Number: qry.Number, Target: "ta"}})
+	if dis, _ := decisionsOf(acts); dis == nil || dis.Target.ID != "ta" {
+		t.Errorf("sent %+v", dis)
+	}
+}
--- a/core/gateway/updates_test.go
+++ b/core/gateway/updates_test.go
@@ -9,6 +9,7 @@
 
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/config"
+	"marigoldlug.example/core/drain"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/registry"
@@ -21,6 +22,8 @@
 	followed, follower *Machine
 	// lose reports whether an update to the follower is lost.
 	lose func(update Update) bool
+	// loseDrains reports whether a report of drains to the follower is lost; nil if none is.
+	loseDrains func() bool
 	// updates holds the updates that reached the follower.
 	updates []Update
 }
@@ -74,6 +77,9 @@
 		to := pai.followed
 		if from == pai.followed {
 			to = pai.follower
+			if _, isReport := snd.Message.(drain.Report); isReport && pai.loseDrains != nil && pai.loseDrains() {
+				continue
+			}
 			if update, isUpdate := snd.Message.(Update); isUpdate {
 				if pai.lose != nil && pai.lose(update) {
 					continue
