--- a/lugbench/pkg/playground/unread_test.go
+++ b/lugbench/pkg/playground/unread_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"marigoldlug.example/lugbench/pkg/targetfake"
 )
 
 // TestWhatIsNotUnderstoodHarmsOnlyItself stores a configuration with a route of an unknown kind, one whose host cannot be read and an
@@ -69,6 +71,38 @@
 	}
 }
 
+// TestInvalidStatusLinesReachNoCaller has two of six targets send status lines that are none. No caller may get such a status, no order
+// may run twice, and most requests must be served, since the other targets take over.
+func TestInvalidStatusLinesReachNoCaller(t *testing.T) {
+	pgr := start(t, 2)
+	settle()
+	for num, line := range []string{"HTTP/1.1 000 Nothing", "HTTP/1.1 999 Odd"} {
+		pgr.Targets[num].SetFaults(targetfake.Faults{Latency: 20 * time.Millisecond, StatusLine: line})
+	}
+	served := 0
+	for num := range 120 {
+		id, method, path := fmt.Sprint("order-", num), http.MethodPost, "/orders/x"
+		if num%2 == 0 {
+			id, method, path = fmt.Sprint("read-", num), http.MethodGet, "/recipes/x"
+		}
+		res := pgr.send(num%2, method, path, id, Key)
+		switch {
+		case res.Status == http.StatusOK && res.Body == targetfake.ResponseBody(id):
+			served++
+		case res.Status < http.StatusInternalServerError || res.Status > http.StatusGatewayTimeout:
+			t.Errorf("%s got %+v", id, res)
+		}
+	}
+	for id, cnt := range pgr.runs() {
+		if id[0] == 'o' && cnt > 1 {
+			t.Errorf("%s ran %d times", id, cnt)
+		}
+	}
+	if served < 100 {
+		t.Errorf("%d of 120 requests were served", served)
+	}
+}
+
 // greatestMetric returns the greatest value of a metric at any VM.
 func (pgr *Playground) greatestMetric(t *testing.T, name string) float64 {
 	t.Helper()
--- a/lugbench/pkg/targetfake/target.go
+++ b/lugbench/pkg/targetfake/target.go
@@ -27,6 +27,8 @@
 	// HangShare, FailShare and CutShare are the shares of the requests, from 0 to 1, that
 	// get no response, status 500, and a truncated body. Their sum is at most 1.
 	HangShare, FailShare, CutShare float64
+	// StatusLine is sent instead of that of a response, if it is set. The connection then stays open.
+	StatusLine string
 }
 
 // LatencyParameter is the query parameter by which a request sets its own latency.
@@ -253,6 +255,10 @@
 		wrt.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if fls.StatusLine != "" {
+		tgt.sendStatusLine(wrt, req, fls.StatusLine)
+		return
+	}
 	txt := ResponseBody(req.Header.Get(tgt.names.Request))
 	if draw -= fls.FailShare; draw < fls.CutShare {
 		hdr.Set("Content-Length", fmt.Sprint(2*len(txt)))
@@ -260,6 +266,21 @@
 	_, _ = io.WriteString(wrt, txt) // The VM may have closed the connection.
 }
 
+// sendStatusLine sends a head with the given status line, and closes the connection once the VM does.
+func (tgt *Target) sendStatusLine(wrt http.ResponseWriter, req *http.Request, line string) {
+	con, _, err := http.NewResponseController(wrt).Hijack()
+	if err != nil {
+		return // The VM has closed the connection.
+	}
+	defer func() { _ = con.Close() }()
+	_, _ = fmt.Fprintf(con, "%s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", line, tgt.names.Request, req.Header.Get(tgt.names.Request))
+	_ = con.SetReadDeadline(time.Now().Add(statusLineTime))
+	_, _ = con.Read(make([]byte, 1))
+}
+
+// statusLineTime bounds how long a connection stays open after Faults.StatusLine.
+const statusLineTime = 10 * time.Second
+
 // arrived records a request, and returns its number and whether the target refuses it.
 func (tgt *Target) arrived(req *http.Request) (number int, refuses bool) {
 	tgt.mut.Lock()
