Let requests that have not run wait for the retry budget

Cause: a request that its target refused to run was refused to its caller as soon as the budget left it nothing, although a moment later there was budget again and its latency goal was far.

Change: a placer that refuses an attempt for the budget says when it likely leaves the request one (Answer.RetryAfter), beyond the latency goal if the request would be answered too late then. The VM lets the request wait for that time, twice at most, and asks the same placer again; retrybudget.Waits decides whether it may. A stop, its deadline, callers that leave, withdrawn keys and services that are gone end a wait as they end that of a queued request. Placers of older builds tell no time: there the request is refused at once, as before. The event retryWaits tells who waits and for how long; refused tells the priority and the number of waits.

A request that has waited for the budget now has its latency goal in addition; for all others the bound is as before.

Not all of core/gateway has run: its random fleets take long beside other work.

--- a/core/gateway/admission.go
+++ b/core/gateway/admission.go
@@ -60,7 +60,8 @@
 		"reason", ref.Reason, "detail", ref.Detail, "verdict", ref.Verdict, "retryAfter", ref.RetryAfter, "version", mac.version(),
 	}
 	if inf != nil {
-		fields = append(fields, "route", inf.route.Name, "organisation", inf.organisation, "service", inf.service, "attempts", inf.attempt)
+		fields = append(fields, "route", inf.route.Name, "organisation", inf.organisation, "service", inf.service, "attempts", inf.attempt,
+			"priority", inf.priority, "waits", inf.waits.Count())
 	}
 	mac.emit(LogEntry{Request: id, Event: "refused", Fields: fields})
 }
--- a/core/gateway/inflight.go
+++ b/core/gateway/inflight.go
@@ -10,6 +10,7 @@
 	"marigoldlug.example/core/path"
 	"marigoldlug.example/core/placement"
 	"marigoldlug.example/core/request"
+	"marigoldlug.example/core/retrybudget"
 	"marigoldlug.example/core/verdict"
 )
 
@@ -84,6 +85,8 @@
 	verdict verdict.Verdict
 	// permission is what the request needs while its content is suspected to crash targets.
 	permission permission
+	// waits are those for the retry budget.
+	waits retrybudget.Waits
 }
 
 // attempt is one sending of a request to a target.
@@ -257,7 +260,7 @@
 // resume waits for the attempts of a request that are running or being placed, or asks for a target
 // for a new one if there are none.
 func (mac *Machine) resume(now clock.Instant, inf *inFlight, detail string) {
-	if !inf.running() && !inf.placing && !inf.permission.waiting {
+	if !inf.running() && !inf.placing && !inf.permission.waiting && !inf.waits.Waiting() {
 		mac.nextAttempt(now, inf, detail)
 	}
 }
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -211,6 +211,7 @@
 	mac.tickContents(now)
 	mac.tickPaths(now)
 	mac.tickPlacement(now)
+	mac.tickBudgetWaits(now)
 	mac.tokens.Tick(now)
 	mac.hedgeAndExpire(now)
 	mac.forgetAnnouncements(now)
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -264,6 +264,10 @@
 		mac.placementFailed(now, inf, placement.Answer{Reason: placement.NoTargetLeft})
 		return
 	}
+	if par := mac.awaitedPartition(inf); par != nil {
+		mac.placeAt(now, inf, par)
+		return
+	}
 	mac.placeAt(now, inf, mac.choosePartition(svc))
 }
 
@@ -403,7 +407,7 @@
 		mac.nextAttempt(now, inf, "no target has room") // The concurrent attempt has ended.
 		return
 	}
-	if mac.tryOtherPartition(now, inf, ans) {
+	if mac.awaitBudget(now, inf, ans) || mac.tryOtherPartition(now, inf, ans) {
 		return
 	}
 	ref := request.Refusal{Reason: request.Overloaded, RetryAfter: ans.RetryAfter, Detail: "the targets have no room in time"}
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -255,7 +255,7 @@
 	case !cri.Retry:
 		pla.budget.CountRequest(now)
 	case !pla.budget.Take(now, cri.claim(lat)):
-		return Answer{Number: aid.Number, Reason: NoRetry, RetryAfter: pla.budget.Wait(now, cri.claim(lat), cri.longestWait(lat))}
+		return Answer{Number: aid.Number, Reason: NoRetry, RetryAfter: pla.retryWait(now, cri, lat)}
 	}
 	tgt := best.target
 	if tgt.allowance != nil {
--- a/core/placement/retry.go
+++ b/core/placement/retry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/retrybudget"
 )
 
@@ -104,3 +105,14 @@
 func (cri Criteria) longestWait(lat *latency) time.Duration {
 	return min(cri.TimeToGoal, cri.TimeLeft) - lat.median()
 }
+
+// retryWait returns the time after which a request that the retry budget leaves nothing may ask again: beyond its latency
+// goal if it would be answered too late then.
+func (pla *Placer) retryWait(now clock.Instant, cri Criteria, lat *latency) time.Duration {
+	longest := cri.longestWait(lat)
+	wait := pla.budget.Wait(now, cri.claim(lat), longest)
+	if wait > longest {
+		return max(wait, cri.TimeToGoal)
+	}
+	return wait
+}
