Give scarce capacity by priority and fair share, and starve nobody

Cause: a lower priority found a target full by half of its slots earlier, but the bound by waiting time was the same for all and often the lower one, so priorities meant nothing there. An organisation at five times its rate was served as often as the others, at their cost, and nothing kept a kind or an organisation from being refused nearly always.

Change: core/admission ranks requests by priority; where all slots are in use, an organisation that holds more than 1.5 times its fair share of the work counts as one priority lower, and a kind or an organisation that is admitted less than a third as often as all goes first. The rank bounds both the requests at a target and their wait. Retry-After says when a place for the rank is likely, by how many of the rank were admitted lately. Queries tell the organisation (Criteria.Caller, a hash), LargeResponse and MayHaveRun at the end of their frame: older builds do not read that far, and their queries are read as without. A large response costs more in another failure domain than a full queue in its own, and less than a late answer or a sick target. The metric placements_refused_total tells refusals by priority.

Tests of core/admission, retrybudget, config and placement, of frames in lugd/pkg/peer and the short ones of core/gateway pass; the random fleets of core/gateway have not run on this commit.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -89,6 +89,8 @@
 	// least 1. An attempt that is known not to have run does not count. core/gateway also limits
 	// attempts of both kinds together, to 6 (maxDispatches), so greater values act like 6.
 	MaxAttempts int
+	// LargeResponses is set if responses are large, some hundred times as large as those of other routes.
+	LargeResponses bool
 }
 
 // Service is a set of interchangeable targets, which register themselves.
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -94,6 +94,8 @@
 	// placementCounts and tokenCounts count the decisions of this VM as a placer and as a token
 	// server, by outcome.
 	placementCounts, tokenCounts map[string]uint64
+	// refusalCounts counts the requests for which this VM as a placer had no target, by priority.
+	refusalCounts map[string]uint64
 }
 
 // New returns the machine of a VM that does not know any object of the platform yet.
@@ -115,6 +117,7 @@
 		releases:       make(map[string]release),
 
 		placementCounts: make(map[string]uint64),
+		refusalCounts:   make(map[string]uint64),
 		tokenCounts:     make(map[string]uint64),
 	}
 	mac.tokens = quota.NewClient(rnd, set.Policy.Quota, mac.limit)
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"marigoldlug.example/core/admission"
 	"marigoldlug.example/core/announcement"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
@@ -245,11 +246,15 @@
 	return &rep
 }
 
+// lowestCounted is the lowest priority that is counted by itself; lower ones count as this one.
+const lowestCounted = 9
+
 // countPlacement counts an answer of this VM as a placer, by outcome.
 func (mac *Machine) countPlacement(cri placement.Criteria, ans placement.Answer) {
 	switch {
 	case ans.Target == "":
 		mac.placementCounts[string(ans.Reason)]++
+		mac.refusalCounts["priority"+strconv.Itoa(min(max(cri.Priority, 0), lowestCounted))]++
 	case cri.Retry:
 		mac.placementCounts["placedAgain"]++
 	default:
@@ -312,6 +317,7 @@
 		Route: inf.route.Name, Domain: mac.set.Self.FailureDomain, Idempotent: inf.route.Idempotent, Retry: inf.sent > 0, Hedge: inf.hedging,
 		TimeToGoal: max(inf.goal.Mono-now.Mono, 0), TimeLeft: max(inf.deadline.Mono-now.Mono, 0), Tried: excluded,
 		Priority: int(inf.priority), Suspected: inf.permission.granted != nil, PathsLost: lost, MayHaveRun: inf.mayHaveRun > 0 || inf.running(),
+		Caller: admission.CallerOf(inf.organisation), LargeResponse: inf.route.LargeResponses,
 	}
 }
 
--- a/core/gateway/status.go
+++ b/core/gateway/status.go
@@ -38,6 +38,8 @@
 	// Placements counts the answers of this VM as a placer, and Tokens the requests that it decided
 	// on as a token server, both by outcome.
 	Placements, Tokens map[string]uint64
+	// Refusals counts the requests for which this VM as a placer had no target, by priority.
+	Refusals map[string]uint64
 }
 
 // Status returns the state of the VM at now.
@@ -46,6 +48,7 @@
 		Version: mac.version(), Era: mac.restores.era, VMs: mac.fleet.View().Size(), Reading: mac.reading != nil && mac.reading.On, Follows: mac.selector.Followed(),
 		Holders: mac.fleet.Holders(), Ages: mac.ages(now), InFlight: len(mac.requests), Targets: mac.registry.Len(), Stopping: mac.stopping,
 		Followers: len(mac.followers), Placements: maps.Clone(mac.placementCounts), Tokens: maps.Clone(mac.tokenCounts),
+		Refusals: maps.Clone(mac.refusalCounts),
 	}
 	sta.SuspectedContents, sta.QuarantinedContents, sta.DroppedContents = mac.contents.book.Sizes()
 	for _, svc := range mac.services {
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"marigoldlug.example/core/admission"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/rate"
@@ -21,6 +22,9 @@
 	failedPathCost = 0.5
 	// crossDomainCost is the cost of a target in another failure domain.
 	crossDomainCost = 0.03
+	// largeCrossDomainCost is that for a large response, of some hundred times the bytes of others. It outweighs the
+	// load of a target with a full queue, but neither a target that is likely sick nor a late response.
+	largeCrossDomainCost = 0.3
 	// loadCost is the cost of a target whose slots are all in use; it grows with the requests there.
 	loadCost = 0.15
 	// suspectedCost is the cost for a request of running beside one that may crash the target, and for such
@@ -55,18 +59,18 @@
 }
 
 // refusal returns the answer to a request that no target can take.
-func (pla *Placer) refusal(now clock.Instant, aid AttemptID, obs obstacles) Answer {
+func (pla *Placer) refusal(now clock.Instant, aid AttemptID, rnk admission.Rank, obs obstacles) Answer {
 	switch {
 	case obs.wait < 0:
 		return Answer{Number: aid.Number, Reason: NoTargetLeft}
 	case obs.limited:
 		return Answer{Number: aid.Number, Reason: Limited, Limits: obs.limits, RetryAfter: pla.limitRetry(now, obs.wait, obs.limits)}
 	}
-	return Answer{Number: aid.Number, Reason: NoRoom, RetryAfter: max(obs.wait, time.Millisecond)}
+	return Answer{Number: aid.Number, Reason: NoRoom, RetryAfter: pla.admission.RetryAfter(now, rnk, max(obs.wait, time.Millisecond))}
 }
 
 // choose returns the candidate of least cost. If there is none, best.target is nil, and obs says why.
-func (pla *Placer) choose(now clock.Instant, vmm string, cri Criteria, lat *latency) (best candidate, obs obstacles) {
+func (pla *Placer) choose(now clock.Instant, vmm string, cri Criteria, rnk admission.Rank, lat *latency) (best candidate, obs obstacles) {
 	obs.wait = -1
 	est := lat.orElse(pla.overall)
 	for _, at := range pla.rnd.Perm(len(pla.targets)) {
@@ -80,8 +84,8 @@
 			obs.wait = max(obs.wait, 0)
 			continue // A hedge must not take a slot for which other requests wait, nor what a limit leaves.
 		}
-		if est.late(cri.TimeLeft, queueWait, tgt.slowdown(now)) || len(tgt.running) >= tgt.capacity(cri.Priority) || pla.queueFull(tgt, queueWait) {
-			obs.add(max(pla.timeToRoom(now, cri, tgt, lat, queueWait), limitWait))
+		if est.late(cri.TimeLeft, queueWait, tgt.slowdown(now)) || len(tgt.running) >= rnk.Limit(tgt.Slots) || pla.queueFull(tgt, rnk, queueWait) {
+			obs.add(max(pla.timeToRoom(now, cri, tgt, rnk, lat, queueWait), limitWait))
 			continue
 		}
 		if cri.Suspected && tgt.runsSuspected() {
@@ -124,7 +128,7 @@
 	cost += lateCost * lat.survival(max(cri.TimeToGoal-queueWait, 0), tgt.slowdown(now))
 	cost += loadCost * float64(len(tgt.running)) / float64(max(tgt.Slots, 1))
 	if tgt.FailureDomain != cri.Domain {
-		cost += crossDomainCost
+		cost += cri.crossDomainCost()
 	}
 	switch {
 	case cri.Suspected:
--- a/core/placement/message.go
+++ b/core/placement/message.go
@@ -39,6 +39,18 @@
 	// MayHaveRun is set if an earlier attempt may have run the request, so that a further one may repeat work. Older
 	// builds do not tell.
 	MayHaveRun bool
+	// Caller is the organisation of the request; see admission.CallerOf.
+	Caller uint16
+	// LargeResponse is set if the response is some hundred times as large as others.
+	LargeResponse bool
+}
+
+// crossDomainCost returns the cost of a target in another failure domain.
+func (cri Criteria) crossDomainCost() float64 {
+	if cri.LargeResponse {
+		return largeCrossDomainCost
+	}
+	return crossDomainCost
 }
 
 // Query asks the placer of a partition for a target.
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"marigoldlug.example/core/admission"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/retrybudget"
@@ -36,12 +37,6 @@
 	maxSlowdown = 20.0
 	// coldSlowdown is the least slowdown assumed of a target until it is warm.
 	coldSlowdown = 2.0
-	// queueDepth is the most requests that a target is given at a time, as a multiple of its slots.
-	// For each priority below the highest, down to lowestDistinctPriority, the limit is lower by the
-	// slots divided by priorityStep. Lower priorities count as lowestDistinctPriority.
-	queueDepth             = 3
-	lowestDistinctPriority = 2
-	priorityStep           = 2
 	// lostTime is how long after its deadline an attempt whose end was not reported is dropped.
 	lostTime = time.Second
 	// idleTime is how long a healthy target gets no request until one is sent to it as a trial. For a
@@ -160,6 +155,8 @@
 	announcements Announcements
 	limiter       Limiter
 	forwarders    forwarders
+	// admission says which requests get places that are scarce.
+	admission *admission.Book
 	// limitRetryAt is the latest time at which callers were told to return that were refused for limits.
 	limitRetryAt clock.Instant
 	changes      []SuspicionChange
@@ -177,7 +174,7 @@
 func New(rnd *rand.Rand, bud *retrybudget.Budget, ann Announcements, lim Limiter) *Placer {
 	return &Placer{
 		rnd: rnd, budget: bud, announcements: ann, limiter: lim, attempts: make(map[AttemptID]*attempt), latencies: make(map[string]*latency),
-		forwarders: newForwarders(),
+		forwarders: newForwarders(), admission: admission.New(),
 	}
 }
 
@@ -248,10 +245,12 @@
 		lat.goal, lat.goalAt = cri.TimeToGoal, now
 	}
 	pla.forwarders.note(aid.VM, cri)
-	best, obs := pla.choose(now, aid.VM, cri, lat)
+	rnk := pla.admission.Rank(now, cri.admission(), pla.scarce())
+	best, obs := pla.choose(now, aid.VM, cri, rnk, lat)
+	pla.recordAdmission(now, cri, rnk, lat, best, obs)
 	switch {
 	case best.target == nil:
-		return pla.refusal(now, aid, obs)
+		return pla.refusal(now, aid, rnk, obs)
 	case !cri.Retry:
 		pla.budget.CountRequest(now)
 	case !pla.budget.Take(now, cri.claim(lat)):
--- a/core/placement/placer_test.go
+++ b/core/placement/placer_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"marigoldlug.example/core/admission"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/retrybudget"
@@ -463,7 +464,7 @@
 		return pla.Place(now, AttemptID{VM: "vm", Number: number}, Criteria{Route: "r", TimeLeft: deadline, TimeToGoal: time.Second, Priority: priority})
 	}
 	number := uint64(0)
-	for ; place(number, lowestDistinctPriority).Target != ""; number++ {
+	for ; place(number, 2).Target != ""; number++ {
 	}
 	if ans := place(number+1, 0); ans.Target != "t0" {
 		t.Errorf("after %d requests of the lowest priority one of the highest got %+v", number, ans)
@@ -500,7 +501,7 @@
 	pla := newPlacer(rand.New(rand.NewPCG(1, 1)), retrybudget.New(now, 10*time.Second, 0.2, 64))
 	pla.SetTargets(now, []health.Target{{ID: "t0", Slots: 1}})
 	cri := Criteria{Route: "r", TimeLeft: deadline, TimeToGoal: time.Second}
-	for num := range uint64(queueDepth) {
+	for num := range uint64(admission.Rank(0).Limit(1)) {
 		if ans := pla.Place(now, AttemptID{VM: "gone", Number: num}, cri); ans.Target != "t0" {
 			t.Fatalf("request %d got %+v", num, ans)
 		}
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -66,12 +66,6 @@
 	delete(tgt.pathFailures, sender)
 }
 
-// capacity returns the most requests that the target is given at a time. It is less for requests of
-// lower priority, so that those of higher priority still find room.
-func (tgt *target) capacity(priority int) int {
-	return queueDepth*tgt.Slots - min(max(priority, 0), lowestDistinctPriority)*tgt.Slots/priorityStep
-}
-
 // runsSuspected reports whether a request that may crash the target is running there.
 func (tgt *target) runsSuspected() bool {
 	return slices.ContainsFunc(tgt.running, func(att *attempt) bool { return att.suspected })
--- a/core/retrybudget/pace.go
+++ b/core/retrybudget/pace.go
@@ -13,12 +13,16 @@
 	// minBurst is how many attempts may be made at once at least. A target that fails ends as many
 	// requests at once as it has room for, and each of them is to get another attempt.
 	minBurst = 8
-	// assuredShare is the share of the pace that is assured to the kinds of claims, to each an equal part, and
-	// maxAssured how many attempts a kind saves up of it.
-	assuredShare = 0.25
+	// assuredShare is the share of the pace that is assured to the kinds of claims, by assuredParts, and maxAssured
+	// how many attempts a kind saves up of it.
+	assuredShare = 0.3
 	maxAssured   = 2
 )
 
+// assuredParts is how each kind shares in what is assured. The highest priority needs little, since nothing is kept from
+// it; the others get more, the more urgent they are.
+var assuredParts = [kinds]float64{1. / 9, 3. / 9, 2. / 9, 1. / 9, 1. / 9, 1. / 9}
+
 // pace spreads the attempts over the window: a token bucket of which less urgent claims leave a part to the more
 // urgent ones, and a small one for each kind of claims.
 type pace struct {
@@ -55,7 +59,7 @@
 	pac.filledAt = now
 	common := (1 - assuredShare) * accrued
 	for num := range pac.assured {
-		sum := pac.assured[num] + assuredShare/kinds*accrued
+		sum := pac.assured[num] + assuredShare*assuredParts[num]*accrued
 		pac.assured[num] = min(sum, maxAssured)
 		common += sum - pac.assured[num] // What a kind does not use is left to all.
 	}
@@ -87,7 +91,7 @@
 	if cla.reserve()*pac.depth+1 > pac.depth {
 		common = maxWait.Seconds() // The bucket is too small for the claim.
 	}
-	assured := (1 - pac.assured[cla.kind()]) * kinds / (assuredShare * pac.perSecond)
+	assured := (1 - pac.assured[cla.kind()]) / (assuredShare * assuredParts[cla.kind()] * pac.perSecond)
 	sec := max(min(common, assured, maxWait.Seconds()), 0)
 	return time.Duration(sec * float64(time.Second))
 }
--- a/lugd/pkg/edge/observer.go
+++ b/lugd/pkg/edge/observer.go
@@ -92,6 +92,10 @@
 		sta, _ := dmn.driver.Status()
 		return sta.Placements
 	})
+	met.LabelledCounter("placements_refused_total", "Requests for which the VM as a placer had no target, by priority.", "priority", func() map[string]uint64 {
+		sta, _ := dmn.driver.Status()
+		return sta.Refusals
+	})
 	met.LabelledCounter("tokens_total", "Requests for which the VM was asked for tokens, by whether it granted them.", "outcome", func() map[string]uint64 {
 		sta, _ := dmn.driver.Status()
 		return sta.Tokens
--- a/lugd/pkg/peer/codec_test.go
+++ b/lugd/pkg/peer/codec_test.go
@@ -123,6 +123,37 @@
 	}
 }
 
+// TestQueriesOfOlderAndLaterProgramsAreRead encodes placement queries of every kind with the fields at their end. A program
+// that stops before must read the same query without them, one that sends none must be read, and a query that is cut
+// anywhere else must give errMalformed.
+func TestQueriesOfOlderAndLaterProgramsAreRead(t *testing.T) {
+	for _, cri := range []placement.Criteria{{}, {Suspected: true}, {PathsLost: true}, {PathsLost: true, Suspected: true}} {
+		cri.Route, cri.Domain, cri.Priority = "r", "a", 2
+		old, err := encode(placement.Query{Service: "s", Number: 1, Criteria: cri})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, caller := range []uint16{0, 1, 500, 65535} {
+			later := cri
+			later.Caller, later.LargeResponse, later.MayHaveRun = caller, caller != 1, caller != 500
+			payload, err := encode(placement.Query{Service: "s", Number: 1, Criteria: later})
+			if err != nil || !bytes.HasPrefix(payload, old) {
+				t.Fatalf("%+v is encoded as %x, %v, which does not begin with %x", later, payload, err, old)
+			}
+			for cut := len(old) - 1; cut <= len(payload); cut++ {
+				got, err := decode(payload[:cut])
+				switch {
+				case cut == len(old) && cmp.Diff(got, any(placement.Query{Service: "s", Number: 1, Criteria: cri})) == "":
+				case cut == len(payload) && cmp.Diff(got, any(placement.Query{Service: "s", Number: 1, Criteria: later})) == "":
+				case cut != len(old) && cut != len(payload) && errors.Is(err, errMalformed):
+				default:
+					t.Errorf("%+v cut to %d of %d bytes: %+v, %v", later, cut, len(payload), got, err)
+				}
+			}
+		}
+	}
+}
+
 // TestQueriesOfLaterErasAreReadByOlderPrograms encodes a query with eras, which stand at the end. A program that stops
 // before must read the same query, and one that knows eras must tell the two apart.
 func TestQueriesOfLaterErasAreReadByOlderPrograms(t *testing.T) {
--- a/lugd/pkg/peer/placement.go
+++ b/lugd/pkg/peer/placement.go
@@ -64,6 +64,27 @@
 	if msg.Criteria.PathsLost {
 		wrt.boolean(msg.Criteria.Suspected)
 	}
+	// Older builds end here, and so does a query without any of the rest.
+	if flags := queryFlags(msg.Criteria); flags != 0 || msg.Criteria.Caller != 0 {
+		wrt.unsigned(uint64(msg.Criteria.Caller))
+		wrt.unsigned(flags)
+	}
+}
+
+// The flags at the end of a query. Unknown ones are ignored.
+const (
+	flagLargeResponse = 1 << iota
+	flagMayHaveRun
+)
+
+func queryFlags(cri placement.Criteria) (flags uint64) {
+	if cri.LargeResponse {
+		flags |= flagLargeResponse
+	}
+	if cri.MayHaveRun {
+		flags |= flagMayHaveRun
+	}
+	return flags
 }
 
 func (rdr *reader) query(kind uint64) placement.Query {
@@ -72,6 +93,11 @@
 	if kind == kindPathsLostQuery {
 		msg.Criteria.PathsLost, msg.Criteria.Suspected = true, rdr.boolean()
 	}
+	if rdr.err == nil && rdr.src.Len() > 0 {
+		msg.Criteria.Caller = uint16(rdr.unsigned())
+		flags := rdr.unsigned()
+		msg.Criteria.LargeResponse, msg.Criteria.MayHaveRun = flags&flagLargeResponse != 0, flags&flagMayHaveRun != 0
+	}
 	return msg
 }
 
