--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -102,6 +102,8 @@
 	// placementCounts and tokenCounts count the decisions of this VM as a placer and as a token
 	// server, by outcome.
 	placementCounts, tokenCounts map[string]uint64
+	// refusalCounts counts the requests for which this VM as a placer had no target, by priority.
+	refusalCounts map[string]uint64
 }
 
 // New returns the machine of a VM that does not know any object of the platform yet.
@@ -124,6 +126,7 @@
 		releases:       make(map[string]release),
 
 		placementCounts: make(map[string]uint64),
+		refusalCounts:   make(map[string]uint64),
 		tokenCounts:     make(map[string]uint64),
 	}
 	mac.tokens = quota.NewClient(rnd, set.Policy.Quota, mac.limit)
@@ -223,6 +226,7 @@
 	mac.tickContents(now)
 	mac.tickPaths(now)
 	mac.tickPlacement(now)
+	mac.tickBudgetWaits(now)
 	mac.tokens.Tick(now)
 	mac.hedgeAndExpire(now)
 	mac.forgetAnnouncements(now)
