--- a/core/placement/scarce_test.go
+++ b/core/placement/scarce_test.go
@@ -71,7 +71,9 @@
 	// refuseShare is the share of requests that targets refuse now.
 	refuseShare float64
 	attempts    int
-	counts      map[string]*scarceCount
+	// older is set if queries tell no organisation, as those of older builds.
+	older  bool
+	counts map[string]*scarceCount
 }
 
 type scarceEvent struct {
@@ -116,9 +118,13 @@
 	aid := AttemptID{VM: fmt.Sprint("vm", req.caller%8), Number: sca.next}
 	goal := req.arrived.Add(req.kind.goal)
 	left := goal.Mono - sca.now.Mono
+	caller := uint16(req.caller + 1)
+	if sca.older {
+		caller = 0
+	}
 	ans := sca.placer.Place(sca.now, aid, Criteria{
 		Route: req.kind.route, Domain: "a", Retry: req.sent > 0, Priority: req.kind.priority, Tried: req.tried,
-		TimeToGoal: max(left, 0), TimeLeft: left + 2*req.kind.goal, Caller: uint16(req.caller + 1),
+		TimeToGoal: max(left, 0), TimeLeft: left + 2*req.kind.goal, Caller: caller,
 	})
 	if ans.Target == "" {
 		waits, may := req.waits.With(sca.now, ans.RetryAfter, goal)
@@ -309,3 +315,58 @@
 		}
 	}
 }
+
+// changePlacer replaces the placer by one that knows nothing but the attempts that run.
+func (sca *scarceLoad) changePlacer() {
+	old := sca.placer
+	sca.placer = newPlacer(sca.rnd, retrybudget.New(sca.now, 10*time.Second, 0.2*0.92, 98*0.92))
+	var tgs []health.Target
+	for _, tgt := range old.targets {
+		tgs = append(tgs, tgt.Target)
+	}
+	sca.placer.SetTargets(sca.now, tgs)
+	for _, tgt := range old.targets {
+		for _, att := range tgt.running {
+			sca.placer.Track(sca.now, att.id.VM, RunningAttempt{
+				Number: att.id.Number, Target: tgt.ID, Route: att.route, Age: sca.now.Since(att.began), TimeLeft: att.deadline.Mono - sca.now.Mono,
+			})
+		}
+	}
+}
+
+// TestPlacerChangesHalfway replaces the placer in the middle of an overload, and in the middle of an incident in which targets
+// refuse 55%. The successor must not overload the targets, starve nobody, and keep to the retry budget together with the first.
+func TestPlacerChangesHalfway(t *testing.T) {
+	for _, refuseShare := range []float64{0, 0.55} {
+		sca := newScarceLoad(5)
+		load := 1.2 * (1 - refuseShare)
+		sca.play(10*time.Second, load, 1)
+		sca.refuseShare, sca.attempts = refuseShare, 0
+		sca.after(2*time.Second, sca.changePlacer)
+		sca.play(6*time.Second, load, 1)
+		title := fmt.Sprintf("%.2f refused, another placer", refuseShare)
+		sca.report(t, title)
+		sca.checkFloor(t, title)
+		all, most := *sca.counts["all"], *sca.counts["priority 0"]
+		if all.late > all.asked/20 || refuseShare == 0 && most.share() < 0.9 {
+			t.Errorf("%s: %v, priority 0 %v", title, all, most)
+		}
+		if bound := 0.2*float64(all.asked)*10/6 + 98; float64(sca.attempts) > bound {
+			t.Errorf("%s: %d further attempts, %.0f are allowed", title, sca.attempts, bound)
+		}
+	}
+}
+
+// TestRequestsOfOlderBuildsCompete plays an overload in which no query tells an organisation, as those of older builds. Priorities
+// must hold all the same, and nobody be starved.
+func TestRequestsOfOlderBuildsCompete(t *testing.T) {
+	sca := newScarceLoad(6)
+	sca.older = true
+	sca.play(4*time.Second, 0.7, 1)
+	sca.play(8*time.Second, 1.3, 1)
+	sca.checkFloor(t, "older builds")
+	most, least := *sca.counts["priority 0"], *sca.counts["priority 2"]
+	if most.share() < 0.95 || least.share() > most.share() {
+		t.Errorf("priority 0: %v, priority 2: %v", most, least)
+	}
+}
