Ask the promising placer once after a wait, and test what queries tell

A request that had waited for the retry budget asked the same partition for all its later attempts; now only for the one after the wait. New tests: what queries tell of a request that competes, and that no lower rank finds a target where one before it finds none. The new tests of core/gateway and core/placement pass.

--- a/core/gateway/budgetwait.go
+++ b/core/gateway/budgetwait.go
@@ -35,7 +35,7 @@
 		if inf == nil || !inf.waits.Due(now) {
 			continue
 		}
-		inf.waits = inf.waits.Over()
+		inf.waits, inf.waited = inf.waits.Over(), true
 		if mac.tooLateToStart(now, inf) {
 			mac.refuse(now, inf, mac.stopRefusal())
 			continue
@@ -44,10 +44,13 @@
 	}
 }
 
-// awaitedPartition returns the partition whose placer told a request when to ask again, nil if there is none any more.
+// awaitedPartition returns the partition whose placer told a request that has just waited when to ask again; nil if there is
+// none, or none any more.
 func (mac *Machine) awaitedPartition(inf *inFlight) *partition {
 	par := inf.queriedPartition
-	if inf.waits.Count() == 0 || par == nil || mac.partitionAt(inf.service, par.number) != par {
+	waited := inf.waited
+	inf.waited = false
+	if !waited || par == nil || mac.partitionAt(inf.service, par.number) != par {
 		return nil
 	}
 	return par
--- a/core/gateway/budgetwait_test.go
+++ b/core/gateway/budgetwait_test.go
@@ -4,11 +4,13 @@
 	"testing"
 	"time"
 
+	"marigoldlug.example/core/admission"
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/placement"
+	"marigoldlug.example/core/rate"
 	"marigoldlug.example/core/request"
 	"marigoldlug.example/core/table"
 	"marigoldlug.example/core/verdict"
@@ -228,3 +230,23 @@
 		}
 	}
 }
+
+// TestQueriesTellWhatARequestCompetesBy asks a placer on another VM for targets. It must learn the organisation, by which shares
+// are fair, and whether the response is large, for which it prefers the VM's failure domain.
+func TestQueriesTellWhatARequestCompetesBy(t *testing.T) {
+	pla := withPlacer(t)
+	con := content()
+	con.Routes[1].LargeResponses = true
+	con.Organisations[0].Limit = rate.Limit{} // No server grants tokens here.
+	pla.config(2, con)
+	for _, one := range []struct {
+		path, bearer string
+		caller       uint16
+		large        bool
+	}{{"/read/x", key, admission.CallerOf("org"), false}, {"/open/x", "", 0, true}} {
+		pla.answer(pla.arrive(one.path, one.bearer), placement.Answer{Target: "t0"})
+		if got := pla.queries[len(pla.queries)-1].Criteria; got.Caller != one.caller || got.LargeResponse != one.large || got.MayHaveRun {
+			t.Errorf("%s: asked with %+v", one.path, got)
+		}
+	}
+}
--- a/core/gateway/inflight.go
+++ b/core/gateway/inflight.go
@@ -85,8 +85,9 @@
 	verdict verdict.Verdict
 	// permission is what the request needs while its content is suspected to crash targets.
 	permission permission
-	// waits are those for the retry budget.
-	waits retrybudget.Waits
+	// waits are those for the retry budget. waited is set from the end of one until a target is asked for.
+	waits  retrybudget.Waits
+	waited bool
 }
 
 // attempt is one sending of a request to a target.
--- a/core/placement/scarce_test.go
+++ b/core/placement/scarce_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"marigoldlug.example/core/admission"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/retrybudget"
@@ -370,3 +371,35 @@
 		t.Errorf("priority 0: %v, priority 2: %v", most, least)
 	}
 }
+
+// TestNoPlaceForALowerRankAlone fills targets at random, at every state of the estimates. Where a request of one rank finds a
+// target, so must one of each rank before it: else a higher priority is refused while a lower one gets the place.
+func TestNoPlaceForALowerRankAlone(t *testing.T) {
+	sca := newScarceLoad(8)
+	sca.play(2*time.Second, 0.7, 1)
+	found, refused := 0, 0
+	for range 30 {
+		sca.send(100*time.Millisecond, 0.5+sca.rnd.Float64(), 2)
+		sca.placer.updateMaxWait(sca.now)
+		for _, knd := range scarceKinds {
+			lat := sca.placer.latencies[knd.route]
+			cri := Criteria{Route: knd.route, Domain: "a", TimeToGoal: knd.goal, TimeLeft: 3 * knd.goal}
+			lower := true
+			for rnk := admission.Rank(0); rnk <= 3; rnk++ {
+				best, _ := sca.placer.choose(sca.now, "vm", cri, rnk, lat)
+				if best.target != nil && !lower {
+					t.Errorf("%s: rank %d finds a target, and the one before it none", knd.route, rnk)
+				}
+				lower = best.target != nil
+				if lower {
+					found++
+				} else {
+					refused++
+				}
+			}
+		}
+	}
+	if found == 0 || refused == 0 {
+		t.Errorf("%d found a target, %d none", found, refused)
+	}
+}
