Keep probes of paths from multiplying

Cause: where some targets of a service are down and others not, each success takes back what has failed, and the next three failures widened the probes at once to up to nine more targets, half of which failed again.

Tests of core/path pass.

--- a/core/path/path.go
+++ b/core/path/path.go
@@ -66,8 +66,10 @@
 	// probedAt is when targets were last probed, and interval is the time until a lost service is probed again.
 	probedAt clock.Instant
 	interval time.Duration
-	// widened is set once more than firstProbes targets have been probed since the VM last reached one.
-	widened bool
+	// widened is set once more than firstProbes targets have been probed since the VM last reached one, and
+	// widenedAt is when that last happened.
+	widened   bool
+	widenedAt clock.Instant
 	// reachedAt is when a target was last reached.
 	reachedAt clock.Instant
 }
@@ -187,8 +189,8 @@
 		interval, count = svc.interval, foundCount
 	case svc.doubt == Slow:
 		count = 1
-	case len(svc.failed) >= min(firstProbes, len(tgs)) && !svc.widened:
-		svc.widened, svc.probedAt = true, now
+	case len(svc.failed) >= min(firstProbes, len(tgs)) && !svc.widened && svc.mayWiden(now):
+		svc.widened, svc.probedAt, svc.widenedAt = true, now, now
 		return svc.choose(rnd, tgs, lostCount(len(tgs))-len(svc.failed))
 	}
 	if svc.probedAt != (clock.Instant{}) && now.Since(svc.probedAt) < interval {
@@ -201,6 +203,13 @@
 	return svc.choose(rnd, tgs, count)
 }
 
+// mayWiden reports whether the last time that more targets were probed is long enough ago. Where some targets are down and others
+// not, successes take back what has failed; without a least time, each few failures would then lead to more probes than they
+// came from.
+func (svc *service) mayWiden(now clock.Instant) bool {
+	return svc.widenedAt == (clock.Instant{}) || now.Since(svc.widenedAt) >= doubtInterval
+}
+
 // choose returns cnt targets at random: of a lost service any, else those at which no connection has failed, the
 // suspect first.
 func (svc *service) choose(rnd *rand.Rand, tgs []health.Target, cnt int) []health.Target {
--- a/core/path/path_test.go
+++ b/core/path/path_test.go
@@ -56,3 +56,34 @@
 		return out.String()
 	})
 }
+
+// TestProbesDoNotMultiply probes a service of which half of the targets are down, as after crashes. The results of probes must not
+// lead to ever more of them.
+func TestProbesDoNotMultiply(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	bok, now := NewBook(), clock.At(time.Hour)
+	var tgs []health.Target
+	down := make(map[string]bool)
+	for num := range 20 {
+		id := fmt.Sprint("t", num)
+		tgs, down[id] = append(tgs, health.Target{ID: id}), num%2 == 0
+	}
+	var running []health.Target
+	probes := 0
+	for range 2000 {
+		now = now.Add(2 * time.Millisecond)
+		done := running
+		running = nil
+		for _, tgt := range append(done, tgs[rnd.IntN(len(tgs))]) {
+			if down[tgt.ID] {
+				bok.Failed(now, "svc", tgt.ID, len(tgs))
+			} else {
+				bok.Connected(now, "svc", tgt.ID, len(tgs))
+			}
+			running = append(running, bok.Probes(now, rnd, "svc", tgs)...)
+		}
+		if probes += len(running); probes > 1000 {
+			t.Fatalf("%d probes by %v", probes, now)
+		}
+	}
+}
