Count no request whose first attempt was not sent

Cause: an attempt that did not reach its target is followed by another one that counts as the first. The request was counted for both, and so allowed further attempts twice, which could exceed the bound of the retry budget while targets are down.

Change: a first attempt that ends as unreachable or not forwarded is taken back, as one that was cancelled is.

--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -331,15 +331,19 @@
 		tgt.avoidUntil = now.Add(misdirectedTime)
 	case health.NotForwarded:
 		pla.forwarders.unfitUntil[att.sender()] = now.Add(unfitTime)
-	case health.Canceled:
-		if att.first {
-			pla.budget.WithdrawRequest(now) // It may be placed again, here or elsewhere.
-		}
-	case health.Shed:
+	case health.Shed, health.Canceled:
+	}
+	if att.first && neverSent(outcome) {
+		pla.budget.WithdrawRequest(now) // It may be placed again as a first attempt, here or elsewhere.
 	}
 	pla.updateSuspicion(now, tgt, outcome.String(), att.sender())
 }
 
+// neverSent reports whether an attempt with the outcome may not have reached its target.
+func neverSent(outcome health.Outcome) bool {
+	return outcome == health.Canceled || outcome == health.Unreachable || outcome == health.NotForwarded
+}
+
 func (pla *Placer) succeeded(now clock.Instant, att *attempt, took, served time.Duration) {
 	tgt := att.target
 	factor := successFactor
--- a/core/placement/trial_test.go
+++ b/core/placement/trial_test.go
@@ -259,6 +259,31 @@
 	}
 }
 
+// TestUnsentRequestsAreNotCounted ends first attempts as ones that did not reach their target. The VM places these requests again as
+// first attempts, so they must not allow further attempts twice.
+func TestUnsentRequestsAreNotCounted(t *testing.T) {
+	for _, outcome := range []health.Outcome{health.Canceled, health.Unreachable, health.NotForwarded, health.Success} {
+		now := clock.At(time.Hour)
+		pla := newPlacer(rand.New(rand.NewPCG(1, 1)), retrybudget.New(now, 10*time.Second, 0.2, 0))
+		pla.SetTargets(now, []health.Target{{ID: "t0", Slots: 100}})
+		retries := 0
+		for num := range uint64(200) {
+			now = now.Add(20 * time.Millisecond)
+			aid := AttemptID{VM: "vm", Number: 2 * num}
+			cri := Criteria{Route: "r", TimeToGoal: time.Second, TimeLeft: deadline}
+			pla.Place(now, aid, cri)
+			pla.Ended(now, aid, outcome)
+			cri.Retry = true
+			if ans := pla.Place(now, AttemptID{VM: "vm", Number: 2*num + 1}, cri); ans.Target != "" {
+				retries++
+			}
+		}
+		if want := outcome == health.Success; (retries > 0) != want {
+			t.Errorf("%v: %d further attempts", outcome, retries)
+		}
+	}
+}
+
 // TestMisdirectedTargetIsAvoidedForAllVMs lets one VM find another target at an address. After that no
 // VM may be sent there.
 func TestMisdirectedTargetIsAvoidedForAllVMs(t *testing.T) {
