--- a/core/gateway/announced.go
+++ b/core/gateway/announced.go
@@ -169,6 +169,7 @@
 		return false
 	}
 	inf.otherPartition = true
+	mac.otherPartitions++
 	mac.placeAt(now, inf, svc.partitions[next])
 	return true
 }
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -94,6 +94,8 @@
 	// placementCounts and tokenCounts count the decisions of this VM as a placer and as a token
 	// server, by outcome.
 	placementCounts, tokenCounts map[string]uint64
+	// otherPartitions counts the requests for which a second partition was asked.
+	otherPartitions uint64
 }
 
 // New returns the machine of a VM that does not know any object of the platform yet.
--- a/core/gateway/peers_test.go
+++ b/core/gateway/peers_test.go
@@ -12,7 +12,8 @@
 )
 
 // restartOther lists a new run of the other VM, which is the placer.
-func (vmm *vm) restartOther(revision uint64) {
+func (vmm *vm) restartOther() {
+	const revision = 8
 	row := otherRow(revision)
 	row.Value.VM.ID = "other.next"
 	vmm.step(FleetRead{RequestedAt: vmm.now, Update: table.Delta[fleet.Row]{Since: revision - 1, Revision: revision, Rows: []table.Row[fleet.Row]{row}}})
@@ -38,12 +39,12 @@
 		run  func(vmm *vm)
 	}{
 		{"listed before the query times out", func(vmm *vm) {
-			vmm.restartOther(8)
+			vmm.restartOther()
 			vmm.mustDispatch(vmm.advanceOffline(placementTimeout + TickInterval))
 		}},
 		{"listed after the query timed out", func(vmm *vm) {
 			vmm.mustDispatch(vmm.advanceOffline(placementTimeout + TickInterval))
-			vmm.restartOther(8)
+			vmm.restartOther()
 		}},
 	} {
 		t.Run(one.name, func(t *testing.T) {
--- a/core/gateway/status.go
+++ b/core/gateway/status.go
@@ -38,14 +38,22 @@
 	// Placements counts the answers of this VM as a placer, and Tokens the requests that it decided
 	// on as a token server, both by outcome.
 	Placements, Tokens map[string]uint64
+	// OtherPartitions counts the requests for which a second partition was asked.
+	OtherPartitions uint64
+	// Loads holds the load of the targets for which this VM is the placer, by service.
+	Loads map[string]TargetLoad
 }
 
+// TargetLoad is how busy targets are, in requests per slot.
+type TargetLoad struct{ Mean, Busiest float64 }
+
 // Status returns the state of the VM at now.
 func (mac *Machine) Status(now clock.Instant) Status {
 	sta := Status{
 		Version: mac.version(), Era: mac.restores.era, VMs: mac.fleet.View().Size(), Reading: mac.reading != nil && mac.reading.On, Follows: mac.selector.Followed(),
 		Holders: mac.fleet.Holders(), Ages: mac.ages(now), InFlight: len(mac.requests), Targets: mac.registry.Len(), Stopping: mac.stopping,
 		Followers: len(mac.followers), Placements: maps.Clone(mac.placementCounts), Tokens: maps.Clone(mac.tokenCounts),
+		OtherPartitions: mac.otherPartitions, Loads: mac.targetLoads(),
 	}
 	sta.SuspectedContents, sta.QuarantinedContents, sta.DroppedContents = mac.contents.book.Sizes()
 	for _, svc := range mac.services {
@@ -59,6 +67,27 @@
 	return sta
 }
 
+// targetLoads returns the load of the targets for which this VM is the placer, by service.
+func (mac *Machine) targetLoads() map[string]TargetLoad {
+	out := make(map[string]TargetLoad)
+	for name, svc := range mac.services {
+		requests, slots, busiest := 0, 0, 0.0
+		for _, par := range svc.partitions {
+			if par.central == nil || par.placer != mac.set.Self.ID {
+				continue
+			}
+			for _, tgt := range par.targets {
+				run, room := par.central.Running(tgt.ID), max(tgt.Slots, 1)
+				requests, slots, busiest = requests+run, slots+room, max(busiest, float64(run)/float64(room))
+			}
+		}
+		if slots > 0 {
+			out[name] = TargetLoad{Mean: float64(requests) / float64(slots), Busiest: busiest}
+		}
+	}
+	return out
+}
+
 // Contents returns what this VM knows of the contents of requests that have crashed targets, those with the
 // most ends first, and most at the most.
 func (mac *Machine) Contents(now clock.Instant, most int) []ContentStatus {
@@ -94,6 +123,9 @@
 	// that the target is failing, as far as this VM knows.
 	Placer string
 	Sick   float64
+	// Requests is the number of requests that run at the target or wait there: those of the fleet if this VM is
+	// the placer, else its own. Slots is for how many the target has room.
+	Requests, Slots int
 }
 
 // Targets returns the registered targets, sorted by ID.
@@ -107,14 +139,17 @@
 		run := ent.Run(row.Name)
 		tgt := TargetStatus{
 			ID: row.Name, Service: ent.Service, Address: ent.Address, FailureDomain: ent.FailureDomain, Leaving: ent.Leaving || mac.book.Leaving(run),
-			Doubted: mac.registry.Doubted(row.Name), Limit: mac.book.Limit(run), Paused: mac.book.Paused(now, run),
+			Doubted: mac.registry.Doubted(row.Name), Limit: mac.book.Limit(run), Paused: mac.book.Paused(now, run), Slots: ent.Slots,
 		}
 		if svc := mac.services[ent.Service]; svc != nil {
 			par := svc.partitions[partitionOf(row.Name, len(svc.partitions))]
-			tgt.Placer, tgt.Sick = par.placer, par.local.Sick(now, row.Name)
+			tgt.Placer, tgt.Sick, tgt.Requests = par.placer, par.local.Sick(now, row.Name), par.local.Running(row.Name)
 			if par.central != nil {
 				tgt.Sick = par.central.Sick(now, row.Name)
 			}
+			if par.central != nil && par.placer == mac.set.Self.ID {
+				tgt.Requests = par.central.Running(row.Name)
+			}
 		}
 		out = append(out, tgt)
 	}
--- a/lugctl/pkg/command/list.go
+++ b/lugctl/pkg/command/list.go
@@ -73,10 +73,10 @@
 	var rows [][]string
 	for _, tgt := range tgs {
 		rows = append(rows, []string{
-			tgt.ID, tgt.Service, tgt.Address, tgt.FailureDomain, strconv.FormatBool(tgt.Leaving), strconv.FormatBool(tgt.Doubted), formatLimit(tgt), fmt.Sprintf("%.2f", tgt.Sick), tgt.Placer,
+			tgt.ID, tgt.Service, tgt.Address, tgt.FailureDomain, strconv.FormatBool(tgt.Leaving), strconv.FormatBool(tgt.Doubted), formatLimit(tgt), fmt.Sprintf("%.2f", tgt.Sick), fmt.Sprintf("%d/%d", tgt.Requests, tgt.Slots), tgt.Placer,
 		})
 	}
-	return prn.print(tgs, []string{"TARGET", "SERVICE", "ADDRESS", "FAILURE DOMAIN", "LEAVING", "DOUBTED", "LIMIT", "SICK", "PLACER"}, rows)
+	return prn.print(tgs, []string{"TARGET", "SERVICE", "ADDRESS", "FAILURE DOMAIN", "LEAVING", "DOUBTED", "LIMIT", "SICK", "REQUESTS/SLOTS", "PLACER"}, rows)
 }
 
 // formatLimit returns what a target announces about the rate at which it takes requests.
--- a/lugd/pkg/edge/observer.go
+++ b/lugd/pkg/edge/observer.go
@@ -92,6 +92,16 @@
 		sta, _ := dmn.driver.Status()
 		return sta.Placements
 	})
+	met.Counter("other_partitions_total", "Requests for which a second partition was asked for a target.", func() float64 {
+		sta, _ := dmn.driver.Status()
+		return float64(sta.OtherPartitions)
+	})
+	met.LabelledGauge("target_load_mean", "Requests per slot of the targets for which the VM is the placer.", "service", func() map[string]float64 {
+		return dmn.loads(func(loa gateway.TargetLoad) float64 { return loa.Mean })
+	})
+	met.LabelledGauge("target_load_busiest", "Requests per slot of the busiest of these targets.", "service", func() map[string]float64 {
+		return dmn.loads(func(loa gateway.TargetLoad) float64 { return loa.Busiest })
+	})
 	met.LabelledCounter("tokens_total", "Requests for which the VM was asked for tokens, by whether it granted them.", "outcome", func() map[string]uint64 {
 		sta, _ := dmn.driver.Status()
 		return sta.Tokens
@@ -106,3 +116,13 @@
 		return float64(received)
 	})
 }
+
+// loads returns one value of the load of the targets that this VM places, by service.
+func (dmn *Daemon) loads(value func(loa gateway.TargetLoad) float64) map[string]float64 {
+	sta, _ := dmn.driver.Status()
+	out := make(map[string]float64)
+	for name, loa := range sta.Loads {
+		out[name] = value(loa)
+	}
+	return out
+}
--- a/lugd/pkg/metrics/metrics.go
+++ b/lugd/pkg/metrics/metrics.go
@@ -67,25 +67,36 @@
 // LabelledCounter registers a counter with one label. When metrics are collected, read
 // returns its counts by the values of the label.
 func (set *Set) LabelledCounter(name, help, label string, read func() map[string]uint64) {
-	set.registry.MustRegister(&labelledCounter{
-		desc: prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, []string{label}, nil), read: read,
+	labelled(set, prometheus.CounterValue, name, help, label, read)
+}
+
+// LabelledGauge registers a gauge with one label. When metrics are collected, read returns its values
+// by the values of the label.
+func (set *Set) LabelledGauge(name, help, label string, read func() map[string]float64) {
+	labelled(set, prometheus.GaugeValue, name, help, label, read)
+}
+
+func labelled[T uint64 | float64](set *Set, kind prometheus.ValueType, name, help, label string, read func() map[string]T) {
+	set.registry.MustRegister(&labelledCollector[T]{
+		desc: prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, []string{label}, nil), kind: kind, read: read,
 	})
 }
 
-// labelledCounter is a prometheus.Collector for a counter with one label whose counts are kept
+// labelledCollector is a prometheus.Collector for a metric with one label whose values are kept
 // elsewhere.
-type labelledCounter struct {
+type labelledCollector[T uint64 | float64] struct {
 	desc *prometheus.Desc
-	read func() map[string]uint64
+	kind prometheus.ValueType
+	read func() map[string]T
 }
 
 // Describe implements prometheus.Collector.
-func (lct *labelledCounter) Describe(out chan<- *prometheus.Desc) { out <- lct.desc }
+func (lct *labelledCollector[T]) Describe(out chan<- *prometheus.Desc) { out <- lct.desc }
 
 // Collect implements prometheus.Collector.
-func (lct *labelledCounter) Collect(out chan<- prometheus.Metric) {
+func (lct *labelledCollector[T]) Collect(out chan<- prometheus.Metric) {
 	for label, cnt := range lct.read() {
-		out <- prometheus.MustNewConstMetric(lct.desc, prometheus.CounterValue, float64(cnt), label)
+		out <- prometheus.MustNewConstMetric(lct.desc, lct.kind, float64(cnt), label)
 	}
 }
 
--- a/lugd/service/api/conversions.go
+++ b/lugd/service/api/conversions.go
@@ -22,7 +22,7 @@
 func ConvertTarget(tgt gateway.TargetStatus) Target {
 	out := Target{
 		ID: tgt.ID, Service: tgt.Service, Address: tgt.Address, FailureDomain: tgt.FailureDomain, Leaving: tgt.Leaving, Doubted: tgt.Doubted,
-		PausedSeconds: tgt.Paused.Seconds(), Placer: tgt.Placer, Sick: tgt.Sick,
+		PausedSeconds: tgt.Paused.Seconds(), Placer: tgt.Placer, Sick: tgt.Sick, Requests: tgt.Requests, Slots: tgt.Slots,
 	}
 	if tgt.Limit.Limited {
 		per := tgt.Limit.Rate.Float()
--- a/lugd/service/api/types.go
+++ b/lugd/service/api/types.go
@@ -70,6 +70,10 @@
 	// Sick is the probability that the target is failing, as estimated by the VM that
 	// answers.
 	Sick float64 `json:"sick"`
+	// Requests is the number of requests that run at the target or wait there: those of the fleet if the VM that
+	// answers is the placer, else those of that VM. Slots is for how many the target has room.
+	Requests int `json:"requests"`
+	Slots    int `json:"slots"`
 }
 
 // Content is the content of requests under which targets have ended, as one VM knows it.
