--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -104,6 +104,8 @@
 	placementCounts, tokenCounts map[string]uint64
 	// refusalCounts counts the requests for which this VM as a placer had no target, by priority.
 	refusalCounts map[string]uint64
+	// otherPartitions counts the requests for which a second partition was asked.
+	otherPartitions uint64
 }
 
 // New returns the machine of a VM that does not know any object of the platform yet.
--- a/core/retrybudget/budget.go
+++ b/core/retrybudget/budget.go
@@ -78,13 +78,15 @@
 	// extra how many beside that.
 	share, extra float64
 	pace         pace
+	// begunAt is when the budget began to count.
+	begunAt clock.Instant
 }
 
 // New returns a budget in which no request has been counted. It allows a share of the requests in a window as
 // attempts beyond the first, and extra attempts beside that. At first the extra attempts count as used, since
 // another VM may have kept the budget until now and have spent them.
 func New(now clock.Instant, length time.Duration, share, extra float64) *Budget {
-	bud := &Budget{win: window{length: length}, share: share, extra: extra}
+	bud := &Budget{win: window{length: length}, share: share, extra: extra, begunAt: now}
 	bud.win.advance(now)
 	bud.win.retries[bud.win.bucket%ringBuckets] = int(extra)
 	bud.pace = newPace(now)
@@ -113,13 +115,24 @@
 		return false
 	}
 	bud.pace.refill(now, allowed, bud.win.counted())
-	if !bud.pace.take(cla) {
+	if !bud.pace.take(cla, bud.pressure(now, retries, allowed)) {
 		return false
 	}
 	bud.win.retries[bud.win.bucket%ringBuckets]++
 	return true
 }
 
+// pressure returns how much of their reserves claims must leave to more urgent ones, from 0 to 1: little while most of the
+// window's attempts are left, so that in calm times each request that fails or takes long gets another one. In
+// its first window the budget doesn't know what another VM has allowed before, and the pressure is 1.
+func (bud *Budget) pressure(now clock.Instant, retries int, allowed float64) float64 {
+	if now.Since(bud.begunAt) < bud.win.counted() || float64(retries) >= allowed {
+		return 1
+	}
+	used := float64(retries) / allowed
+	return used * used
+}
+
 // allowed returns how many attempts the window may have.
 func (bud *Budget) allowed(requests int) float64 { return bud.share*float64(requests) + bud.extra }
 
@@ -130,7 +143,7 @@
 	requests, retries := bud.win.counts()
 	allowed := bud.allowed(requests)
 	bud.pace.refill(now, allowed, bud.win.counted())
-	wait := bud.pace.wait(cla)
+	wait := bud.pace.wait(cla, bud.pressure(now, retries, allowed))
 	if over := float64(retries+1) - cla.windowShare()*allowed; over > 0 {
 		wait = max(wait, bud.win.timeToFree(now, int(over)+1))
 	}
