Pace only attempts after refusals

Attempts after refusals are those of the incidents that the pace is for.

Placers get 0.85 of the bound again.

--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -29,9 +29,10 @@
 	placerBackoff = 400 * time.Millisecond
 	// localRetryShare is the share of the retry budget that VMs may spend on their own while they
 	// do not reach the placer; the placers may spend placerRetryShare of it. A request that was placed
-	// twice, since its placer answered late, counts for both: together they are no more than the whole.
+	// twice, since its placer answered late, counts for both. The rest is what a placer may spend too much
+	// just after it has followed another one.
 	localRetryShare  = 0.08
-	placerRetryShare = 1 - localRetryShare
+	placerRetryShare = 0.85
 )
 
 // service is the state of placement for one service.
--- a/core/retrybudget/budget.go
+++ b/core/retrybudget/budget.go
@@ -115,22 +115,19 @@
 		return false
 	}
 	bud.pace.refill(now, allowed, bud.win.counted())
-	if !bud.pace.take(cla, bud.pressure(now, retries, allowed)) {
+	if !bud.pace.take(cla) && bud.paced(now, cla) {
 		return false
 	}
 	bud.win.retries[bud.win.bucket%ringBuckets]++
 	return true
 }
 
-// pressure returns how much of their reserves claims must leave to more urgent ones, from 0 to 1: little while most of the
-// window's attempts are left, so that in calm times each request that fails or takes long gets another one. In
-// its first window the budget doesn't know what another VM has allowed before, and the pressure is 1.
-func (bud *Budget) pressure(now clock.Instant, retries int, allowed float64) float64 {
-	if now.Since(bud.begunAt) < bud.win.counted() || float64(retries) >= allowed {
-		return 1
-	}
-	used := float64(retries) / allowed
-	return used * used
+// paced reports whether a claim must keep to the pace. After refusals it must: an incident in which all targets refuse a
+// part of what they get would else leave nothing after its first seconds. After failures, and for hedges, it need not: targets
+// that fail or hang in turn cause these at any time, and each one that is refused costs its caller the answer. In its
+// first window the budget doesn't know what another VM has allowed before, and all keep to the pace.
+func (bud *Budget) paced(now clock.Instant, cla Claim) bool {
+	return cla.Purpose == AfterRefusal || now.Since(bud.begunAt) < bud.win.counted()
 }
 
 // allowed returns how many attempts the window may have.
@@ -143,7 +140,10 @@
 	requests, retries := bud.win.counts()
 	allowed := bud.allowed(requests)
 	bud.pace.refill(now, allowed, bud.win.counted())
-	wait := bud.pace.wait(cla, bud.pressure(now, retries, allowed))
+	wait := time.Duration(0)
+	if bud.paced(now, cla) {
+		wait = bud.pace.wait(cla)
+	}
 	if over := float64(retries+1) - cla.windowShare()*allowed; over > 0 {
 		wait = max(wait, bud.win.timeToFree(now, int(over)+1))
 	}
--- a/core/retrybudget/claim.go
+++ b/core/retrybudget/claim.go
@@ -24,12 +24,10 @@
 	// hedgeWindowShare is the share of the window's attempts up to which hedges are allowed. The rest is kept
 	// for requests that failed, that were shed, or that were answered by another target.
 	hedgeWindowShare = 0.6
-	// A claim must leave a part of the depth of the bucket to more urgent ones. The parts add up, to less than
-	// the whole: priorityReserve for each priority below the highest down to lowestPriority, and the others by
-	// purpose and for late answers.
+	// A claim must leave a part of the depth of the bucket to more urgent ones. After a refusal it is priorityReserve
+	// for each priority below the highest down to lowestPriority, and lateReserve for late answers.
 	priorityReserve = 0.2
 	lowestPriority  = 2
-	failureReserve  = 0.1
 	hedgeReserve    = 0.25
 	lateReserve     = 0.2
 )
@@ -42,16 +40,17 @@
 	return 1
 }
 
-// reserve returns the part of the bucket that the claim leaves to more urgent ones.
+// reserve returns the part of the bucket that the claim leaves to more urgent ones. After a failure it leaves nothing: targets
+// that fail or hang in turn cause such claims at any time, and each one that is refused costs its caller the answer.
 func (cla Claim) reserve() float64 {
-	out := priorityReserve * float64(cla.rank())
 	switch cla.Purpose {
 	case AfterFailure:
-		out += failureReserve
+		return 0
 	case Hedge:
-		out += hedgeReserve
+		return hedgeReserve
 	case AfterRefusal:
 	}
+	out := priorityReserve * float64(cla.rank())
 	if cla.Late {
 		out += lateReserve
 	}
--- a/core/retrybudget/pace.go
+++ b/core/retrybudget/pace.go
@@ -69,11 +69,10 @@
 	}
 }
 
-// take takes the token of a claim, if there is one for it. pressure is the part of its reserve that it must leave.
-func (pac *pace) take(cla Claim, pressure float64) bool {
-	left := pressure * cla.reserve() * pac.depth
+// take takes the token of a claim, if there is one for it.
+func (pac *pace) take(cla Claim) bool {
 	switch {
-	case pac.tokens-1 >= left:
+	case pac.tokens-1 >= cla.reserve()*pac.depth:
 		pac.tokens--
 	case pac.assured[cla.kind()] >= 1:
 		pac.assured[cla.kind()]--
@@ -84,11 +83,11 @@
 }
 
 // wait returns the time until there is a token for a claim, if no other one takes it.
-func (pac *pace) wait(cla Claim, pressure float64) time.Duration {
+func (pac *pace) wait(cla Claim) time.Duration {
 	if pac.perSecond <= 0 {
 		return maxWait
 	}
-	least := pressure*cla.reserve()*pac.depth + 1
+	least := cla.reserve()*pac.depth + 1
 	common := (least - pac.tokens) / ((1 - assuredShare) * pac.perSecond)
 	if least > pac.depth {
 		common = maxWait.Seconds() // The bucket is too small for the claim.
