--- a/core/request/fingerprint.go
+++ b/core/request/fingerprint.go
@@ -15,9 +15,9 @@
 type Fingerprint [fingerprintBytes]byte
 
 // FingerprintOf returns the fingerprint of a request's content. resource is the path with the query,
-// as the caller sent it. IDs, timeouts and keys differ between repeats and are left out.
-func FingerprintOf(method, host, resource string, body []byte) Fingerprint {
-	return fingerprint([]byte(method), []byte(host), []byte(resource), body)
+// as the caller sent it, and body the parts of the body. IDs, timeouts and keys differ between repeats and are left out.
+func FingerprintOf(method, host, resource string, body ...[]byte) Fingerprint {
+	return fingerprint([][]byte{[]byte(method), []byte(host), []byte(resource)}, body)
 }
 
 // Of returns the fingerprint of the content when the given organisation sends it. It includes the
@@ -26,7 +26,7 @@
 	if fpr == (Fingerprint{}) {
 		return fpr
 	}
-	return fingerprint([]byte(organisation), fpr[:])
+	return fingerprint([][]byte{[]byte(organisation)}, [][]byte{fpr[:]})
 }
 
 // Compare orders fingerprints.
@@ -44,15 +44,24 @@
 	return Fingerprint(raw), true
 }
 
-// fingerprint returns the digest of several fields. Each is preceded by its length, so that no two
-// lists of fields are the same bytes.
-func fingerprint(fields ...[]byte) Fingerprint {
+// fingerprint returns the digest of several fields, the last of which is given in parts. Each is preceded by its length, so
+// that no two lists of fields are the same bytes.
+func fingerprint(first [][]byte, last [][]byte) Fingerprint {
 	sum := sha256.New()
 	var length [8]byte
-	for _, fld := range fields {
+	for _, fld := range first {
 		binary.BigEndian.PutUint64(length[:], uint64(len(fld)))
 		sum.Write(length[:])
 		sum.Write(fld)
 	}
+	total := 0
+	for _, prt := range last {
+		total += len(prt)
+	}
+	binary.BigEndian.PutUint64(length[:], uint64(total))
+	sum.Write(length[:])
+	for _, prt := range last {
+		sum.Write(prt)
+	}
 	return Fingerprint(sum.Sum(nil)[:fingerprintBytes])
 }
--- /dev/null
+++ b/lugd/pkg/budget/budget.go
@@ -0,0 +1,215 @@
+// Package budget lets the goroutines that serve clients share an account of what these make the VM
+// hold.
+package budget
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"marigoldlug.example/core/clock"
+	"marigoldlug.example/core/memory"
+)
+
+// waitTime bounds the wait for what others are about to give back. It is short in comparison to what callers wait for a
+// response; revoked holders give back as soon as their goroutine runs.
+const waitTime = 500 * time.Millisecond
+
+// Budget is a core/memory account that is safe for concurrent use.
+type Budget struct {
+	began time.Time
+
+	mut     sync.Mutex
+	account *memory.Account
+	// shares are the open shares by their holder.
+	shares map[*memory.Holder]*Share
+	// returned is closed once something was given back; nil while nobody waits.
+	returned chan struct{}
+	// refused and revoked count the requests that were refused and the shares that were revoked.
+	refused, revoked uint64
+}
+
+// New returns a budget of which nothing is held.
+func New(lim memory.Limits) *Budget {
+	return &Budget{began: time.Now(), account: memory.New(lim), shares: make(map[*memory.Holder]*Share)}
+}
+
+// Unlimited returns a budget that refuses nothing.
+func Unlimited() *Budget { return New(memory.Limits{Size: math.MaxInt64 / 4}) }
+
+// SetLimits replaces the limits.
+func (bud *Budget) SetLimits(lim memory.Limits) {
+	bud.mut.Lock()
+	defer bud.mut.Unlock()
+	bud.account.SetLimits(lim)
+	bud.notify()
+}
+
+// Held returns what all shares have together.
+func (bud *Budget) Held() int64 {
+	bud.mut.Lock()
+	defer bud.mut.Unlock()
+	return bud.account.Held()
+}
+
+// Refused and Revoked return how often something was refused or taken away.
+func (bud *Budget) Refused() (refused, revoked uint64) {
+	bud.mut.Lock()
+	defer bud.mut.Unlock()
+	return bud.refused, bud.revoked
+}
+
+func (bud *Budget) now() clock.Instant { return clock.At(time.Since(bud.began)) }
+
+// notify wakes up those that wait. bud.mut must be held.
+func (bud *Budget) notify() {
+	if bud.returned != nil {
+		close(bud.returned)
+		bud.returned = nil
+	}
+}
+
+// Share is what one client holds of a budget. It is safe for concurrent use.
+type Share struct {
+	budget *Budget
+	// revoke makes the client's goroutine give back what is loose. It must not block.
+	revoke func()
+	holder *memory.Holder
+}
+
+// Open returns a new share that has nothing. Once it is revoked it gets nothing more, and revoke is called
+// from another goroutine.
+func (bud *Budget) Open(revoke func()) *Share {
+	bud.mut.Lock()
+	defer bud.mut.Unlock()
+	shr := &Share{budget: bud, revoke: revoke, holder: bud.account.Open(bud.now())}
+	bud.shares[shr.holder] = shr
+	return shr
+}
+
+// Close gives back all that the share has.
+func (shr *Share) Close() {
+	shr.change(func(acc *memory.Account) {
+		acc.Close(shr.holder)
+		delete(shr.budget.shares, shr.holder)
+	})
+}
+
+// Take gets the given amount, which is loose then. If the budget is short, it makes others give
+// back theirs and waits for that, for waitTime at most. It reports whether it got the amount.
+func (shr *Share) Take(amount int64) bool { return shr.take(amount, false) }
+
+// TakePatiently is like Take, but a small share also waits if nobody can be made to give back enough.
+func (shr *Share) TakePatiently(amount int64) bool { return shr.take(amount, true) }
+
+func (shr *Share) take(amount int64, patient bool) bool {
+	var timer *time.Timer
+	for {
+		granted, wait, victim := shr.try(amount, patient)
+		if victim != nil {
+			victim.revoke()
+		}
+		if granted || wait == nil {
+			return granted
+		}
+		if timer == nil {
+			timer = time.NewTimer(waitTime)
+			defer timer.Stop()
+		}
+		select {
+		case <-wait:
+		case <-timer.C:
+			shr.budget.countRefusal()
+			return false
+		}
+	}
+}
+
+// try asks once for the given amount. wait is nil unless it is worth asking again once it is closed.
+func (shr *Share) try(amount int64, patient bool) (granted bool, wait <-chan struct{}, victim *Share) {
+	bud := shr.budget
+	bud.mut.Lock()
+	defer bud.mut.Unlock()
+	vrd, worst := bud.account.Take(bud.now(), shr.holder, amount)
+	if worst != nil {
+		bud.revoked++
+		victim = bud.shares[worst]
+	}
+	if vrd == memory.Granted {
+		return true, nil, nil
+	}
+	if vrd == memory.Refused || vrd == memory.Short && !patient {
+		bud.refused++
+		return false, nil, nil
+	}
+	if bud.returned == nil {
+		bud.returned = make(chan struct{})
+	}
+	return false, bud.returned, victim
+}
+
+func (bud *Budget) countRefusal() {
+	bud.mut.Lock()
+	defer bud.mut.Unlock()
+	bud.refused++
+}
+
+// TakeBound gets the given amount, which is bound then, if there is room for it without making others
+// give back theirs.
+func (shr *Share) TakeBound(amount int64) bool {
+	bud := shr.budget
+	bud.mut.Lock()
+	defer bud.mut.Unlock()
+	return bud.account.TakeBound(shr.holder, amount)
+}
+
+// Bind makes a part of what is loose bound. It reports false, and changes nothing, if the share has been revoked.
+func (shr *Share) Bind(amount int64) bool {
+	bud := shr.budget
+	bud.mut.Lock()
+	defer bud.mut.Unlock()
+	if shr.holder.Revoked() {
+		return false
+	}
+	bud.account.Bind(shr.holder, amount)
+	return true
+}
+
+// Loosen makes a part of what is bound loose.
+func (shr *Share) Loosen(amount int64) {
+	shr.change(func(acc *memory.Account) { acc.Loosen(shr.holder, amount) })
+}
+
+// Give gives back a part of what is loose.
+func (shr *Share) Give(amount int64) {
+	shr.change(func(acc *memory.Account) { acc.Give(shr.holder, amount) })
+}
+
+// GiveBound gives back a part of what is bound.
+func (shr *Share) GiveBound(amount int64) {
+	shr.change(func(acc *memory.Account) { acc.GiveBound(shr.holder, amount) })
+}
+
+// Advance records progress of the client: an amount that has come from it.
+func (shr *Share) Advance(amount int64) {
+	bud := shr.budget
+	bud.mut.Lock()
+	defer bud.mut.Unlock()
+	bud.account.Advance(bud.now(), shr.holder, amount)
+}
+
+// Revoked reports whether the share gets nothing more.
+func (shr *Share) Revoked() bool {
+	shr.budget.mut.Lock()
+	defer shr.budget.mut.Unlock()
+	return shr.holder.Revoked()
+}
+
+// change applies a change after which there may be room for others.
+func (shr *Share) change(apply func(acc *memory.Account)) {
+	bud := shr.budget
+	bud.mut.Lock()
+	defer bud.mut.Unlock()
+	apply(bud.account)
+	bud.notify()
+}
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -59,10 +59,7 @@
 	// connections to close ends; those still open are cut. It leaves time to close the
 	// connections to other VMs and to flush the logs.
 	cutMargin = peerCloseTimeout + logflags.FlushTimeout + 50*time.Millisecond
-	// bodyMemoryDivisor sets how much memory request bodies may take: the VM's
-	// memory divided by it.
-	bodyMemoryDivisor = 4
-	mib               = 1 << 20
+	mib       = 1 << 20
 	// gcPercent is how much the heap may grow between two garbage collections. It is
 	// below Go's default of 100, since memory costs the users more than CPU time.
 	gcPercent = 40
@@ -88,6 +85,7 @@
 	forwarder      *forward.Server
 	readyServer    *http.Server
 	operatorServer *http.Server
+	budgets        *budgets
 	tracer         *trace.Tracer
 	metrics        *metrics.Set
 	listeners      listeners
@@ -114,10 +112,11 @@
 	// before that is exhausted.
 	debug.SetMemoryLimit(int64(set.MemoryMiB) * mib * 3 / 4)
 	debug.SetGCPercent(gcPercent)
-	dmn := &Daemon{set: set, log: lgs.Logger(logflags.Daemon)}
+	dmn := &Daemon{set: set, log: lgs.Logger(logflags.Daemon), budgets: newBudgets(set)}
 	if err := dmn.listen(); err != nil {
 		return nil, err
 	}
+	dmn.limitListeners(dmn.log)
 	dmn.self = member.VM{ID: set.Name + "." + runID(), Address: cmp.Or(set.PeerPublicAddress, set.PeerAddress), FailureDomain: set.FailureDomain, Capacity: set.Capacity}
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	dmn.cancel = cancel
@@ -126,7 +125,7 @@
 	dmn.driver = driver.New(workCtx, gateway.Settings{
 		Name: set.Name, Self: dmn.self, Policy: policy(set),
 	}, adp.Connect(set.PlatformAddress, lgs.Logger(logflags.Platform)), driver.NewClock(), met, lgs.Logger(logflags.Machine), set.LogLinesPerSec)
-	dmn.transport = peer.New(dmn.self, dmn.listeners.peers, dmn.driver, lgs.Logger(logflags.Peer))
+	dmn.transport = peer.New(dmn.self, dmn.listeners.peers, dmn.budgets.peerMemory, dmn.driver, lgs.Logger(logflags.Peer))
 	dmn.driver.SetTransport(dmn.transport)
 	if err := dmn.enableTLS(); err != nil {
 		return nil, err
@@ -144,7 +143,7 @@
 	dmn.forwarder = forward.New(adp.Names, dmn.driver, dmn.pool, lgs.Logger(logflags.Peer))
 	dmn.transport.SetForwarder(dmn.forwarder)
 	dmn.registerMetrics()
-	dmn.callerServer = http1.New(callerSettings(set, config.Bounds{}), adp.Names, dmn.driver, dmn.pool, &observer{set: met, tracer: dmn.tracer}, lgs.Logger(logflags.Caller))
+	dmn.callerServer = http1.New(callerSettings(set, config.Bounds{}), dmn.budgets.callers, adp.Names, dmn.driver, dmn.pool, &observer{set: met, tracer: dmn.tracer}, lgs.Logger(logflags.Caller))
 	dmn.createHTTPServers(lgs.Logger(logflags.Operator))
 	return dmn, nil
 }
@@ -161,7 +160,7 @@
 func callerSettings(set Settings, bnd config.Bounds) http1.Settings {
 	out := http1.Settings{
 		HeaderBytes: set.HeaderBytes, BodyBytes: set.BodyBytes, HeaderTimeout: set.HeaderTimeout, IdleTimeout: set.IdleTimeout,
-		BodyTimeout: set.BodyTimeout, MaxBufferedBytes: int64(set.MemoryMiB) * mib / bodyMemoryDivisor,
+		BodyTimeout: set.BodyTimeout,
 	}
 	if bnd.HeaderBytes > 0 {
 		out.HeaderBytes = bnd.HeaderBytes
@@ -214,9 +213,20 @@
 	return nil
 }
 
+// writeTimeout bounds the time from the head of a request of the balancer or of an operator to the end of its response. It is
+// as long as a caller may take to accept a part of a response.
+const writeTimeout = 20 * time.Second
+
 // createHTTPServers creates the servers for the balancer and for operators.
 func (dmn *Daemon) createHTTPServers(log logrus.FieldLogger) {
-	dmn.readyServer = &http.Server{Handler: http.HandlerFunc(dmn.handleReady), ReadHeaderTimeout: dmn.set.HeaderTimeout}
+	set := dmn.set
+	newServer := func(han http.Handler) *http.Server {
+		return &http.Server{
+			Handler: han, ReadHeaderTimeout: set.HeaderTimeout, ReadTimeout: set.BodyTimeout, WriteTimeout: writeTimeout, IdleTimeout: set.IdleTimeout,
+			MaxHeaderBytes: set.HeaderBytes,
+		}
+	}
+	dmn.readyServer = newServer(http.HandlerFunc(dmn.handleReady))
 	var operators http.Handler = operator.New(&fleet{dmn: dmn}, log)
 	if !dmn.set.isPlainText(PlainOperators) {
 		operators = requireOperator(operators)
@@ -224,7 +234,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", operators)
 	mux.Handle("GET /metrics", dmn.metrics.Handler())
-	dmn.operatorServer = &http.Server{Handler: mux, ReadHeaderTimeout: dmn.set.HeaderTimeout}
+	dmn.operatorServer = newServer(mux)
 }
 
 // enableTLS makes callers, other VMs and operators use TLS, but for those that are set
@@ -379,7 +389,8 @@
 // reload applies new settings:
 //   - at once: revoke-time and the settings whose names begin with retry- or quota-;
 //   - within boundsInterval: max-header-bytes, max-body-bytes, header-timeout, idle-timeout and
-//     body-timeout for callers, and the memory for request bodies, a part of memory-mib;
+//     body-timeout for callers, and the bounds that follow from memory-mib and max-files, but for the
+//     limit of the garbage collector;
 //   - when a graceful stop begins: stop-time and balancer-lag.
 //
 // All others need a restart. Of those, needsRestart in the log covers only name, caller-address,
@@ -420,7 +431,9 @@
 				bnd = con.Content.Bounds
 			}
 		})
-		dmn.callerServer.SetSettings(callerSettings(dmn.settings(), bnd))
+		set := dmn.settings()
+		dmn.callerServer.SetSettings(callerSettings(set, bnd))
+		dmn.budgets.resize(set)
 		if now := time.Now(); now.Sub(swept) >= sweepInterval {
 			swept = now
 			dmn.pool.Sweep(now)
--- a/lugd/pkg/edge/observer.go
+++ b/lugd/pkg/edge/observer.go
@@ -49,6 +49,7 @@
 // registerMetrics registers the metrics that are read when they are collected.
 func (dmn *Daemon) registerMetrics() {
 	met := dmn.metrics
+	dmn.budgets.register(met)
 	met.Gauge("config_version", "Version of the configuration in force.", func() float64 {
 		sta, _ := dmn.driver.Status()
 		return float64(sta.Version)
--- a/lugd/pkg/edge/settings.go
+++ b/lugd/pkg/edge/settings.go
@@ -64,6 +64,8 @@
 	BodyTimeout   time.Duration
 	DialTimeout   time.Duration
 	MemoryMiB     int
+	// MaxFiles is how many descriptors the VM may have open; 0 means the limit of its process.
+	MaxFiles int
 	// Capacity is how much load the VM can take, in proportion to other VMs. VMs with at
 	// least half of the greatest capacity come first for work that one VM does for the
 	// fleet, unless they have less than an eighth of the total capacity together.
@@ -172,6 +174,9 @@
 	if set.HeaderBytes < 1<<10 || set.BodyBytes < 0 || set.MemoryMiB < 16 {
 		errs = append(errs, errors.New("max-header-bytes: must be at least 1024, max-body-bytes at least 0 and memory-mib at least 16"))
 	}
+	if set.MaxFiles != 0 && set.MaxFiles < minFiles {
+		errs = append(errs, fmt.Errorf("max-files: %d is neither 0 nor at least %d", set.MaxFiles, minFiles))
+	}
 	if !(set.Capacity > 0) || math.IsInf(set.Capacity, 0) {
 		errs = append(errs, fmt.Errorf("capacity: %v is not a finite number above 0", set.Capacity))
 	}
@@ -267,6 +272,7 @@
 		durationFlag("body-timeout", "maximum time for the body of a request to arrive", &set.BodyTimeout),
 		durationFlag("dial-timeout", "maximum time to open a connection to a target", &set.DialTimeout),
 		intFlag("memory-mib", "memory of the VM, in MiB", &set.MemoryMiB),
+		intFlag("max-files", "maximum number of open descriptors; 0 for the limit of the process", &set.MaxFiles),
 		floatFlag("capacity", "how much load the VM can take, in proportion to other VMs; those with at least half of the greatest capacity come first for work that one VM does for the fleet", &set.Capacity),
 		stringFlag("log-format", "json or text", &set.LogFormat),
 		stringFlag("log-verbose", "subsystems that write debug messages, separated by commas", &set.LogVerbose),
--- a/lugd/pkg/http1/accept_test.go
+++ b/lugd/pkg/http1/accept_test.go
@@ -33,7 +33,7 @@
 func TestAcceptFailuresAreLoggedOncePerSeries(t *testing.T) {
 	fix := newFixture(t)
 	log, hook := test.NewNullLogger()
-	srv := New(fix.srv.Settings(), names(), fix.fks, fix.fks, fix.fks, log)
+	srv := New(fix.srv.Settings(), budgets(), names(), fix.fks, fix.fks, fix.fks, log)
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/lugd/pkg/http1/conn.go
+++ b/lugd/pkg/http1/conn.go
@@ -5,13 +5,13 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"marigoldlug.example/core/request"
+	"marigoldlug.example/lugd/pkg/budget"
 )
 
 const (
@@ -19,6 +19,9 @@
 	maxPipelined = 16
 	// readBufferMargin is by how many bytes the read buffer exceeds Settings.HeaderBytes.
 	readBufferMargin = 1 << 10
+	// readBufferBytes is the size with which a connection's read buffer begins, in bytes. It grows for larger heads, and is
+	// replaced by a small one after them.
+	readBufferBytes = 4 << 10
 	// writeBufferBytes is the size of a connection's write buffer, in bytes.
 	writeBufferBytes = 4 << 10
 	// writeTimeout is how long a caller may take to accept a part of a response.
@@ -31,7 +34,7 @@
 	errHeadTooLarge       = errors.New("the head of the request is longer than this fleet takes")
 	errConflictingFraming = errors.New("the request states both a length and chunks")
 	errBodyTooLarge       = errors.New("the body is longer than this fleet takes")
-	errNoMemory           = errors.New("the VM holds too many bodies")
+	errNoMemory           = errors.New("the VM holds as much for callers as it may")
 )
 
 // conn is a connection of a caller.
@@ -40,6 +43,15 @@
 	raw    net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
+	// taken is what has been taken of memory for the request that is read, without the read buffer. Only the goroutine
+	// that reads uses it, and grown, which is by how much the read buffer has been grown, in bytes.
+	taken, grown int64
+	// memory is what the connection holds of the server's memory. Loose is what it holds for the request that is
+	// being read, bound what it holds for the connection itself and for requests that are answered.
+	memory *budget.Share
+	// files is what the connection holds of the server's descriptors: one for itself, which is loose while no
+	// request is in flight, and a bound one for each request in flight.
+	files *budget.Share
 	// ctx is canceled when the caller has left or the connection has failed or closes.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -58,6 +70,8 @@
 	streamEnded chan struct{}
 	// inFlight counts the requests that have been read and are not answered.
 	inFlight int
+	// bound counts the requests for which bind was called and unbind was not. It is at least inFlight.
+	bound int
 	// unwritten counts the in-flight requests whose response has not been started.
 	unwritten int
 	// reading is set once a byte of the next request has arrived.
@@ -70,18 +84,25 @@
 	idleSince time.Time
 	// idleDeadline is the read deadline that was last set on the idle connection.
 	idleDeadline time.Time
+
+	// deadlineMut guards revoked, and the read deadline while the connection is served.
+	deadlineMut sync.Mutex
+	// revoked is set once the request that is being read must be given up, for lack of memory.
+	revoked bool
 }
 
 func newConn(srv *Server, raw net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
-	set := srv.Settings()
-	return &conn{
+	con := &conn{
 		srv: srv, raw: raw, ctx: ctx, cancel: cancel,
-		reader:    bufio.NewReaderSize(raw, set.HeaderBytes+readBufferMargin),
+		reader:    bufio.NewReaderSize(raw, readBufferBytes),
 		writer:    bufio.NewWriterSize(&progressWriter{raw: raw, timeout: srv.writeTimeout}, writeBufferBytes),
 		slots:     make(chan struct{}, maxPipelined),
 		idleSince: time.Now(),
 	}
+	con.memory = srv.memory.Open(con.revokeMemory)
+	con.files = srv.files.Open(con.closeNow)
+	return con
 }
 
 // serve reads requests and starts a handler for each, until the caller leaves or the connection is
@@ -98,12 +119,19 @@
 		}
 		readAt := time.Now()
 		con.awaitStream()
+		if err := con.bind(); err != nil {
+			con.refuse(turn, err)
+			break
+		}
 		next := make(chan struct{})
+		taken := con.taken
 		number, last := con.begin(req)
 		con.wait.Add(1)
 		go func(turn, next chan struct{}) {
 			defer con.wait.Done()
-			newRequestHandler(con, req, turn, number, last).run(time.Since(readAt))
+			han := newRequestHandler(con, req, turn, number, last)
+			han.taken = taken
+			han.run(time.Since(readAt))
 			// This comes before close(next), so that the next response knows whether it is the
 			// last one.
 			con.end(number)
@@ -118,11 +146,13 @@
 		}
 	}
 	con.wait.Wait()
+	con.memory.Close()
 	if con.isCloseAnnounced() && con.ctx.Err() == nil {
 		con.lingerClose()
 	}
 	con.cancel()
 	_ = con.raw.Close()
+	con.files.Close()
 }
 
 // isCloseAnnounced reports whether a response with "Connection: close" has been started.
@@ -153,6 +183,7 @@
 		con.endLast()
 	}
 	con.inFlight--
+	con.unbind()
 	if con.inFlight == 0 && !con.reading {
 		con.idleSince = time.Now()
 		con.setIdleDeadline()
@@ -176,7 +207,7 @@
 	if con.closing || con.closeAnnounced {
 		con.idleDeadline = time.Now()
 	}
-	_ = con.raw.SetReadDeadline(con.idleDeadline)
+	_ = con.setReadDeadline(con.idleDeadline)
 }
 
 // latestIdleDeadline returns the end of the idle time by the current settings.
@@ -226,18 +257,20 @@
 // readAhead reads into the buffer until done is closed, so that a caller that leaves is noticed
 // while no request is read.
 func (con *conn) readAhead(done <-chan struct{}) {
-	_ = con.raw.SetReadDeadline(time.Time{})
+	_ = con.setReadDeadline(time.Time{})
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		<-done
-		_ = con.raw.SetReadDeadline(time.Now())
+		_ = con.setReadDeadline(time.Now())
 	}()
 	var err error
 	for err == nil {
-		_, err = con.reader.Peek(con.reader.Buffered() + 1)
+		if _, err = con.reader.Peek(con.reader.Buffered() + 1); errors.Is(err, bufio.ErrBufferFull) {
+			err = con.growBuffer(con.srv.Settings().HeaderBytes)
+		}
 	}
-	if !isTimeout(err) && !errors.Is(err, bufio.ErrBufferFull) {
+	if !isTimeout(err) && !errors.Is(err, bufio.ErrBufferFull) && !errors.Is(err, errNoMemory) {
 		con.cancel()
 	}
 	<-ended
@@ -249,12 +282,12 @@
 	done := make(chan struct{})
 	go func() {
 		con.wait.Wait()
-		_ = con.raw.SetReadDeadline(time.Now())
+		_ = con.setReadDeadline(time.Now())
 		close(done)
 	}()
 	con.mut.Lock()
 	if con.inFlight > 0 {
-		_ = con.raw.SetReadDeadline(time.Time{})
+		_ = con.setReadDeadline(time.Time{})
 	}
 	con.mut.Unlock()
 	var sink [512]byte
@@ -287,20 +320,50 @@
 		return nil, err
 	}
 	set := con.srv.Settings()
-	if err := con.raw.SetReadDeadline(time.Now().Add(set.HeaderTimeout)); err != nil {
+	if err := con.setReadDeadline(time.Now().Add(set.HeaderTimeout)); err != nil {
 		return nil, err
 	}
-	if err := con.checkHead(); err != nil {
+	req, err := con.readHead()
+	if err == nil {
+		err = con.readBody(req, set)
+	}
+	if err != nil {
+		if con.isRevoked() && isTimeout(err) {
+			err = errNoMemory
+		}
 		return nil, err
 	}
-	req, err := http.ReadRequest(con.reader)
+	con.shrinkBuffer()
+	return req, con.setReadDeadline(time.Time{})
+}
+
+// readHead reads the head of a request, after it has taken the memory for it.
+func (con *conn) readHead() (*http.Request, error) {
+	head, err := con.checkHead()
 	if err != nil {
-		return nil, &readError{err: err}
+		return nil, err
 	}
-	if err := con.readBody(req, set); err != nil {
+	chunked, err := checkFraming(head)
+	if err != nil {
 		return nil, err
 	}
-	return req, con.raw.SetReadDeadline(time.Time{})
+	con.taken = requestBytes(head)
+	if !con.memory.TakePatiently(con.taken) {
+		return nil, errNoMemory
+	}
+	con.memory.Advance(int64(len(head)))
+	con.files.Advance(int64(len(head)))
+	if chunked {
+		// The trailer must fit into the buffer as a whole.
+		if err := con.growBufferTo(con.srv.Settings().HeaderBytes); err != nil {
+			return nil, err
+		}
+	}
+	req, err := http.ReadRequest(con.reader)
+	if err != nil {
+		return nil, &readError{err: err}
+	}
+	return req, nil
 }
 
 // awaitRequest waits for the first byte of a request. It returns errIdle if no request is to be
@@ -314,7 +377,7 @@
 	if con.inFlight == 0 {
 		con.setIdleDeadline()
 	} else {
-		_ = con.raw.SetReadDeadline(time.Time{})
+		_ = con.setReadDeadline(time.Time{})
 	}
 	con.mut.Unlock()
 	_, err := con.reader.Peek(1)
@@ -359,43 +422,35 @@
 	return errIdle
 }
 
-// checkHead reads the head of a request into the buffer without consuming it, and checks its size
-// and framing.
-func (con *conn) checkHead() error {
+// checkHead reads the head of a request into the buffer without consuming it, and checks its size. The head that it returns is valid until the next read.
+func (con *conn) checkHead() ([]byte, error) {
 	for {
 		limit := con.srv.Settings().HeaderBytes
-		con.growBuffer(limit)
 		buf, err := con.reader.Peek(con.reader.Buffered())
 		if err != nil {
-			return err
+			return nil, err
 		}
 		end := headEnd(buf)
 		if end > limit || end < 0 && len(buf) >= limit {
-			return errHeadTooLarge
+			return nil, errHeadTooLarge
 		}
 		if end >= 0 {
-			return checkFraming(buf[:end])
+			return buf[:end], nil
 		}
-		if _, err := con.reader.Peek(len(buf) + 1); err != nil {
+		if _, err := con.reader.Peek(len(buf) + 1); errors.Is(err, bufio.ErrBufferFull) {
+			err = con.growBuffer(limit)
+			if err != nil {
+				return nil, err
+			}
+		} else if err != nil {
 			if !isTimeout(err) {
 				con.cancel()
 			}
-			return err
+			return nil, err
 		}
 	}
 }
 
-// growBuffer makes the read buffer large enough for heads of limit bytes, since the limit may have
-// been raised after the connection was accepted.
-func (con *conn) growBuffer(limit int) {
-	if con.reader.Size() >= limit+readBufferMargin {
-		return
-	}
-	buffered, _ := con.reader.Peek(con.reader.Buffered()) // Peek of buffered bytes cannot fail.
-	con.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(buffered), con.raw), limit+readBufferMargin)
-	_, _ = con.reader.Peek(len(buffered)) // Copies these bytes and reads nothing from the connection.
-}
-
 // headEnd returns the length of the head including its empty line, or -1 if the head is incomplete.
 func headEnd(buf []byte) int {
 	if at := bytes.Index(buf, []byte("\r\n\r\n")); at >= 0 {
@@ -408,9 +463,10 @@
 }
 
 // checkFraming rejects heads with both Content-Length and Transfer-Encoding, since a target that
-// goes by the other header than this VM would find another end of the body (request smuggling).
-func checkFraming(head []byte) error {
-	length, chunked := false, false
+// goes by the other header than this VM would find another end of the body (request smuggling). It reports whether the
+// body may be in chunks.
+func checkFraming(head []byte) (chunked bool, err error) {
+	length := false
 	for line := range bytes.SplitSeq(head, []byte("\n")) {
 		name, _, found := bytes.Cut(line, []byte(":"))
 		if !found {
@@ -420,9 +476,9 @@
 		chunked = chunked || bytes.EqualFold(name, []byte("Transfer-Encoding"))
 	}
 	if length && chunked {
-		return errConflictingFraming
+		return false, errConflictingFraming
 	}
-	return nil
+	return chunked, nil
 }
 
 // readError is returned for a request that cannot be parsed or whose body cannot be read.
@@ -454,7 +510,8 @@
 	default:
 		return
 	}
-	con.srv.log.WithError(err).WithField("caller", con.raw.RemoteAddr().String()).Info("cannot read or accept the caller's request; refusing it if the caller is still connected and closing the connection")
+	con.srv.reporter.Report(con.srv.log.WithError(err), string(ref.Reason), con.raw.RemoteAddr().String(), "cannot read or accept the caller's request; refusing it if the caller is still connected and closing the connection")
+	con.dropRequest()
 	<-turn
 	if con.ctx.Err() != nil {
 		return
--- a/lugd/pkg/http1/handler.go
+++ b/lugd/pkg/http1/handler.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -38,6 +37,8 @@
 	turn <-chan struct{}
 	// number is that of the request on its connection.
 	number uint64
+	// taken is the memory for the request, which is bound.
+	taken int64
 	// held is the memory for responses that are held whole.
 	held heldMemory
 	// last is set when no request follows on the connection.
@@ -78,7 +79,7 @@
 func newRequestHandler(con *conn, req *http.Request, turn <-chan struct{}, number uint64, last bool) *requestHandler {
 	return &requestHandler{
 		con: con, req: req, turn: turn, number: number, last: last, began: time.Now(), results: make(chan attemptResult),
-		attempts: make(map[int]*attempt), callerRequestID: req.Header.Get(con.srv.names.Request),
+		held: heldMemory{share: con.memory}, attempts: make(map[int]*attempt), callerRequestID: req.Header.Get(con.srv.names.Request),
 	}
 }
 
@@ -125,19 +126,17 @@
 
 // content returns the fingerprint of the request's content.
 func (han *requestHandler) content() request.Fingerprint {
-	var content []byte
+	var content [][]byte
 	if bod, buffered := han.req.Body.(*bufferedBody); buffered {
-		content = bod.content
+		content = bod.segments
 	}
-	return request.FingerprintOf(han.req.Method, normalizeHost(han.req.Host), han.req.URL.RequestURI(), content)
+	return request.FingerprintOf(han.req.Method, normalizeHost(han.req.Host), han.req.URL.RequestURI(), content...)
 }
 
-// releaseBody subtracts the request's body, and responses that were held, from the memory in use.
+// releaseBody gives back what is held for the request and for responses that were held.
 func (han *requestHandler) releaseBody() {
-	han.held.release(&han.con.srv.buffered)
-	if bod, buffered := han.req.Body.(*bufferedBody); buffered {
-		han.con.srv.buffered.Add(-int64(len(bod.content)))
-	}
+	han.held.release()
+	han.con.memory.GiveBound(han.taken)
 }
 
 // observe reports the result of the request to the observer.
@@ -377,8 +376,8 @@
 	out := target.NewRequest(in, hdr, dis.Target.Address)
 	if bod, buffered := in.Body.(*bufferedBody); buffered {
 		out.ContentLength = in.ContentLength
-		out.Body = io.NopCloser(bytes.NewReader(bod.content))
-		if in.ContentLength < 0 && len(bod.content) > 0 {
+		out.Body = io.NopCloser(&segmentReader{rest: bod.segments})
+		if in.ContentLength < 0 && len(bod.segments) > 0 {
 			out.TransferEncoding = []string{"chunked"}
 		}
 	}
--- a/lugd/pkg/http1/requestbody.go
+++ b/lugd/pkg/http1/requestbody.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -9,6 +8,13 @@
 	"time"
 )
 
+const (
+	// firstSegmentBytes and maxSegmentBytes are the sizes of the first and of later parts in which a body is kept, in
+	// bytes. Each part is twice as large as the one before, so that little is taken for a body that does not come.
+	firstSegmentBytes = 4 << 10
+	maxSegmentBytes   = 64 << 10
+)
+
 // readBody reads the body into memory, so that a request can be sent again and no target waits for
 // a slow caller.
 func (con *conn) readBody(req *http.Request, set Settings) error {
@@ -29,29 +35,71 @@
 		}
 	}
 	// The time starts here, since a caller that expects 100 Continue sends no body before it.
-	if err := con.raw.SetReadDeadline(time.Now().Add(set.BodyTimeout)); err != nil {
+	if err := con.setReadDeadline(time.Now().Add(set.BodyTimeout)); err != nil {
 		return err
 	}
-	var buf bytes.Buffer
-	if _, err := io.Copy(&buf, &memoryLimiter{src: io.LimitReader(req.Body, set.BodyBytes+1), srv: con.srv, limit: set.MaxBufferedBytes}); err != nil {
-		con.srv.buffered.Add(-int64(buf.Len()))
-		if errors.Is(err, errNoMemory) {
-			return err
+	bod, err := con.readSegments(req, set.BodyBytes)
+	if err == nil {
+		req.Body = bod
+		return nil
+	}
+	if errors.Is(err, errNoMemory) || errors.Is(err, errBodyTooLarge) {
+		return err
+	}
+	// A caller that is too slow is still connected and gets a refusal. ErrBodyReadAfterClose
+	// would not come from the connection either, but nothing here closes the body. Any other
+	// error ends the connection without a refusal.
+	if !isTimeout(err) && !errors.Is(err, http.ErrBodyReadAfterClose) {
+		con.cancel()
+	}
+	return &readError{err: err}
+}
+
+// readSegments reads the body of a request, which must not be longer than limit. It takes the memory of each part
+// before it reads it.
+func (con *conn) readSegments(req *http.Request, limit int64) (*bufferedBody, error) {
+	var segments [][]byte
+	total, size := int64(0), int64(firstSegmentBytes)
+	src := io.LimitReader(req.Body, limit+1)
+	for {
+		if req.ContentLength >= 0 {
+			size = min(size, req.ContentLength-total)
 		}
-		// A caller that is too slow is still connected and gets a refusal. ErrBodyReadAfterClose
-		// would not come from the connection either, but nothing here closes the body. Any other
-		// error ends the connection without a refusal.
-		if !isTimeout(err) && !errors.Is(err, http.ErrBodyReadAfterClose) {
-			con.cancel()
+		if !con.memory.Take(size) {
+			return nil, errNoMemory
+		}
+		con.taken += size
+		segment := make([]byte, size)
+		cnt, err := con.readSegment(src, segment)
+		if cnt > 0 {
+			segments = append(segments, segment[:cnt])
 		}
-		return &readError{err: err}
+		total += int64(cnt)
+		switch {
+		case total > limit:
+			return nil, errBodyTooLarge
+		case total == req.ContentLength, req.ContentLength < 0 && errors.Is(err, io.EOF):
+			return newBufferedBody(segments), nil
+		case err != nil:
+			return nil, err
+		}
+		size = min(2*size, maxSegmentBytes)
 	}
-	if int64(buf.Len()) > set.BodyBytes {
-		con.srv.buffered.Add(-int64(buf.Len()))
-		return errBodyTooLarge
+}
+
+// readSegment fills a part of a body. The error is io.EOF at the end of the body, also if a part of segment is filled.
+func (con *conn) readSegment(src io.Reader, segment []byte) (int, error) {
+	done := 0
+	for done < len(segment) {
+		cnt, err := src.Read(segment[done:])
+		done += cnt
+		con.memory.Advance(int64(cnt))
+		con.files.Advance(int64(cnt))
+		if err != nil {
+			return done, err
+		}
 	}
-	req.Body = &bufferedBody{Reader: bytes.NewReader(buf.Bytes()), content: buf.Bytes()}
-	return nil
+	return done, nil
 }
 
 // writeContinue asks the caller to send the body of its request. All earlier responses must have been
@@ -63,29 +111,34 @@
 	return con.writer.Flush()
 }
 
-// memoryLimiter is a reader that adds what it reads to the server's count of buffered bytes and
-// keeps it within limit; 0 means no limit.
-type memoryLimiter struct {
-	src   io.Reader
-	srv   *Server
-	limit int64
-}
-
-// Read returns errNoMemory when the limit is exceeded.
-func (lim *memoryLimiter) Read(buf []byte) (int, error) {
-	cnt, err := lim.src.Read(buf)
-	if lim.srv.buffered.Add(int64(cnt)) > lim.limit && lim.limit > 0 {
-		lim.srv.buffered.Add(-int64(cnt))
-		return 0, errNoMemory
-	}
-	return cnt, err
-}
-
 // bufferedBody is a request body in memory.
 type bufferedBody struct {
-	*bytes.Reader
-	content []byte
+	io.Reader
+	segments [][]byte
+}
+
+func newBufferedBody(segments [][]byte) *bufferedBody {
+	return &bufferedBody{Reader: &segmentReader{rest: segments}, segments: segments}
 }
 
 // Close does nothing.
 func (*bufferedBody) Close() error { return nil }
+
+// segmentReader reads a body from its parts, none of which is empty.
+type segmentReader struct {
+	rest [][]byte
+	// at is how much of the first part has been read, in bytes.
+	at int
+}
+
+// Read implements io.Reader.
+func (rdr *segmentReader) Read(buf []byte) (int, error) {
+	if len(rdr.rest) == 0 {
+		return 0, io.EOF
+	}
+	cnt := copy(buf, rdr.rest[0][rdr.at:])
+	if rdr.at += cnt; rdr.at == len(rdr.rest[0]) {
+		rdr.rest, rdr.at = rdr.rest[1:], 0
+	}
+	return cnt, nil
+}
--- a/lugd/pkg/http1/server.go
+++ b/lugd/pkg/http1/server.go
@@ -16,6 +16,7 @@
 	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/request"
+	"marigoldlug.example/lugd/pkg/budget"
 	"marigoldlug.example/lugd/pkg/header"
 	"marigoldlug.example/lugd/pkg/target"
 )
@@ -64,9 +65,6 @@
 	IdleTimeout time.Duration
 	// BodyTimeout bounds the time in which a request's body must arrive.
 	BodyTimeout time.Duration
-	// MaxBufferedBytes is the maximum size of all buffered request bodies together, in bytes;
-	// 0 means no limit.
-	MaxBufferedBytes int64
 }
 
 // Server serves callers.
@@ -79,8 +77,10 @@
 	settings atomic.Pointer[Settings]
 	// writeTimeout is how long a caller may take to accept a part of a response.
 	writeTimeout time.Duration
-	// buffered is the size of all request bodies in memory, in bytes.
-	buffered atomic.Int64
+	// memory is what callers may make the VM hold, in bytes, and files how many descriptors their connections and requests
+	// may take.
+	memory, files *budget.Budget
+	reporter      *budget.Reporter
 
 	mut   sync.Mutex
 	conns map[*conn]struct{}
@@ -92,9 +92,21 @@
 	wait sync.WaitGroup
 }
 
+// Budgets are what the callers of a VM share.
+type Budgets struct {
+	// Memory is what they may make the VM hold, in bytes.
+	Memory *budget.Budget
+	// Files is how many descriptors they may take: one for each connection, and one for each request in flight.
+	Files    *budget.Budget
+	Reporter *budget.Reporter
+}
+
 // New returns a server whose requests dec decides on and sen sends to targets.
-func New(set Settings, nms header.Names, dec decider, sen sender, obs observer, log logrus.FieldLogger) *Server {
-	srv := &Server{names: nms, decider: dec, sender: sen, observer: obs, log: log, writeTimeout: writeTimeout, conns: make(map[*conn]struct{})}
+func New(set Settings, bds Budgets, nms header.Names, dec decider, sen sender, obs observer, log logrus.FieldLogger) *Server {
+	srv := &Server{
+		names: nms, decider: dec, sender: sen, observer: obs, log: log, writeTimeout: writeTimeout, conns: make(map[*conn]struct{}),
+		memory: bds.Memory, files: bds.Files, reporter: bds.Reporter,
+	}
 	srv.settings.Store(&set)
 	return srv
 }
@@ -138,8 +150,8 @@
 			failures = 0
 		}
 		con := newConn(srv, raw)
-		if !srv.add(con) {
-			_ = raw.Close()
+		if !con.admit() || !srv.add(con) {
+			con.discard()
 			continue
 		}
 		go func() {
--- a/lugd/pkg/http1/server_test.go
+++ b/lugd/pkg/http1/server_test.go
@@ -20,8 +20,10 @@
 
 	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/health"
+	"marigoldlug.example/core/memory"
 	"marigoldlug.example/core/request"
 	"marigoldlug.example/core/verdict"
+	"marigoldlug.example/lugd/pkg/budget"
 	"marigoldlug.example/lugd/pkg/header"
 	"marigoldlug.example/lugd/pkg/target"
 )
@@ -182,6 +184,15 @@
 	src *bufio.Reader
 }
 
+// budgets returns budgets that are large enough for all tests but those of budgets.
+func budgets() Budgets {
+	return Budgets{
+		Memory:   budget.New(memory.Limits{Size: 16 << 20, Reserve: 1 << 20, Small: SmallRequestBytes}),
+		Files:    budget.New(memory.Limits{Size: 200, Reserve: 20, Small: SmallRequestFiles}),
+		Reporter: budget.NewReporter(),
+	}
+}
+
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	return newFixtureWithTimeout(t, writeTimeout)
@@ -195,8 +206,8 @@
 	fks := &fakes{actions: make(map[request.ID]chan gateway.Action), paths: make(map[string]bool)}
 	srv := New(Settings{
 		HeaderBytes: 4 << 10, BodyBytes: 1 << 10, HeaderTimeout: 150 * time.Millisecond, IdleTimeout: time.Second,
-		BodyTimeout: 150 * time.Millisecond, MaxBufferedBytes: 1 << 20,
-	}, names(), fks, fks, fks, log)
+		BodyTimeout: 150 * time.Millisecond,
+	}, budgets(), names(), fks, fks, fks, log)
 	srv.writeTimeout = timeout
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/lugd/pkg/http1/stream.go
+++ b/lugd/pkg/http1/stream.go
@@ -2,7 +2,8 @@
 
 import (
 	"sync"
-	"sync/atomic"
+
+	"marigoldlug.example/lugd/pkg/budget"
 )
 
 // maxHeldBytes is how long a response may be that is held whole, because requests behind it on its connection are
@@ -25,7 +26,7 @@
 	if length >= 0 {
 		want = min(want, length+1) // One byte more tells that the body ends there.
 	}
-	if !han.held.take(&han.con.srv.buffered, want, han.con.srv.Settings().MaxBufferedBytes) {
+	if !han.held.take(want) {
 		return 0
 	}
 	return int(want)
@@ -34,20 +35,17 @@
 // heldMemory is the memory that is taken for the responses to one request that are held whole. It is safe for concurrent
 // use.
 type heldMemory struct {
+	share    *budget.Share
 	mut      sync.Mutex
 	bytes    int64
 	released bool
 }
 
-// take adds to the memory in use, unless that would exceed limit (0 means none) or the request has ended.
-func (hel *heldMemory) take(used *atomic.Int64, bytes, limit int64) bool {
+// take adds to the memory in use, unless there is no room for it or the request has ended.
+func (hel *heldMemory) take(bytes int64) bool {
 	hel.mut.Lock()
 	defer hel.mut.Unlock()
-	if hel.released {
-		return false
-	}
-	if used.Add(bytes) > limit && limit > 0 {
-		used.Add(-bytes)
+	if hel.released || !hel.share.TakeBound(bytes) {
 		return false
 	}
 	hel.bytes += bytes
@@ -55,10 +53,10 @@
 }
 
 // release subtracts what was taken from the memory in use, for good.
-func (hel *heldMemory) release(used *atomic.Int64) {
+func (hel *heldMemory) release() {
 	hel.mut.Lock()
 	defer hel.mut.Unlock()
-	used.Add(-hel.bytes)
+	hel.share.GiveBound(hel.bytes)
 	hel.bytes, hel.released = 0, true
 }
 
--- a/lugd/pkg/http1/stream_test.go
+++ b/lugd/pkg/http1/stream_test.go
@@ -52,9 +52,9 @@
 	if !slices.Equal(fix.fks.more, []int{maxHeldBytes}) {
 		t.Errorf("%v bytes were held", fix.fks.more)
 	}
-	for end := time.Now().Add(time.Second); fix.srv.buffered.Load() != 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(time.Second); fix.srv.memory.Held() != ConnectionBytes && time.Now().Before(end); time.Sleep(time.Millisecond) {
 	}
-	if left := fix.srv.buffered.Load(); left != 0 {
+	if left := fix.srv.memory.Held() - ConnectionBytes; left != 0 {
 		t.Errorf("%d bytes count as in use", left)
 	}
 }
--- a/lugd/pkg/peer/accept_test.go
+++ b/lugd/pkg/peer/accept_test.go
@@ -10,6 +10,7 @@
 
 	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/member"
+	"marigoldlug.example/lugd/pkg/budget"
 )
 
 // failingListener is a listener whose first calls of Accept fail for lack of file
@@ -40,7 +41,7 @@
 	fli.remaining.Store(10)
 	log, hook := test.NewNullLogger()
 	rec := new(recorder)
-	to := New(member.VM{ID: "two", Address: lis.Addr().String()}, fli, rec, log)
+	to := New(member.VM{ID: "two", Address: lis.Addr().String()}, fli, budget.Unlimited(), rec, log)
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
--- a/lugd/pkg/peer/compression.go
+++ b/lugd/pkg/peer/compression.go
@@ -52,8 +52,19 @@
 	return wrt.buf.Bytes(), nil
 }
 
+// isCompressed reports whether a payload was compressed.
+func isCompressed(payload []byte) bool {
+	rdr := newReader(payload)
+	return rdr.unsigned() == kindCompressed && rdr.err == nil
+}
+
+// decompressing is held while a payload is decompressed, so that only one at a time takes maxDecompressedSize.
+var decompressing sync.Mutex
+
 // decompress returns the payload that was compressed. The error wraps errMalformed.
 func decompress(compressed []byte) ([]byte, error) {
+	decompressing.Lock()
+	defer decompressing.Unlock()
 	src := flate.NewReader(bytes.NewReader(compressed))
 	defer func() { _ = src.Close() }()
 	payload, err := io.ReadAll(io.LimitReader(src, maxDecompressedSize+1))
--- a/lugd/pkg/peer/forward.go
+++ b/lugd/pkg/peer/forward.go
@@ -69,7 +69,9 @@
 	if err := wrt.Flush(); err != nil {
 		return err
 	}
-	payload, err := trn.readFrame(con)
+	shr := trn.memory.Open(func() { _ = con.Close() })
+	defer shr.Close()
+	payload, err := trn.readFrame(con, shr, maxHelloSize)
 	if err != nil {
 		return fmt.Errorf("%w: %w", errNoForwarding, err)
 	}
--- a/lugd/pkg/peer/lifecycle_test.go
+++ b/lugd/pkg/peer/lifecycle_test.go
@@ -12,6 +12,7 @@
 	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/quota"
+	"marigoldlug.example/lugd/pkg/budget"
 )
 
 // recorder is a handler that records what arrives at a VM.
@@ -64,7 +65,7 @@
 		t.Fatal(err)
 	}
 	rec := new(recorder)
-	trn := New(member.VM{ID: id, Address: lis.Addr().String()}, lis, rec, logrus.New())
+	trn := New(member.VM{ID: id, Address: lis.Addr().String()}, lis, budget.Unlimited(), rec, logrus.New())
 	go trn.Serve()
 	t.Cleanup(trn.Close)
 	return trn, rec
--- a/lugd/pkg/peer/queue.go
+++ b/lugd/pkg/peer/queue.go
@@ -15,6 +15,7 @@
 	"marigoldlug.example/core/placement"
 	"marigoldlug.example/core/quarantine"
 	"marigoldlug.example/core/quota"
+	"marigoldlug.example/lugd/pkg/budget"
 	"marigoldlug.example/lugd/pkg/socket"
 )
 
@@ -184,11 +185,13 @@
 	defer trn.wait.Done()
 	defer func() { _ = con.Close() }()
 	src := bufio.NewReader(con)
-	if _, wrong := trn.readReply(src).(wrongVM); !wrong {
+	shr := trn.memory.Open(func() { _ = con.Close() })
+	defer shr.Close()
+	if _, wrong := trn.readReply(src, shr).(wrongVM); !wrong {
 		return
 	}
 	// Programs of earlier versions send no successor.
-	suc, _ := trn.readReply(src).(successor)
+	suc, _ := trn.readReply(src, shr).(successor)
 	if suc.VM.ID != "" {
 		trn.AddAddress(suc.VM.ID, suc.VM.Address)
 	}
@@ -196,8 +199,8 @@
 }
 
 // readReply returns the next message that a receiver has sent back, or nil if there is none.
-func (trn *Transport) readReply(src *bufio.Reader) any {
-	payload, err := trn.readFrame(src)
+func (trn *Transport) readReply(src *bufio.Reader, shr *budget.Share) any {
+	payload, err := trn.readFrame(src, shr, maxHelloSize)
 	if err != nil {
 		return nil
 	}
--- a/lugd/pkg/peer/silence_test.go
+++ b/lugd/pkg/peer/silence_test.go
@@ -13,6 +13,7 @@
 	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/placement"
+	"marigoldlug.example/lugd/pkg/budget"
 )
 
 // responder is a handler that answers pings and counts what arrives.
@@ -106,7 +107,7 @@
 	}
 	swa := newSwallower(t, lis.Addr().String())
 	res := new(responder)
-	res.trn = New(member.VM{ID: id, Address: swa.lis.Addr().String()}, lis, res, logrus.New())
+	res.trn = New(member.VM{ID: id, Address: swa.lis.Addr().String()}, lis, budget.Unlimited(), res, logrus.New())
 	go res.trn.Serve()
 	t.Cleanup(res.trn.Close)
 	return res.trn, res, swa
--- a/lugd/pkg/peer/transport.go
+++ b/lugd/pkg/peer/transport.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldlug.example/core/member"
+	"marigoldlug.example/lugd/pkg/budget"
 )
 
 const (
@@ -35,6 +36,13 @@
 	silenceTimeout = 1500 * time.Millisecond
 	// stateTimeout bounds the time in which QueryStates waits for answers.
 	stateTimeout = time.Second
+	// helloTimeout is how long a VM that has opened a connection may take to say which one it is. It sends that at once.
+	helloTimeout = 5 * time.Second
+	// maxHelloSize is the greatest size in bytes of the frame in which it does. Such a frame has the names and addresses of
+	// two VMs, and is never compressed, since compressFrom is as large.
+	maxHelloSize = compressFrom
+	// firstPartBytes is how much of a frame is read at first.
+	firstPartBytes = 4 << 10
 	// frameHeaderSize is the size in bytes of the length in front of a payload.
 	frameHeaderSize = 4
 	// acceptRetryDelay is the pause after a failure to accept a connection.
@@ -64,6 +72,8 @@
 	ClientConfig() *tls.Config
 }
 
+var errNoMemory = errors.New("the VM holds as much for other VMs as it may")
+
 // Transport sends messages to other VMs and delivers theirs to a handler. Messages may
 // be lost, but messages from one VM to another arrive in order. It is safe for concurrent
 // use.
@@ -72,6 +82,8 @@
 	handler  handler
 	log      logrus.FieldLogger
 	listener net.Listener
+	// memory is what frames may take while they are being read.
+	memory *budget.Budget
 	// identity is nil if VMs communicate without TLS.
 	identity identity
 	// forwarder is nil if this VM does not forward requests.
@@ -100,10 +112,10 @@
 	wait sync.WaitGroup
 }
 
-// New returns a transport that accepts connections from lis.
-func New(self member.VM, lis net.Listener, han handler, log logrus.FieldLogger) *Transport {
+// New returns a transport that accepts connections from lis and takes the memory for what it reads from mem.
+func New(self member.VM, lis net.Listener, mem *budget.Budget, han handler, log logrus.FieldLogger) *Transport {
 	return &Transport{
-		self: self, handler: han, log: log, listener: lis,
+		self: self, handler: han, log: log, listener: lis, memory: mem,
 		sendQueues: make(map[string]*sendQueue), addresses: make(map[string]string),
 		inbound: make(map[net.Conn]bool), inboundFrom: make(map[string]net.Conn),
 	}
@@ -210,22 +222,45 @@
 	trn.addresses[id] = address
 }
 
-// readFrame returns the payload of the next frame.
-func (trn *Transport) readFrame(src io.Reader) ([]byte, error) {
+// readFrame returns the payload of the next frame, which must not be longer than limit. It takes the memory for
+// each part of it from shr before it reads it.
+func (trn *Transport) readFrame(src io.Reader, shr *budget.Share, limit int) ([]byte, error) {
 	var head [frameHeaderSize]byte
 	if _, err := io.ReadFull(src, head[:]); err != nil {
 		return nil, err
 	}
 	size := binary.BigEndian.Uint32(head[:])
-	if size > maxFrameSize {
+	if int64(size) > int64(limit) {
 		return nil, fmt.Errorf("%w: its payload of %d bytes exceeds the maximum frame size", errMalformed, size)
 	}
-	payload := make([]byte, size)
-	_, err := io.ReadFull(src, payload)
-	trn.received.Add(int64(size) + frameHeaderSize)
+	payload, err := readParts(src, int(size), shr)
+	trn.received.Add(int64(len(payload)) + frameHeaderSize)
 	return payload, err
 }
 
+// readParts reads size bytes. The buffer begins with firstPartBytes and doubles, so that little is taken for what does
+// not come.
+func readParts(src io.Reader, size int, shr *budget.Share) ([]byte, error) {
+	var out []byte
+	for done := 0; done < size; {
+		length := min(max(2*done, firstPartBytes), size)
+		if !shr.Take(int64(length)) {
+			return nil, errNoMemory
+		}
+		next := make([]byte, length)
+		copy(next, out)
+		shr.Give(int64(len(out)))
+		out = next
+		cnt, err := io.ReadFull(src, out[done:])
+		shr.Advance(int64(cnt))
+		if err != nil {
+			return nil, err
+		}
+		done += cnt
+	}
+	return out, nil
+}
+
 // serve delivers the messages of one incoming connection.
 func (trn *Transport) serve(con net.Conn) {
 	defer trn.wait.Done()
@@ -234,15 +269,18 @@
 		_ = con.Close()
 		trn.forgetInbound(from, con)
 	}()
+	shr := trn.memory.Open(func() { _ = con.Close() })
+	defer shr.Close()
 	src := bufio.NewReader(con)
-	from, err := trn.readHello(con, src)
+	from, err := trn.readHello(con, src, shr)
 	if err == nil {
 		trn.noteInbound(from, con)
 	}
 	for err == nil {
 		var payload []byte
-		if payload, err = trn.readFrame(src); err == nil {
+		if payload, err = trn.readFrame(src, shr, maxFrameSize); err == nil {
 			err = trn.deliver(from, payload)
+			shr.Give(int64(len(payload)))
 		}
 	}
 	if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
@@ -288,11 +326,24 @@
 // readHello reads the hello that opens a connection and returns the ID of the sender.
 // If the hello is for another VM, it answers with wrongVM and with its own identity, and
 // returns an error. A connection on which requests are to be forwarded is served to its end.
-func (trn *Transport) readHello(con net.Conn, src io.Reader) (string, error) {
-	payload, err := trn.readFrame(src)
+func (trn *Transport) readHello(con net.Conn, src io.Reader, shr *budget.Share) (string, error) {
+	if err := con.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return "", err
+	}
+	payload, err := trn.readFrame(src, shr, maxHelloSize)
 	if err != nil {
 		return "", err
 	}
+	if err := con.SetReadDeadline(time.Time{}); err != nil {
+		return "", err
+	}
+	shr.Give(int64(len(payload)))
+	if isCompressed(payload) {
+		return "", fmt.Errorf("%w: a compressed hello", errMalformed)
+	}
+	if !budget.Pin(con) {
+		return "", net.ErrClosed
+	}
 	msg, err := decode(payload)
 	if err != nil {
 		return "", err
