Count what large requests leave behind until it is collected

Change: what large holders give back stays held until the garbage collector has run, which the budget starts when a quarter of it waits for that or when somebody waits.

--- a/Makefile
+++ b/Makefile
@@ -86,6 +86,7 @@
 	cd core && go test ./note -fuzz FuzzRead -fuzztime 30s
 	cd lugd && go test ./pkg/peer -fuzz FuzzDecode -fuzztime 30s
 	cd lugd && go test ./pkg/http1 -fuzz FuzzRequests -fuzztime 30s
+	cd lugd && go test ./pkg/http1 -fuzz FuzzReadingGivesBack -fuzztime 30s
 	cd platform && go test ./pkg/objects -fuzz FuzzDecode -fuzztime 30s
 	cd core && go test ./quota ./table -rapid.checks=10000 -rapid.seed=$$(date +%s)
 
--- a/core/memory/account.go
+++ b/core/memory/account.go
@@ -31,8 +31,10 @@
 type Account struct {
 	limits Limits
 	// held is what all holders have together. It is above limits.Size only after that was lowered.
-	held    int64
-	holders []*Holder
+	held int64
+	// discarded is the part of held that no holder has any more and that cannot be used again until it is collected.
+	discarded int64
+	holders   []*Holder
 }
 
 // Holder is one client's part of an account.
@@ -114,7 +116,10 @@
 	if hld.loose+hld.bound+amount > limit {
 		return Refused, nil // Nobody else could give back enough.
 	}
-	returning := int64(0)
+	if acc.held+amount-acc.discarded <= limit {
+		return Wait, nil
+	}
+	returning := acc.discarded
 	worst, most := hld, cost(hld.loose+amount, hld.progressAt(now))
 	for _, other := range acc.holders {
 		if other.revoked {
@@ -160,6 +165,26 @@
 	acc.held -= amount
 }
 
+// Discard takes a part of what is loose from a holder. It stays held until it is collected.
+func (acc *Account) Discard(hld *Holder, amount int64) {
+	amount = min(amount, hld.loose)
+	hld.loose -= amount
+	acc.discarded += amount
+}
+
+// Discarded returns how much nobody has and is not collected yet.
+func (acc *Account) Discarded() int64 { return acc.discarded }
+
+// Collect takes back a part of what was discarded.
+func (acc *Account) Collect(amount int64) {
+	amount = min(amount, acc.discarded)
+	acc.discarded -= amount
+	acc.held -= amount
+}
+
+// IsSmall reports whether a holder has no more than small ones may.
+func (acc *Account) IsSmall(hld *Holder) bool { return hld.loose+hld.bound <= acc.limits.Small }
+
 // Bind makes a part of what is loose bound.
 func (acc *Account) Bind(hld *Holder, amount int64) {
 	amount = min(amount, hld.loose)
--- a/core/memory/account_test.go
+++ b/core/memory/account_test.go
@@ -94,6 +94,20 @@
 	}
 }
 
+// TestDiscardedIsHeldUntilItIsCollected guards against memory that is handed out again before the collector has freed it, and
+// against a holder that is refused or made to give back while waiting would do.
+func TestDiscardedIsHeldUntilItIsCollected(t *testing.T) {
+	acc := New(Limits{Size: 1000})
+	one, two := acc.Open(at(0)), acc.Open(at(0))
+	take(t, acc, at(0), one, 1000)
+	acc.Discard(one, 600)
+	if vrd, victim := acc.Take(at(60), two, 500); vrd != Wait || victim != nil {
+		t.Errorf("got %v, %v", vrd, victim)
+	}
+	acc.Collect(600)
+	take(t, acc, at(60), two, 500)
+}
+
 // TestWhatIsHeldIsGivenBackOnce plays random steps, and guards against an account that exceeds its size, or
 // that does not come back to zero once all holders are closed.
 func TestWhatIsHeldIsGivenBackOnce(t *testing.T) {
@@ -108,7 +122,7 @@
 			}
 			num := rnd.IntN(len(holders))
 			hld, amount := holders[num], rnd.Int64N(500)
-			switch rnd.IntN(8) {
+			switch rnd.IntN(10) {
 			case 0:
 				acc.Close(hld)
 				acc.Close(hld)
@@ -123,6 +137,10 @@
 				acc.GiveBound(hld, amount)
 			case 5:
 				acc.TakeBound(hld, amount)
+			case 6:
+				acc.Discard(hld, amount)
+			case 7:
+				acc.Collect(amount)
 			default:
 				acc.Advance(now, hld, amount)
 				if _, victim := acc.Take(now, hld, amount); victim == hld {
@@ -136,6 +154,7 @@
 		for _, hld := range holders {
 			acc.Close(hld)
 		}
+		acc.Collect(acc.Discarded())
 		if acc.Held() != 0 {
 			t.Fatalf("seed %d: %d are held by nobody", seed, acc.Held())
 		}
--- a/lugd/pkg/budget/budget.go
+++ b/lugd/pkg/budget/budget.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"runtime"
 	"sync"
 	"time"
 
@@ -15,6 +16,10 @@
 // response; revoked holders give back as soon as their goroutine runs.
 const waitTime = 500 * time.Millisecond
 
+// collectDivisor gives the part of a budget that may be discarded before it is collected. The collector runs by itself once the
+// heap has grown by less than that.
+const collectDivisor = 4
+
 // Budget is a core/memory account that is safe for concurrent use.
 type Budget struct {
 	began time.Time
@@ -25,6 +30,10 @@
 	shares map[*memory.Holder]*Share
 	// returned is closed once something was given back; nil while nobody waits.
 	returned chan struct{}
+	// collect frees the memory that was discarded; nil if what is given back can be used again at once.
+	collect func()
+	// collecting is set while collect runs.
+	collecting bool
 	// refused and revoked count the requests that were refused and the shares that were revoked.
 	refused, revoked uint64
 }
@@ -34,6 +43,14 @@
 	return &Budget{began: time.Now(), account: memory.New(lim), shares: make(map[*memory.Holder]*Share)}
 }
 
+// NewMemory returns a budget of bytes. What large shares give back counts as held until the garbage collector has run, since
+// callers that send large requests could otherwise have it replaced faster than the collector frees it.
+func NewMemory(lim memory.Limits) *Budget {
+	bud := New(lim)
+	bud.collect = runtime.GC
+	return bud
+}
+
 // Unlimited returns a budget that refuses nothing.
 func Unlimited() *Budget { return New(memory.Limits{Size: math.MaxInt64 / 4}) }
 
@@ -90,6 +107,10 @@
 // Close gives back all that the share has.
 func (shr *Share) Close() {
 	shr.change(func(acc *memory.Account) {
+		if shr.budget.collect != nil && !acc.IsSmall(shr.holder) {
+			acc.Loosen(shr.holder, math.MaxInt64)
+			acc.Discard(shr.holder, math.MaxInt64)
+		}
 		acc.Close(shr.holder)
 		delete(shr.budget.shares, shr.holder)
 	})
@@ -131,6 +152,9 @@
 	bud.mut.Lock()
 	defer bud.mut.Unlock()
 	vrd, worst := bud.account.Take(bud.now(), shr.holder, amount)
+	if vrd != memory.Granted {
+		bud.startCollecting()
+	}
 	if worst != nil {
 		bud.revoked++
 		victim = bud.shares[worst]
@@ -182,12 +206,25 @@
 
 // Give gives back a part of what is loose.
 func (shr *Share) Give(amount int64) {
-	shr.change(func(acc *memory.Account) { acc.Give(shr.holder, amount) })
+	shr.change(func(acc *memory.Account) {
+		if shr.budget.collect != nil && !acc.IsSmall(shr.holder) {
+			acc.Discard(shr.holder, amount)
+			return
+		}
+		acc.Give(shr.holder, amount)
+	})
 }
 
 // GiveBound gives back a part of what is bound.
 func (shr *Share) GiveBound(amount int64) {
-	shr.change(func(acc *memory.Account) { acc.GiveBound(shr.holder, amount) })
+	shr.change(func(acc *memory.Account) {
+		if shr.budget.collect != nil && !acc.IsSmall(shr.holder) {
+			acc.Loosen(shr.holder, amount)
+			acc.Discard(shr.holder, amount)
+			return
+		}
+		acc.GiveBound(shr.holder, amount)
+	})
 }
 
 // Advance records progress of the client: an amount that has come from it.
@@ -211,5 +248,31 @@
 	bud.mut.Lock()
 	defer bud.mut.Unlock()
 	apply(bud.account)
+	bud.collectIfDue()
 	bud.notify()
 }
+
+// collectIfDue frees what was discarded once that is much. bud.mut must be held.
+func (bud *Budget) collectIfDue() {
+	if bud.account.Discarded() > bud.account.Size()/collectDivisor {
+		bud.startCollecting()
+	}
+}
+
+// startCollecting frees what was discarded in the background, unless that goes on already. bud.mut must be held.
+func (bud *Budget) startCollecting() {
+	amount := bud.account.Discarded()
+	if bud.collect == nil || bud.collecting || amount == 0 {
+		return
+	}
+	bud.collecting = true
+	go func() {
+		bud.collect()
+		bud.mut.Lock()
+		defer bud.mut.Unlock()
+		bud.collecting = false
+		bud.account.Collect(amount)
+		bud.collectIfDue()
+		bud.notify()
+	}()
+}
--- a/lugd/pkg/edge/limits.go
+++ b/lugd/pkg/edge/limits.go
@@ -23,6 +23,8 @@
 	// that for requests of operators and of the balancer.
 	peerMemoryDivisor     = 16
 	operatorMemoryDivisor = 16
+	// smallBytes is what an ordinary request of an operator or of the balancer, or an ordinary frame, takes at most.
+	smallBytes = 64 << 10
 	// reserveDivisor gives the part of each of these that only small holders get.
 	reserveDivisor = 8
 )
@@ -40,7 +42,7 @@
 	maxReadyFiles    = 256
 	maxOperatorFiles = 16
 	// minFiles is the least number of descriptors for which each part has some.
-	minFiles = 64
+	minFiles = 32
 )
 
 // budgets are the bounds on what all clients of the VM make it hold.
@@ -53,8 +55,8 @@
 
 func newBudgets(set Settings) *budgets {
 	bds := &budgets{
-		callers:    http1.Budgets{Memory: budget.Unlimited(), Files: budget.Unlimited(), Reporter: budget.NewReporter()},
-		peerMemory: budget.Unlimited(), operatorMemory: budget.Unlimited(),
+		callers:    http1.Budgets{Memory: budget.NewMemory(memory.Limits{}), Files: budget.Unlimited(), Reporter: budget.NewReporter()},
+		peerMemory: budget.NewMemory(memory.Limits{}), operatorMemory: budget.NewMemory(memory.Limits{}),
 		peerFiles: budget.Unlimited(), readyFiles: budget.Unlimited(), operatorsFiles: budget.Unlimited(),
 	}
 	bds.resize(set)
@@ -66,8 +68,8 @@
 	size := int64(set.MemoryMiB) * mib
 	callers := size / callerMemoryDivisor
 	bds.callers.Memory.SetLimits(memory.Limits{Size: callers, Reserve: callers / reserveDivisor, Small: http1.SmallRequestBytes})
-	bds.peerMemory.SetLimits(memory.Limits{Size: size / peerMemoryDivisor})
-	bds.operatorMemory.SetLimits(memory.Limits{Size: size / operatorMemoryDivisor})
+	bds.peerMemory.SetLimits(memory.Limits{Size: size / peerMemoryDivisor, Small: smallBytes})
+	bds.operatorMemory.SetLimits(memory.Limits{Size: size / operatorMemoryDivisor, Small: smallBytes})
 	files := maxFiles(set)
 	// Connections at rest take at most half of the callers' memory.
 	callerFiles := min(files/callerFilesDivisor, callers/2/http1.ConnectionBytes)
--- a/lugd/pkg/edge/settings_test.go
+++ b/lugd/pkg/edge/settings_test.go
@@ -36,12 +36,12 @@
 // lets one pass: its error must name all those that are invalid or missing.
 func TestCheckNamesEveryInvalidSetting(t *testing.T) {
 	set := DefaultSettings()
-	set.CallerAddress, set.RevokeTime, set.LogFormat, set.PlainText, set.Capacity = "nowhere", -1, "xml", []string{"all"}, math.NaN()
+	set.CallerAddress, set.RevokeTime, set.LogFormat, set.PlainText, set.Capacity, set.MaxFiles = "nowhere", -1, "xml", []string{"all"}, math.NaN(), 5
 	err := set.Check()
 	if err == nil {
 		t.Fatal("no error")
 	}
-	for _, name := range []string{"name:", "failure-domain:", "caller-address:", "ready-address:", "platform-address:", "revoke-time:", "log-format:", "capacity:", "plain-text:", "caller-certificate:"} {
+	for _, name := range []string{"name:", "failure-domain:", "caller-address:", "ready-address:", "platform-address:", "revoke-time:", "log-format:", "capacity:", "max-files:", "plain-text:", "caller-certificate:"} {
 		if !strings.Contains(err.Error(), name) {
 			t.Errorf("%q is not named in %q", name, err)
 		}
