Bound how many wait for memory or descriptors

Cause: all that wait ask again whenever something is given back, and each looks at all shares. With thousands of connections a crowd that waits would take the processor.

Change: 64 wait at most, half of them with large shares; further ones are refused at once.

--- a/lugd/pkg/budget/budget.go
+++ b/lugd/pkg/budget/budget.go
@@ -16,6 +16,10 @@
 // response; revoked holders give back as soon as their goroutine runs.
 const waitTime = 500 * time.Millisecond
 
+// maxWaiting is how many may wait at a time, half of them with large shares. All that wait ask again whenever something is
+// given back, and each of them looks at all shares: without a bound, a crowd that waits would take the processor.
+const maxWaiting = 64
+
 // collectDivisor gives the part of a budget that may be discarded before it is collected. The collector runs by itself once the
 // heap has grown by less than that.
 const collectDivisor = 4
@@ -30,6 +34,8 @@
 	shares map[*memory.Holder]*Share
 	// returned is closed once something was given back; nil while nobody waits.
 	returned chan struct{}
+	// waiting counts those that wait.
+	waiting int
 	// collect frees the memory that was discarded; nil if what is given back can be used again at once.
 	collect func()
 	// collecting is set while collect runs.
@@ -124,26 +130,57 @@
 func (shr *Share) TakePatiently(amount int64) bool { return shr.take(amount, true) }
 
 func (shr *Share) take(amount int64, patient bool) bool {
-	var timer *time.Timer
+	granted, wait, victim := shr.try(amount, patient)
+	if victim != nil {
+		victim.revoke()
+	}
+	if granted || wait == nil {
+		return granted
+	}
+	if !shr.beginWaiting() {
+		return false
+	}
+	defer shr.budget.endWaiting()
+	timer := time.NewTimer(waitTime)
+	defer timer.Stop()
 	for {
-		granted, wait, victim := shr.try(amount, patient)
-		if victim != nil {
-			victim.revoke()
-		}
-		if granted || wait == nil {
-			return granted
-		}
-		if timer == nil {
-			timer = time.NewTimer(waitTime)
-			defer timer.Stop()
-		}
 		select {
 		case <-wait:
 		case <-timer.C:
 			shr.budget.countRefusal()
 			return false
 		}
+		granted, wait, victim = shr.try(amount, patient)
+		if victim != nil {
+			victim.revoke()
+		}
+		if granted || wait == nil {
+			return granted
+		}
+	}
+}
+
+// beginWaiting counts the share as one that waits, unless too many do.
+func (shr *Share) beginWaiting() bool {
+	bud := shr.budget
+	bud.mut.Lock()
+	defer bud.mut.Unlock()
+	most := maxWaiting
+	if !bud.account.IsSmall(shr.holder) {
+		most /= 2
 	}
+	if bud.waiting >= most {
+		bud.refused++
+		return false
+	}
+	bud.waiting++
+	return true
+}
+
+func (bud *Budget) endWaiting() {
+	bud.mut.Lock()
+	defer bud.mut.Unlock()
+	bud.waiting--
 }
 
 // try asks once for the given amount. wait is nil unless it is worth asking again once it is closed.
--- a/lugd/pkg/budget/budget_test.go
+++ b/lugd/pkg/budget/budget_test.go
@@ -48,6 +48,29 @@
 	}
 }
 
+// TestFewWait guards against a crowd that waits for what is given back, all of which asks again each time.
+func TestFewWait(t *testing.T) {
+	bud := New(memory.Limits{Size: 100, Small: 10})
+	bound := bud.Open(func() {})
+	if !bound.Take(100) || !bound.Bind(100) {
+		t.Fatal("an empty budget has no room")
+	}
+	var wgr sync.WaitGroup
+	for range 4 * maxWaiting {
+		wgr.Go(func() { bud.Open(func() {}).TakePatiently(1) })
+	}
+	most := 0
+	for end := time.Now().Add(waitTime / 2); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		bud.mut.Lock()
+		most = max(most, bud.waiting)
+		bud.mut.Unlock()
+	}
+	wgr.Wait()
+	if refused, _ := bud.Refused(); most != maxWaiting || refused != 4*maxWaiting || bud.waiting != 0 {
+		t.Errorf("%d waited, %d were refused, %d wait still", most, refused, bud.waiting)
+	}
+}
+
 // TestLargeSharesAreCollected guards against memory that is used again before the collector has freed it, and against
 // a collector that never runs.
 func TestLargeSharesAreCollected(t *testing.T) {
