Give other VMs as many descriptors as callers

Cause: a quarter of the descriptors for connections of other VMs could refuse some of them where max-files is low, in fleets of 114 VMs below 456; callers had half.

Change: three eighths for each.

--- a/lugd/pkg/edge/limits.go
+++ b/lugd/pkg/edge/limits.go
@@ -32,9 +32,10 @@
 // The parts of the descriptors. The rest, an eighth, is for the connections that the VM opens to the store and to other
 // VMs, and for files.
 const (
-	// callerFilesDivisor gives the part for connections of callers and for the connections to targets.
-	callerFilesDivisor   = 2
-	peerFilesDivisor     = 4
+	// callerFilesEighths is the part for connections of callers and for the connections to targets, in eighths, and
+	// peerFilesEighths that for connections of other VMs. Each other VM may have one, however many callers there are.
+	callerFilesEighths   = 3
+	peerFilesEighths     = 3
 	readyFilesDivisor    = 16
 	operatorFilesDivisor = 16
 	// maxReadyFiles and maxOperatorFiles bound the connections of the balancer and of operators also where there are many
@@ -72,9 +73,9 @@
 	bds.operatorMemory.SetLimits(memory.Limits{Size: size / operatorMemoryDivisor, Small: smallBytes})
 	files := maxFiles(set)
 	// Connections at rest take at most half of the callers' memory.
-	callerFiles := min(files/callerFilesDivisor, callers/2/http1.ConnectionBytes)
+	callerFiles := min(files*callerFilesEighths/8, callers/2/http1.ConnectionBytes)
 	bds.callers.Files.SetLimits(memory.Limits{Size: callerFiles, Reserve: callerFiles / reserveDivisor, Small: http1.SmallRequestFiles})
-	bds.peerFiles.SetLimits(memory.Limits{Size: files / peerFilesDivisor})
+	bds.peerFiles.SetLimits(memory.Limits{Size: files * peerFilesEighths / 8})
 	bds.readyFiles.SetLimits(memory.Limits{Size: min(files/readyFilesDivisor, maxReadyFiles)})
 	bds.operatorsFiles.SetLimits(memory.Limits{Size: min(files/operatorFilesDivisor, maxOperatorFiles)})
 }
