--- a/core/balance/chooser.go
+++ b/core/balance/chooser.go
@@ -15,6 +15,10 @@
 	// minGain is the least difference of loads for which the second partition drawn is preferred to the
 	// first: a smaller one is lost in the rounding of loads and in what other VMs send meanwhile.
 	minGain = 1.0 / loadSteps
+	// crowdedGap is how far below the load at which one partition refused a request another one with all slots
+	// in use may be and still be taken to refuse it, too. Without it a service that is asked too much would be
+	// queried twice for each request that it refuses.
+	crowdedGap = 0.1
 	// meanWeight is the weight of one load in the moving average over the partitions.
 	meanWeight = 0.1
 )
@@ -114,30 +118,36 @@
 }
 
 // Other returns a partition to ask after another one had no room for a request, chosen as Choose does, and
-// false if there is none that is not known to be full.
+// false if there is none that is not known to be full. A negative number stands for a partition that the
+// service no longer has.
 func (cho *Chooser) Other(now clock.Instant, priority, refused int) (int, bool) {
-	if len(cho.partitions) < 2 {
+	if len(cho.partitions) < 2 || refused < 0 {
 		return 0, false
 	}
 	next := cho.better(now, priority, cho.draw(refused), cho.draw(refused))
-	if !cho.open(now, priority, next) {
+	if !cho.open(now, priority, refused, next) {
 		next = cho.firstOpen(now, priority, refused)
 	}
 	return next, next >= 0
 }
 
-// open reports whether a partition has targets and is not known to be full.
-func (cho *Chooser) open(now clock.Instant, priority, number int) bool {
+// open reports whether a partition has targets and is not known to be full after another one had no room.
+func (cho *Chooser) open(now clock.Instant, priority, refused, number int) bool {
 	par := &cho.partitions[number]
-	return par.targets > 0 && !par.full(now, priority)
+	if par.targets == 0 || par.full(now, priority) {
+		return false
+	}
+	load, known := cho.Estimate(now, number)
+	limit, limitKnown := cho.Estimate(now, refused)
+	return !known || !limitKnown || load < max(1, limit-crowdedGap)
 }
 
-// firstOpen returns the first open partition from a random one on, except for one; -1 if there is none.
-func (cho *Chooser) firstOpen(now clock.Instant, priority, except int) int {
+// firstOpen returns the first open partition from a random one on; -1 if there is none.
+func (cho *Chooser) firstOpen(now clock.Instant, priority, refused int) int {
 	from := cho.rnd.IntN(len(cho.partitions))
 	for off := range cho.partitions {
 		num := (from + off) % len(cho.partitions)
-		if num != except && cho.open(now, priority, num) {
+		if num != refused && cho.open(now, priority, refused, num) {
 			return num
 		}
 	}
--- a/core/balance/chooser_test.go
+++ b/core/balance/chooser_test.go
@@ -97,6 +97,17 @@
 			t.Errorf("priority %d at %v: got %v, want %v", one.priority, one.at, found, one.want)
 		}
 	}
+	cho = newChooser(5, 5)
+	for _, one := range []struct {
+		refused, other int
+		want           bool
+	}{{25, 19, true}, {25, 24, false}, {60, 30, true}, {60, 58, false}} {
+		cho.Learn(now, 0, balance.LoadOf(one.refused, 20))
+		cho.Learn(now, 1, balance.LoadOf(one.other, 20))
+		if _, found := cho.Other(now, 0, 0); found != one.want {
+			t.Errorf("%d of 20 slots after %d refused: got %v, want %v", one.other, one.refused, found, one.want)
+		}
+	}
 	for range 100 {
 		if got := newChooser(5).Choose(now, 0); got != 0 {
 			t.Fatalf("chose %d of one", got)
--- a/core/gateway/balance_test.go
+++ b/core/gateway/balance_test.go
@@ -166,7 +166,7 @@
 	vmm := balancedVM(t)
 	full := func(acts []Action) (int, []Action) {
 		qry := vmm.query(acts)
-		return qry.Partition, vmm.step(Received{From: "other.r", Message: placement.Answer{Number: qry.Number, Reason: placement.NoRoom, RetryAfter: time.Second}})
+		return qry.Partition, vmm.step(Received{From: "other.r", Message: placement.Answer{Number: qry.Number, Reason: placement.NoRoom, RetryAfter: time.Second, Load: balance.LoadOf(3, 1)}})
 	}
 	seen := make(map[int]bool)
 	for range manyPartitions / 2 {
