Give the failure domains of the play of even load uneven shares of VMs

The play listed the domains of VMs in reverse order, which left each domain the same share of VMs as of targets. The domain with half of the targets has a fifth of the VMs now, and the one with a fifth of the targets half of them.

Tests of core/balance pass.

--- a/core/balance/play_test.go
+++ b/core/balance/play_test.go
@@ -173,10 +173,11 @@
 }
 
 func (ply *play) vmDomain(num int) string {
-	if ply.way.even {
-		return ply.domains[num%len(ply.domains)]
+	dom := ply.domains[num%len(ply.domains)]
+	if other, swapped := map[string]string{"a": "c", "c": "a"}[dom]; swapped && !ply.way.even {
+		return other
 	}
-	return ply.domains[len(ply.domains)-1-num%len(ply.domains)]
+	return dom
 }
 
 func (ply *play) placer(part int, alone bool) *placement.Placer {
