Check the drain in the soak of two builds, too

VMs of the earlier build (--production) made the soak check no drain at all. Now those that run the program under test have the setting and are held to it beside VMs that do not know drains, from 3 s after their start.

--- a/lugbench/pkg/soak/drains.go
+++ b/lugbench/pkg/soak/drains.go
@@ -77,23 +77,25 @@
 	if flt.storeFaults.overlaps(drn.from, arr.At) {
 		bound = unstableDrainTime
 	}
-	if arr.At.Sub(drn.from) <= bound || arr.At.After(drn.until) || req.vm == nil || !req.vm.keepsDrains() || req.vm.outOfTouch(arr.At) {
+	if arr.At.Sub(drn.from) <= bound || arr.At.After(drn.until) || req.vm == nil || !req.run.keepsDrains(flt.set) || req.outOfTouch(arr.At) {
 		return
 	}
 	rep.violationf("%s got %s of %s %v after its failure domain was drained", tgt.ID(), arr.Request, req.vm.set.Name, arr.At.Sub(drn.from))
 }
 
-// keepsDrains reports whether the VM runs Settings.Program, also before an upgrade.
-func (prc *process) keepsDrains() bool { return prc.flt.set.Production == "" }
+// keepsDrains reports whether a VM is of the program that keeps to drains.
+func (run *programRun) keepsDrains(set Settings) bool { return run.program == set.Program }
 
-// outOfTouch reports whether a VM was paused, or was cut off from the store or from others, at a time or shortly before.
-func (prc *process) outOfTouch(at time.Time) bool {
-	return prc.unstable(at) || prc.store.faulty.overlaps(at.Add(-touchTime), at)
+// outOfTouch reports whether the VM of a request had just started, was paused, or was cut off from the store or from others,
+// at a time or shortly before.
+func (req sentRequest) outOfTouch(at time.Time) bool {
+	from := at.Add(-touchTime)
+	return req.run.startedAt.After(from) || req.vm.unstable(at) || req.vm.store.faulty.overlaps(from, at)
 }
 
-// drainFlags returns the flags by which a program keeps to drains. Earlier programs do not know them.
-func (prc *process) drainFlags() []string {
-	if !prc.keepsDrains() {
+// drainFlags returns the flags by which a program keeps to drains. Those of Settings.Production do not know them.
+func (set Settings) drainFlags(program string) []string {
+	if program != set.Program {
 		return nil
 	}
 	return []string{"--domain-drain-time=" + drainTime.String()}
--- a/lugbench/pkg/soak/process.go
+++ b/lugbench/pkg/soak/process.go
@@ -80,7 +80,7 @@
 		"--plain-text=callers,peers,operators", "--balancer-lag="+set.BalancerLag.String(), "--stop-time="+set.StopTime.String(),
 		"--retry-share="+fmt.Sprint(retryShare), "--retry-extra="+fmt.Sprint(retryExtra), "--retry-window="+retryWindow.String(),
 		"--quota-window="+quotaWindow.String(), "--log-lines=2000")
-	cmd.Args = append(cmd.Args, prc.drainFlags()...)
+	cmd.Args = append(cmd.Args, prc.flt.set.drainFlags(program)...)
 	cmd.Env = append(os.Environ(), objects.SettingsVariable+"="+prc.settingsFile)
 	prc.starts++
 	path := os.DevNull
