--- a/core/gateway/drains.go
+++ b/core/gateway/drains.go
@@ -138,8 +138,12 @@
 
 // noTargetDetail says why a service has no target.
 func (mac *Machine) noTargetDetail(service string) string {
-	if mac.drains.book.Len() > 0 && len(mac.registry.Targets()[service]) > 0 {
-		return "all targets are in drained failure domains"
+	if svc := mac.services[service]; svc != nil {
+		for _, par := range svc.partitions {
+			if len(par.drained) > 0 {
+				return "all targets are in drained failure domains"
+			}
+		}
 	}
 	return "no target is registered"
 }
--- a/lugd/pkg/edge/settings_test.go
+++ b/lugd/pkg/edge/settings_test.go
@@ -37,11 +37,12 @@
 func TestCheckNamesEveryInvalidSetting(t *testing.T) {
 	set := DefaultSettings()
 	set.CallerAddress, set.RevokeTime, set.LogFormat, set.PlainText, set.Capacity = "nowhere", -1, "xml", []string{"all"}, math.NaN()
+	set.DrainTime, set.ColdExcess = time.Second, -1
 	err := set.Check()
 	if err == nil {
 		t.Fatal("no error")
 	}
-	for _, name := range []string{"name:", "failure-domain:", "caller-address:", "ready-address:", "platform-address:", "revoke-time:", "log-format:", "capacity:", "plain-text:", "caller-certificate:"} {
+	for _, name := range []string{"name:", "failure-domain:", "caller-address:", "ready-address:", "platform-address:", "revoke-time:", "log-format:", "capacity:", "domain-drain-time:", "cold-excess:", "plain-text:", "caller-certificate:"} {
 		if !strings.Contains(err.Error(), name) {
 			t.Errorf("%q is not named in %q", name, err)
 		}
