Limit unseen cold targets also for VMs that place alone, but those that start

Without that limit VMs that place alone sent a target that had turned cold unseen up to 16 requests in a second, where 11.15 are allowed (TestColdTargetsKeepToTheirLimitInABurst). The limit now stays away only while a VM starts, when all that started with it place alone.

Measured: tests of core/gateway that match Drain, Cold and Warm pass.

--- a/core/balance/play_test.go
+++ b/core/balance/play_test.go
@@ -184,7 +184,7 @@
 	bud, bok := retrybudget.New(ply.now, 10*time.Second, 1, 100), announcement.NewBook()
 	lim := placement.NewFleetLimiter()
 	if alone {
-		lim = placement.NewShareLimiter(ply.rnd, func() float64 { return 1 })
+		lim = placement.NewShareLimiter(ply.rnd, func() float64 { return 1 }, func(clock.Instant) bool { return false })
 	}
 	pla := placement.New(ply.rnd, bud, bok, lim)
 	pla.SetTargets(ply.now, ply.parts[part])
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -128,7 +128,7 @@
 
 // newLocalPlacer returns a placer for the requests of this VM alone.
 func (mac *Machine) newLocalPlacer(now clock.Instant, partitions int) *placement.Placer {
-	return placement.New(mac.rnd, mac.localRetryBudget(now, partitions), mac.book, placement.NewShareLimiter(mac.rnd, mac.localShare))
+	return placement.New(mac.rnd, mac.localRetryBudget(now, partitions), mac.book, placement.NewShareLimiter(mac.rnd, mac.localShare, mac.starting))
 }
 
 // localRetryBudget returns the budget for retries that this VM places by itself.
--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -81,12 +81,15 @@
 	rnd *rand.Rand
 	// share returns the share of a limit that this VM may use.
 	share func() float64
+	// starting reports whether this VM has just started. It places alone then, as others do that have started with it, and
+	// limits only targets that are known to be cold: what all of them send spreads over the others.
+	starting func(now clock.Instant) bool
 }
 
 // NewShareLimiter returns the limiter of a VM that places its own requests alone. share returns the
-// share of a limit that it may use.
-func NewShareLimiter(rnd *rand.Rand, share func() float64) Limiter {
-	return &shareLimiter{rnd: rnd, share: share}
+// share of a limit that it may use, and starting whether it has just started.
+func NewShareLimiter(rnd *rand.Rand, share func() float64, starting func(now clock.Instant) bool) Limiter {
+	return &shareLimiter{rnd: rnd, share: share, starting: starting}
 }
 
 func (shl *shareLimiter) wait(now clock.Instant, alw *allowance, per rate.PerSecond) time.Duration {
@@ -105,8 +108,7 @@
 func (*shareLimiter) take(alw *allowance) { alw.tokens -= rate.Request }
 
 func (shl *shareLimiter) warmupWait(now clock.Instant, tgt *target) time.Duration {
-	if !now.Before(tgt.WarmAt) {
-		tgt.warmupShare = nil
+	if !now.Before(tgt.WarmAt) && shl.starting(now) {
 		return 0
 	}
 	if tgt.warmupShare == nil {
--- a/core/placement/limit_test.go
+++ b/core/placement/limit_test.go
@@ -80,7 +80,7 @@
 	now := clock.At(time.Hour)
 	var placers []*Placer
 	for range vms {
-		placers = append(placers, limitedPlacer(now, 1, perSecond, NewShareLimiter(rnd, func() float64 { return 0.5 / vms })))
+		placers = append(placers, limitedPlacer(now, 1, perSecond, NewShareLimiter(rnd, func() float64 { return 0.5 / vms }, func(clock.Instant) bool { return false })))
 	}
 	var times []time.Duration
 	for step := range 60 * 200 {
--- a/core/warmup/warmup.go
+++ b/core/warmup/warmup.go
@@ -63,8 +63,7 @@
 	return rate.RequestsPerSecond(lim.Most.Float() * unseenShare / window.Seconds())
 }
 
-// AloneRate returns the rate to a cold target of which VMs take a part that place without the placer. What they send to
-// targets that do not seem cold is not limited: it spreads over all of these, and most of them are warm.
+// AloneRate returns the rate to a target of which VMs take a part that place without the placer, whether it seems cold or not.
 func (lim Limit) AloneRate() rate.PerSecond {
 	return rate.RequestsPerSecond(lim.Most.Float() * aloneShare / window.Seconds())
 }
