--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -52,7 +52,7 @@
 }
 
 func newAllowance(now clock.Instant) *allowance {
-	return &allowance{bucket: rate.NewBucket(now.Mono), interval: -1}
+	return &allowance{bucket: rate.NewBucket(now.Mono, 0), interval: -1}
 }
 
 // fleetLimiter is the Limiter of the placer, which places the requests of all VMs: a token bucket that
--- a/core/rate/bucket.go
+++ b/core/rate/bucket.go
@@ -5,8 +5,8 @@
 // minWait is the least time that Bucket.Wait returns while a request has to wait.
 const minWait = time.Millisecond
 
-// Bucket is a token bucket that is empty at first. Its depth is one request and what the rate yields in a time. It is
-// not safe for concurrent use.
+// Bucket is a token bucket. Its depth is one request and what the rate yields in a time. It is not safe for concurrent
+// use.
 type Bucket struct {
 	tokens Tokens
 	// remainder is what Accrue carries over, and refilledAt when the tokens were last added, as an offset from the
@@ -15,8 +15,8 @@
 	refilledAt time.Duration
 }
 
-// NewBucket returns an empty bucket at the offset at.
-func NewBucket(at time.Duration) *Bucket { return &Bucket{refilledAt: at} }
+// NewBucket returns a bucket that holds the given tokens at the offset at.
+func NewBucket(at time.Duration, tok Tokens) *Bucket { return &Bucket{tokens: tok, refilledAt: at} }
 
 // Wait returns the time until the bucket holds the tokens of a request, 0 if it holds them at the offset at. burst is
 // the time whose tokens the bucket holds at most, beside those of one request.
--- a/core/warmup/warmup.go
+++ b/core/warmup/warmup.go
@@ -16,10 +16,10 @@
 	// unseenShare is the share of the limit in a window that a target gets while it does not seem to be cold: it may
 	// have turned cold, which its registration shows later. The rest is for VMs that place without the placer, and
 	// for requests that arrive closer together than they were sent.
-	unseenShare = 0.75
+	unseenShare = 0.6
 	// firstShare is the share of the limit for a placer in its first window, before which another one may have sent
 	// unseenShare.
-	firstShare = 0.25
+	firstShare = 0.4
 	// aloneShare is the share of the limit of which VMs take a part that place without the placer. They take half of
 	// it together, see localLimitShare of core/gateway; the rest is for the placer, which other VMs may still reach.
 	aloneShare = 0.5
@@ -91,7 +91,7 @@
 		return wait
 	}
 	if alw.cold == nil {
-		alw.cold = rate.NewBucket(now.Mono)
+		alw.cold = rate.NewBucket(now.Mono, rate.Request)
 	}
 	return max(wait, alw.cold.Wait(now.Mono, lim.Rate, burstTime))
 }
