Make the comments of the new parts say what the code does

Several parts were merged and tuned after their comments were written.

TestVMsWithOnePictureSpread is TestVMsThatKnowTheSameLoadsSpread. No test's bound, seed or assertion has changed.

Measured: go build, go vet and the linter are clean in all five modules. Once each, passed: go test of core/retrybudget, warmup, balance and placement; lugd/pkg/budget, http1, edge, driver and peer; lugctl/pkg/command; platform/pkg/objects; and of core/gateway the tests that match Drain, Cold, Warm, Budget, Follow, Older, Load, Partition, Config or Restore.

--- a/core/balance/chooser.go
+++ b/core/balance/chooser.go
@@ -15,9 +15,9 @@
 	// minGain is the least difference of loads for which the second partition drawn is preferred to the
 	// first: a smaller one is lost in the rounding of loads and in what other VMs send meanwhile.
 	minGain = 1.0 / loadSteps
-	// crowdedGap is how far below the load at which one partition refused a request another one with all slots
-	// in use may be and still be taken to refuse it, too. Without it a service that is asked too much would be
-	// queried twice for each request that it refuses.
+	// crowdedGap is by how much the load of a partition with all slots in use must be below that of one that
+	// refused a request for the partition to be asked as well. Without it an overloaded service would be queried
+	// twice for each request that it refuses.
 	crowdedGap = 0.1
 	// meanWeight is the weight of one load in the moving average over the partitions.
 	meanWeight = 0.1
@@ -26,7 +26,7 @@
 // partition is what a Chooser knows of one partition.
 type partition struct {
 	targets, slots int
-	// load is the load that was told at learnedAt; unknown if none was told since Forget.
+	// load is the load that the placer told at learnedAt; unknown if it has told none since Forget.
 	load      Load
 	learnedAt clock.Instant
 	// sent counts the queries since then.
@@ -46,7 +46,7 @@
 type Chooser struct {
 	rnd        *rand.Rand
 	partitions []partition
-	// mean is the moving average of the loads that were told, as a share; meaningless until one was told.
+	// mean is the moving average of the loads that placers told, in requests per slot, once anyKnown is set.
 	mean     float64
 	anyKnown bool
 	// name is that of this VM, and vms the number of VMs.
@@ -54,7 +54,7 @@
 	vms  int
 	// subset tells which partitions this VM prefers; nil if it prefers none.
 	subset []bool
-	// others is the moving average of the loads that the other partitions told.
+	// others is the same average over the partitions that this VM does not prefer, once othersKnown is set.
 	others      float64
 	othersKnown bool
 }
@@ -193,7 +193,8 @@
 	return -1
 }
 
-// better returns the second partition if it is known to be better than the first.
+// better returns the second partition if it is known to be less loaded than the first, or if only the first is known to be
+// full; else the first.
 func (cho *Chooser) better(now clock.Instant, priority, first, second int) int {
 	fullFirst, fullSecond := cho.partitions[first].full(now, priority), cho.partitions[second].full(now, priority)
 	if fullFirst != fullSecond {
--- a/core/balance/chooser_test.go
+++ b/core/balance/chooser_test.go
@@ -56,9 +56,9 @@
 	checkShares(t, "placer replaced", shares(cho, now, 2), 0.25, 0.75)
 }
 
-// TestVMsWithOnePictureSpread guards against all VMs that learned the same loads choosing the least loaded
+// TestVMsThatKnowTheSameLoadsSpread guards against all VMs that learned the same loads choosing the least loaded
 // partition.
-func TestVMsWithOnePictureSpread(t *testing.T) {
+func TestVMsThatKnowTheSameLoadsSpread(t *testing.T) {
 	now := clock.At(time.Hour)
 	cho := newChooser(10, 10, 10, 10)
 	for num := range 4 {
--- a/core/gateway/announced.go
+++ b/core/gateway/announced.go
@@ -137,8 +137,8 @@
 }
 
 // MaySend reports whether an attempt may still be sent to its target. Opening a connection may have
-// taken long: the target may have announced meanwhile that it wants no requests, its failure domain may be drained, or the content of the
-// request may be suspected to crash targets.
+// taken long: the target may have announced meanwhile that it wants no requests, its failure domain
+// may be drained, or the content of the request may be suspected to crash targets.
 func (mac *Machine) MaySend(now clock.Instant, id request.ID, number int) bool {
 	inf, att := mac.currentAttempt(id, number)
 	if att == nil || !inf.permission.allows(mac.contents.book.State(inf.fingerprint)) {
--- a/core/gateway/budgetwait.go
+++ b/core/gateway/budgetwait.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// awaitedPartition returns the partition whose placer told a request that has just waited when to ask again; nil if there is
-// none, or none any more.
+// awaitedPartition returns the partition whose placer told a request when to ask again, if the request has just waited for
+// that; nil if it has not, or if the partition no longer exists. It resets inf.waited.
 func (mac *Machine) awaitedPartition(inf *inFlight) *partition {
 	par := inf.queriedPartition
 	waited := inf.waited
--- a/core/gateway/drains.go
+++ b/core/gateway/drains.go
@@ -42,13 +42,9 @@
 // DrainsRevision returns the revision up to which this VM knows the drains.
 func (mac *Machine) DrainsRevision() uint64 { return mac.drains.book.Revision() }
 
-// applyDrains records what was read from the store, and reports whether followers must be told: a drain has changed, or
-// this VM has learned for the first time which ones there are.
+// applyDrains records what was read from the store, and reports whether followers must be told.
 func (mac *Machine) applyDrains(now clock.Instant, del table.Delta[drain.Entry]) bool {
-	before, known := mac.drains.book.Revision(), mac.drains.book.Known()
-	mac.drains.book.Apply(now, del)
-	mac.entered("drains", before, mac.drains.book.Revision())
-	return mac.drainsChanged(now) || !known && mac.drains.book.Known()
+	return mac.updateDrains(now, func(bok *drain.Book) { bok.Apply(now, del) })
 }
 
 // drainsTold handles the drains that another VM tells.
@@ -57,14 +53,21 @@
 		return
 	}
 	mac.drains.toldAt[from] = now
-	before, known := mac.drains.book.Revision(), mac.drains.book.Known()
-	mac.drains.book.Learn(now, rep)
-	mac.entered("drains", before, mac.drains.book.Revision())
-	if mac.drainsChanged(now) || !known && mac.drains.book.Known() {
+	if mac.updateDrains(now, func(bok *drain.Book) { bok.Learn(now, rep) }) {
 		mac.updateFollowers(now)
 	}
 }
 
+// updateDrains applies an update to the drains, and reports whether followers must be told: a drain has changed, or
+// this VM has learned for the first time which ones there are.
+func (mac *Machine) updateDrains(now clock.Instant, update func(bok *drain.Book)) bool {
+	bok := mac.drains.book
+	before, known := bok.Revision(), bok.Known()
+	update(bok)
+	mac.entered("drains", before, bok.Revision())
+	return mac.drainsChanged(now) || !known && bok.Known()
+}
+
 // drainsChanged puts changes of the drains in force, and reports whether there were any.
 func (mac *Machine) drainsChanged(now clock.Instant) bool {
 	chs := mac.drains.book.TakeChanges()
@@ -126,8 +129,8 @@
 	return true
 }
 
-// describe adds to a target what the configuration states of its service. The targets of a failure domain that was
-// drained may have started again meanwhile.
+// describe adds to a target what the configuration states of its service. The targets of a failure domain count as cold
+// after its drain, since they may have started again meanwhile.
 func (mac *Machine) describe(tgt health.Target, svc *config.Service) health.Target {
 	tgt.Connections = svc.Connections
 	tgt.Warmup = mac.set.Policy.Warmup.Limit(svc.ColdRate)
--- a/core/gateway/place.go
+++ b/core/gateway/place.go
@@ -29,8 +29,8 @@
 	placerBackoff = 400 * time.Millisecond
 	// localRetryShare is the share of the retry budget that VMs may spend on their own while they
 	// do not reach the placer; the placers may spend placerRetryShare of it. A request that was placed
-	// twice, since its placer answered late, counts for both. The rest is what a placer may spend too much
-	// just after it has followed another one.
+	// twice, since its placer answered late, counts for both. The rest allows for what a placer may spend
+	// beyond its part just after it has taken over from another one.
 	localRetryShare  = 0.08
 	placerRetryShare = 0.85
 )
--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -60,8 +60,8 @@
 	return feed.Query{Config: mac.version(), Targets: mac.registry.Revision(), Fleet: mac.fleet.Revision()}
 }
 
-// adoptConfig puts a configuration in force if it is newer than the current one, or of the same version and complete
-// other than that one. complete is set if it certainly has all its fields.
+// adoptConfig puts a configuration in force if it is newer than the current one, or if it has the same version and is
+// complete while the current one may not be. complete is set if it certainly has all its fields.
 func (mac *Machine) adoptConfig(now clock.Instant, con *Config, complete bool) bool {
 	if con == nil || con.Version < mac.version() {
 		return false
@@ -218,7 +218,10 @@
 // updateReceived handles an update from the VM that is followed.
 func (mac *Machine) updateReceived(now clock.Instant, from string, upd Update) {
 	mac.noteEra(upd.Era)
-	changed := mac.adoptConfig(now, mac.updatedConfig(upd), mac.tellsDrains(now, from) && (upd.Config != nil || !mac.configPartial))
+	// A program that tells the drains also sends all fields of services; a VM that does not keep to drains takes every
+	// program for such a one. A patch is complete only if its base is.
+	complete := mac.tellsDrains(now, from) && (upd.Config != nil || !mac.configPartial)
+	changed := mac.adoptConfig(now, mac.updatedConfig(upd), complete)
 	changed = mac.applyTargets(now, upd.Targets) || changed
 	changed = mac.applyFleet(now, upd.Fleet) || changed
 	contact := upd.Ages.Contact
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -46,8 +46,8 @@
 type obstacles struct {
 	// wait is the shortest time until a target may take the request; negative if there is no target.
 	wait time.Duration
-	// limits is the sum of the limits of the targets that have room and get nothing now for their limits
-	// alone, and limited is set if there is one.
+	// limits is the sum of the rates of the targets that have room and get nothing now only because of a limit
+	// that they announce or since they may be cold. limited is set if there is such a target.
 	limited bool
 	limits  rate.PerSecond
 }
--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -14,8 +14,8 @@
 	// minRate is the lowest rate at which a target that announces a limit gets requests: only by a
 	// response can it tell that its limit has ended.
 	minRate = rate.PerSecond(rate.Request / 4)
-	// limitBurst is the time whose requests a target may get at once, beside one request, after it got
-	// fewer.
+	// limitBurst is the time whose requests a target that announces a limit may get at once, beside one
+	// request, after it got fewer.
 	limitBurst = 500 * time.Millisecond
 	// shareInterval is the time for which a VM that places by itself draws how many requests it may send
 	// to a target.
@@ -31,7 +31,7 @@
 	Leaving(run health.Run) bool
 }
 
-// Limiter decides when a target gets its next request that announces a limit, or may be cold.
+// Limiter decides when a target that announces a limit, or that may be cold, gets its next request.
 type Limiter interface {
 	// wait returns the time until the target may get a request, 0 if it may get one now.
 	wait(now clock.Instant, alw *allowance, per rate.PerSecond) time.Duration
@@ -81,8 +81,8 @@
 	rnd *rand.Rand
 	// share returns the share of a limit that this VM may use.
 	share func() float64
-	// starting reports whether this VM has just started. It places alone then, as others do that have started with it, and
-	// limits only targets that are known to be cold: what all of them send spreads over the others.
+	// starting reports whether this VM has just started. It then limits only targets that are known to be cold: VMs that
+	// start together all place alone for a moment, and with limits for all targets 260 of 772 requests were refused in 2 s.
 	starting func(now clock.Instant) bool
 }
 
@@ -157,8 +157,8 @@
 }
 
 // limitRetry returns when a caller may return that is refused since the targets which have room
-// announce limits, together sum. Callers that are refused one after the other return at the pace at
-// which the targets take requests.
+// announce limits or may be cold. sum is the sum of their rates. Callers that are refused one after
+// the other return at the pace at which the targets take requests.
 func (pla *Placer) limitRetry(now clock.Instant, wait time.Duration, sum rate.PerSecond) time.Duration {
 	pace := rate.Wait(max(sum, minRate), rate.Request)
 	at := clock.Later(now.Add(wait), pla.limitRetryAt.Add(pace))
--- a/core/placement/message.go
+++ b/core/placement/message.go
@@ -143,10 +143,11 @@
 	NoTargetLeft Reason = "noTarget"
 	// NoRoom means that no target can take the request, or none is likely to answer it in time.
 	NoRoom Reason = "noRoom"
-	// Limited means that only targets have room which get no request now by the limits that they announce.
+	// Limited means that only targets have room which get no request now by the limits that they announce, or
+	// since they may be cold.
 	Limited Reason = "limited"
-	// NoRetry means that the retry budget leaves nothing to the request now. Answer.RetryAfter says when it likely
-	// does; older builds leave that at 0.
+	// NoRetry means that the retry budget allows the request no further attempt now. Answer.RetryAfter says when it
+	// likely does; older builds leave that at 0.
 	NoRetry Reason = "noRetry"
 	// NoTargetsKnown means that the VM that was asked knows no target of the partition. Other VMs may still
 	// know some.
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -153,7 +153,7 @@
 	// overall is the estimate for all routes together; nil before the first request.
 	overall *latency
 	budget  *retrybudget.Budget
-	// announcements and limiter say which targets get requests by what they announce.
+	// announcements and limiter say which targets get requests by what they announce and by whether they may be cold.
 	announcements Announcements
 	limiter       Limiter
 	forwarders    forwarders
@@ -496,8 +496,8 @@
 	return 0
 }
 
-// Load returns the load of the targets that get requests at present. A suspected or limited target offers no
-// room that others could count on, nor does one that is not used.
+// Load returns the load of the targets that get requests at present. It leaves out targets that are suspected,
+// leaving, limited or avoided, since their free slots are no room for further requests.
 func (pla *Placer) Load(now clock.Instant) balance.Load {
 	requests, slots := 0, 0
 	for _, tgt := range pla.targets {
--- a/core/placement/retry.go
+++ b/core/placement/retry.go
@@ -106,8 +106,8 @@
 	return min(cri.TimeToGoal, cri.TimeLeft) - lat.median()
 }
 
-// retryWait returns the time after which a request that the retry budget leaves nothing may ask again: beyond its latency
-// goal if it would be answered too late then.
+// retryWait returns the time after which a request that the retry budget refuses an attempt may ask again. It is beyond the
+// latency goal if the request would be answered too late after that time.
 func (pla *Placer) retryWait(now clock.Instant, cri Criteria, lat *latency) time.Duration {
 	longest := cri.longestWait(lat)
 	wait := pla.budget.Wait(now, cri.claim(lat), longest)
--- a/core/retrybudget/budget.go
+++ b/core/retrybudget/budget.go
@@ -78,7 +78,7 @@
 	// extra how many beside that.
 	share, extra float64
 	pace         pace
-	// begunAt is when the budget began to count.
+	// begunAt is when the budget began to count; see paced.
 	begunAt clock.Instant
 }
 
@@ -122,10 +122,11 @@
 	return true
 }
 
-// paced reports whether a claim must keep to the pace. After refusals it must: an incident in which all targets refuse a
-// part of what they get would else leave nothing after its first seconds. After failures, and for hedges, it need not: targets
-// that fail or hang in turn cause these at any time, and each one that is refused costs its caller the answer. In its
-// first window the budget doesn't know what another VM has allowed before, and all keep to the pace.
+// paced reports whether a claim must keep to the pace. After refusals it must: otherwise an incident in which all targets
+// refuse a part of what they get would leave nothing after its first seconds. After failures, and for hedges, it need not:
+// targets that fail or hang in turn cause these at any time, and each one that is refused costs its caller the answer. They
+// take tokens of the pace only if there are some. In its first window the budget does not know what another VM has allowed
+// before, and all claims keep to the pace.
 func (bud *Budget) paced(now clock.Instant, cla Claim) bool {
 	return cla.Purpose == AfterRefusal || now.Since(bud.begunAt) < bud.win.counted()
 }
@@ -133,8 +134,8 @@
 // allowed returns how many attempts the window may have.
 func (bud *Budget) allowed(requests int) float64 { return bud.share*float64(requests) + bud.extra }
 
-// Wait returns the time after which an attempt that was refused is likely to be allowed. Attempts that can wait for
-// so long, most at the most, are told to come back one after the other.
+// Wait returns the time after which an attempt that was refused is likely to be allowed. most is how long the attempt can
+// wait; those that can wait for the returned time get times one after the other.
 func (bud *Budget) Wait(now clock.Instant, cla Claim, most time.Duration) time.Duration {
 	bud.win.advance(now)
 	requests, retries := bud.win.counts()
--- a/core/retrybudget/claim.go
+++ b/core/retrybudget/claim.go
@@ -3,8 +3,8 @@
 // Purpose is why a request gets another attempt.
 type Purpose int
 
-// The purposes, the most urgent first. After a refusal the caller has no other chance of an answer and no work is
-// repeated; after a failure work may be repeated; a hedge runs beside an attempt that likely answers.
+// The purposes. After a refusal the request has certainly not run, and no work is repeated; after a failure work may be
+// repeated; a hedge runs beside an attempt that likely answers.
 const (
 	AfterRefusal Purpose = iota
 	AfterFailure
@@ -24,8 +24,9 @@
 	// hedgeWindowShare is the share of the window's attempts up to which hedges are allowed. The rest is kept
 	// for requests that failed, that were shed, or that were answered by another target.
 	hedgeWindowShare = 0.6
-	// A claim must leave a part of the depth of the bucket to more urgent ones. After a refusal it is priorityReserve
-	// for each priority below the highest down to lowestPriority, and lateReserve for late answers.
+	// The reserves are the parts of the depth of the bucket that a claim leaves to more urgent ones: hedgeReserve for a
+	// hedge; after a refusal priorityReserve for each priority below the highest, down to lowestPriority, and
+	// lateReserve for a late answer.
 	priorityReserve = 0.2
 	lowestPriority  = 2
 	hedgeReserve    = 0.25
@@ -40,8 +41,8 @@
 	return 1
 }
 
-// reserve returns the part of the bucket that the claim leaves to more urgent ones. After a failure it leaves nothing: targets
-// that fail or hang in turn cause such claims at any time, and each one that is refused costs its caller the answer.
+// reserve returns the part of the bucket that the claim leaves to more urgent ones. After a failure it leaves nothing, for
+// the reason given at Budget.paced.
 func (cla Claim) reserve() float64 {
 	switch cla.Purpose {
 	case AfterFailure:
--- a/core/retrybudget/pace.go
+++ b/core/retrybudget/pace.go
@@ -10,21 +10,23 @@
 	// burstShare is the share of the window's attempts that may be made at once after a quiet time. The others
 	// are spread over the window, so that an incident nearly as long as the window has some until its end.
 	burstShare = 0.3
-	// minBurst is how many attempts may be made at once at least. A target that fails ends as many
+	// minBurst is how many attempts may be made at once at least. A target that refuses or fails ends as many
 	// requests at once as it has room for, and each of them is to get another attempt.
 	minBurst = 8
 	// assuredShare is the share of the pace that is assured to the kinds of claims, by assuredParts, and maxAssured
 	// how many attempts a kind saves up of it.
 	assuredShare = 0.3
 	maxAssured   = 2
+	// maxWait bounds the waits, so that none is too long to be computed with.
+	maxWait = time.Minute
 )
 
 // assuredParts is how each kind shares in what is assured. The highest priority needs little, since nothing is kept from
 // it; the others get more, the more urgent they are.
 var assuredParts = [kinds]float64{1. / 9, 3. / 9, 2. / 9, 1. / 9, 1. / 9, 1. / 9}
 
-// pace spreads the attempts over the window: a token bucket of which less urgent claims leave a part to the more
-// urgent ones, and a small one for each kind of claims.
+// pace spreads attempts over the window: a token bucket of which less urgent claims leave a part to the more urgent
+// ones, and a small one for each kind of claims. Budget.paced decides which claims must keep to it.
 type pace struct {
 	// tokens is how many attempts may be made at once, as of filledAt, depth the most of them, and perSecond
 	// the rate at which they accrue.
@@ -97,9 +99,6 @@
 	return time.Duration(sec * float64(time.Second))
 }
 
-// maxWait bounds the waits, so that none is too long to be computed with.
-const maxWait = time.Minute
-
 // promise returns the time after which a claim is to come back: after wait, and after those of its kind that were
 // told so before. It is kept free for the claim if it is most at the most.
 func (pac *pace) promise(now clock.Instant, cla Claim, wait, most time.Duration) time.Duration {
--- a/core/warmup/warmup.go
+++ b/core/warmup/warmup.go
@@ -13,9 +13,9 @@
 const (
 	// window is the time over which the requests to a cold target are limited.
 	window = time.Second
-	// unseenShare is the share of the limit in a window that a target gets while it does not seem to be cold: it may
-	// have turned cold, which its registration shows later. The rest is for VMs that place without the placer, and
-	// for requests that arrive closer together than they were sent.
+	// unseenShare is the share of the limit that the placer sends to a target in a window, also while the target does not
+	// seem to be cold: it may have turned cold, which its registration shows later. The rest is for VMs that place
+	// without the placer, and for requests that arrive closer together than they were sent.
 	unseenShare = 0.75
 	// firstShare is the share of the limit for a placer in its first window, before which another one may have sent
 	// unseenShare.
@@ -24,7 +24,7 @@
 	// it together, see localLimitShare of core/gateway; the rest is for the placer, which other VMs may still reach.
 	aloneShare = 0.5
 	// burstTime is the time whose requests a cold target may get at once, beside one request, after it got fewer. It
-	// is that of limits which targets announce.
+	// equals limitBurst of core/placement, which is for limits that targets announce.
 	burstTime = 500 * time.Millisecond
 )
 
@@ -36,13 +36,14 @@
 
 // Limit is what one target may get. The zero Limit is none.
 type Limit struct {
-	// Rate is the rate that a cold target may get for long.
+	// Rate is the rate at which the placer sends requests to a target that is known to be cold.
 	Rate rate.PerSecond
 	// Most is the most requests that a cold target may get in a window.
 	Most rate.Tokens
 }
 
-// Limit returns the limit of targets that tolerate per while they are cold; 0 stands for no limit.
+// Limit returns the limit of targets that tolerate per while they are cold; 0 stands for no limit. An excess below 1
+// lowers Most, but not Rate.
 func (pol Policy) Limit(per rate.PerSecond) Limit {
 	if per <= 0 || pol == (Policy{}) {
 		return Limit{}
@@ -54,8 +55,8 @@
 // Limited reports whether there is a limit.
 func (lim Limit) Limited() bool { return lim != (Limit{}) }
 
-// PlacerRate returns the rate at which the placer may send requests to a target. cold is set while the target is known
-// to be cold.
+// PlacerRate returns the rate at which the placer may send requests to a target for longer than a window. cold is set
+// while the target is known to be cold.
 func (lim Limit) PlacerRate(cold bool) rate.PerSecond {
 	if cold {
 		return lim.Rate
@@ -63,14 +64,14 @@
 	return rate.RequestsPerSecond(lim.Most.Float() * unseenShare / window.Seconds())
 }
 
-// AloneRate returns the rate to a target of which VMs take a part that place without the placer, whether it seems cold or not.
+// AloneRate returns the rate of which VMs that place without the placer take a part, whether the target seems cold or not.
 func (lim Limit) AloneRate() rate.PerSecond {
 	return rate.RequestsPerSecond(lim.Most.Float() * aloneShare / window.Seconds())
 }
 
 // Allowance counts what a placer may send to one target. It is not safe for concurrent use.
 type Allowance struct {
-	// cold is what the target may get while it is cold. It is new for each time that the target is cold.
+	// cold is what the target may get while it is known to be cold; nil at other times.
 	cold *rate.Bucket
 	// sent holds when requests were sent in the last window.
 	sent []clock.Instant
@@ -109,7 +110,8 @@
 	alw.sent = slices.DeleteFunc(alw.sent, func(at clock.Instant) bool { return now.Mono-at.Mono >= window })
 }
 
-// windowWait returns the time until fewer requests than allowed were sent in the last window.
+// windowWait returns the time until fewer requests than allowed were sent in the last window. The allowed number is that of
+// firstShare within a window of startedAt, then that of unseenShare.
 func (alw *Allowance) windowWait(now clock.Instant, lim Limit) time.Duration {
 	most := max(int(lim.Most.Float()*unseenShare), 1)
 	began := max(alw.startedAt.Mono+window-now.Mono, 0)
--- a/lugctl/pkg/command/exit.go
+++ b/lugctl/pkg/command/exit.go
@@ -8,7 +8,8 @@
 	"marigoldlug.example/lugctl/pkg/release"
 )
 
-// The exit codes of lugctl. The codes of release check for a note with errors and, if asked for, one with warnings are 1 and 2.
+// The exit codes of lugctl. Release check has two of its own, for a note with errors and, with --strict, for one with new
+// warnings.
 const (
 	ExitOK          = 0
 	ExitFailure     = 1
--- a/lugctl/pkg/command/release.go
+++ b/lugctl/pkg/command/release.go
@@ -58,8 +58,8 @@
 	return app.Check(ctx, doc)
 }
 
-// checkResult is the JSON output of release diff.
-type checkResult struct {
+// diffResult is the JSON output of release diff.
+type diffResult struct {
 	Differences []difference `json:"differences"`
 }
 
@@ -70,8 +70,8 @@
 	After  string `json:"after"`
 }
 
-func convertDifferences(difs []note.Difference) checkResult {
-	res := checkResult{Differences: make([]difference, 0, len(difs))}
+func convertDifferences(difs []note.Difference) diffResult {
+	res := diffResult{Differences: make([]difference, 0, len(difs))}
 	for _, dif := range difs {
 		res.Differences = append(res.Differences, difference(dif))
 	}
--- a/lugd/pkg/budget/budget.go
+++ b/lugd/pkg/budget/budget.go
@@ -40,7 +40,7 @@
 	collect func()
 	// collecting is set while collect runs.
 	collecting bool
-	// refused and revoked count the requests that were refused and the shares that were revoked.
+	// refused counts the amounts that were refused, and revoked the shares that were revoked.
 	refused, revoked uint64
 }
 
@@ -57,7 +57,7 @@
 	return bud
 }
 
-// Unlimited returns a budget that refuses nothing.
+// Unlimited returns a budget that refuses nothing. Its size leaves room for sums that do not overflow.
 func Unlimited() *Budget { return New(memory.Limits{Size: math.MaxInt64 / 4}) }
 
 // SetLimits replaces the limits.
@@ -75,7 +75,7 @@
 	return bud.account.Held()
 }
 
-// Refused and Revoked return how often something was refused or taken away.
+// Refused returns how often a share was refused an amount, and how often one was revoked.
 func (bud *Budget) Refused() (refused, revoked uint64) {
 	bud.mut.Lock()
 	defer bud.mut.Unlock()
--- a/lugd/pkg/driver/reader.go
+++ b/lugd/pkg/driver/reader.go
@@ -70,7 +70,7 @@
 	relistDelay time.Duration
 }
 
-// The options for reading the platform, in two groups.
+// The options for reading the platform: two groups, and those for drains.
 var (
 	// For a VM that reads the platform for its followers. The configuration has no minInterval, so
 	// that followers learn of a new version at once. Changes of targets and of the fleet may
@@ -86,11 +86,12 @@
 	// shortWatchDelay, and shows them the VMs that have registered by then.
 	sparingConfigReadOptions  = readOptions{watchDelay: longWatchDelay, wait: feed.WatchTimeout, backoffLimit: sparingMaxBackoff, relistDelay: sparingRelistDelay}
 	sparingTargetsReadOptions = readOptions{allowStale: true, watchDelay: longWatchDelay, wait: 1500 * time.Millisecond, minInterval: 900 * time.Millisecond, backoffLimit: sparingMaxBackoff, relistDelay: sparingRelistDelay}
-	// The drains are listed as they are, since a list that is seconds old may lack a drain that must be kept to.
+	sparingFleetReadOptions   = readOptions{allowStale: true, watchDelay: shortWatchDelay, wait: 2500 * time.Millisecond, minInterval: 1500 * time.Millisecond, backoffLimit: sparingMaxBackoff, relistDelay: sparingRelistDelay}
+
+	// The drains, for either kind of VM, are listed without allowStale, since a list that is seconds old may lack a drain
+	// that must be kept to.
 	drainsReadOptions        = readOptions{wait: 2 * time.Second, backoffLimit: maxBackoff}
 	sparingDrainsReadOptions = readOptions{wait: 2500 * time.Millisecond, minInterval: 250 * time.Millisecond, backoffLimit: maxBackoff, relistDelay: sparingRelistDelay}
-
-	sparingFleetReadOptions = readOptions{allowStale: true, watchDelay: shortWatchDelay, wait: 2500 * time.Millisecond, minInterval: 1500 * time.Millisecond, backoffLimit: sparingMaxBackoff, relistDelay: sparingRelistDelay}
 )
 
 const (
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -117,7 +117,7 @@
 	if err := dmn.listen(); err != nil {
 		return nil, err
 	}
-	dmn.limitListeners(dmn.log)
+	dmn.limitListeners()
 	dmn.self = member.VM{ID: set.Name + "." + runID(), Address: cmp.Or(set.PeerPublicAddress, set.PeerAddress), FailureDomain: set.FailureDomain, Capacity: set.Capacity}
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	dmn.cancel = cancel
--- a/lugd/pkg/edge/limits.go
+++ b/lugd/pkg/edge/limits.go
@@ -5,8 +5,6 @@
 	"net"
 	"syscall"
 
-	"github.com/sirupsen/logrus"
-
 	"marigoldlug.example/core/memory"
 	"marigoldlug.example/lugd/pkg/budget"
 	"marigoldlug.example/lugd/pkg/http1"
@@ -34,8 +32,9 @@
 const (
 	// callerFilesEighths is the part for connections of callers and for the connections to targets, in eighths, and
 	// peerFilesEighths that for connections of other VMs. Each other VM may have one, however many callers there are.
-	callerFilesEighths   = 3
-	peerFilesEighths     = 3
+	callerFilesEighths = 3
+	peerFilesEighths   = 3
+	// readyFilesDivisor gives the part for connections of the balancer, and operatorFilesDivisor that for those of operators.
 	readyFilesDivisor    = 16
 	operatorFilesDivisor = 16
 	// maxReadyFiles and maxOperatorFiles bound the connections of the balancer and of operators also where there are many
@@ -50,15 +49,16 @@
 type budgets struct {
 	callers http1.Budgets
 	// peerMemory is for frames of other VMs, and operatorMemory for requests of operators and of the balancer.
-	peerMemory, operatorMemory            *budget.Budget
-	peerFiles, readyFiles, operatorsFiles *budget.Budget
+	peerMemory, operatorMemory *budget.Budget
+	// peerFiles, readyFiles and operatorFiles are for the connections of other VMs, of the balancer and of operators.
+	peerFiles, readyFiles, operatorFiles *budget.Budget
 }
 
 func newBudgets(set Settings) *budgets {
 	bds := &budgets{
 		callers:    http1.Budgets{Memory: budget.NewMemory(memory.Limits{}), Files: budget.Unlimited(), Reporter: budget.NewReporter()},
 		peerMemory: budget.NewMemory(memory.Limits{}), operatorMemory: budget.NewMemory(memory.Limits{}),
-		peerFiles: budget.Unlimited(), readyFiles: budget.Unlimited(), operatorsFiles: budget.Unlimited(),
+		peerFiles: budget.Unlimited(), readyFiles: budget.Unlimited(), operatorFiles: budget.Unlimited(),
 	}
 	bds.resize(set)
 	return bds
@@ -77,7 +77,7 @@
 	bds.callers.Files.SetLimits(memory.Limits{Size: callerFiles, Reserve: callerFiles / reserveDivisor, Small: http1.SmallRequestFiles})
 	bds.peerFiles.SetLimits(memory.Limits{Size: files * peerFilesEighths / 8})
 	bds.readyFiles.SetLimits(memory.Limits{Size: min(files/readyFilesDivisor, maxReadyFiles)})
-	bds.operatorsFiles.SetLimits(memory.Limits{Size: min(files/operatorFilesDivisor, maxOperatorFiles)})
+	bds.operatorFiles.SetLimits(memory.Limits{Size: min(files/operatorFilesDivisor, maxOperatorFiles)})
 }
 
 // maxFiles returns how many descriptors the process may have: the setting, or less if the process has a lower limit.
@@ -94,16 +94,16 @@
 }
 
 // limitListeners bounds the connections of all clients but the callers, whose server does it.
-func (dmn *Daemon) limitListeners(log logrus.FieldLogger) {
+func (dmn *Daemon) limitListeners() {
 	limit := func(lis net.Listener, files, mem *budget.Budget, cause string) net.Listener {
 		if lis == nil {
 			return nil
 		}
-		return budget.Limit(lis, files, mem, dmn.budgets.callers.Reporter, log, cause)
+		return budget.Limit(lis, files, mem, dmn.budgets.callers.Reporter, dmn.log, cause)
 	}
 	lis, bds := &dmn.listeners, dmn.budgets
 	lis.ready = limit(lis.ready, bds.readyFiles, bds.operatorMemory, "readyConnections")
-	lis.operators = limit(lis.operators, bds.operatorsFiles, bds.operatorMemory, "operatorConnections")
+	lis.operators = limit(lis.operators, bds.operatorFiles, bds.operatorMemory, "operatorConnections")
 	lis.peers = limit(lis.peers, bds.peerFiles, nil, "peerConnections")
 }
 
--- a/lugd/pkg/http1/conn.go
+++ b/lugd/pkg/http1/conn.go
@@ -422,7 +422,8 @@
 	return errIdle
 }
 
-// checkHead reads the head of a request into the buffer without consuming it, and checks its size. The head that it returns is valid until the next read.
+// checkHead reads the head of a request into the buffer without consuming it, and checks its size. The head that it
+// returns is valid until the next read.
 func (con *conn) checkHead() ([]byte, error) {
 	for {
 		limit := con.srv.Settings().HeaderBytes
--- a/lugd/pkg/http1/connmemory.go
+++ b/lugd/pkg/http1/connmemory.go
@@ -36,7 +36,7 @@
 // admit takes what the connection itself holds, and reports false if there is no room for it.
 func (con *conn) admit() bool {
 	if !con.files.Take(1) {
-		con.srv.reporter.Report(con.srv.log, "connections", con.raw.RemoteAddr().String(), "the VM has as many connections of callers as it may; closing one")
+		con.reportTooMany()
 		return false
 	}
 	if !con.memory.Take(ConnectionBytes) || !con.memory.Bind(ConnectionBytes) {
@@ -46,6 +46,11 @@
 	return true
 }
 
+// reportTooMany reports that the connection is closed since its descriptor is needed.
+func (con *conn) reportTooMany() {
+	con.srv.reporter.Report(con.srv.log, "connections", con.raw.RemoteAddr().String(), "the VM has as many connections of callers as it may; closing one")
+}
+
 // discard closes a connection that is not served.
 func (con *conn) discard() {
 	con.cancel()
@@ -56,7 +61,7 @@
 
 // closeNow closes the connection since its descriptor is needed. No request is in flight.
 func (con *conn) closeNow() {
-	con.srv.reporter.Report(con.srv.log, "connections", con.raw.RemoteAddr().String(), "the VM has as many connections of callers as it may; closing one")
+	con.reportTooMany()
 	con.cancel()
 	raw := con.raw
 	if tls, ok := raw.(interface{ NetConn() net.Conn }); ok {
--- a/lugd/pkg/peer/transport.go
+++ b/lugd/pkg/peer/transport.go
@@ -36,10 +36,11 @@
 	silenceTimeout = 1500 * time.Millisecond
 	// stateTimeout bounds the time in which QueryStates waits for answers.
 	stateTimeout = time.Second
-	// helloTimeout is how long a VM that has opened a connection may take to say which one it is. It sends that at once.
+	// helloTimeout is how long a VM that has opened a connection may take to send its hello, the first frame, which says which
+	// VM it is. VMs send it at once.
 	helloTimeout = 5 * time.Second
-	// maxHelloSize is the greatest size in bytes of the frame in which it does. Such a frame has the names and addresses of
-	// two VMs, and is never compressed, since compressFrom is as large.
+	// maxHelloSize is the greatest size in bytes of a hello or of a reply to one. These have the names and addresses of two
+	// VMs, and are never compressed, since compressFrom is as large.
 	maxHelloSize = compressFrom
 	// firstPartBytes is how much of a frame is read at first.
 	firstPartBytes = 4 << 10
@@ -231,7 +232,7 @@
 	}
 	size := binary.BigEndian.Uint32(head[:])
 	if int64(size) > int64(limit) {
-		return nil, fmt.Errorf("%w: its payload of %d bytes exceeds the maximum frame size", errMalformed, size)
+		return nil, fmt.Errorf("%w: its payload of %d bytes exceeds the limit of %d bytes", errMalformed, size, limit)
 	}
 	payload, err := readParts(src, int(size), shr)
 	trn.received.Add(int64(len(payload)) + frameHeaderSize)
