--- a/core/warmup/warmup.go
+++ b/core/warmup/warmup.go
@@ -16,10 +16,10 @@
 	// unseenShare is the share of the limit that the placer sends to a target in a window, also while the target does not
 	// seem to be cold: it may have turned cold, which its registration shows later. The rest is for VMs that place
 	// without the placer, and for requests that arrive closer together than they were sent.
-	unseenShare = 0.6
+	unseenShare = 0.7
 	// firstShare is the share of the limit for a placer in its first window, before which another one may have sent
 	// unseenShare.
-	firstShare = 0.4
+	firstShare = 0.3
 	// aloneShare is the share of the limit of which VMs take a part that place without the placer. They take half of
 	// it together, see localLimitShare of core/gateway; the rest is for the placer, which other VMs may still reach.
 	aloneShare = 0.5
