--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -32,11 +32,15 @@
 // Rank is the place of a request among those that compete; 0 goes first.
 type Rank int
 
+// LowestPriority is the lowest priority that is told from others. Lower ones, which have greater numbers, count as this one.
+const LowestPriority = 2
+
+// BoundPriority returns the priority as which one counts, from 0 to LowestPriority.
+func BoundPriority(priority int) int { return min(max(priority, 0), LowestPriority) }
+
 const (
-	// lowestPriority is the lowest priority with a rank of its own, and lowestRank that of such a request whose
-	// organisation holds more than its share.
-	lowestPriority = 2
-	lowestRank     = Rank(lowestPriority + 1)
+	// lowestRank is that of a request of the lowest priority whose organisation holds more than its share.
+	lowestRank = Rank(LowestPriority + 1)
 	// queueDepth is the most requests that a target is given at a time, as a multiple of its slots. It is lower
 	// for each rank by the slots divided by rankStep, so that those before it still find room.
 	queueDepth = 3
@@ -97,7 +101,7 @@
 
 // Rank returns the rank of a request. scarce is set while all slots of the partition are in use.
 func (bok *Book) Rank(now clock.Instant, req Request, scarce bool) Rank {
-	rnk := Rank(min(max(req.Priority, 0), lowestPriority))
+	rnk := Rank(BoundPriority(req.Priority))
 	switch {
 	case !scarce:
 		return rnk
--- a/core/gateway/budgetwait.go
+++ b/core/gateway/budgetwait.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"slices"
+
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/placement"
+	"marigoldlug.example/core/request"
 	"marigoldlug.example/core/verdict"
 )
 
@@ -30,7 +33,14 @@
 
 // tickBudgetWaits asks again for the requests that have waited for the retry budget.
 func (mac *Machine) tickBudgetWaits(now clock.Instant) {
-	for _, id := range sortedRequests(mac.requests) {
+	var due []request.ID
+	for id, inf := range mac.requests {
+		if inf.waits.Due(now) {
+			due = append(due, id)
+		}
+	}
+	slices.Sort(due)
+	for _, id := range due {
 		inf := mac.requests[id]
 		if inf == nil || !inf.waits.Due(now) {
 			continue
--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -82,7 +82,7 @@
 	// share returns the share of a limit that this VM may use.
 	share func() float64
 	// starting reports whether this VM has just started. It then limits only targets that are known to be cold: VMs that
-	// start together all place alone for a moment, and with limits for all targets 260 of 772 requests were refused in 2 s.
+	// start together all place alone for a moment, and limits for all targets would refuse much that these can serve.
 	starting func(now clock.Instant) bool
 }
 
--- a/core/placement/scarce_test.go
+++ b/core/placement/scarce_test.go
@@ -372,8 +372,8 @@
 	}
 }
 
-// TestNoPlaceForALowerRankAlone fills targets at random, at every state of the estimates. Where a request of one rank finds a
-// target, so must one of each rank before it: else a higher priority is refused while a lower one gets the place.
+// TestNoPlaceForALowerRankAlone guards against a request that is refused while one of a lower rank would be placed, with random
+// loads of the targets and different estimates of latency.
 func TestNoPlaceForALowerRankAlone(t *testing.T) {
 	sca := newScarceLoad(8)
 	sca.play(2*time.Second, 0.7, 1)
--- a/core/retrybudget/claim.go
+++ b/core/retrybudget/claim.go
@@ -1,5 +1,7 @@
 package retrybudget
 
+import "marigoldlug.example/core/admission"
+
 // Purpose is why a request gets another attempt.
 type Purpose int
 
@@ -25,10 +27,8 @@
 	// for requests that failed, that were shed, or that were answered by another target.
 	hedgeWindowShare = 0.6
 	// The reserves are the parts of the depth of the bucket that a claim leaves to more urgent ones: hedgeReserve for a
-	// hedge; after a refusal priorityReserve for each priority below the highest, down to lowestPriority, and
-	// lateReserve for a late answer.
+	// hedge; after a refusal priorityReserve for each priority below the highest, and lateReserve for a late answer.
 	priorityReserve = 0.2
-	lowestPriority  = 2
 	hedgeReserve    = 0.25
 	lateReserve     = 0.2
 )
@@ -51,24 +51,22 @@
 		return hedgeReserve
 	case AfterRefusal:
 	}
-	out := priorityReserve * float64(cla.rank())
+	out := priorityReserve * float64(admission.BoundPriority(cla.Priority))
 	if cla.Late {
 		out += lateReserve
 	}
 	return out
 }
 
-// rank returns the priority, where all below lowestPriority count as that.
-func (cla Claim) rank() int { return min(max(cla.Priority, 0), lowestPriority) }
-
 // kinds is the number of kinds of claims of which each is certain of a part of the budget: a priority, with hedges
 // apart.
-const kinds = 2 * (lowestPriority + 1)
+const kinds = 2 * (admission.LowestPriority + 1)
 
 // kind returns the number of the claim's kind.
 func (cla Claim) kind() int {
+	out := admission.BoundPriority(cla.Priority)
 	if cla.Purpose == Hedge {
-		return lowestPriority + 1 + cla.rank()
+		out += admission.LowestPriority + 1
 	}
-	return cla.rank()
+	return out
 }
--- a/core/warmup/warmup.go
+++ b/core/warmup/warmup.go
@@ -73,7 +73,7 @@
 type Allowance struct {
 	// cold is what the target may get while it is known to be cold; nil at other times.
 	cold *rate.Bucket
-	// sent holds when requests were sent in the last window.
+	// sent holds when requests were sent in the last window, the earliest first.
 	sent []clock.Instant
 	// startedAt is since when sent holds all requests. Before that another placer may have sent some.
 	startedAt clock.Instant
@@ -107,7 +107,11 @@
 
 // forget drops the requests that were sent before the window.
 func (alw *Allowance) forget(now clock.Instant) {
-	alw.sent = slices.DeleteFunc(alw.sent, func(at clock.Instant) bool { return now.Mono-at.Mono >= window })
+	cnt := 0
+	for cnt < len(alw.sent) && now.Mono-alw.sent[cnt].Mono >= window {
+		cnt++
+	}
+	alw.sent = slices.Delete(alw.sent, 0, cnt)
 }
 
 // windowWait returns the time until fewer requests than allowed were sent in the last window. The allowed number is that of
--- a/lugbench/pkg/misbehaving/crowd_test.go
+++ b/lugbench/pkg/misbehaving/crowd_test.go
@@ -165,17 +165,21 @@
 	})
 }
 
+// pipeline sends a request 64 times and reads no response.
+func pipeline(con net.Conn, req string) error {
+	var err error
+	for num := 0; err == nil && num < 64; num++ {
+		_, err = io.WriteString(con, req)
+	}
+	return err
+}
+
 // TestPipelinedRequestsWithManyFields guards against a VM that parses any number of heads of one connection. The
 // clients send many requests ahead and read no response.
 func TestPipelinedRequestsWithManyFields(t *testing.T) {
 	fields := manyFields(headerBytes - 1<<10)
 	runCrowd(t, headCrowd, func(con net.Conn, _ int, start func(string) string) error {
-		one := start("GET") + fields + "\r\n"
-		var err error
-		for num := 0; err == nil && num < 64; num++ {
-			_, err = io.WriteString(con, one)
-		}
-		return err
+		return pipeline(con, start("GET")+fields+"\r\n")
 	})
 }
 
@@ -183,12 +187,7 @@
 // connection. The clients send many requests ahead and read no response.
 func TestPipelinedBodies(t *testing.T) {
 	runCrowd(t, headCrowd, func(con net.Conn, _ int, start func(string) string) error {
-		one := start("POST") + "Content-Length: 65536\r\n\r\n" + string(legalBody[:64<<10])
-		var err error
-		for num := 0; err == nil && num < 64; num++ {
-			_, err = io.WriteString(con, one)
-		}
-		return err
+		return pipeline(con, start("POST")+"Content-Length: 65536\r\n\r\n"+string(legalBody[:64<<10]))
 	})
 }
 
--- a/lugbench/pkg/misbehaving/process_test.go
+++ b/lugbench/pkg/misbehaving/process_test.go
@@ -18,7 +18,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"marigoldlug.example/core/registry"
 	"marigoldlug.example/lugbench/pkg/playground"
 	"marigoldlug.example/lugd/pkg/driver"
 	"marigoldlug.example/lugd/pkg/edge"
@@ -136,11 +135,9 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(closeServer)
-		raw, err := objects.EncodeTarget(registry.Entry{Service: "recipes", Address: address, FailureDomain: "domain-1", Version: "1", Slots: 8, Born: time.Now()}, 1)
-		if err != nil {
+		if err := pgr.Register(fmt.Sprint("target-", num), address, 8); err != nil {
 			t.Fatal(err)
 		}
-		pgr.Store.PutRaw(objects.KindTargets, fmt.Sprint("target-", num), raw)
 	}
 	set, err := playground.VMSettings(0, pgr.StoreAddress)
 	if err != nil {
@@ -149,9 +146,7 @@
 	dir := t.TempDir()
 	prc := &vmProcess{t: t, set: set, exited: make(chan struct{}), runtimeFile: filepath.Join(dir, "runtime"), logFile: filepath.Join(dir, "log"), maxMemory: int64(memoryMiB) << 20}
 	settings := filepath.Join(dir, "settings")
-	txt := fmt.Sprintf("name=%s\nfailure-domain=%s\ncaller-address=%s\nready-address=%s\npeer-address=%s\noperator-address=%s\nplatform-address=%s\nplain-text=%s\n"+
-		"memory-mib=%d\nmax-body-bytes=%d\nmax-header-bytes=%d\nheader-timeout=2s\nbody-timeout=5s\nidle-timeout=5s\n",
-		set.Name, set.FailureDomain, set.CallerAddress, set.ReadyAddress, set.PeerAddress, set.OperatorAddress, set.PlatformAddress, strings.Join(set.PlainText, ","),
+	txt := playground.SettingsText(set) + fmt.Sprintf("memory-mib=%d\nmax-body-bytes=%d\nmax-header-bytes=%d\nheader-timeout=2s\nbody-timeout=5s\nidle-timeout=5s\n",
 		memoryMiB, bodyBytes, headerBytes)
 	if err := os.WriteFile(settings, []byte(txt), 0o600); err != nil {
 		t.Fatal(err)
--- a/lugbench/pkg/playground/endless_test.go
+++ b/lugbench/pkg/playground/endless_test.go
@@ -13,7 +13,6 @@
 	"testing"
 	"time"
 
-	"marigoldlug.example/core/registry"
 	"marigoldlug.example/platform/pkg/objects"
 )
 
@@ -35,13 +34,9 @@
 	t.Cleanup(func() { _ = lis.Close() })
 	tgt := &endlessTarget{lis: lis, begin: begin, part: part}
 	go tgt.serve()
-	raw, err := objects.EncodeTarget(registry.Entry{
-		Service: "recipes", Address: lis.Addr().String(), FailureDomain: "domain-1", Version: "1", Slots: 3, Born: time.Now(),
-	}, 1)
-	if err != nil {
+	if err := pgr.Register(name, lis.Addr().String(), 3); err != nil {
 		t.Fatal(err)
 	}
-	pgr.Store.PutRaw(objects.KindTargets, name, raw)
 }
 
 func (tgt *endlessTarget) serve() {
--- a/lugbench/pkg/playground/pipelined_test.go
+++ b/lugbench/pkg/playground/pipelined_test.go
@@ -13,7 +13,6 @@
 	"testing"
 	"time"
 
-	"marigoldlug.example/core/registry"
 	"marigoldlug.example/platform/pkg/objects"
 )
 
@@ -58,11 +57,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(closeServer)
-	raw, err := objects.EncodeTarget(registry.Entry{Service: "recipes", Address: address, FailureDomain: "domain-1", Version: "1", Slots: 6, Born: time.Now()}, 1)
-	if err != nil {
+	if err := pgr.Register(name, address, 6); err != nil {
 		t.Fatal(err)
 	}
-	pgr.Store.PutRaw(objects.KindTargets, name, raw)
 	return tgt
 }
 
--- a/lugbench/pkg/playground/playground.go
+++ b/lugbench/pkg/playground/playground.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"marigoldlug.example/core/config"
+	"marigoldlug.example/core/registry"
 	"marigoldlug.example/lugbench/pkg/storefake"
 	"marigoldlug.example/lugbench/pkg/targetfake"
 	"marigoldlug.example/lugctl/pkg/release"
@@ -206,6 +207,23 @@
 	return set, nil
 }
 
+// SettingsText returns the settings that VMSettings sets, in the form of a settings file.
+func SettingsText(set edge.Settings) string {
+	return fmt.Sprintf("name=%s\nfailure-domain=%s\ncaller-address=%s\nready-address=%s\npeer-address=%s\noperator-address=%s\nplatform-address=%s\nplain-text=%s\nbalancer-lag=%v\nstop-time=%v\n",
+		set.Name, set.FailureDomain, set.CallerAddress, set.ReadyAddress, set.PeerAddress, set.OperatorAddress, set.PlatformAddress,
+		strings.Join(set.PlainText, ","), set.BalancerLag, set.StopTime)
+}
+
+// Register registers a target with the given address for the service of the playground.
+func (pgr *Playground) Register(name, address string, slots int) error {
+	raw, err := objects.EncodeTarget(registry.Entry{Service: "recipes", Address: address, FailureDomain: "domain-1", Version: "1", Slots: slots, Born: time.Now()}, 1)
+	if err != nil {
+		return err
+	}
+	pgr.Store.PutRaw(objects.KindTargets, name, raw)
+	return nil
+}
+
 // platformAdapter connects VMs to the platform as lugd does. lnk is nil for a VM that reaches the targets
 // directly.
 func platformAdapter(lnk *Links) edge.PlatformAdapter {
--- a/lugbench/pkg/playground/process_test.go
+++ b/lugbench/pkg/playground/process_test.go
@@ -79,11 +79,7 @@
 // writeSettings writes the VM's settings and then more to the settings file.
 func (prc *vmProcess) writeSettings(more string) {
 	prc.t.Helper()
-	set := prc.set
-	txt := fmt.Sprintf("name=%s\nfailure-domain=%s\ncaller-address=%s\nready-address=%s\npeer-address=%s\noperator-address=%s\nplatform-address=%s\nplain-text=%s\nbalancer-lag=%v\nstop-time=%v\n%s",
-		set.Name, set.FailureDomain, set.CallerAddress, set.ReadyAddress, set.PeerAddress, set.OperatorAddress, set.PlatformAddress,
-		strings.Join(set.PlainText, ","), set.BalancerLag, set.StopTime, more)
-	prc.replaceSettings(txt)
+	prc.replaceSettings(SettingsText(prc.set) + more)
 }
 
 func (prc *vmProcess) replaceSettings(txt string) {
--- a/lugctl/pkg/release/inspect.go
+++ b/lugctl/pkg/release/inspect.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 
 	errs "github.com/juju/errors"
 
@@ -63,13 +64,10 @@
 }
 
 func warnings(before, after config.Content, bud inspection.Budget) []Warning {
-	fresh := make(map[inspection.Finding]bool)
-	for _, fin := range inspection.New(before, after, bud) {
-		fresh[fin] = true
-	}
+	known := inspection.Of(before, bud)
 	var out []Warning
 	for _, fin := range inspection.Of(after, bud) {
-		out = append(out, Warning{Finding: fin, InForce: !fresh[fin]})
+		out = append(out, Warning{Finding: fin, InForce: slices.Contains(known, fin)})
 	}
 	return out
 }
--- a/lugd/pkg/budget/budget.go
+++ b/lugd/pkg/budget/budget.go
@@ -130,10 +130,7 @@
 func (shr *Share) TakePatiently(amount int64) bool { return shr.take(amount, true) }
 
 func (shr *Share) take(amount int64, patient bool) bool {
-	granted, wait, victim := shr.try(amount, patient)
-	if victim != nil {
-		victim.revoke()
-	}
+	granted, wait := shr.try(amount, patient)
 	if granted || wait == nil {
 		return granted
 	}
@@ -143,21 +140,16 @@
 	defer shr.budget.endWaiting()
 	timer := time.NewTimer(waitTime)
 	defer timer.Stop()
-	for {
+	for !granted && wait != nil {
 		select {
 		case <-wait:
+			granted, wait = shr.try(amount, patient)
 		case <-timer.C:
 			shr.budget.countRefusal()
 			return false
 		}
-		granted, wait, victim = shr.try(amount, patient)
-		if victim != nil {
-			victim.revoke()
-		}
-		if granted || wait == nil {
-			return granted
-		}
 	}
+	return granted
 }
 
 // beginWaiting counts the share as one that waits, unless too many do.
@@ -183,30 +175,33 @@
 	bud.waiting--
 }
 
-// try asks once for the given amount. wait is nil unless it is worth asking again once it is closed.
-func (shr *Share) try(amount int64, patient bool) (granted bool, wait <-chan struct{}, victim *Share) {
+// try takes the given amount if the budget has it, else revokes the share that must give it back. If it returns a channel,
+// the caller may try again after the channel is closed.
+func (shr *Share) try(amount int64, patient bool) (granted bool, wait <-chan struct{}) {
 	bud := shr.budget
 	bud.mut.Lock()
-	defer bud.mut.Unlock()
 	vrd, worst := bud.account.Take(bud.now(), shr.holder, amount)
-	if vrd != memory.Granted {
+	victim := bud.shares[worst]
+	switch {
+	case vrd == memory.Granted:
+	case vrd == memory.Refused, vrd == memory.Short && !patient:
+		bud.refused++
+		bud.startCollecting()
+	default:
+		if bud.returned == nil {
+			bud.returned = make(chan struct{})
+		}
+		wait = bud.returned
 		bud.startCollecting()
 	}
-	if worst != nil {
+	if victim != nil {
 		bud.revoked++
-		victim = bud.shares[worst]
-	}
-	if vrd == memory.Granted {
-		return true, nil, nil
 	}
-	if vrd == memory.Refused || vrd == memory.Short && !patient {
-		bud.refused++
-		return false, nil, nil
-	}
-	if bud.returned == nil {
-		bud.returned = make(chan struct{})
+	bud.mut.Unlock()
+	if victim != nil {
+		victim.revoke() // It may call the budget.
 	}
-	return false, bud.returned, victim
+	return vrd == memory.Granted, wait
 }
 
 func (bud *Budget) countRefusal() {
