review: Count in case 7 only requests without a byte of an answer

The rule speaks of a connection that is closed without an answer, and a request of whose answer a part had arrived was counted too.

--- a/review/rig2/brokenbehind.go
+++ b/review/rig2/brokenbehind.go
@@ -121,6 +121,9 @@
 						ans := cli.read()
 						if err = ans.err; err != nil {
 							notef("client %d, round %d of connection %d: %s got %v after %v; %d requests behind it are not answered", num, round, conns, ids[0], ans, time.Since(began).Round(time.Millisecond), len(ids)-1)
+							if ans.status != 0 {
+								ids = ids[1:] // A part of its answer has arrived, so it is not counted.
+							}
 							break
 						}
 						ids = ids[1:]
