http1: Close callers' connections once their responses are taken

Cause: a write that returned was taken for a delivery. After a response with "Connection: close" input was read and dropped only until the caller had taken nothing for 0.4 s; an idle connection was closed whatever lay in the send queue. The next request of the caller then met a closed socket, and the kernel reset the connection and dropped the rest.

One place now ends connections (closing.go, design 025): it waits until the kernel of the caller has acknowledged everything, the caller has closed, or has taken nothing for the write timeout. A connection is not idle before. A stop bounds the wait; its log tells connections with an unanswered request from those that wait for their caller.

--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -444,9 +444,9 @@
 }
 
 // stop stops gracefully: the VM reports that it is not ready, continues to serve until
-// the balancer has noticed, lets every request finish and closes its listeners. It
-// returns the number of callers' connections that were still open cutMargin before the end
-// of the stop time and are cut.
+// the balancer has noticed, lets every request finish and every caller take its responses,
+// and closes its listeners. It returns the number of callers' connections with a request that
+// was not answered cutMargin before the end of the stop time, and are cut.
 func (dmn *Daemon) stop(ctx context.Context, cause string) (cut int) {
 	set := dmn.settings()
 	began := time.Now()
@@ -460,8 +460,8 @@
 	deadline := time.AfterFunc(set.StopTime-deadlineMargin-time.Since(began), func() { dmn.driver.Step(gateway.StopDeadline{}) })
 	defer deadline.Stop()
 	if !dmn.callerServer.Drain(ctx) {
-		cut = dmn.callerServer.Connections()
-		dmn.log.WithField("connections", cut).Warn("the stop time is almost over; cutting the connections of callers that are still open")
+		cut = dmn.callerServer.Unanswered()
+		dmn.log.WithFields(logrus.Fields{"unanswered": cut, "connections": dmn.callerServer.Connections()}).Warn("the stop time is almost over; closing the connections of callers that are still open and cutting those with an unanswered request")
 	}
 	dmn.forwarder.Stop(ctx)
 	_ = dmn.readyServer.Close()
--- /dev/null
+++ b/lugd/pkg/http1/closing_test.go
@@ -0,0 +1,57 @@
+package http1
+
+import (
+	"testing"
+	"time"
+)
+
+// TestCrowdThatTakesNothingDoesNotHoldConnections has callers that take nothing of their last responses, nor close their
+// side. Their connections must end, and what they hold be given back, once they have taken nothing for the write timeout.
+func TestCrowdThatTakesNothingDoesNotHoldConnections(t *testing.T) {
+	const crowd = 20
+	fix := newFixtureWithTimeout(t, 600*time.Millisecond)
+	for range crowd {
+		fix.connectWithBuffer(t, 8<<10)
+		fix.write(t, "GET /kib/90 HTTP/1.1\nHost: h\nConnection: close\n\n")
+		con := fix.con
+		t.Cleanup(func() { _ = con.Close() })
+		fix.con = nil
+	}
+	time.Sleep(300 * time.Millisecond)
+	if cnt := fix.srv.Connections(); cnt != crowd {
+		t.Errorf("%d of %d connections are open while callers have time to take their responses", cnt, crowd)
+	}
+	for end := time.Now().Add(5 * time.Second); fix.srv.Connections() > 0 || fix.srv.memory.Held() > 0 || fix.srv.files.Held() > 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are open, %d bytes and %d descriptors held", fix.srv.Connections(), fix.srv.memory.Held(), fix.srv.files.Held())
+		}
+	}
+}
+
+// TestDeliveryStallsOnceNothingIsTaken checks that a caller that takes a little now and then is waited for, and one that takes
+// nothing is not, also where more is written meanwhile.
+func TestDeliveryStallsOnceNothingIsTaken(t *testing.T) {
+	const timeout = 3 * time.Second
+	began := time.Now()
+	var dlv delivery
+	for _, one := range []struct {
+		at      time.Duration
+		left    int
+		stalled bool
+	}{
+		{0, 100, false},
+		{2 * time.Second, 90, false},
+		{4 * time.Second, 120, false},
+		{5500 * time.Millisecond, 120, true},
+		{6 * time.Second, 80, false},
+		{10 * time.Second, 0, false},
+		{12 * time.Second, 50, false},
+		{14 * time.Second, 50, true},
+	} {
+		now := began.Add(one.at)
+		dlv = dlv.with(one.left, now)
+		if got := dlv.stalled(now, timeout); got != one.stalled {
+			t.Errorf("after %v, with %d bytes left: stalled is %v", one.at, one.left, got)
+		}
+	}
+}
--- a/lugd/pkg/http1/conn.go
+++ b/lugd/pkg/http1/conn.go
@@ -84,6 +84,8 @@
 	idleSince time.Time
 	// idleDeadline is the read deadline that was last set on the idle connection.
 	idleDeadline time.Time
+	// delivery tells what the caller has taken. Only the goroutine that serves the connection uses it.
+	delivery delivery
 
 	// deadlineMut guards revoked, and the read deadline while the connection is served.
 	deadlineMut sync.Mutex
@@ -146,12 +148,8 @@
 		}
 	}
 	con.wait.Wait()
+	con.shutDown()
 	con.memory.Close()
-	if con.isCloseAnnounced() && con.ctx.Err() == nil {
-		con.lingerClose()
-	}
-	con.cancel()
-	_ = con.raw.Close()
 	con.files.Close()
 }
 
@@ -162,6 +160,20 @@
 	return con.closeAnnounced
 }
 
+// announceClose records that a response with "Connection: close" is started.
+func (con *conn) announceClose() {
+	con.mut.Lock()
+	defer con.mut.Unlock()
+	con.closeAnnounced = true
+}
+
+// isUnanswered reports whether a request is being read or is not answered completely.
+func (con *conn) isUnanswered() bool {
+	con.mut.Lock()
+	defer con.mut.Unlock()
+	return con.inFlight > 0 || con.reading
+}
+
 // begin counts a new request as in flight. It returns its number and whether it is the connection's last one
 // ("Connection: close" or HTTP/1.0).
 func (con *conn) begin(req *http.Request) (number uint64, last bool) {
@@ -186,7 +198,7 @@
 	con.unbind()
 	if con.inFlight == 0 && !con.reading {
 		con.idleSince = time.Now()
-		con.setIdleDeadline()
+		con.setIdleDeadline(time.Now())
 	}
 }
 
@@ -196,17 +208,27 @@
 	defer con.mut.Unlock()
 	con.closing = true
 	if con.inFlight == 0 && !con.reading {
-		con.setIdleDeadline()
+		con.setIdleDeadline(time.Now())
 	}
 }
 
-// setIdleDeadline sets the read deadline of the idle connection, which has already passed if the
-// connection is to be closed. con.mut must be held.
-func (con *conn) setIdleDeadline() {
+// restartIdleTime makes the idle time begin now.
+func (con *conn) restartIdleTime() {
+	con.mut.Lock()
+	defer con.mut.Unlock()
+	con.idleSince = time.Now()
+}
+
+// setIdleDeadline sets the read deadline of the idle connection: the end of its idle time, which has
+// passed if the connection is to be closed, but not before earliest. con.mut must be held.
+func (con *conn) setIdleDeadline(earliest time.Time) {
 	con.idleDeadline = con.latestIdleDeadline()
 	if con.closing || con.closeAnnounced {
 		con.idleDeadline = time.Now()
 	}
+	if con.idleDeadline.Before(earliest) {
+		con.idleDeadline = earliest
+	}
 	_ = con.setReadDeadline(con.idleDeadline)
 }
 
@@ -367,28 +389,43 @@
 }
 
 // awaitRequest waits for the first byte of a request. It returns errIdle if no request is to be
-// read any more.
+// read any more. While the caller has yet to take a response, the connection is not idle.
 func (con *conn) awaitRequest() error {
+	err := con.awaitByte(0)
+	for err != nil && isTimeout(err) {
+		switch {
+		case con.ctx.Err() != nil || con.isRevoked():
+			return errIdle
+		case con.isIdleExtended():
+			err = con.awaitByte(0)
+		case con.awaitsDelivery():
+			con.restartIdleTime()
+			err = con.awaitByte(deliveryInterval)
+		default:
+			return errIdle
+		}
+	}
+	return err
+}
+
+// awaitByte waits for the first byte of a request until the idle deadline, but for least at least.
+func (con *conn) awaitByte(least time.Duration) error {
 	con.mut.Lock()
 	if con.readsNoMore() {
 		con.mut.Unlock()
 		return con.awaitLastResponse()
 	}
 	if con.inFlight == 0 {
-		con.setIdleDeadline()
+		con.setIdleDeadline(time.Now().Add(least))
 	} else {
 		_ = con.setReadDeadline(time.Time{})
 	}
 	con.mut.Unlock()
 	_, err := con.reader.Peek(1)
 	if err != nil {
-		if isTimeout(err) && con.isIdleExtended() {
-			return con.awaitRequest()
+		if !isTimeout(err) {
+			con.cancel()
 		}
-		if isTimeout(err) {
-			return errIdle
-		}
-		con.cancel()
 		return err
 	}
 	con.mut.Lock()
@@ -519,8 +556,8 @@
 	}
 	rsp := refusalResponse(con.srv.names, ref, "")
 	rsp.close = true
+	con.announceClose()
 	if rsp.write(con.writer) == nil {
 		_ = con.writer.Flush()
 	}
-	con.lingerClose()
 }
--- a/lugd/pkg/http1/connmemory.go
+++ b/lugd/pkg/http1/connmemory.go
@@ -63,11 +63,7 @@
 func (con *conn) closeNow() {
 	con.reportTooMany()
 	con.cancel()
-	raw := con.raw
-	if tls, ok := raw.(interface{ NetConn() net.Conn }); ok {
-		raw = tls.NetConn() // Closing the TLS connection could wait for the caller.
-	}
-	_ = raw.Close()
+	_ = con.transport().Close() // Closing a TLS connection could wait for the caller.
 }
 
 // revokeMemory makes the goroutine of the connection give up the request that it reads.
--- a/lugd/pkg/http1/server.go
+++ b/lugd/pkg/http1/server.go
@@ -215,6 +215,20 @@
 	}
 }
 
+// Unanswered returns the number of connections on which a request is being read or is not answered completely. The
+// others are idle, or their callers have yet to take the last responses.
+func (srv *Server) Unanswered() int {
+	srv.mut.Lock()
+	defer srv.mut.Unlock()
+	cnt := 0
+	for con := range srv.conns {
+		if con.isUnanswered() {
+			cnt++
+		}
+	}
+	return cnt
+}
+
 // Connections returns the number of open connections.
 func (srv *Server) Connections() int {
 	srv.mut.Lock()
--- a/lugd/pkg/http1/server_test.go
+++ b/lugd/pkg/http1/server_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -167,8 +168,15 @@
 		rsp.ContentLength, rsp.Body = -1, fks.stream
 		return target.NewResponse(rsp, prefix, false), nil
 	}
+	if kib, err := strconv.Atoi(strings.TrimPrefix(req.URL.Path, "/kib/")); err == nil {
+		prefix = make([]byte, kib<<10)
+		rsp.ContentLength = int64(len(prefix))
+	}
 	if strings.HasPrefix(req.URL.Path, "/cut") {
 		rsp.ContentLength = 1000
+		if strings.HasPrefix(req.URL.Path, "/cut/open") {
+			rsp.ContentLength = -1
+		}
 		rsp.Body = brokenBody{}
 		return target.NewResponse(rsp, prefix, false), nil
 	}
@@ -225,11 +233,24 @@
 }
 
 func (fix *fixture) connect(t *testing.T) {
+	t.Helper()
+	fix.connectWithBuffer(t, 0)
+}
+
+// connectWithBuffer opens a connection with a receive buffer of a size in bytes, 0 for the default.
+func (fix *fixture) connectWithBuffer(t *testing.T, size int) {
 	t.Helper()
 	if fix.con != nil {
 		_ = fix.con.Close()
 	}
-	con, err := net.Dial("tcp", fix.lis.Addr().String())
+	// The size must be set before the connection is opened, since the first window follows from it.
+	dlr := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		if size == 0 {
+			return nil
+		}
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, size) })
+	}}
+	con, err := dlr.Dial("tcp", fix.lis.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -237,7 +258,7 @@
 }
 
 // read reads up to cnt responses and returns a line for each: the status, Retry-After, the body of a
-// status 200, "cut" if the body is incomplete and "close" if the response says so. At the end of the
+// status 200, or its length if it is a long one, "cut" if the body is incomplete and "close" if the response says so. At the end of the
 // connection the line is "no answer".
 func (fix *fixture) read(cnt int) string {
 	var out strings.Builder
@@ -254,8 +275,12 @@
 		if after := rsp.Header.Get("Retry-After"); after != "" {
 			line += " retry after " + after
 		}
-		if rsp.StatusCode == http.StatusOK {
+		switch {
+		case rsp.StatusCode != http.StatusOK:
+		case len(body) < 100:
 			line += fmt.Sprintf(" %q", body)
+		default:
+			line += fmt.Sprintf(" %d bytes", len(body))
 		}
 		if err != nil {
 			line += " cut"
@@ -270,7 +295,12 @@
 
 // TestConnections guards against malformed requests that reach a target, keys and forged headers that
 // are forwarded, responses that are out of order or missing, and connections that stay open, or are
-// closed, against what their responses say. It runs the scripts in testdata:
+// closed, against what their responses say, and complete responses that are lost as their connection ends. It runs the
+// scripts in testdata:
+//   - "connect [buffer=N]" opens a connection, with a receive buffer of N bytes.
+//   - "read [answers=N]" prints N responses, by default one.
+//   - "pause for=TIME" lets time pass.
+//   - "drain" closes idle connections, as after the load balancer has noticed a stop.
 //   - "send [answers=N]" writes its input with the line ends of HTTP to a new connection and prints
 //     N responses, by default one; "more" writes to the open connection. In the input, <end> stands
 //     for a line end and <long> for a text that is longer than a head may be.
@@ -301,6 +331,25 @@
 					time.Sleep(200 * time.Millisecond) // The requests must have reached their targets.
 				}
 				return fix.read(answers)
+			case "connect":
+				size := 0
+				dat.MaybeScanArgs(t, "buffer", &size)
+				fix.connectWithBuffer(t, size)
+				return ""
+			case "read":
+				return fix.read(answers)
+			case "pause":
+				var txt string
+				dat.ScanArgs(t, "for", &txt)
+				dur, err := time.ParseDuration(txt)
+				if err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(dur)
+				return ""
+			case "drain":
+				fix.drain()
+				return ""
 			case "seen":
 				fix.fks.mut.Lock()
 				defer fix.fks.mut.Unlock()
