http1: Refuse a body that cannot be parsed behind the answers ahead

A caller whose chunked body cannot be parsed lost the complete answer to an earlier request of its connection, and requests in flight ahead were cancelled.

Cause: every error of reading a body but a timeout counted as the caller's leaving, and the connection was closed with input unread. Only errors of the connection do now; the others are answered with 400 in their turn, as for heads.

--- a/lugd/pkg/http1/requestbody.go
+++ b/lugd/pkg/http1/requestbody.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -46,15 +47,23 @@
 	if errors.Is(err, errNoMemory) || errors.Is(err, errBodyTooLarge) {
 		return err
 	}
-	// A caller that is too slow is still connected and gets a refusal. ErrBodyReadAfterClose
-	// would not come from the connection either, but nothing here closes the body. Any other
-	// error ends the connection without a refusal.
-	if !isTimeout(err) && !errors.Is(err, http.ErrBodyReadAfterClose) {
+	// A caller that is too slow, or whose body cannot be parsed, is still connected and gets a refusal behind the responses to
+	// its earlier requests.
+	if hasLeft(err) {
 		con.cancel()
 	}
 	return &readError{err: err}
 }
 
+// hasLeft reports whether an error that reading a body ended with came from the connection, and not from what was read.
+func hasLeft(err error) bool {
+	if isTimeout(err) {
+		return false
+	}
+	var net net.Error
+	return errors.As(err, &net) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // readSegments reads the body of a request, which must not be longer than limit. It takes the memory of each part
 // before it reads it.
 func (con *conn) readSegments(req *http.Request, limit int64) (*bufferedBody, error) {
