gateway: Ask other VMs before relying on a restored store

Cause: a VM that reads the store itself took the first configuration that it read for confirmed. A restored store shows an old one, and VMs that know a later one offered it only once their own reads had shown that, first to the run that was gone.

A VM that starts now asks listed VMs before it relies on the store, once the store has told that it may have been restored (core/bootstrap, design 018): until then it is not ready, its reads confirm nothing, and it answers no follower.

The VMs of newPair count as having run since before any restore; what the tests check of them is unchanged.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -63,6 +63,8 @@
 	KnowsEras bool
 	// KnowsDrains is set if the sender keeps to the drains of failure domains and wants to be told them.
 	KnowsDrains bool
+	// Starting is set if the sender does not rely on the store yet, and knows bootstrap.Newcomer.
+	Starting bool
 }
 
 // Send is a Query that has to be sent to the VM with the ID To.
@@ -235,8 +237,18 @@
 	return []Send{sel.query(now, to, held)}
 }
 
+// Ask returns a query to a VM that is not to be followed. Its answer is handled like any other.
+func (sel *Selector) Ask(now clock.Instant, to string, held Query) Send {
+	return sel.numbered(now, to, held)
+}
+
 func (sel *Selector) query(now clock.Instant, to string, held Query) Send {
 	sel.queriedAt = now
+	return sel.numbered(now, to, held)
+}
+
+// numbered gives a query the next number, and records when it is sent.
+func (sel *Selector) numbered(now clock.Instant, to string, held Query) Send {
 	sel.number++
 	sel.dropOldQueries(now)
 	sel.sent[sel.number] = now
--- a/core/gateway/followers.go
+++ b/core/gateway/followers.go
@@ -96,6 +96,10 @@
 	fol.config.acknowledge(now, qry.Config)
 	fol.targets.acknowledge(now, qry.Targets)
 	fol.fleet.acknowledge(now, qry.Fleet)
+	if !mac.reliesOnStore() {
+		mac.answerAsNewcomer(from, qry)
+		return
+	}
 	if mac.config == nil || !mac.drainsKnown() {
 		return // There is nothing to send, or not enough to be followed; the VM queries another one.
 	}
@@ -133,7 +137,7 @@
 
 // updateFollowers sends a change to all followers.
 func (mac *Machine) updateFollowers(now clock.Instant) {
-	if mac.config == nil || !mac.drainsKnown() {
+	if mac.config == nil || !mac.drainsKnown() || !mac.reliesOnStore() {
 		return
 	}
 	for _, id := range slices.Sorted(maps.Keys(mac.followers)) {
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marigoldlug.example/core/announcement"
+	"marigoldlug.example/core/bootstrap"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/drain"
 	"marigoldlug.example/core/feed"
@@ -115,7 +116,7 @@
 		rnd: rnd,
 		replica: replica{
 			registry: registry.New(), fleet: fleet.New(set.Self, set.Name), selector: feed.New(set.Self, rnd),
-			followers: make(map[string]*follower), lastHeard: make(map[string]clock.Instant), lastPinged: make(map[string]clock.Instant),
+			restores: restores{check: bootstrap.New(rnd)}, followers: make(map[string]*follower), lastHeard: make(map[string]clock.Instant), lastPinged: make(map[string]clock.Instant),
 		},
 		services:       make(map[string]*service),
 		pendingQueries: make(map[uint64]request.ID),
@@ -192,6 +193,8 @@
 		mac.followerQueried(now, evt.From, msg)
 	case Update:
 		mac.updateReceived(now, evt.From, msg)
+	case bootstrap.Newcomer:
+		mac.restores.check.NewcomerAnswered(evt.From)
 	case Ping:
 		mac.emit(Send{To: evt.From, Message: Pong{}})
 	case PortQuery:
@@ -222,6 +225,7 @@
 	mac.updateTokenServers(now)
 	mac.tokens.SetServerView(mac.tokenServerView())
 	mac.tickDrains(now)
+	mac.checkStore(now)
 	mac.handleQueued(now)
 	mac.follow(now)
 	mac.maintainFleet(now)
@@ -278,9 +282,9 @@
 func feedKey(domain string) string { return "feed/" + domain }
 
 // Ready reports whether callers may be sent to the VM: it knows the configuration, the targets and the drained failure
-// domains, and is not stopping.
+// domains, may rely on them, and is not stopping.
 func (mac *Machine) Ready() bool {
-	return !mac.stopping && mac.config != nil && mac.registry.Revision() > 0 && mac.drainsKnown()
+	return !mac.stopping && mac.config != nil && mac.registry.Revision() > 0 && mac.drainsKnown() && mac.reliesOnStore()
 }
 
 // Stopping reports whether a graceful stop has begun.
--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 
+	"marigoldlug.example/core/bootstrap"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
@@ -247,6 +248,9 @@
 // hold for the sender's revisions. They do not confirm an older one, which this VM holds if an earlier update was
 // lost, nor one of another era.
 func (mac *Machine) confirmUpdate(now, sent clock.Instant, upd Update) {
+	if mac.version() >= upd.Version && mac.restores.check.Settle(bootstrap.Answered) {
+		mac.storeChecked()
+	}
 	if mac.version() == upd.Version {
 		mac.configConfirmedAt = clock.Later(mac.configConfirmedAt, sent.Add(-upd.Ages.Config))
 	}
@@ -269,9 +273,7 @@
 
 // follow decides whether this VM follows another one or reads the platform itself.
 func (mac *Machine) follow(now clock.Instant) {
-	held := mac.Revisions()
-	held.KnowsDrains = mac.keepsDrains()
-	for _, snd := range mac.selector.Tick(now, held, now.Since(mac.configAnsweredAt)) {
+	for _, snd := range mac.selector.Tick(now, mac.query(), now.Since(mac.configAnsweredAt)) {
 		if mac.configPartial && mac.tellsDrains(now, snd.To) {
 			snd.Query.Config = 0 // The VM is to send the whole configuration.
 		}
--- a/core/gateway/restore.go
+++ b/core/gateway/restore.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"marigoldlug.example/core/bootstrap"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/member"
@@ -25,6 +26,10 @@
 	// held then, 0 if none.
 	configEra     revision.Era
 	storedVersion uint64
+	// readAt is when the last read was sent that showed that version to be the newest one of the latest era; zero before.
+	readAt clock.Instant
+	// check decides whether the store may be relied on; see reliesOnStore.
+	check *bootstrap.Check
 	// offeredAt is when this VM last offered its configuration to other VMs.
 	offeredAt clock.Instant
 }
@@ -79,7 +84,8 @@
 		return changed
 	}
 	if era == res.era {
-		mac.configConfirmedAt = clock.Later(mac.configConfirmedAt, evt.RequestedAt)
+		res.readAt = clock.Later(res.readAt, evt.RequestedAt)
+		mac.confirmByStore()
 	}
 	return changed
 }
--- a/core/gateway/updates_test.go
+++ b/core/gateway/updates_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"marigoldlug.example/core/bootstrap"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/drain"
@@ -41,6 +42,7 @@
 	first := member.Ranked(vms, "feed/a", 1)[0]
 	for num, vmm := range vms {
 		mac := New(Settings{Name: rows[num].Value.Name, Self: vmm, Policy: policy()}, rand.New(rand.NewPCG(uint64(num), 1)))
+		mac.restores.check.Settle(bootstrap.NeverRestored) // Both have run since before any restore.
 		mac.Step(pai.now, FleetRead{RequestedAt: pai.now, Update: table.Delta[fleet.Row]{Whole: true, Revision: 5, Rows: rows}})
 		if vmm == first {
 			pai.followed = mac
--- a/lugbench/pkg/playground/restore_test.go
+++ b/lugbench/pkg/playground/restore_test.go
@@ -86,6 +86,36 @@
 	}
 }
 
+// TestVMThatStartsInTheGapOfARestoreServesNoWithdrawnKey restores the store from a copy that lacks the withdrawal of a key, and
+// starts a VM, the first one of its failure domain, before the operator has written it again. No request with the key may run there, from the first one on: the VM
+// must ask the others before it relies on the store.
+func TestVMThatStartsInTheGapOfARestoreServesNoWithdrawnKey(t *testing.T) {
+	pgr := start(t, 2)
+	settle()
+	bak := pgr.Store.Backup()
+	if _, err := pgr.Releases.Apply(context.Background(), []byte("release: stop\nbase: 1\nwithdrawn: {keys: ["+keyID()+"]}\n"), "test"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(500 * time.Millisecond)
+	pgr.restore(bak)
+	if err := pgr.startVM(context.Background(), 2, pgr.StoreAddress, Settings{Log: io.Discard}); err != nil {
+		t.Fatal(err)
+	}
+	refused := 0
+	for num, end := 0, time.Now().Add(2*time.Second); time.Now().Before(end); num++ {
+		switch res := pgr.send(2, http.MethodGet, "/recipes/x", fmt.Sprint("gap-", num), Key); res.Status {
+		case http.StatusUnauthorized:
+			refused++
+		case http.StatusOK:
+			t.Fatalf("request %d with the withdrawn key ran", num)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	if refused == 0 {
+		t.Error("the VM never learned that the key is withdrawn")
+	}
+}
+
 // TestConfigurationInForceStaysAfterTheStoreWasRestored restores the store from a copy that lacks the last configuration.
 // No VM may go back to the one before, nor may one that starts meanwhile; once the operator has written the lost
 // one again, and a further one, that must be in force.
--- a/lugd/pkg/peer/codec.go
+++ b/lugd/pkg/peer/codec.go
@@ -56,6 +56,8 @@
 	kindEraUpdate = 73
 	// kindDrains is sent only to VMs whose queries say that they keep to the drains of failure domains.
 	kindDrains = 74
+	// kindNewcomer is sent only to VMs whose queries say that they have just started.
+	kindNewcomer = 75
 )
 
 // protocolVersion is raised when frames change in a way that older programs cannot
--- a/lugd/pkg/peer/drain_test.go
+++ b/lugd/pkg/peer/drain_test.go
@@ -30,6 +30,8 @@
 	query := feed.Query{Number: 1, Config: 2, Targets: revision.Join(3, 3), Fleet: revision.Join(3, 4), KnowsEras: true}
 	knows := query
 	knows.KnowsDrains = true
+	starts := knows
+	starts.Starting = true
 	change := func(svs []config.Service) gateway.Update {
 		return gateway.Update{Version: 8, Patch: &gateway.Patch{Base: 7, Version: 8, Change: config.Patch{Changed: config.Content{Services: svs}}}}
 	}
@@ -37,7 +39,7 @@
 		return gateway.Update{Version: 8, Config: gateway.NewConfig(8, config.Content{Services: svs})}
 	}
 	plain := []config.Service{{Name: "s"}, {Name: "t", Connections: 3}}
-	for _, one := range []struct{ old, msg any }{{query, knows}, {change(plain), change(coldServicesOfTest())}, {whole(plain), whole(coldServicesOfTest())}} {
+	for _, one := range []struct{ old, msg any }{{query, knows}, {knows, starts}, {change(plain), change(coldServicesOfTest())}, {whole(plain), whole(coldServicesOfTest())}} {
 		old, err := encode(one.old)
 		if err != nil {
 			t.Fatal(err)
--- a/lugd/pkg/peer/gateway.go
+++ b/lugd/pkg/peer/gateway.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"marigoldlug.example/core/bootstrap"
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/drain"
 	"marigoldlug.example/core/feed"
@@ -39,6 +40,8 @@
 		wrt.text(msg.Service)
 	case drain.Report:
 		wrt.drains(msg)
+	case bootstrap.Newcomer:
+		wrt.unsigned(kindNewcomer)
 	case quota.Query:
 		wrt.unsigned(kindTokenQuery)
 		wrt.text(msg.Organisation)
@@ -70,6 +73,8 @@
 		return rdr.eraUpdate()
 	case kindDrains:
 		return rdr.drains()
+	case kindNewcomer:
+		return bootstrap.Newcomer{}
 	case kindVMPing:
 		return gateway.Ping{}
 	case kindVMPong:
@@ -91,8 +96,8 @@
 	return rdr.decodePlacementMessage(kind)
 }
 
-// feedQuery encodes a query. The eras of the revisions, and then whether the sender keeps to drains, stand at the end,
-// where older programs do not read.
+// feedQuery encodes a query. The eras of the revisions, and then whether the sender keeps to drains and has just started, stand at
+// the end, where older programs do not read.
 func (wrt *writer) feedQuery(msg feed.Query) {
 	wrt.unsigned(kindFeedQuery)
 	wrt.unsigned(msg.Number)
@@ -103,7 +108,11 @@
 		wrt.era(revision.EraOf(msg.Targets))
 		wrt.era(revision.EraOf(msg.Fleet))
 	}
-	if msg.KnowsEras && msg.KnowsDrains {
+	if !msg.KnowsEras || !msg.KnowsDrains && !msg.Starting {
+		return
+	}
+	wrt.boolean(msg.KnowsDrains)
+	if msg.Starting {
 		wrt.boolean(true)
 	}
 }
@@ -119,6 +128,9 @@
 	if rdr.err == nil && rdr.src.Len() > 0 {
 		msg.KnowsDrains = rdr.boolean()
 	}
+	if rdr.err == nil && rdr.src.Len() > 0 {
+		msg.Starting = rdr.boolean()
+	}
 	return msg
 }
 
