gateway: Do not keep VMs that only ask as followers

A VM that starts after a restore asks up to eight others, and each of them then sent it every change for 2 s, as to a follower. The answer now ends that: a VM that also follows queries again within 0.3 s. The answer of a newcomer counts as one for the connection that carries it.

--- a/core/gateway/followers.go
+++ b/core/gateway/followers.go
@@ -104,6 +104,9 @@
 		return // There is nothing to send, or not enough to be followed; the VM queries another one.
 	}
 	mac.sendUpdate(now, from, fol, qry.Number)
+	if qry.Starting {
+		delete(mac.followers, from) // It asks several VMs, and queries again the one that it follows.
+	}
 }
 
 func (mac *Machine) sendUpdate(now clock.Instant, to string, fol *follower, number uint64) {
--- a/lugd/pkg/peer/queue.go
+++ b/lugd/pkg/peer/queue.go
@@ -10,6 +10,7 @@
 	"net"
 	"time"
 
+	"marigoldlug.example/core/bootstrap"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/gateway"
 	"marigoldlug.example/core/placement"
@@ -68,7 +69,7 @@
 // isAnswer reports whether a message answers one of those that want an answer.
 func isAnswer(msg any) bool {
 	switch msg := msg.(type) {
-	case gateway.Pong, quota.Grant, placement.Answer, quarantine.Ruling, State:
+	case gateway.Pong, bootstrap.Newcomer, quota.Grant, placement.Answer, quarantine.Ruling, State:
 		return true
 	case gateway.Update:
 		return msg.Number > 0
