socket: Give up callers whose machine does not answer, not slow ones

Cause: TCP_USER_TIMEOUT on callers' connections, and on those over which forwarded answers go back. Linux counts the time for which the other end keeps its window closed as well, and adds up several pauses. The kernel is now asked whether the other end answers (TCP_INFO, design 026): one with a closed window that answers probes is alive. What the option found beside, connections to machines that are gone, a watcher finds in the same 5 s, and keep-alive probes where nothing is sent.

--- a/lugd/pkg/budget/listener.go
+++ b/lugd/pkg/budget/listener.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/sirupsen/logrus"
 )
@@ -110,6 +111,23 @@
 	return con.Conn.Write(buf)
 }
 
+// SyscallConn returns the connection of the kernel; see syscall.Conn.
+func (con *Conn) SyscallConn() (syscall.RawConn, error) {
+	sys, ok := con.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return sys.SyscallConn()
+}
+
+// SetLinger sets what closing the connection does with what was not delivered; see net.TCPConn.
+func (con *Conn) SetLinger(sec int) error {
+	if tcp, ok := con.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return tcp.SetLinger(sec)
+	}
+	return errors.ErrUnsupported
+}
+
 // CloseWrite closes the sending side, if the connection has sides.
 func (con *Conn) CloseWrite() error {
 	if half, ok := con.Conn.(interface{ CloseWrite() error }); ok {
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -186,27 +186,34 @@
 	return hex.EncodeToString(raw[:])
 }
 
-// userTimeout is the TCP user timeout of connections from callers, other VMs, operators
-// and the balancer: how long sent bytes may stay unacknowledged before the connection
-// counts as dead.
-const userTimeout = 5 * time.Second
+const (
+	// userTimeout is the TCP user timeout of connections from operators and the balancer: how long sent bytes may stay
+	// unacknowledged before the connection counts as dead.
+	userTimeout = 5 * time.Second
+	// keepAliveTimeout is how long a connection from a caller or another VM stays open on which nothing is sent, once the
+	// machine at its other end is gone.
+	keepAliveTimeout = 30 * time.Second
+)
 
-// listen binds the addresses that are set.
+// listen binds the addresses that are set. Callers, and VMs that pass on to them, may read slowly: their servers watch
+// whether what they send is answered.
 func (dmn *Daemon) listen() error {
+	patient := net.ListenConfig{KeepAliveConfig: socket.KeepAlive(keepAliveTimeout)}
+	prompt := net.ListenConfig{Control: socket.UserTimeout(userTimeout)}
 	for _, one := range []struct {
 		what, address string
+		lic           net.ListenConfig
 		lis           *net.Listener
 	}{
-		{"callers", dmn.set.CallerAddress, &dmn.listeners.callers},
-		{"the balancer", dmn.set.ReadyAddress, &dmn.listeners.ready},
-		{"other VMs", dmn.set.PeerAddress, &dmn.listeners.peers},
-		{"operators", dmn.set.OperatorAddress, &dmn.listeners.operators},
+		{"callers", dmn.set.CallerAddress, patient, &dmn.listeners.callers},
+		{"the balancer", dmn.set.ReadyAddress, prompt, &dmn.listeners.ready},
+		{"other VMs", dmn.set.PeerAddress, patient, &dmn.listeners.peers},
+		{"operators", dmn.set.OperatorAddress, prompt, &dmn.listeners.operators},
 	} {
 		if one.address == "" {
 			continue
 		}
-		lic := net.ListenConfig{Control: socket.UserTimeout(userTimeout)}
-		lis, err := lic.Listen(context.Background(), "tcp", one.address)
+		lis, err := one.lic.Listen(context.Background(), "tcp", one.address)
 		if err != nil {
 			return fmt.Errorf("cannot listen for %s: %w", one.what, err)
 		}
--- a/lugd/pkg/forward/server.go
+++ b/lugd/pkg/forward/server.go
@@ -20,6 +20,7 @@
 	"marigoldlug.example/core/path"
 	"marigoldlug.example/core/verdict"
 	"marigoldlug.example/lugd/pkg/header"
+	"marigoldlug.example/lugd/pkg/socket"
 	"marigoldlug.example/lugd/pkg/target"
 )
 
@@ -33,6 +34,9 @@
 	headTimeout = 2 * time.Second
 	// idleTimeout is how long a connection without requests is kept open.
 	idleTimeout = time.Minute
+	// silenceTimeout is for how long the kernel of another VM may leave what is sent unanswered until the connection counts
+	// as dead. A VM whose caller reads slowly takes a response as slowly.
+	silenceTimeout = 5 * time.Second
 )
 
 // decider decides what is forwarded; driver.Driver implements it with the VM's gateway.
@@ -63,6 +67,7 @@
 	sender  sender
 	log     logrus.FieldLogger
 	server  *http.Server
+	watcher *socket.Watcher
 	conns   chan net.Conn
 	// slots has one element for each request that is being forwarded.
 	slots chan struct{}
@@ -74,7 +79,7 @@
 // New returns a server whose requests dec decides on and sen sends to targets.
 func New(nms header.Names, dec decider, sen sender, log logrus.FieldLogger) *Server {
 	srv := &Server{
-		names: nms, decider: dec, sender: sen, log: log, conns: make(chan net.Conn),
+		names: nms, decider: dec, sender: sen, log: log, watcher: socket.NewWatcher(silenceTimeout), conns: make(chan net.Conn),
 		slots: make(chan struct{}, maxForwarded), closed: make(chan struct{}),
 	}
 	srv.server = &http.Server{Handler: srv, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, DisableGeneralOptionsHandler: true, ErrorLog: stdlog.New(io.Discard, "", 0)}
@@ -84,7 +89,7 @@
 
 // Serve serves the requests on a connection, and returns once it is closed.
 func (srv *Server) Serve(con net.Conn) {
-	wrapped := &trackedConn{Conn: con, done: make(chan struct{})}
+	wrapped := &trackedConn{Conn: con, watched: srv.watcher.Add(con, func() { socket.Reset(con) }), done: make(chan struct{})}
 	select {
 	case srv.conns <- wrapped:
 		<-wrapped.done
@@ -103,17 +108,28 @@
 	}
 }
 
-// trackedConn closes done once it is closed.
+// trackedConn closes done once it is closed, and is watched while the other VM has something to take.
 type trackedConn struct {
 	net.Conn
 
-	done chan struct{}
-	once sync.Once
+	watched *socket.Watched
+	done    chan struct{}
+	once    sync.Once
+}
+
+// Write sends bytes to the other VM.
+func (con *trackedConn) Write(buf []byte) (int, error) {
+	con.watched.Sent()
+	defer con.watched.Sent()
+	return con.Conn.Write(buf)
 }
 
 // Close closes the connection.
 func (con *trackedConn) Close() error {
-	defer con.once.Do(func() { close(con.done) })
+	defer con.once.Do(func() {
+		con.watched.Close()
+		close(con.done)
+	})
 	return con.Conn.Close()
 }
 
--- a/lugd/pkg/http1/closing.go
+++ b/lugd/pkg/http1/closing.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"time"
 
 	"marigoldlug.example/lugd/pkg/socket"
@@ -95,15 +94,16 @@
 	}
 }
 
-// reset closes the connection at once. What the caller has not taken is lost, and the caller can tell.
-func (con *conn) reset() {
-	raw := con.transport()
-	if tcp, ok := raw.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = raw.Close()
+// closeSilent closes the connection since the caller's machine does not answer.
+func (con *conn) closeSilent() {
+	con.srv.log.WithField("caller", con.raw.RemoteAddr().String()).Info("the machine of the caller does not answer; closing the connection")
+	con.cancel()
+	con.reset()
 }
 
+// reset closes the connection at once. What the caller has not taken is lost, and the caller can tell.
+func (con *conn) reset() { socket.Reset(con.raw) }
+
 // awaitDelivery discards input until the caller has closed its side, or has taken everything and had lingerTime to close. If
 // the connection were closed at once, input that nobody reads would reset it, and the caller would lose what it has not
 // taken. It reports whether the caller has stalled before.
@@ -140,11 +140,3 @@
 	_, err := io.Copy(io.Discard, input)
 	return isTimeout(err) || err == nil && input.N <= 0
 }
-
-// transport returns the connection below TLS, or the connection itself.
-func (con *conn) transport() net.Conn {
-	if tls, ok := con.raw.(interface{ NetConn() net.Conn }); ok {
-		return tls.NetConn()
-	}
-	return con.raw
-}
--- a/lugd/pkg/http1/conn.go
+++ b/lugd/pkg/http1/conn.go
@@ -12,6 +12,7 @@
 
 	"marigoldlug.example/core/request"
 	"marigoldlug.example/lugd/pkg/budget"
+	"marigoldlug.example/lugd/pkg/socket"
 )
 
 const (
@@ -26,6 +27,9 @@
 	writeBufferBytes = 4 << 10
 	// writeTimeout is how long a caller may take to accept a part of a response.
 	writeTimeout = 20 * time.Second
+	// silenceTimeout is for how long the kernel of a caller may leave what is sent unanswered until the connection counts as
+	// dead.
+	silenceTimeout = 5 * time.Second
 	// idleSlack is how much longer than the configured idle timeout a connection is kept.
 	idleSlack = 500 * time.Millisecond
 )
@@ -45,6 +49,8 @@
 	// writer writes to progress, which writes to raw. Only the handler whose turn it is uses them.
 	writer   *bufio.Writer
 	progress *progressWriter
+	// watched tells if the caller's machine does not answer.
+	watched *socket.Watched
 	// taken is what has been taken of memory for the request that is read, without the read buffer. Only the goroutine
 	// that reads uses it, and grown, which is by how much the read buffer has been grown, in bytes.
 	taken, grown int64
@@ -105,10 +111,11 @@
 	con := &conn{
 		srv: srv, raw: raw, ctx: ctx, cancel: cancel,
 		reader:    bufio.NewReaderSize(raw, readBufferBytes),
-		progress:  &progressWriter{raw: raw, timeout: srv.writeTimeout},
 		slots:     make(chan struct{}, maxPipelined),
 		idleSince: time.Now(),
 	}
+	con.watched = srv.watcher.Add(raw, con.closeSilent)
+	con.progress = &progressWriter{raw: raw, timeout: srv.writeTimeout, sent: con.watched.Sent}
 	con.writer = bufio.NewWriterSize(con.progress, writeBufferBytes)
 	con.memory = srv.memory.Open(con.revokeMemory)
 	con.files = srv.files.Open(con.closeNow)
@@ -157,6 +164,7 @@
 	}
 	con.wait.Wait()
 	con.shutDown()
+	con.watched.Close()
 	con.memory.Close()
 	con.files.Close()
 }
--- a/lugd/pkg/http1/connmemory.go
+++ b/lugd/pkg/http1/connmemory.go
@@ -6,6 +6,8 @@
 	"errors"
 	"net"
 	"time"
+
+	"marigoldlug.example/lugd/pkg/socket"
 )
 
 const (
@@ -63,7 +65,7 @@
 func (con *conn) closeNow() {
 	con.reportTooMany()
 	con.cancel()
-	_ = con.transport().Close() // Closing a TLS connection could wait for the caller.
+	socket.Close(con.raw)
 }
 
 // revokeMemory makes the goroutine of the connection give up the request that it reads.
--- a/lugd/pkg/http1/server.go
+++ b/lugd/pkg/http1/server.go
@@ -18,6 +18,7 @@
 	"marigoldlug.example/core/request"
 	"marigoldlug.example/lugd/pkg/budget"
 	"marigoldlug.example/lugd/pkg/header"
+	"marigoldlug.example/lugd/pkg/socket"
 	"marigoldlug.example/lugd/pkg/target"
 )
 
@@ -77,6 +78,8 @@
 	settings atomic.Pointer[Settings]
 	// writeTimeout is how long a caller may take to accept a part of a response.
 	writeTimeout time.Duration
+	// watcher finds connections to callers whose machines do not answer.
+	watcher *socket.Watcher
 	// memory is what callers may make the VM hold, in bytes, and files how many descriptors their connections and requests
 	// may take.
 	memory, files *budget.Budget
@@ -105,7 +108,7 @@
 func New(set Settings, bds Budgets, nms header.Names, dec decider, sen sender, obs observer, log logrus.FieldLogger) *Server {
 	srv := &Server{
 		names: nms, decider: dec, sender: sen, observer: obs, log: log, writeTimeout: writeTimeout, conns: make(map[*conn]struct{}),
-		memory: bds.Memory, files: bds.Files, reporter: bds.Reporter,
+		watcher: socket.NewWatcher(silenceTimeout), memory: bds.Memory, files: bds.Files, reporter: bds.Reporter,
 	}
 	srv.settings.Store(&set)
 	return srv
--- a/lugd/pkg/http1/writer.go
+++ b/lugd/pkg/http1/writer.go
@@ -14,6 +14,8 @@
 type progressWriter struct {
 	raw     net.Conn
 	timeout time.Duration
+	// sent is called before and after bytes are handed to the kernel.
+	sent func()
 	// failed is set once a write has failed. The connection may carry a part of what was to be written.
 	failed bool
 }
@@ -31,7 +33,9 @@
 		if err := wrt.raw.SetWriteDeadline(time.Now().Add(wrt.timeout)); err != nil {
 			return done, err
 		}
+		wrt.sent()
 		cnt, err := wrt.raw.Write(buf[done:min(done+maxWriteBytes, len(buf))])
+		wrt.sent()
 		done += cnt
 		if err != nil || done == len(buf) {
 			return done, err
--- a/lugd/pkg/peer/forward.go
+++ b/lugd/pkg/peer/forward.go
@@ -111,5 +111,8 @@
 	src io.Reader
 }
 
+// NetConn returns the connection below the buffer.
+func (con *bufferedConn) NetConn() net.Conn { return con.Conn }
+
 // Read reads from the buffer first.
 func (con *bufferedConn) Read(buf []byte) (int, error) { return con.src.Read(buf) }
