target: Give up targets whose machine does not answer, not slow ones

A connection to a machine that does not answer is reset, so that nothing of the request arrives later. A target with a closed window no longer puts the path to it in doubt.

--- a/lugd/pkg/peer/forward.go
+++ b/lugd/pkg/peer/forward.go
@@ -44,7 +44,8 @@
 func (trn *Transport) DialForwarding(ctx context.Context, vmm member.VM) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	con, err := trn.connect(ctx, vmm.Address)
+	// The other VM may have to wait for a target that reads slowly, so target.Pool watches whether its machine answers.
+	con, err := trn.connect(ctx, &net.Dialer{Timeout: dialTimeout}, vmm.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/lugd/pkg/peer/queue.go
+++ b/lugd/pkg/peer/queue.go
@@ -78,8 +78,7 @@
 }
 
 // connect opens a connection to an address.
-func (trn *Transport) connect(ctx context.Context, address string) (net.Conn, error) {
-	dlr := &net.Dialer{Timeout: dialTimeout, Control: socket.UserTimeout(writeTimeout)}
+func (trn *Transport) connect(ctx context.Context, dlr *net.Dialer, address string) (net.Conn, error) {
 	if trn.identity == nil {
 		return dlr.DialContext(ctx, "tcp", address)
 	}
@@ -125,7 +124,7 @@
 // runConnection sends queued messages over one connection. It returns nil once the
 // queue has been empty for idleTimeout or is closed.
 func (trn *Transport) runConnection(to, address string, que *sendQueue) error {
-	con, err := trn.connect(context.Background(), address)
+	con, err := trn.connect(context.Background(), &net.Dialer{Timeout: dialTimeout, Control: socket.UserTimeout(writeTimeout)}, address)
 	if err != nil {
 		return err
 	}
--- a/lugd/pkg/target/conn.go
+++ b/lugd/pkg/target/conn.go
@@ -3,11 +3,15 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"marigoldlug.example/lugd/pkg/socket"
 )
 
 // conn is a connection to a target, or to a VM that forwards requests. It carries one request at a time.
@@ -30,6 +34,28 @@
 	// carried holds the IDs of the last requests, maxCarried at most, as their callers gave them.
 	carried []string
 	closed  sync.Once
+	// watched tells if the machine at the other end does not answer, and silent is set once it is closed for that.
+	watched *socket.Watched
+	silent  atomic.Bool
+}
+
+// errSilent is why a connection fails whose other end does not answer.
+var errSilent = fmt.Errorf("the machine does not answer: %w", syscall.ETIMEDOUT)
+
+// closeSilent resets the connection since the machine at the other end does not answer, so that nothing of the request arrives
+// there once it does.
+func (con *conn) closeSilent() {
+	con.silent.Store(true)
+	socket.Reset(con.Conn)
+	_ = con.Close()
+}
+
+// failure returns why reading or writing has failed.
+func (con *conn) failure(err error) error {
+	if err != nil && con.silent.Load() {
+		return errSilent
+	}
+	return err
 }
 
 // carry records the ID of the request that is about to be sent.
@@ -44,27 +70,31 @@
 // headBytesLeft.
 func (con *conn) Read(buf []byte) (int, error) {
 	if con.headBytesLeft == unlimitedHead {
-		return con.Conn.Read(buf)
+		cnt, err := con.Conn.Read(buf)
+		return cnt, con.failure(err)
 	}
 	if con.headBytesLeft == 0 {
 		return 0, errHeadTooLong
 	}
 	cnt, err := con.Conn.Read(buf[:min(len(buf), con.headBytesLeft)])
 	con.headBytesLeft -= cnt
-	return cnt, err
+	return cnt, con.failure(err)
 }
 
 // Write sends bytes and counts those handed to the kernel.
 func (con *conn) Write(buf []byte) (int, error) {
+	con.watched.Sent()
 	cnt, err := con.Conn.Write(buf)
+	con.watched.Sent()
 	con.sent += int64(cnt)
-	return cnt, err
+	return cnt, con.failure(err)
 }
 
 // Close closes the connection and releases its place among the open ones. Further calls do nothing.
 func (con *conn) Close() error {
 	var err error
 	con.closed.Do(func() {
+		con.watched.Close()
 		err = con.Conn.Close()
 		con.pool.release(con.address)
 	})
--- a/lugd/pkg/target/pool.go
+++ b/lugd/pkg/target/pool.go
@@ -40,9 +40,10 @@
 	maxLateBytes = 16 << 20
 	// maxCarried is the number of requests for which a connection remembers their IDs.
 	maxCarried = 64
-	// userTimeout is the TCP user timeout: how long sent bytes may stay unacknowledged before the
-	// connection counts as dead.
-	userTimeout = 4 * time.Second
+	// silenceTimeout is for how long the kernel of a target may leave what is sent unanswered until the connection counts as
+	// dead, and forwarderSilenceTimeout the same for a VM that forwards requests.
+	silenceTimeout          = 4 * time.Second
+	forwarderSilenceTimeout = 2 * time.Second
 )
 
 // Error is the failure of an attempt.
@@ -101,6 +102,8 @@
 	dialVM func(ctx context.Context, vmm member.VM) (net.Conn, error)
 
 	reuse reusePolicy
+	// targets and forwarders find connections to targets, and to VMs that forward, whose machines do not answer.
+	targets, forwarders *socket.Watcher
 
 	mut sync.Mutex
 	// idle has the idle connections by address, the most recently used one last.
@@ -111,9 +114,9 @@
 
 // New returns an empty pool.
 func New(set Settings) *Pool {
-	dlr := &net.Dialer{Timeout: set.DialTimeout, Control: socket.UserTimeout(userTimeout)}
+	dlr := &net.Dialer{Timeout: set.DialTimeout}
 	return &Pool{
-		set: set,
+		set: set, targets: socket.NewWatcher(silenceTimeout), forwarders: socket.NewWatcher(forwarderSilenceTimeout),
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dlr.DialContext(ctx, "tcp", address)
 		},
@@ -227,6 +230,11 @@
 		return nil, err
 	}
 	con := &conn{Conn: raw, pool: pol, address: cal.peer(), headBytesLeft: unlimitedHead}
+	wch := pol.targets
+	if cal.Forwarding != nil {
+		wch = pol.forwarders
+	}
+	con.watched = wch.Add(raw, con.closeSilent)
 	con.reader = bufio.NewReaderSize(con, connBufferBytes)
 	return con, nil
 }
--- a/lugd/pkg/target/progress.go
+++ b/lugd/pkg/target/progress.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// unansweredTime is how long a connection may take to open, and sent bytes to be acknowledged, until the
+	// unansweredTime is how long a connection may take to open, and sent bytes to be answered, until the
 	// path to the target is in doubt.
 	unansweredTime = 150 * time.Millisecond
 	// slowTime is how long a response may take until the path is in doubt.
@@ -72,7 +72,7 @@
 	wch.con = con
 }
 
-// undelivered reports whether the connection is not open yet, or bytes on it are not acknowledged.
+// undelivered reports whether the connection is not open yet, or the machine of the target has not answered what was sent.
 func (wch *progressWatch) undelivered() bool {
 	wch.mut.Lock()
 	defer wch.mut.Unlock()
@@ -82,8 +82,7 @@
 	if wch.con == nil {
 		return true
 	}
-	left, known := socket.Unacknowledged(wch.con)
-	return known && left > 0
+	return socket.AwaitsAnswer(wch.con)
 }
 
 func (wch *progressWatch) stop() {
