soak: Play callers that read slowly, and VMs that start after a restore

A complete answer that a connection's end takes along is a broken promise as before; only the cut of a response that is longer than what VMs read whole is accepted. At every other restore of the store a VM is killed and starts again.

--- a/lugbench/pkg/soak/conn.go
+++ b/lugbench/pkg/soak/conn.go
@@ -37,6 +37,8 @@
 type conn struct {
 	raw net.Conn
 	rdr *bufio.Reader
+	// pause is how long an exchange waits before it reads the responses.
+	pause time.Duration
 }
 
 // connect returns an idle connection to the VM, or a new one.
@@ -80,6 +82,7 @@
 	}
 	err = errors.Join(err, wrt.Flush())
 	writtenAt := time.Now()
+	time.Sleep(con.pause)
 	_ = con.raw.SetReadDeadline(writtenAt.Add(requestTimeout + time.Second))
 	for idx := range reqs {
 		req, closing := &reqs[idx], false
--- a/lugbench/pkg/soak/load.go
+++ b/lugbench/pkg/soak/load.go
@@ -27,6 +27,8 @@
 	// run is the run of the VM to which it was sent.
 	run *programRun
 	at  time.Time
+	// padding is how many bytes follow the body of the response.
+	padding int
 	// crash is the name of a request that crashes its targets; empty for all others.
 	crash string
 	// endedAt is when the whole response was read, and limits and leaving are what it announced.
@@ -310,10 +312,12 @@
 		}
 	}
 	switch {
+	case req.cutReason != "" && req.padding > bufferedBytes:
+		// Its target may have cut it, which its caller must see.
 	case req.cutReason != "" && (len(runs) > 0 || !req.maybeUnread):
 		rep.violationf("%s at %s ran %d times and was %s", req.id, req.vm.set.Name, len(runs), req.cutReason)
-	case succeeded && req.response.Body != targetfake.ResponseBody(req.id):
-		rep.violationf("%s got the response body %q", req.id, req.response.Body)
+	case succeeded && req.response.Body != targetfake.PaddedBody(req.id, req.padding):
+		rep.violationf("%s got a response body of %d bytes that begins with %.40q", req.id, len(req.response.Body), req.response.Body)
 	case succeeded && len(runs) == 0:
 		rep.violationf("%s was answered and never ran", req.id)
 	case req.nonIdempotent && len(runs) > 1:
--- a/lugbench/pkg/soak/restores.go
+++ b/lugbench/pkg/soak/restores.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
+	"syscall"
 	"time"
 
 	"marigoldlug.example/lugbench/pkg/storefake"
@@ -49,7 +51,7 @@
 }
 
 // restoreOnce takes a backup, lets the store go on for a while, takes it away and restores it. Operators write nothing
-// meanwhile; their last writes may be lost.
+// meanwhile; their last writes may be lost. Every other time a VM is killed then and starts again.
 func (flt *fleet) restoreOnce(ctx context.Context, rnd *rand.Rand) {
 	sto := flt.pgr.Store
 	bak := sto.Backup()
@@ -74,6 +76,12 @@
 		}
 		time.AfterFunc(wait, func() { sto.Redo(targetsKind, name, lost, bak) })
 	}
+	var wgr sync.WaitGroup
+	defer wgr.Wait()
+	if rnd.IntN(2) == 0 {
+		prc := flt.faultVMs[rnd.IntN(len(flt.faultVMs))]
+		wgr.Go(func() { prc.restart(syscall.SIGKILL) }) // It starts while the store lacks what was lost.
+	}
 	time.Sleep(randomTime(rnd, maxRedoTime))
 	for _, kind := range []string{configKind, releasesKind, drainsKind} {
 		for _, name := range storefake.Lost(kind, lost, bak) {
--- a/lugbench/pkg/soak/soak.go
+++ b/lugbench/pkg/soak/soak.go
@@ -129,6 +129,7 @@
 	var wgr sync.WaitGroup
 	wgr.Go(func() { load.sendAtRate(sendCtx, set.PerSecond, load.send) })
 	wgr.Go(func() { load.sendAtRate(sendCtx, smallPerSecond, load.sendSmall) })
+	wgr.Go(func() { load.sendAtRate(sendCtx, slowPerSecond, load.sendSlow) })
 	time.Sleep(faultFreeTime)
 	announceCtx, stopAnnouncing := context.WithTimeout(sendCtx, set.FaultTime)
 	for stream := range uint64(announcementStreams) {
--- a/lugbench/pkg/targetfake/target.go
+++ b/lugbench/pkg/targetfake/target.go
@@ -8,6 +8,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -34,6 +36,9 @@
 // LatencyParameter is the query parameter by which a request sets its own latency.
 const LatencyParameter = "work"
 
+// PaddingParameter is the query parameter by which a request sets how many bytes follow the body of its response.
+const PaddingParameter = "padding"
+
 // CrashParameter is the query parameter of a request that crashes each target that runs it; its value
 // distinguishes several such requests.
 const CrashParameter = "crash"
@@ -262,7 +267,8 @@
 		tgt.sendStatusLine(wrt, req, fls.StatusLine)
 		return
 	}
-	txt := ResponseBody(req.Header.Get(tgt.names.Request))
+	padding, _ := strconv.Atoi(req.URL.Query().Get(PaddingParameter)) // Without a number there is none.
+	txt := PaddedBody(req.Header.Get(tgt.names.Request), padding)
 	if draw -= fls.FailShare; draw < fls.CutShare {
 		hdr.Set("Content-Length", fmt.Sprint(2*len(txt)))
 	}
@@ -312,6 +318,11 @@
 // ResponseBody returns the body of the response to the request with the given ID.
 func ResponseBody(request string) string { return "done: " + request + "\n" }
 
+// PaddedBody returns that body with padding of a length in bytes.
+func PaddedBody(request string, padding int) string {
+	return ResponseBody(request) + strings.Repeat("x", max(padding, 0))
+}
+
 // acquire waits for a slot, and reports whether it got one. It doesn't wait if
 // queueLength requests wait already.
 func (tgt *Target) acquire(req *http.Request) bool {
