--- a/core/gateway/fleetsim_test.go
+++ b/core/gateway/fleetsim_test.go
@@ -147,6 +147,10 @@
 	run    int
 	key    simAttempt
 	ended  bool
+	// forwarder is the VM that has sent the request to the target for vm, in its run forwarderRun; nil if vm itself has.
+	forwarder    *simVM
+	forwarderRun int
+	forwarding   *Forwarding
 	// response is what the target has answered, and limit the index in simTarget.limits of the limit
 	// that it announces.
 	response Response
@@ -493,6 +497,7 @@
 				return
 			}
 			runID = by.mac.set.Self.ID
+			req.forwarder, req.forwarderRun, req.forwarding = by, by.runs, act.Forwarding
 		}
 		tgt := sim.target(act.Target.ID)
 		if tgt == nil || !tgt.up {
