http1: Give back what a connection holds of a request as it closes

A connection that ends while a part of a request has been read waits for its caller to take the responses, for 20 s at most where the caller takes nothing. The memory for that part was held meanwhile; it is given back before the wait. Found by reading.

--- a/lugd/pkg/http1/closing.go
+++ b/lugd/pkg/http1/closing.go
@@ -72,6 +72,7 @@
 // shutDown closes the connection after its last response. What the caller has not taken yet is lost only if it takes
 // nothing for the server's write timeout, if the connection has failed, or if the process exits.
 func (con *conn) shutDown() {
+	con.dropRequest() // No more of it is read.
 	hidden, stalled := con.isEndHidden(), con.progress.failed
 	if !stalled && (con.isCloseAnnounced() || con.awaitsDelivery()) {
 		if !hidden {
