http1, socket: Count progress by what was acknowledged in all

A caller that had nothing to take for longer than the write timeout, and was then looked at with a response on its way, counted as one that takes nothing: its connection was closed, or reset, and the response lost. Likewise a connection whose send queue is as full at each look counted as silent where the kernel tells no answers. Both compared what is left with what was left before, which says nothing if more was written meanwhile.

What was acknowledged (written less left) is compared now, and a wait begins when there is something to wait for. The bounds are as before; the row of the former test in which more is written and nothing taken stays.

--- a/lugd/pkg/forward/server.go
+++ b/lugd/pkg/forward/server.go
@@ -119,9 +119,10 @@
 
 // Write sends bytes to the other VM.
 func (con *trackedConn) Write(buf []byte) (int, error) {
-	con.watched.Sent()
-	defer con.watched.Sent()
-	return con.Conn.Write(buf)
+	con.watched.Sent(0)
+	cnt, err := con.Conn.Write(buf)
+	con.watched.Sent(cnt)
+	return cnt, err
 }
 
 // Close closes the connection.
--- a/lugd/pkg/http1/closing.go
+++ b/lugd/pkg/http1/closing.go
@@ -9,9 +9,8 @@
 
 const (
 	// lingerTime is how long the caller has to close its side once it has taken the last response. It
-	// is longer than the 350 ms between the refusals at the deadline of a graceful stop and the moment
-	// at which open connections are cut (deadlineMargin and cutMargin of package edge). A connection
-	// that lingers after such a refusal may therefore be counted as open and cut.
+	// is longer than the 350 ms between the refusals at the deadline of a graceful stop and the end of the wait
+	// for open connections (deadlineMargin and cutMargin of package edge), so some are open when the process exits.
 	lingerTime = 400 * time.Millisecond
 	// lingerBytes is how many bytes of input are discarded at most.
 	lingerBytes = 1 << 20
@@ -21,18 +20,19 @@
 
 // delivery tells how far the responses that were written have reached the caller.
 type delivery struct {
-	// left is how many bytes the caller's kernel has not acknowledged.
-	left int
-	// progressAt is when left last became smaller, or was 0.
+	// left is how many bytes the caller's kernel has not acknowledged, and taken how many it has.
+	left, taken int64
+	// progressAt is when the caller was last seen to have taken more, or to have nothing to take.
 	progressAt time.Time
 }
 
-// with returns the delivery after a look at the connection.
-func (dlv delivery) with(left int, now time.Time) delivery {
-	if left == 0 || left < dlv.left || dlv.progressAt.IsZero() {
+// with returns the delivery after a look at the connection, to which a number of bytes have been written in all.
+func (dlv delivery) with(written, left int64, now time.Time) delivery {
+	taken := written - left
+	if left == 0 || dlv.left == 0 || taken > dlv.taken {
 		dlv.progressAt = now
 	}
-	dlv.left = left
+	dlv.left, dlv.taken = left, taken
 	return dlv
 }
 
@@ -49,7 +49,7 @@
 		return false
 	}
 	now := time.Now()
-	con.delivery = con.delivery.with(left, now)
+	con.delivery = con.delivery.with(con.progress.written, int64(left), now)
 	return left > 0 && !con.delivery.stalled(now, con.srv.writeTimeout)
 }
 
--- a/lugd/pkg/http1/closing_test.go
+++ b/lugd/pkg/http1/closing_test.go
@@ -35,21 +35,23 @@
 	began := time.Now()
 	var dlv delivery
 	for _, one := range []struct {
-		at      time.Duration
-		left    int
-		stalled bool
+		at            time.Duration
+		written, left int64
+		stalled       bool
 	}{
-		{0, 100, false},
-		{2 * time.Second, 90, false},
-		{4 * time.Second, 120, false},
-		{5500 * time.Millisecond, 120, true},
-		{6 * time.Second, 80, false},
-		{10 * time.Second, 0, false},
-		{12 * time.Second, 50, false},
-		{14 * time.Second, 50, true},
+		{0, 100, 100, false},
+		{2 * time.Second, 100, 90, false},
+		{4 * time.Second, 130, 120, false},
+		{5500 * time.Millisecond, 130, 120, true},
+		{6 * time.Second, 130, 80, false},
+		{10 * time.Second, 130, 0, false},
+		{20 * time.Second, 180, 50, false}, // It had nothing to take before.
+		{22 * time.Second, 180, 50, false},
+		{23500 * time.Millisecond, 180, 50, true},
+		{30 * time.Second, 300, 90, false}, // It has taken more than was left.
 	} {
 		now := began.Add(one.at)
-		dlv = dlv.with(one.left, now)
+		dlv = dlv.with(one.written, one.left, now)
 		if got := dlv.stalled(now, timeout); got != one.stalled {
 			t.Errorf("after %v, with %d bytes left: stalled is %v", one.at, one.left, got)
 		}
--- a/lugd/pkg/http1/conn.go
+++ b/lugd/pkg/http1/conn.go
@@ -180,7 +180,7 @@
 func (con *conn) announceClose() {
 	con.mut.Lock()
 	defer con.mut.Unlock()
-	con.closeAnnounced = true
+	con.closeAnnounced, con.reading = true, false
 }
 
 // isUnanswered reports whether a request is being read or is not answered completely.
--- a/lugd/pkg/http1/writer.go
+++ b/lugd/pkg/http1/writer.go
@@ -14,8 +14,10 @@
 type progressWriter struct {
 	raw     net.Conn
 	timeout time.Duration
-	// sent is called before and after bytes are handed to the kernel.
-	sent func()
+	// sent is called before bytes are handed to the kernel, and after that with their number.
+	sent func(cnt int)
+	// written counts the bytes that were handed to the kernel.
+	written int64
 	// failed is set once a write has failed. The connection may carry a part of what was to be written.
 	failed bool
 }
@@ -33,9 +35,10 @@
 		if err := wrt.raw.SetWriteDeadline(time.Now().Add(wrt.timeout)); err != nil {
 			return done, err
 		}
-		wrt.sent()
+		wrt.sent(0)
 		cnt, err := wrt.raw.Write(buf[done:min(done+maxWriteBytes, len(buf))])
-		wrt.sent()
+		wrt.sent(cnt)
+		wrt.written += int64(cnt)
 		done += cnt
 		if err != nil || done == len(buf) {
 			return done, err
--- a/lugd/pkg/socket/silence.go
+++ b/lugd/pkg/socket/silence.go
@@ -25,15 +25,17 @@
 type silence struct {
 	// since is when the wait for an answer began, or when the last one came; zero while none is awaited.
 	since time.Time
-	// unacknowledged is how many bytes the last reading had.
-	unacknowledged int
+	// acknowledged is how many bytes the other end had acknowledged at the last reading.
+	acknowledged int64
 }
 
-// with returns the silence after a reading. An end that reads nothing is not silent, since its kernel answers
-// probes. Where the kernel tells no answers, only that more is acknowledged counts as one.
-func (sil silence) with(rdg reading, now time.Time) silence {
-	progress := rdg.unacknowledged < sil.unacknowledged
-	sil.unacknowledged = rdg.unacknowledged
+// with returns the silence after a reading of a connection on which a number of bytes have been sent in all. An end that
+// reads nothing is not silent, since its kernel answers probes. Where the kernel tells no answers, only that more is
+// acknowledged counts as one.
+func (sil silence) with(rdg reading, sent int64, now time.Time) silence {
+	acknowledged := sent - int64(rdg.unacknowledged)
+	progress := acknowledged > sil.acknowledged
+	sil.acknowledged = acknowledged
 	switch {
 	case !rdg.awaitsAnswer():
 		sil.since = time.Time{}
--- a/lugd/pkg/socket/silence_test.go
+++ b/lugd/pkg/socket/silence_test.go
@@ -5,6 +5,20 @@
 	"time"
 )
 
+// TestConnectionThatIsAlwaysFullIsNotSilent sends on and on, so that as many bytes are unacknowledged at each look. The other end has
+// acknowledged what was sent before.
+func TestConnectionThatIsAlwaysFullIsNotSilent(t *testing.T) {
+	var sil silence
+	now := time.Now()
+	for num := range int64(10) {
+		now = now.Add(time.Second)
+		sil = sil.with(reading{unacknowledged: 1000}, 1000*(num+1), now)
+	}
+	if got := sil.lasts(now); got != 0 {
+		t.Errorf("silent for %v", got)
+	}
+}
+
 // TestSilenceIsTimeWithoutAnAnswer checks for how long an end counts as silent, by what the kernel tells at each second.
 func TestSilenceIsTimeWithoutAnAnswer(t *testing.T) {
 	tells := func(left int, unanswered bool, last time.Duration) reading {
@@ -19,7 +33,7 @@
 		want time.Duration
 	}{
 		{"everything acknowledged", []reading{{unacknowledged: 5}, {}}, 0},
-		{"the kernel tells no answers: nothing is acknowledged", []reading{{unacknowledged: 5}, {unacknowledged: 5}, {unacknowledged: 9}}, 2 * time.Second},
+		{"the kernel tells no answers: nothing is acknowledged", []reading{{unacknowledged: 5}, {unacknowledged: 5}, {unacknowledged: 5}}, 2 * time.Second},
 		{"the kernel tells no answers: a part is acknowledged", []reading{{unacknowledged: 5}, {unacknowledged: 4}, {unacknowledged: 4}}, time.Second},
 		{"the window is closed, and probes are answered", []reading{probed(5, false, 0), probed(5, false, time.Second), probed(5, false, 2*time.Second)}, 0},
 		{"the window is closed, and probes are not answered", []reading{probed(5, false, 0), probed(5, false, time.Second), probed(5, true, 2*time.Second)}, 2 * time.Second},
@@ -31,7 +45,7 @@
 		now := time.Now()
 		for _, rdg := range one.rdgs {
 			now = now.Add(time.Second)
-			sil = sil.with(rdg, now)
+			sil = sil.with(rdg, 10, now)
 		}
 		if got := sil.lasts(now); got != one.want {
 			t.Errorf("%s: silent for %v, want %v", one.name, got, one.want)
--- a/lugd/pkg/socket/watcher.go
+++ b/lugd/pkg/socket/watcher.go
@@ -35,6 +35,8 @@
 	con     net.Conn
 	silent  func()
 	silence silence
+	// sent counts the bytes that were sent.
+	sent int64
 }
 
 // Add returns a connection to be watched. silent is called from another goroutine if its other end stays silent. Nothing
@@ -43,11 +45,13 @@
 	return &Watched{watcher: wch, con: con, silent: silent}
 }
 
-// Sent begins to watch, since something is sent. That ends once the other end has acknowledged everything.
-func (wtd *Watched) Sent() {
+// Sent records that a number of bytes were sent, 0 if some are about to be, and begins to watch. That ends once the other end has
+// acknowledged everything.
+func (wtd *Watched) Sent(cnt int) {
 	wch := wtd.watcher
 	wch.mut.Lock()
 	defer wch.mut.Unlock()
+	wtd.sent += int64(cnt)
 	wch.watched[wtd] = struct{}{}
 	if !wch.running {
 		wch.running = true
@@ -84,7 +88,7 @@
 	defer wch.mut.Unlock()
 	for wtd := range wch.watched {
 		rdg, known := read(wtd.con)
-		wtd.silence = wtd.silence.with(rdg, now)
+		wtd.silence = wtd.silence.with(rdg, wtd.sent, now)
 		switch {
 		case !known, rdg.unacknowledged == 0:
 			delete(wch.watched, wtd)
--- a/lugd/pkg/socket/watcher_test.go
+++ b/lugd/pkg/socket/watcher_test.go
@@ -56,11 +56,12 @@
 	silent := new(atomic.Bool)
 	wtd := NewWatcher(timeout).Add(con, func() { silent.Store(true) })
 	t.Cleanup(wtd.Close)
-	wtd.Sent()
-	if _, err := con.Write(make([]byte, bytes)); err != nil {
+	wtd.Sent(0)
+	cnt, err := con.Write(make([]byte, bytes))
+	if err != nil {
 		t.Fatal(err)
 	}
-	wtd.Sent()
+	wtd.Sent(cnt)
 	return silent
 }
 
@@ -125,7 +126,7 @@
 	if _, err := ours.Write([]byte("x")); err != nil {
 		t.Fatal(err)
 	}
-	wtd.Sent()
+	wtd.Sent(1)
 	for end := time.Now().Add(2 * time.Second); ; time.Sleep(10 * time.Millisecond) {
 		wch.mut.Lock()
 		running := wch.running
--- a/lugd/pkg/target/conn.go
+++ b/lugd/pkg/target/conn.go
@@ -83,9 +83,9 @@
 
 // Write sends bytes and counts those handed to the kernel.
 func (con *conn) Write(buf []byte) (int, error) {
-	con.watched.Sent()
+	con.watched.Sent(0)
 	cnt, err := con.Conn.Write(buf)
-	con.watched.Sent()
+	con.watched.Sent(cnt)
 	con.sent += int64(cnt)
 	return cnt, con.failure(err)
 }
