soak: Accept a close that a slow caller notices late

A caller that pauses notices such a close only when it begins to read. The time is counted from there now, which is the sending for all others, and a connection that is closed already is not used again. A request that ran is a broken promise as before.

socket.ReceiveBuffer takes the place of four copies.

--- a/lugbench/pkg/playground/slow_test.go
+++ b/lugbench/pkg/playground/slow_test.go
@@ -8,10 +8,10 @@
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
+	"marigoldlug.example/lugd/pkg/socket"
 	"marigoldlug.example/platform/pkg/objects"
 )
 
@@ -51,9 +51,7 @@
 // slowCaller sends two requests on a connection with a small receive buffer, reads nothing for slowPause, and returns the
 // lengths of the responses that it reads then.
 func slowCaller(address string) ([]int64, error) {
-	dlr := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 8<<10) })
-	}}
+	dlr := net.Dialer{Control: socket.ReceiveBuffer(8 << 10)}
 	con, err := dlr.Dial("tcp", address)
 	if err != nil {
 		return nil, err
--- a/lugbench/pkg/soak/conn.go
+++ b/lugbench/pkg/soak/conn.go
@@ -24,8 +24,8 @@
 	maxIdleConns = 1000
 	// peekTimeout bounds the check whether an idle connection is still open.
 	peekTimeout = time.Millisecond
-	// closeRaceTime is how long after a request was written the VM may close the
-	// connection without having read it. It is also the margin by which a pause counts
+	// closeRaceTime is how long after a request was written, and the caller began to read, the VM
+	// may close the connection without having read the request. It is also the margin by which a pause counts
 	// as longer than it is.
 	closeRaceTime = 200 * time.Millisecond
 	// disruptionTime is how long after a pause or a kill cut connections are accepted.
@@ -81,16 +81,16 @@
 		err = errors.Join(err, reqs[idx].write(wrt, key))
 	}
 	err = errors.Join(err, wrt.Flush())
-	writtenAt := time.Now()
+	_ = con.raw.SetReadDeadline(time.Now().Add(requestTimeout + time.Second))
 	time.Sleep(con.pause)
-	_ = con.raw.SetReadDeadline(writtenAt.Add(requestTimeout + time.Second))
+	readingFrom := time.Now() // Until then a close is not noticed.
 	for idx := range reqs {
 		req, closing := &reqs[idx], false
 		if err == nil {
 			closing, err = con.readResponse(req)
 		}
 		if err != nil {
-			req.fail(writtenAt, idx > 0, err)
+			req.fail(readingFrom, idx > 0, err)
 		} else if closing {
 			err = errConnClosing
 		}
@@ -133,12 +133,12 @@
 
 // fail records that the connection ended before the whole response was read. This is
 // accepted if the VM was paused or killed shortly before, or the request had timed out.
-func (req *sentRequest) fail(writtenAt time.Time, pipelined bool, err error) {
+func (req *sentRequest) fail(readingFrom time.Time, pipelined bool, err error) {
 	req.failed = true
 	now := time.Now()
 	if now.Sub(req.at) < requestTimeout && !req.vm.disruptedUntil.after(req.at.Add(-disruptionTime)) {
-		req.cutReason = fmt.Sprintf("cut at %s, %v after it was sent: %v", formatTime(now), now.Sub(writtenAt), err)
-		req.maybeUnread = pipelined || now.Sub(writtenAt) <= closeRaceTime
+		req.cutReason = fmt.Sprintf("cut at %s, %v after it was sent: %v", formatTime(now), now.Sub(req.at), err)
+		req.maybeUnread = pipelined || now.Sub(readingFrom) <= closeRaceTime
 	}
 }
 
--- a/lugbench/pkg/soak/slow.go
+++ b/lugbench/pkg/soak/slow.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"syscall"
 	"time"
 
 	"marigoldlug.example/lugbench/pkg/playground"
 	"marigoldlug.example/lugbench/pkg/targetfake"
+	"marigoldlug.example/lugd/pkg/socket"
 )
 
 const (
@@ -38,6 +38,9 @@
 	}
 	rnd := rand.New(rand.NewPCG(loa.flt.set.Seed, uint64(num)))
 	for round := range slowRounds {
+		if round > 0 && !con.isOpen() {
+			break
+		}
 		reqs := loa.slowRequests(vmm, fmt.Sprintf("slow-%d-%d", num, round))
 		con.pause = time.Duration(rnd.Int64N(int64(maxSlowPause)))
 		open := con.exchange(reqs, playground.Key)
@@ -64,11 +67,7 @@
 
 // dialSlowly opens a connection with a receive buffer of slowBufferBytes.
 func dialSlowly(prc *process) (*conn, error) {
-	dlr := net.Dialer{Timeout: dialTimeout, Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowBufferBytes)
-		})
-	}}
+	dlr := net.Dialer{Timeout: dialTimeout, Control: socket.ReceiveBuffer(slowBufferBytes)}
 	raw, err := dlr.Dial("tcp", prc.set.CallerAddress)
 	return &conn{raw: raw, rdr: bufio.NewReader(raw)}, err
 }
--- a/lugd/pkg/http1/server_test.go
+++ b/lugd/pkg/http1/server_test.go
@@ -12,7 +12,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -26,6 +25,7 @@
 	"marigoldlug.example/core/verdict"
 	"marigoldlug.example/lugd/pkg/budget"
 	"marigoldlug.example/lugd/pkg/header"
+	"marigoldlug.example/lugd/pkg/socket"
 	"marigoldlug.example/lugd/pkg/target"
 )
 
@@ -246,13 +246,10 @@
 	if fix.con != nil {
 		_ = fix.con.Close()
 	}
-	// The size must be set before the connection is opened, since the first window follows from it.
-	dlr := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		if size == 0 {
-			return nil
-		}
-		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, size) })
-	}}
+	var dlr net.Dialer
+	if size > 0 {
+		dlr.Control = socket.ReceiveBuffer(size)
+	}
 	con, err := dlr.Dial("tcp", fix.lis.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/lugd/pkg/socket/socket.go
+++ b/lugd/pkg/socket/socket.go
@@ -17,11 +17,20 @@
 // connections whose sent bytes stay unacknowledged for longer than dur, also those whose other end reads nothing for so
 // long. A Watcher is for connections whose other end may be slow.
 func UserTimeout(dur time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return option(syscall.IPPROTO_TCP, tcpUserTimeout, int(dur.Milliseconds()))
+}
+
+// ReceiveBuffer returns a Control function for dialers and listeners that sets the size of the receive buffer, in bytes. It must
+// be set before a connection is open, since the first window follows from it.
+func ReceiveBuffer(size int) func(network, address string, raw syscall.RawConn) error {
+	return option(syscall.SOL_SOCKET, syscall.SO_RCVBUF, size)
+}
+
+// option returns a Control function that sets an option of a socket.
+func option(level, name, val int) func(network, address string, raw syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
 		var serr error
-		err := raw.Control(func(fd uintptr) {
-			serr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(dur.Milliseconds()))
-		})
+		err := raw.Control(func(fd uintptr) { serr = syscall.SetsockoptInt(int(fd), level, name, val) })
 		if err != nil {
 			return err
 		}
--- a/lugd/pkg/socket/watcher_test.go
+++ b/lugd/pkg/socket/watcher_test.go
@@ -4,7 +4,6 @@
 	"io"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -22,11 +21,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = lis.Close() }()
-	dlr := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBuffer)
-		})
-	}}
+	dlr := net.Dialer{Control: ReceiveBuffer(smallBuffer)}
 	opened, err := dlr.Dial("tcp", lis.Addr().String())
 	if err != nil {
 		t.Fatal(err)
