gateway: Do not wait for older programs before relying on the store

Programs without eras answer with an update that proves nothing, and do not know the question, so the VM waited for the whole revoke time and refused keyed requests meanwhile. Their answer now counts as that of a VM that knows no more than the store.

TestVMThatStartsBesideOlderProgramsServesSoon fails without it.

--- a/core/bootstrap/bootstrap.go
+++ b/core/bootstrap/bootstrap.go
@@ -33,7 +33,7 @@
 	Answered Outcome = "answered"
 	// Alone: no other VM is listed.
 	Alone Outcome = "alone"
-	// Newcomers: all VMs that could be asked have just started, too.
+	// Newcomers: all VMs that could be asked know no more, mostly since they have just started, too.
 	Newcomers Outcome = "newcomers"
 	// GaveUp: some VM did not answer until the time was over.
 	GaveUp Outcome = "gaveUp"
@@ -50,7 +50,7 @@
 	began, askedAt clock.Instant
 	// waiting holds when VMs were asked that have not answered since.
 	waiting map[string]clock.Instant
-	// newcomers holds the VMs that have said that they have just started, too.
+	// newcomers holds the VMs that know no more than the store.
 	newcomers map[string]bool
 }
 
@@ -74,8 +74,8 @@
 	return true
 }
 
-// NewcomerAnswered processes the answer of a VM that has just started, too.
-func (chk *Check) NewcomerAnswered(id string) {
+// KnowsNoMore processes the answer of a VM that cannot tell more than the store: it has just started, too, or is of an older program.
+func (chk *Check) KnowsNoMore(id string) {
 	if chk.Settled() {
 		return
 	}
--- a/core/bootstrap/bootstrap_test.go
+++ b/core/bootstrap/bootstrap_test.go
@@ -39,7 +39,7 @@
 				others = vms(dat)
 			case "newcomer":
 				for _, id := range vms(dat) {
-					chk.NewcomerAnswered(id)
+					chk.KnowsNoMore(id)
 				}
 			case "answer":
 				return fmt.Sprintln("settled:", chk.Settle(Answered))
@@ -81,7 +81,7 @@
 	for ; !chk.Settled(); now = now.Add(50 * time.Millisecond) {
 		for _, id := range chk.Tick(now, others, 5*time.Second) {
 			cnt++
-			chk.NewcomerAnswered(id)
+			chk.KnowsNoMore(id)
 		}
 	}
 	if took := now.Since(clock.At(time.Hour)); cnt > 40 || took > 500*time.Millisecond || chk.Outcome() != Newcomers {
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -194,7 +194,7 @@
 	case Update:
 		mac.updateReceived(now, evt.From, msg)
 	case bootstrap.Newcomer:
-		mac.restores.check.NewcomerAnswered(evt.From)
+		mac.restores.check.KnowsNoMore(evt.From)
 	case Ping:
 		mac.emit(Send{To: evt.From, Message: Pong{}})
 	case PortQuery:
--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -229,6 +229,7 @@
 	trusted := mac.trusts(now, from, upd)
 	if !trusted {
 		contact = untrustedContact
+		mac.restores.check.KnowsNoMore(from)
 	}
 	if sent, known := mac.selector.HandleUpdate(now, from, upd.Number, contact); known && trusted {
 		mac.confirmUpdate(now, sent, upd)
--- a/core/gateway/storecheck_test.go
+++ b/core/gateway/storecheck_test.go
@@ -112,6 +112,28 @@
 	}
 }
 
+// TestVMThatStartsBesideOlderProgramsServesSoon starts a VM after a restore whose others are of a program without eras. They prove nothing
+// and do not know the question, so the VM must not wait for the revoke time.
+func TestVMThatStartsBesideOlderProgramsServesSoon(t *testing.T) {
+	sts := newStarters(2)
+	young, old := sts.at(0), sts.at(1).set.Self.ID
+	sts.silent[old] = true
+	sts.read(young, NewConfig(5, content()))
+	for end := sts.now.Add(maxQueueTime); sts.now.Before(end); {
+		sts.now = sts.now.Add(TickInterval)
+		for _, act := range young.Step(sts.now, Ticked{}) {
+			if snd, isSend := act.(Send); isSend && snd.To == old {
+				if qry, isQuery := snd.Message.(feed.Query); isQuery {
+					young.Step(sts.now, Received{From: old, Message: Update{Number: qry.Number, Version: 5}})
+				}
+			}
+		}
+	}
+	if !young.synced() {
+		t.Errorf("the VM is not in sync; outcome %q", young.restores.check.Outcome())
+	}
+}
+
 // TestVMThatStartsCutFromOthersWaits starts a VM after a restore that reaches none of the others. Strict revocation goes first: it must not
 // rely on the store for the revoke time, but must do so then.
 func TestVMThatStartsCutFromOthersWaits(t *testing.T) {
