gateway: Read the list of VMs until it is known

A VM that started while the store was away, and was offered the configuration by another VM after a restore before it had the list of VMs, read nothing any more: it refused every request with "this VM does not know yet which failure domains are drained" until it was restarted.

Cause: it reads the list alone while it has no configuration and nobody to follow, and the rest once it knows the list. With a configuration and no list neither held. It now reads the list while it does not know one. The state needs an offer, which VMs make only after a restore.

TestVMThatIsOfferedAConfigurationGoesOnReading failed before.

--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -281,7 +281,7 @@
 		mac.emit(Send{To: snd.To, Message: snd.Query})
 	}
 	set := SetReading{On: mac.selector.Reading(now), Sparing: !mac.selector.IsPrimary(), Drains: mac.keepsDrains()}
-	if !set.On && mac.config == nil && mac.selector.Followed() == "" {
+	if !set.On && (mac.config == nil || mac.fleet.Revision() == 0) && mac.selector.Followed() == "" {
 		set.On, set.FleetOnly = true, true // To find a VM to follow.
 	}
 	if mac.reading == nil || *mac.reading != set {
--- a/core/gateway/restore_test.go
+++ b/core/gateway/restore_test.go
@@ -85,6 +85,19 @@
 	}
 }
 
+// TestVMThatIsOfferedAConfigurationGoesOnReading offers the configuration to a VM that has just started and has not got the list
+// of VMs from the store yet. It must go on reading the list, or it would never learn of the targets, the drains and the other VMs.
+func TestVMThatIsOfferedAConfigurationGoesOnReading(t *testing.T) {
+	now := clock.At(time.Hour)
+	mac := newStarters(1).at(0)
+	mac.Step(now, Ticked{})
+	mac.Step(now, Received{From: "other.r", Message: Update{Version: 7, Config: NewConfig(7, content())}})
+	mac.Step(now, Ticked{})
+	if mac.version() != 7 || mac.reading == nil || !mac.reading.On {
+		t.Errorf("version %d is in force, reading: %+v", mac.version(), mac.reading)
+	}
+}
+
 func vmRow(name, domain string, rev uint64) table.Row[fleet.Row] {
 	row := fleet.Row{Name: name}
 	row.VM.ID, row.VM.FailureDomain = name+".r", domain
