bootstrap: Rely on a restored store by a proof alone

Cause: the VM asks the listed VMs before it relies on the store, but the list is the store's own and as old as the rest. An empty one counted as a first start. The outcomes newcomers and gaveUp, and answers of VMs that had not heard of the restore or had long not been confirmed, made the same mistake: absence of evidence was taken for a proof.

Ruled out: order of the reads (the list is read first in all logs), and offers that came too late (an offer needs the list, too).

Now keys are used only once something proves that the store holds the newest configuration in its present era: a VM that lived through the restore in sync, a record of one in the store (duty.proof), a version written since, or rewrite-time (8 s) for operators to write again. Within an era the store loses nothing, so one record is good for every later start. Routes without keys are served as soon as before. A new fleet says so (first-start, from the platform's bootstrap), or is known by a list that never held anything.

--- a/core/bootstrap/bootstrap_test.go
+++ b/core/bootstrap/bootstrap_test.go
@@ -13,19 +13,19 @@
 	"marigoldlug.example/core/clock"
 )
 
-// TestVMThatStartsAsksBeforeItReliesOnTheStore guards against a VM that relies on a restored store though another one could
-// have told it what the store has lost, and against one that waits for VMs that cannot know more. It runs the scripts in
-// testdata:
-//   - "start vms=a,b,c" begins the check of a VM that knows these others.
+// TestVMThatStartsReliesOnTheStoreByAProofAlone guards against a VM that relies on a restored store since that lists no other
+// VM, or since none has answered: another one may know what the store has lost. It runs the scripts in testdata:
+//   - "start vms=a,b,c" begins the check of a VM that knows these others. With "noTrace" the list was empty at first.
 //   - "list vms=a,b" replaces the others.
 //   - "tick for=TIME" lets time pass in steps of 50 ms, and prints who was asked and the outcome at the end.
 //   - "newcomer vms=a,b" delivers the answers of VMs that have just started, too, and "answer" that of one that knows more.
-func TestVMThatStartsAsksBeforeItReliesOnTheStore(t *testing.T) {
-	const step, timeout = 50 * time.Millisecond, 5 * time.Second
+func TestVMThatStartsReliesOnTheStoreByAProofAlone(t *testing.T) {
+	const step = 50 * time.Millisecond
+	lim := Limits{Silence: 5 * time.Second, Rewrite: 8 * time.Second}
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var chk *Check
 		var others []string
-		now := clock.At(time.Hour)
+		now := clock.At(0)
 		vms := func(dat *datadriven.TestData) []string {
 			var txt string
 			dat.MaybeScanArgs(t, "vms", &txt)
@@ -35,6 +35,7 @@
 			switch dat.Cmd {
 			case "start":
 				chk, others = New(rand.New(rand.NewPCG(1, 2))), vms(dat)
+				lim.NoTrace = dat.HasArg("noTrace")
 			case "list":
 				others = vms(dat)
 			case "newcomer":
@@ -52,7 +53,7 @@
 				}
 				asked := make(map[string]int)
 				for end := now.Add(dur); now.Before(end); now = now.Add(step) {
-					for _, id := range chk.Tick(now, others, timeout) {
+					for _, id := range chk.Tick(now, others, lim) {
 						asked[id]++
 					}
 				}
@@ -61,7 +62,7 @@
 					out = append(out, fmt.Sprintf("%s %d", id, cnt))
 				}
 				slices.Sort(out)
-				return fmt.Sprintf("asked: %s\noutcome: %s\n", strings.Join(out, ", "), chk.Outcome())
+				return fmt.Sprintf("asked: %s\nsearched: %t\noutcome: %s\n", strings.Join(out, ", "), chk.Searched(), chk.Outcome())
 			default:
 				t.Fatalf("command %q does not exist", dat.Cmd)
 			}
@@ -70,21 +71,29 @@
 	})
 }
 
-// TestManyNewcomersAskFew starts a VM in a fleet of 800 that have all just started. It must not ask all of them.
+// TestManyNewcomersAskFew starts a VM in a fleet of 800 that have all just started. It must not ask all of them, neither at once nor
+// while it waits for the operators.
 func TestManyNewcomersAskFew(t *testing.T) {
 	var others []string
 	for num := range 800 {
 		others = append(others, fmt.Sprint("vm-", num))
 	}
+	lim := Limits{Silence: 5 * time.Second, Rewrite: 8 * time.Second}
 	chk := New(rand.New(rand.NewPCG(1, 2)))
-	now, cnt := clock.At(time.Hour), 0
-	for ; !chk.Settled(); now = now.Add(50 * time.Millisecond) {
-		for _, id := range chk.Tick(now, others, 5*time.Second) {
+	now, cnt := clock.At(0), 0
+	for ; !chk.Searched(); now = now.Add(50 * time.Millisecond) {
+		for _, id := range chk.Tick(now, others, lim) {
 			cnt++
 			chk.KnowsNoMore(id)
 		}
 	}
-	if took := now.Since(clock.At(time.Hour)); cnt > 40 || took > 500*time.Millisecond || chk.Outcome() != Newcomers {
+	if took := now.Since(clock.At(0)); cnt > 40 || took > 500*time.Millisecond || chk.Settled() {
+		t.Errorf("asked %d VMs in %v, outcome %q", cnt, took, chk.Outcome())
+	}
+	for ; !chk.Settled(); now = now.Add(50 * time.Millisecond) {
+		cnt += len(chk.Tick(now, others, lim))
+	}
+	if took := now.Since(clock.At(0)); cnt > 200 || took > 8200*time.Millisecond || chk.Outcome() != Waited {
 		t.Errorf("asked %d VMs in %v, outcome %q", cnt, took, chk.Outcome())
 	}
 }
--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -44,3 +44,46 @@
 	}
 	return one
 }
+
+// Moment is an instant that may never have come, such as that of a confirmation. The zero Moment has never come. It is
+// not the instant zero, which may be that of the start of the process.
+type Moment struct {
+	at    Instant
+	known bool
+}
+
+// MomentOf returns the moment that has come at an instant.
+func MomentOf(at Instant) Moment { return Moment{at: at, known: true} }
+
+// Known reports whether the moment has come.
+func (mom Moment) Known() bool { return mom.known }
+
+// Age returns the time from the moment to now. known is false, and age 0, if it has never come.
+func (mom Moment) Age(now Instant) (age time.Duration, known bool) {
+	if !mom.known {
+		return 0, false
+	}
+	return now.Since(mom.at), true
+}
+
+// Within reports whether the moment has come, dur before now at the most.
+func (mom Moment) Within(dur time.Duration, now Instant) bool {
+	age, known := mom.Age(now)
+	return known && age <= dur
+}
+
+// AgeOr returns the time from the moment to now, or the given age if it has never come.
+func (mom Moment) AgeOr(never time.Duration, now Instant) time.Duration {
+	if age, known := mom.Age(now); known {
+		return age
+	}
+	return never
+}
+
+// Later returns the later of two moments. One that has never come counts as the earlier.
+func (mom Moment) Later(other Moment) Moment {
+	if !mom.known || other.known && mom.at.Before(other.at) {
+		return other
+	}
+	return mom
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -41,6 +41,10 @@
 // a holder, its last writer, so that programs that do not know it take it for a role.
 const QuarantineName = "duty.quarantine"
 
+// ProofName is the name of the object that records in which era of the store a VM has last found that the store holds the
+// newest configuration. Like the quarantine's it has a holder, its writer.
+const ProofName = "duty.proof"
+
 const vmPrefix = "vm."
 
 // VMName returns the name of the object of the VM with the given name.
@@ -55,8 +59,8 @@
 	Holder string
 	// Released is set when the holder has stopped serving and given up the role.
 	Released bool
-	// Era is the store's era in which the claim was written; 0 in rows of VMs, and in those of programs that know no
-	// eras. In a later era the claim proves nothing: the store may have lost one that came after it.
+	// Era is the store's era in which the claim or the proof was written; 0 in rows of VMs, and in those of programs that know
+	// no eras. In a later era it proves nothing: the store may have lost what came after it.
 	Era revision.Era
 	// Waiting is set in a claim whose holder had to wait for previous holders when it was written.
 	Waiting bool
@@ -206,3 +210,10 @@
 	row, _ := fle.rows.Get(QuarantineName)
 	return row.Value.Quarantine, row.Value.Malformed
 }
+
+// Proof returns in which era a VM has last recorded that the store holds the newest configuration, and the revision of the
+// record; both are 0 if there is none.
+func (fle *Fleet) Proof() (era revision.Era, rev uint64) {
+	row, _ := fle.rows.Get(ProofName)
+	return row.Value.Era, row.Revision
+}
--- a/core/gateway/admission.go
+++ b/core/gateway/admission.go
@@ -94,6 +94,9 @@
 	if !mac.drainsKnown() {
 		return nil, &request.Refusal{Reason: request.NoConfiguration, Detail: "this VM does not know yet which failure domains are drained", RetryAfter: mac.randomRetryAfter()}
 	}
+	if !mac.usesConfig() {
+		return nil, &request.Refusal{Reason: request.NoConfiguration, Detail: "the store was restored, and this VM does not know yet whether others know a newer configuration", RetryAfter: mac.randomRetryAfter()}
+	}
 	rou := mac.config.Snapshot.Route(req.Host, req.Path)
 	if rou == nil {
 		return nil, &request.Refusal{Reason: request.NoRoute, Detail: "no route matches the host, path and method"}
@@ -143,6 +146,12 @@
 	default:
 		return &request.Refusal{Reason: request.ManyKeys, Detail: "the request carries several keys"}
 	}
+	if !mac.reliesOnStore() {
+		return &request.Refusal{
+			Reason: request.StaleConfiguration, RetryAfter: mac.randomRetryAfter(),
+			Detail: "the store was restored, and nothing proves yet that it holds the newest configuration",
+		}
+	}
 	if age := now.Since(mac.configConfirmedAt); age > mac.set.Policy.RevokeTime-clockDriftMargin {
 		return &request.Refusal{
 			Reason: request.StaleConfiguration, RetryAfter: mac.randomRetryAfter(),
--- a/core/gateway/drains.go
+++ b/core/gateway/drains.go
@@ -64,7 +64,7 @@
 	bok := mac.drains.book
 	before, known := bok.Revision(), bok.Known()
 	update(bok)
-	mac.entered("drains", before, bok.Revision())
+	mac.entered(now, "drains", before, bok.Revision())
 	return mac.drainsChanged(now) || !known && bok.Known()
 }
 
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -33,6 +33,8 @@
 type Policy struct {
 	// RevokeTime is how long a key may still work after its withdrawal.
 	RevokeTime time.Duration
+	// RewriteTime is how long after a restore of the store operators may take to write again what it has lost.
+	RewriteTime time.Duration
 	// RetryShare and RetryExtra limit the retries for a service within RetryWindow: a share of its
 	// requests, plus a fixed number.
 	RetryShare  float64
@@ -54,6 +56,8 @@
 	Name   string
 	Self   member.VM
 	Policy Policy
+	// FirstStart is set if the whole fleet starts for the first time.
+	FirstStart bool
 }
 
 // Machine is the decision logic of one VM. It is not safe for concurrent use.
@@ -226,6 +230,7 @@
 	mac.tokens.SetServerView(mac.tokenServerView())
 	mac.tickDrains(now)
 	mac.checkStore(now)
+	mac.recordProof(now)
 	mac.handleQueued(now)
 	mac.follow(now)
 	mac.maintainFleet(now)
--- a/core/gateway/machine_test.go
+++ b/core/gateway/machine_test.go
@@ -52,7 +52,7 @@
 }
 
 func policy() Policy {
-	return Policy{RevokeTime: 5 * time.Second, RetryShare: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second, Quota: quota.Policy{Window: 5 * time.Second, Excess: 0.1, Slack: 20}}
+	return Policy{RevokeTime: 5 * time.Second, RewriteTime: 8 * time.Second, RetryShare: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second, Quota: quota.Policy{Window: 5 * time.Second, Excess: 0.1, Slack: 20}}
 }
 
 func newVM(t *testing.T) *vm {
--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -87,7 +87,7 @@
 func (mac *Machine) applyTargets(now clock.Instant, del table.Delta[registry.Entry]) bool {
 	before := mac.registry.Revision()
 	changed := mac.registry.Apply(now, del)
-	if mac.entered("targets", before, mac.registry.Revision()) {
+	if mac.entered(now, "targets", before, mac.registry.Revision()) {
 		mac.targetsConfirmedAt = clock.Instant{}
 	}
 	mac.logDoubts()
@@ -128,7 +128,8 @@
 	if !mac.fleet.Apply(now, del) {
 		return false
 	}
-	mac.entered("fleet", held, mac.fleet.Revision())
+	mac.entered(now, "fleet", held, mac.fleet.Revision())
+	mac.noteEmptyList(held, del)
 	vie := mac.fleet.View()
 	mac.log("fleet", "vms", vie.Size(), "revision", revision.Number(vie.Revision()), "holders", mac.fleet.Holders())
 	mac.viewChanged(now, before)
@@ -218,7 +219,7 @@
 
 // updateReceived handles an update from the VM that is followed.
 func (mac *Machine) updateReceived(now clock.Instant, from string, upd Update) {
-	mac.noteEra(upd.Era)
+	mac.noteEra(now, upd.Era)
 	// A program that tells the drains also sends all fields of services; a VM that does not keep to drains takes every
 	// program for such a one. A patch is complete only if its base is.
 	complete := mac.tellsDrains(now, from) && (upd.Config != nil || !mac.configPartial)
@@ -229,6 +230,8 @@
 	trusted := mac.trusts(now, from, upd)
 	if !trusted {
 		contact = untrustedContact
+	}
+	if upd.Number != 0 && (!trusted || !mac.provesStore(upd)) {
 		mac.restores.check.KnowsNoMore(from)
 	}
 	if sent, known := mac.selector.HandleUpdate(now, from, upd.Number, contact); known && trusted {
@@ -245,12 +248,18 @@
 	}
 }
 
+// provesStore reports whether the sender of an update has lived through the last restore that this VM knows of, so that together they
+// know the newest configuration. A VM that was not in sync lately may have missed what the store has lost.
+func (mac *Machine) provesStore(upd Update) bool {
+	return upd.Era >= mac.restores.era && upd.Ages.Config <= mac.set.Policy.RevokeTime
+}
+
 // confirmUpdate records what the ages in an update confirm, which answers a query that was sent at the given time. They
 // hold for the sender's revisions. They do not confirm an older one, which this VM holds if an earlier update was
 // lost, nor one of another era.
 func (mac *Machine) confirmUpdate(now, sent clock.Instant, upd Update) {
-	if mac.version() >= upd.Version && mac.restores.check.Settle(bootstrap.Answered) {
-		mac.storeChecked()
+	if mac.version() >= upd.Version && mac.provesStore(upd) {
+		mac.settle(now, bootstrap.Answered)
 	}
 	if mac.version() == upd.Version {
 		mac.configConfirmedAt = clock.Later(mac.configConfirmedAt, sent.Add(-upd.Ages.Config))
--- a/core/gateway/restore.go
+++ b/core/gateway/restore.go
@@ -6,8 +6,10 @@
 	"marigoldlug.example/core/bootstrap"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/feed"
+	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/revision"
+	"marigoldlug.example/core/table"
 )
 
 // offerInterval is the least time between two offers of the configuration.
@@ -27,29 +29,51 @@
 	configEra     revision.Era
 	storedVersion uint64
 	// readAt is when the last read was sent that showed that version to be the newest one of the latest era; zero before.
-	readAt clock.Instant
+	// readRevision is the store's revision up to which it was read.
+	readAt       clock.Instant
+	readRevision uint64
+	// firstVersion is the version that the store held when this VM first read it in firstEra, in a read that was not stale.
+	firstEra     revision.Era
+	firstVersion uint64
 	// check decides whether the store may be relied on; see reliesOnStore.
 	check *bootstrap.Check
+	// eraSince is when this VM learned of the latest era. provenEra is the latest era in which this VM has more than the
+	// store's word for what the store holds, since provenAt, and confirmedEra the one in which the store last confirmed the
+	// configuration.
+	eraSince, provenAt      clock.Moment
+	provenEra, confirmedEra revision.Era
+	// emptyEra is the latest era in which the list of VMs was empty when this VM first read it.
+	emptyEra revision.Era
+	// recordedAt is when this VM last recorded a proof in the store.
+	recordedAt clock.Moment
 	// offeredAt is when this VM last offered its configuration to other VMs.
 	offeredAt clock.Instant
 }
 
-// noteEra records an era that the store or another VM has told.
-func (mac *Machine) noteEra(era revision.Era) {
-	if era <= mac.restores.era {
+// noteEra records an era that the store or another VM has told. A VM that was in sync until then knows what was in force.
+// One that has no proof of the era before begins its check anew.
+func (mac *Machine) noteEra(now clock.Instant, era revision.Era) {
+	res := &mac.restores
+	if era <= res.era {
 		return
 	}
-	if mac.restores.era != 0 {
-		mac.restores.restored = true
-		mac.log("eraKnown", "era", era, "before", mac.restores.era)
+	if res.era != 0 {
+		res.restored = true
+		mac.log("eraKnown", "era", era, "before", res.era)
+	}
+	res.era, res.eraSince = era, clock.MomentOf(now)
+	switch {
+	case !res.check.Settled():
+		res.check = bootstrap.New(mac.rnd)
+	case now.Since(mac.configConfirmedAt) <= mac.set.Policy.RevokeTime:
+		mac.eraProven(now)
 	}
-	mac.restores.era = era
 }
 
 // entered records the era of a copy that was changed, and reports whether the copy is of a later one than before.
-func (mac *Machine) entered(kind string, before, after uint64) bool {
+func (mac *Machine) entered(now clock.Instant, kind string, before, after uint64) bool {
 	era := revision.EraOf(after)
-	mac.noteEra(era)
+	mac.noteEra(now, era)
 	if before == 0 || era == revision.EraOf(before) {
 		return false
 	}
@@ -57,13 +81,21 @@
 	return true
 }
 
+// noteEmptyList records whether the list of VMs was empty when this VM first read it in an era. held is the revision that it held before.
+func (mac *Machine) noteEmptyList(held uint64, del table.Delta[fleet.Row]) {
+	first := held == 0 || revision.EraOf(held) < revision.EraOf(del.Revision)
+	if first && del.Whole && len(del.Rows) == 0 {
+		mac.restores.emptyEra = revision.EraOf(del.Revision)
+	}
+}
+
 // configRead handles a read of the configuration, and reports whether another one is in force. The version in
 // force is the greatest one that was ever known: after a restore the store may hold an earlier one until the operator has
 // written the later one again. The earlier one does not confirm the later one.
 func (mac *Machine) configRead(now clock.Instant, evt ConfigRead) bool {
 	res := &mac.restores
 	era := revision.EraOf(evt.Revision)
-	mac.noteEra(era)
+	mac.noteEra(now, era)
 	changed := mac.adoptConfig(now, evt.Update, true)
 	mac.configAnsweredAt = now
 	if era < res.configEra {
@@ -79,17 +111,36 @@
 	case evt.Absent:
 		res.storedVersion = 0
 	}
+	if mac.rewritten(era, evt.RequestedAt) {
+		mac.eraProven(now)
+		mac.settle(now, bootstrap.Rewritten)
+	}
 	if res.storedVersion < mac.version() {
 		mac.offerConfig(now, mac.otherPrimaries())
 		return changed
 	}
 	if era == res.era {
-		res.readAt = clock.Later(res.readAt, evt.RequestedAt)
+		res.readAt, res.readRevision = clock.Later(res.readAt, evt.RequestedAt), max(res.readRevision, evt.Revision)
 		mac.confirmByStore()
 	}
 	return changed
 }
 
+// rewritten reports whether the operator has written a configuration since the store was restored: the store holds a later
+// version than when this VM first read it in the latest era. Operators write the whole configuration, so that it contains
+// all that the store has lost. requestedAt is when the present read was sent, zero if it may be stale.
+func (mac *Machine) rewritten(era revision.Era, requestedAt clock.Instant) bool {
+	res := &mac.restores
+	if era != res.era || requestedAt == (clock.Instant{}) {
+		return false
+	}
+	if res.firstEra != era {
+		res.firstEra, res.firstVersion = era, res.storedVersion
+		return false
+	}
+	return res.storedVersion > res.firstVersion
+}
+
 // offerConfig sends the configuration to VMs that may not know it, though the store does not hold it any more.
 func (mac *Machine) offerConfig(now clock.Instant, ids []string) {
 	res := &mac.restores
--- a/core/gateway/restore_test.go
+++ b/core/gateway/restore_test.go
@@ -114,7 +114,7 @@
 	if pai.follower.selector.Followed() == "" {
 		t.Fatal("a VM without eras is not followed while none is known")
 	}
-	pai.follower.noteEra(eraBefore)
+	pai.follower.noteEra(pai.now, eraBefore)
 	known := pai.now
 	pai.advance(3 * time.Second)
 	if pai.follower.selector.Followed() != "" || !pai.follower.reading.On {
--- a/lugbench/pkg/playground/playground.go
+++ b/lugbench/pkg/playground/playground.go
@@ -60,6 +60,8 @@
 	Links map[int]*Links
 	// DrainTime is the domain-drain-time of the VMs.
 	DrainTime time.Duration
+	// firstStart is the first-start of the VMs.
+	firstStart bool
 }
 
 // Playground is a small fleet with its store and targets.
@@ -108,6 +110,7 @@
 	if _, err := pgr.Releases.Apply(ctx, []byte(cmp.Or(set.Note, Note)), "playground"); err != nil {
 		return nil, err
 	}
+	set.firstStart = true
 	for num := range set.VMs {
 		if err := pgr.startVM(ctx, num, address, set); err != nil {
 			return nil, err
@@ -239,18 +242,27 @@
 }
 
 func (pgr *Playground) startVM(ctx context.Context, num int, platform string, all Settings) error {
-	set, err := VMSettings(num, platform)
+	set, err := pgr.launchVM(ctx, num, platform, all)
 	if err != nil {
 		return err
 	}
-	set.DrainTime = all.DrainTime
+	return waitReady(ctx, set.ReadyAddress)
+}
+
+// launchVM starts a VM, does not wait until it is ready, and returns its settings.
+func (pgr *Playground) launchVM(ctx context.Context, num int, platform string, all Settings) (edge.Settings, error) {
+	set, err := VMSettings(num, platform)
+	if err != nil {
+		return set, err
+	}
+	set.DrainTime, set.FirstStart = all.DrainTime, all.firstStart
 	lgs, err := logflags.New(all.Log, "json", "")
 	if err != nil {
-		return err
+		return set, err
 	}
 	dmn, err := edge.New(ctx, set, platformAdapter(all.Links[num]), lgs)
 	if err != nil {
-		return err
+		return set, err
 	}
 	log := lgs.Logger(logflags.Daemon)
 	ctx, cancel := context.WithCancel(ctx)
@@ -264,7 +276,7 @@
 	})
 	pgr.CallerAddresses = append(pgr.CallerAddresses, set.CallerAddress)
 	pgr.OperatorAddresses = append(pgr.OperatorAddresses, set.OperatorAddress)
-	return waitReady(ctx, set.ReadyAddress)
+	return set, nil
 }
 
 // readyTimeout bounds the wait until a started VM is ready.
--- a/lugbench/pkg/playground/restore_test.go
+++ b/lugbench/pkg/playground/restore_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,10 +27,13 @@
 	}
 }
 
-// restore takes the store away for a time and brings it back from a backup.
-func (pgr *Playground) restore(bak *storefake.Backup) {
+// restore takes the store away for awayTime and brings it back from a backup.
+func (pgr *Playground) restore(bak *storefake.Backup) { pgr.restoreAfter(awayTime, bak) }
+
+// restoreAfter takes the store away for a time and brings it back from a backup.
+func (pgr *Playground) restoreAfter(away time.Duration, bak *storefake.Backup) {
 	pgr.Store.SetFaults(storefake.Faults{Reset: true})
-	time.Sleep(awayTime)
+	time.Sleep(away)
 	pgr.Store.Restore(bak)
 	pgr.Store.SetFaults(storefake.Faults{})
 }
@@ -116,6 +120,65 @@
 	}
 }
 
+// TestVMThatStartsWithAListThatLacksOthersServesNoWithdrawnKey restores the store from a copy that lists a VM of two, and starts that one again: it
+// finds nobody else on the list, but the other one lives and knows that a key was withdrawn. No request with the key may run at
+// the VM that starts: an old list does not prove that there is nobody to ask.
+func TestVMThatStartsWithAListThatLacksOthersServesNoWithdrawnKey(t *testing.T) {
+	pgr := start(t, 1)
+	settle()
+	bak := pgr.Store.Backup()
+	if err := pgr.startVM(context.Background(), 1, pgr.StoreAddress, Settings{Log: io.Discard}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := pgr.Releases.Apply(context.Background(), []byte("release: stop\nbase: 1\nwithdrawn: {keys: ["+keyID()+"]}\n"), "test"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(500 * time.Millisecond)
+	starter := len(pgr.closers) - 2
+	pgr.closers[starter]()
+	pgr.closers = slices.Delete(pgr.closers, starter, starter+1)
+	pgr.restoreAfter(2*time.Second, bak) // So long that the VM that lives does not put itself on the list at once.
+	if _, err := pgr.launchVM(context.Background(), 0, pgr.StoreAddress, Settings{Log: io.Discard}); err != nil {
+		t.Fatal(err)
+	}
+	refused := 0
+	for num, end := 0, time.Now().Add(4*time.Second); time.Now().Before(end); num++ {
+		switch res := pgr.send(2, http.MethodGet, "/recipes/x", fmt.Sprint("gap-", num), Key); res.Status {
+		case http.StatusUnauthorized:
+			refused++
+		case http.StatusOK:
+			t.Fatalf("request %d with the withdrawn key ran", num)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if refused == 0 {
+		t.Error("the VM never learned that the key is withdrawn")
+	}
+}
+
+// TestVMsThatStartLongAfterARestoreServeSoon restores the store under a fleet, and lets all of it stop and start some seconds later.
+// The VMs that start must serve within the time for which callers are queued: the ones before recorded that the store holds
+// the newest configuration.
+func TestVMsThatStartLongAfterARestoreServeSoon(t *testing.T) {
+	pgr := start(t, 2)
+	settle()
+	pgr.restore(pgr.Store.Backup())
+	time.Sleep(2 * time.Second)
+	for range 2 {
+		pgr.closers[len(pgr.closers)-1]()
+		pgr.closers = pgr.closers[:len(pgr.closers)-1]
+	}
+	for num := range 2 {
+		began := time.Now()
+		if err := pgr.startVM(context.Background(), num, pgr.StoreAddress, Settings{Log: io.Discard}); err != nil {
+			t.Fatal(err)
+		}
+		if res := pgr.send(num+2, http.MethodGet, "/recipes/x", fmt.Sprint("after-", num), Key); res.Status != http.StatusOK || time.Since(began) > 2*time.Second {
+			t.Errorf("VM %d answers with status %d after %v", num, res.Status, time.Since(began))
+		}
+	}
+}
+
 // TestConfigurationInForceStaysAfterTheStoreWasRestored restores the store from a copy that lacks the last configuration.
 // No VM may go back to the one before, nor may one that starts meanwhile; once the operator has written the lost
 // one again, and a further one, that must be in force.
--- a/lugd/pkg/driver/fleet_test.go
+++ b/lugd/pkg/driver/fleet_test.go
@@ -268,7 +268,7 @@
 		name := fmt.Sprintf("vm-%d", num+1)
 		self := member.VM{ID: name + "." + run, Address: name, FailureDomain: fmt.Sprintf("domain-%d", num%3+1), Capacity: 1}
 		set := gateway.Settings{Name: name, Self: self, Policy: gateway.Policy{
-			RevokeTime: 5 * time.Second, RetryShare: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second, Quota: quota.Policy{Window: 5 * time.Second, Excess: 0.1, Slack: 20},
+			RevokeTime: 5 * time.Second, RewriteTime: 8 * time.Second, RetryShare: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second, Quota: quota.Policy{Window: 5 * time.Second, Excess: 0.1, Slack: 20},
 		}}
 		dri := New(ctx, set, sto, newClock(func() time.Duration { return 0 }), testMetrics{net: net, vm: self.ID}, log, 0)
 		dri.mac = gateway.New(set, rand.New(rand.NewPCG(uint64(num), 1)))
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -151,7 +151,7 @@
 
 func policy(set Settings) gateway.Policy {
 	return gateway.Policy{
-		RevokeTime: set.RevokeTime, RetryShare: set.RetryShare, RetryExtra: set.RetryExtra, RetryWindow: set.RetryWindow,
+		RevokeTime: set.RevokeTime, RewriteTime: set.RewriteTime, RetryShare: set.RetryShare, RetryExtra: set.RetryExtra, RetryWindow: set.RetryWindow,
 		Quota:     quota.Policy{Window: set.QuotaWindow, Excess: set.QuotaExcess, Slack: set.QuotaSlack},
 		DrainTime: set.DrainTime, Warmup: warmup.Policy{Excess: set.ColdExcess, Slack: set.ColdSlack},
 	}
@@ -396,7 +396,7 @@
 }
 
 // reload applies new settings:
-//   - at once: revoke-time and the settings whose names begin with retry- or quota-;
+//   - at once: revoke-time, rewrite-time and the settings whose names begin with retry- or quota-;
 //   - within boundsInterval: max-header-bytes, max-body-bytes, header-timeout, idle-timeout and
 //     body-timeout for callers, and the bounds that follow from memory-mib and max-files, but for the
 //     limit of the garbage collector;
--- a/lugd/pkg/edge/settings.go
+++ b/lugd/pkg/edge/settings.go
@@ -39,6 +39,10 @@
 	PlainText []string
 	// RevokeTime is how long after its withdrawal a key may still work.
 	RevokeTime time.Duration
+	// RewriteTime is how long after a restore of the platform's store operators may take to write again what it has lost.
+	RewriteTime time.Duration
+	// FirstStart is set if the whole fleet starts for the first time.
+	FirstStart bool
 	// RetryShare, RetryExtra and RetryWindow set the fleet's retry budget for a
 	// service: in any RetryWindow, a share of the requests plus a fixed number.
 	RetryShare  float64
@@ -88,6 +92,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		RevokeTime:     5 * time.Second,
+		RewriteTime:    8 * time.Second,
 		RetryShare:     0.1,
 		RetryExtra:     20,
 		RetryWindow:    10 * time.Second,
@@ -147,6 +152,7 @@
 		val  time.Duration
 	}{
 		{"revoke-time", set.RevokeTime},
+		{"rewrite-time", set.RewriteTime},
 		{"retry-window", set.RetryWindow},
 		{"quota-window", set.QuotaWindow},
 		{"stop-time", set.StopTime},
@@ -274,6 +280,8 @@
 		stringFlag("trace-endpoint", "URL of an OTLP endpoint for traces; empty for none", &set.TraceEndpoint),
 		floatFlag("trace-share", "share of requests that are traced, from 0 to 1", &set.TraceShare),
 		durationFlag("revoke-time", "how long after its withdrawal a key may still work", &set.RevokeTime),
+		durationFlag("rewrite-time", "how long after a restore of the platform's store operators may take to write again what it has lost; a VM that starts without a proof that nothing is missing uses no key for so long", &set.RewriteTime),
+		&cli.BoolFlag{Name: "first-start", Usage: "whether the whole fleet starts for the first time, so that a restored store needs no proof", Value: set.FirstStart, Destination: &set.FirstStart, Sources: envSource("first-start")},
 		floatFlag("retry-share", "retry budget of the fleet for a service, as a share of the requests in a retry-window", &set.RetryShare),
 		floatFlag("retry-extra", "retries in a retry-window that the fleet may make in addition to retry-share", &set.RetryExtra),
 		durationFlag("retry-window", "time over which the retry budget is counted", &set.RetryWindow),
--- a/lugd/pkg/edge/settings_test.go
+++ b/lugd/pkg/edge/settings_test.go
@@ -37,12 +37,12 @@
 func TestCheckNamesEveryInvalidSetting(t *testing.T) {
 	set := DefaultSettings()
 	set.CallerAddress, set.RevokeTime, set.LogFormat, set.PlainText, set.Capacity, set.MaxFiles = "nowhere", -1, "xml", []string{"all"}, math.NaN(), 5
-	set.DrainTime, set.ColdExcess = time.Second, -1
+	set.DrainTime, set.ColdExcess, set.RewriteTime = time.Second, -1, 0
 	err := set.Check()
 	if err == nil {
 		t.Fatal("no error")
 	}
-	for _, name := range []string{"name:", "failure-domain:", "caller-address:", "ready-address:", "platform-address:", "revoke-time:", "log-format:", "capacity:", "max-files:", "domain-drain-time:", "cold-excess:", "plain-text:", "caller-certificate:"} {
+	for _, name := range []string{"name:", "failure-domain:", "caller-address:", "ready-address:", "platform-address:", "revoke-time:", "rewrite-time:", "log-format:", "capacity:", "max-files:", "domain-drain-time:", "cold-excess:", "plain-text:", "caller-certificate:"} {
 		if !strings.Contains(err.Error(), name) {
 			t.Errorf("%q is not named in %q", name, err)
 		}
