--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -55,6 +55,9 @@
 // MomentOf returns the moment that has come at an instant.
 func MomentOf(at Instant) Moment { return Moment{at: at, known: true} }
 
+// Instant returns the instant at which the moment has come, and whether it has.
+func (mom Moment) Instant() (at Instant, known bool) { return mom.at, mom.known }
+
 // Known reports whether the moment has come.
 func (mom Moment) Known() bool { return mom.known }
 
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -79,7 +79,7 @@
 	name        string
 	rows        *table.Table[Row]
 	view        member.View
-	confirmedAt clock.Instant
+	confirmedAt clock.Moment
 	// successors holds the runs of VMs that are known to have replaced listed ones, by VM name.
 	successors map[string]successor
 	roles      [TokenServerCount]role
@@ -111,13 +111,11 @@
 // Confirm records that the list was up to date at the given time. It has no effect if a later
 // time is recorded.
 func (fle *Fleet) Confirm(at clock.Instant) {
-	if fle.confirmedAt == (clock.Instant{}) || fle.confirmedAt.Before(at) {
-		fle.confirmedAt = at
-	}
+	fle.confirmedAt = fle.confirmedAt.Later(clock.MomentOf(at))
 }
 
 // ConfirmedAt returns when the list was last known to be up to date.
-func (fle *Fleet) ConfirmedAt() clock.Instant { return fle.confirmedAt }
+func (fle *Fleet) ConfirmedAt() clock.Moment { return fle.confirmedAt }
 
 // Apply applies a delta and reports whether the list changed.
 func (fle *Fleet) Apply(now clock.Instant, del table.Delta[Row]) bool {
--- a/core/fleet/restoresim_test.go
+++ b/core/fleet/restoresim_test.go
@@ -22,6 +22,9 @@
 	simEvictTime = 3500 * time.Millisecond
 )
 
+// simStart is when the simulated VMs start first, on the clock that all of them read. As in a process, it begins with them.
+var simStart = clock.At(time.Millisecond)
+
 // simRow is an object of the simulated store.
 type simRow struct {
 	number uint64
@@ -88,7 +91,7 @@
 }
 
 func newSimFleet(seed uint64) *simFleet {
-	sim := &simFleet{rnd: rand.New(rand.NewPCG(seed, 5)), now: clock.At(time.Hour), sto: &simStore{era: 2, number: 1, rows: make(map[string]simRow)}}
+	sim := &simFleet{rnd: rand.New(rand.NewPCG(seed, 5)), now: simStart, sto: &simStore{era: 2, number: 1, rows: make(map[string]simRow)}}
 	for num := range 4 {
 		vmm := &simVM{name: fmt.Sprint("vm", num)}
 		sim.start(vmm)
@@ -245,7 +248,7 @@
 				}
 				served += len(serving)
 				if len(serving) > 1 {
-					t.Fatalf("seed %d: %v serve role %d at the same time, %v after the start, in era %d", seed, serving, num, sim.now.Since(clock.At(time.Hour)), sim.sto.era)
+					t.Fatalf("seed %d: %v serve role %d at the same time, %v after the start, in era %d", seed, serving, num, sim.now.Since(simStart), sim.sto.era)
 				}
 			}
 		}
--- a/core/fleet/role.go
+++ b/core/fleet/role.go
@@ -43,7 +43,7 @@
 		}
 		rol.doubtful = true
 	}
-	fle.confirmedAt = clock.Instant{}
+	fle.confirmedAt = clock.Moment{}
 }
 
 // setHolder takes the holder of the role of token server num from the list. If there is another one than before, it
@@ -66,7 +66,7 @@
 		return
 	}
 	leaseEnd := now.Add(LeaseTime + clockDriftMargin)
-	if before == "" && rol.holder == fle.self.ID && fle.confirmedAt == (clock.Instant{}) {
+	if before == "" && rol.holder == fle.self.ID && !fle.confirmedAt.Known() {
 		rol.unsureUntil = leaseEnd
 	}
 	if doubtful || before != "" && rol.holder != "" && !exited {
@@ -110,7 +110,7 @@
 // Vacant reports whether it is known that no VM serves tokens. It returns false until the list
 // was read and confirmed once, since a list that was never confirmed may be outdated.
 func (fle *Fleet) Vacant() bool {
-	if fle.rows.Revision() == 0 || fle.confirmedAt == (clock.Instant{}) {
+	if fle.rows.Revision() == 0 || !fle.confirmedAt.Known() {
 		return false
 	}
 	for num, rol := range fle.roles {
@@ -129,7 +129,7 @@
 
 // leased reports whether the leases of the roles that this VM holds have not expired.
 func (fle *Fleet) leased(now clock.Instant) bool {
-	return fle.confirmedAt != (clock.Instant{}) && now.Since(fle.confirmedAt) <= LeaseTime
+	return fle.confirmedAt.Within(LeaseTime, now)
 }
 
 // Waits reports whether the holder of the role of token server num has to wait for previous holders.
--- a/core/gateway/admission.go
+++ b/core/gateway/admission.go
@@ -146,17 +146,8 @@
 	default:
 		return &request.Refusal{Reason: request.ManyKeys, Detail: "the request carries several keys"}
 	}
-	if !mac.reliesOnStore() {
-		return &request.Refusal{
-			Reason: request.StaleConfiguration, RetryAfter: mac.randomRetryAfter(),
-			Detail: "the store was restored, and nothing proves yet that it holds the newest configuration",
-		}
-	}
-	if age := now.Since(mac.configConfirmedAt); age > mac.set.Policy.RevokeTime-clockDriftMargin {
-		return &request.Refusal{
-			Reason: request.StaleConfiguration, RetryAfter: mac.randomRetryAfter(),
-			Detail: "the configuration was last known to be the newest " + age.Round(time.Millisecond).String() + " ago",
-		}
+	if !mac.configConfirmedAt.Within(mac.set.Policy.RevokeTime-clockDriftMargin, now) {
+		return &request.Refusal{Reason: request.StaleConfiguration, RetryAfter: mac.randomRetryAfter(), Detail: mac.describeConfigAge(now)}
 	}
 	key := mac.config.Snapshot.Key(inf.Keys[0])
 	if key == nil && mac.config.Snapshot.KeysUnread() {
@@ -176,6 +167,15 @@
 	return nil
 }
 
+// describeConfigAge says when the configuration was last known to be the newest.
+func (mac *Machine) describeConfigAge(now clock.Instant) string {
+	age, known := mac.configConfirmedAt.Age(now)
+	if !known {
+		return "nothing proves yet that the configuration is the newest"
+	}
+	return "the configuration was last known to be the newest " + age.Round(time.Millisecond).String() + " ago"
+}
+
 // unreadRefusal refuses a request for which the configuration in force says something that this VM cannot read.
 func (mac *Machine) unreadRefusal(detail string) *request.Refusal {
 	return &request.Refusal{Reason: request.NoConfiguration, RetryAfter: mac.randomRetryAfter(), Detail: detail}
--- a/core/gateway/balance_test.go
+++ b/core/gateway/balance_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marigoldlug.example/core/balance"
+	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/placement"
 	"marigoldlug.example/core/registry"
 	"marigoldlug.example/core/request"
@@ -29,7 +30,7 @@
 			Service: "svc", Address: fmt.Sprint("10.0.1.", num, ":80"), FailureDomain: "a", Slots: 3,
 		}})
 	}
-	vmm.step(TargetsRead{RequestedAt: vmm.now, Update: table.Delta[registry.Entry]{Whole: true, Revision: 10, Rows: rows}})
+	vmm.step(TargetsRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[registry.Entry]{Whole: true, Revision: 10, Rows: rows}})
 	if got := len(vmm.mac.services["svc"].partitions); got != manyPartitions {
 		t.Fatalf("%d partitions", got)
 	}
--- a/core/gateway/budgetwait_test.go
+++ b/core/gateway/budgetwait_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"marigoldlug.example/core/admission"
+	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/config"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/health"
@@ -82,7 +83,7 @@
 	// The first VM by rank is the placer; of some names one ranks before this VM.
 	for num := range 40 {
 		other := member.VM{ID: string(rune('a'+num%26)) + "x.r" + string(rune('a'+num/26)), Address: "127.0.0.1:2", FailureDomain: "a"}
-		vmm.step(FleetRead{RequestedAt: vmm.now, Update: table.Delta[fleet.Row]{Whole: true, Revision: uint64(10 + num), Rows: []table.Row[fleet.Row]{
+		vmm.step(FleetRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[fleet.Row]{Whole: true, Revision: uint64(10 + num), Rows: []table.Row[fleet.Row]{
 			{Name: fleet.VMName("vm"), Revision: 2, Value: fleet.Row{VM: vmm.mac.set.Self, Name: "vm"}},
 			{Name: fleet.VMName("other"), Revision: 3, Value: fleet.Row{VM: other, Name: "other"}},
 		}}})
@@ -212,7 +213,7 @@
 		pla := withPlacer(t)
 		dis, _ := pla.shedOnce("/open/x", noRetry(100*time.Millisecond))
 		if replaced {
-			pla.step(FleetRead{RequestedAt: pla.now, Update: table.Delta[fleet.Row]{Whole: true, Revision: 99, Rows: []table.Row[fleet.Row]{
+			pla.step(FleetRead{RequestedAt: clock.MomentOf(pla.now), Update: table.Delta[fleet.Row]{Whole: true, Revision: 99, Rows: []table.Row[fleet.Row]{
 				{Name: fleet.VMName("vm"), Revision: 2, Value: fleet.Row{VM: pla.mac.set.Self, Name: "vm"}},
 			}}})
 		}
--- a/core/gateway/crashsim_test.go
+++ b/core/gateway/crashsim_test.go
@@ -215,7 +215,7 @@
 // fail reports the failure of an attempt, unless it has ended: first at the VM that has forwarded it.
 func (req *simRequest) fail(evt AttemptFailed) {
 	if by := req.forwarder; by != nil && by.mac != nil && by.runs == req.forwarderRun && !req.ended {
-		by.step(Forwarded{Forwarding: *req.forwarding, StartedAt: by.sim.instant(), Outcome: evt.Outcome, PortClosed: evt.PortClosed})
+		by.step(Forwarded{Forwarding: *req.forwarding, StartedAt: by.instant(), Outcome: evt.Outcome, PortClosed: evt.PortClosed})
 	}
 	if req.vm.mac == nil || req.vm.runs != req.run || req.ended {
 		return
--- a/core/gateway/drains_test.go
+++ b/core/gateway/drains_test.go
@@ -35,18 +35,18 @@
 // know delivers all objects but the drains.
 func (vmm *drainedVM) know() {
 	self := vmm.mac.set.Self
-	vmm.step(FleetRead{RequestedAt: vmm.now, Update: table.Delta[fleet.Row]{Whole: true, Revision: 5, Rows: []table.Row[fleet.Row]{
+	vmm.step(FleetRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[fleet.Row]{Whole: true, Revision: 5, Rows: []table.Row[fleet.Row]{
 		{Name: fleet.VMName("vm"), Revision: 2, Value: fleet.Row{VM: self, Name: "vm"}},
 	}}})
 	con := (&simDomains{}).content()
-	vmm.step(ConfigRead{RequestedAt: vmm.now, Update: NewConfig(1, con)})
+	vmm.step(ConfigRead{RequestedAt: clock.MomentOf(vmm.now), Update: NewConfig(1, con)})
 	var rows []table.Row[registry.Entry]
 	for _, domain := range []string{"a", "b"} {
 		rows = append(rows, table.Row[registry.Entry]{Name: "t" + domain, Revision: 3, Value: registry.Entry{
 			Service: "svc", Address: "t" + domain + ":80", FailureDomain: domain, Slots: 2, Born: time.UnixMilli(7),
 		}})
 	}
-	vmm.step(TargetsRead{RequestedAt: vmm.now, Update: table.Delta[registry.Entry]{Whole: true, Revision: 5, Rows: rows}})
+	vmm.step(TargetsRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[registry.Entry]{Whole: true, Revision: 5, Rows: rows}})
 }
 
 // drain delivers the drained domains.
@@ -238,7 +238,7 @@
 			rows = append(rows, table.Row[fleet.Row]{Name: fleet.VMName(name), Revision: 2, Value: fleet.Row{VM: member.VM{ID: name + ".1", Address: name, FailureDomain: "a"}, Name: name}})
 		}
 		now := clock.At(time.Hour)
-		mac.Step(now, FleetRead{RequestedAt: now, Update: table.Delta[fleet.Row]{Whole: true, Revision: 5, Rows: rows}})
+		mac.Step(now, FleetRead{RequestedAt: clock.MomentOf(now), Update: table.Delta[fleet.Row]{Whole: true, Revision: 5, Rows: rows}})
 		if mac.selector.IsPrimary() {
 			t.Fatal("the VM follows none; it needs another name")
 		}
@@ -312,7 +312,7 @@
 			t.Fatal("the configuration of the older program is not in force")
 		}
 		if byStore {
-			pai.follower.Step(pai.now, ConfigRead{RequestedAt: pai.now, Update: NewConfig(2, next)})
+			pai.follower.Step(pai.now, ConfigRead{RequestedAt: clock.MomentOf(pai.now), Update: NewConfig(2, next)})
 		} else {
 			pai.config(2, next)
 			pai.advance(resendDelay + 400*time.Millisecond) // The next query after that asks for the whole of it.
--- a/core/gateway/event.go
+++ b/core/gateway/event.go
@@ -76,8 +76,8 @@
 
 // ConfigRead delivers the newest configuration, as read from the platform.
 type ConfigRead struct {
-	// RequestedAt is when the read was sent to the platform.
-	RequestedAt clock.Instant
+	// RequestedAt is when the read was sent to the platform; it has never come if the result may be stale.
+	RequestedAt clock.Moment
 	// Update is nil if the configuration has not changed.
 	Update *Config
 	// Revision is the store's revision up to which the configuration was read; see revision.Join.
@@ -88,13 +88,15 @@
 
 // TargetsRead delivers the changes to the registered targets.
 type TargetsRead struct {
-	RequestedAt clock.Instant
+	// RequestedAt is as in ConfigRead.
+	RequestedAt clock.Moment
 	Update      table.Delta[registry.Entry]
 }
 
 // FleetRead delivers the changes to the list of VMs.
 type FleetRead struct {
-	RequestedAt clock.Instant
+	// RequestedAt is as in ConfigRead.
+	RequestedAt clock.Moment
 	Update      table.Delta[fleet.Row]
 }
 
@@ -250,11 +252,15 @@
 	Change        config.Patch
 }
 
+// neverAge stands for the age of what has never been confirmed.
+const neverAge = time.Hour
+
 // Ages tell how long ago a VM's copy of each kind of object was last known to be up to date.
 type Ages struct {
 	Config, Targets, Fleet time.Duration
 	// Contact is the time since the platform last answered a read of the configuration by the VM;
-	// other reads do not count. It is long if the VM does not read the platform.
+	// other reads do not count. It is long if the VM does not read the platform. An age of neverAge or more stands for no
+	// confirmation or contact at all.
 	Contact time.Duration
 }
 
--- a/core/gateway/fleetsim_test.go
+++ b/core/gateway/fleetsim_test.go
@@ -120,8 +120,10 @@
 	sim  *fleetSim
 	name string
 	runs int
-	mac  *Machine
-	next request.ID
+	// startedAt is when the present run started.
+	startedAt time.Time
+	mac       *Machine
+	next      request.ID
 	// callers holds when each request that is in flight arrived.
 	callers map[request.ID]time.Time
 	live    map[simAttempt]*simRequest
@@ -221,8 +223,10 @@
 	}
 }
 
-// instant returns the present time of all VMs.
-func (sim *fleetSim) instant() clock.Instant { return clock.At(time.Hour + sim.now.Sub(sim.started)) }
+// instant returns the present time of the VM. As in a process, its clock counts from the start of the run.
+func (vmm *simVM) instant() clock.Instant {
+	return processStart.Add(vmm.sim.now.Sub(vmm.startedAt))
+}
 
 // arrive sends a request to a random VM, and schedules the next one.
 func (sim *fleetSim) arrive() {
@@ -276,6 +280,7 @@
 func (vmm *simVM) start() {
 	vmm.runs++
 	self := member.VM{ID: fmt.Sprintf("%s.%d", vmm.name, vmm.runs), Address: vmm.name, FailureDomain: vmm.sim.domains.of(vmm.name)}
+	vmm.startedAt = vmm.sim.now
 	vmm.mac = New(Settings{Name: vmm.name, Self: self, Policy: vmm.sim.policy}, rand.New(rand.NewPCG(vmm.sim.rnd.Uint64(), 1)))
 	vmm.callers, vmm.live, vmm.crashers = make(map[request.ID]time.Time), make(map[simAttempt]*simRequest), make(map[request.ID]*crasher)
 	vmm.counted, vmm.connections, vmm.awaited = make(map[request.ID]*tries), make(map[string]bool), make(map[request.ID]bool)
@@ -287,11 +292,11 @@
 	if vmm.runs != run || vmm.mac == nil {
 		return
 	}
-	now := vmm.sim.instant()
+	now := vmm.instant()
 	if !vmm.sim.storeAway {
-		vmm.step(ConfigRead{RequestedAt: now})
-		vmm.step(TargetsRead{RequestedAt: now, Update: table.Delta[registry.Entry]{Since: vmm.mac.registry.Revision(), Revision: vmm.mac.registry.Revision()}})
-		vmm.step(FleetRead{RequestedAt: now, Update: table.Delta[fleet.Row]{Since: vmm.mac.fleet.Revision(), Revision: vmm.mac.fleet.Revision()}})
+		vmm.step(ConfigRead{RequestedAt: clock.MomentOf(now)})
+		vmm.step(TargetsRead{RequestedAt: clock.MomentOf(now), Update: table.Delta[registry.Entry]{Since: vmm.mac.registry.Revision(), Revision: vmm.mac.registry.Revision()}})
+		vmm.step(FleetRead{RequestedAt: clock.MomentOf(now), Update: table.Delta[fleet.Row]{Since: vmm.mac.fleet.Revision(), Revision: vmm.mac.fleet.Revision()}})
 	}
 	vmm.step(Ticked{Wall: vmm.sim.now})
 	vmm.sim.after(TickInterval, func() { vmm.tick(run) })
@@ -302,18 +307,18 @@
 	if vmm.mac == nil || vmm.sim.storeAway {
 		return
 	}
-	sim, now := vmm.sim, vmm.sim.instant()
+	sim, now := vmm.sim, vmm.instant()
 	if vmm.mac.config == nil {
-		vmm.step(ConfigRead{RequestedAt: now, Update: NewConfig(1, sim.domains.content())})
+		vmm.step(ConfigRead{RequestedAt: clock.MomentOf(now), Update: NewConfig(1, sim.domains.content())})
 	}
 	del := table.Delta[registry.Entry]{Whole: true, Revision: sim.revision}
 	for _, name := range sortedNames(sim.entries) {
 		del.Rows = append(del.Rows, table.Row[registry.Entry]{Name: name, Revision: sim.revision, Value: sim.entries[name]})
 	}
-	vmm.step(TargetsRead{RequestedAt: now, Update: del})
+	vmm.step(TargetsRead{RequestedAt: clock.MomentOf(now), Update: del})
 	vmm.noteLeaving()
 	sim.domains.sync(vmm)
-	vmm.step(FleetRead{RequestedAt: now, Update: table.Delta[fleet.Row]{Whole: true, Revision: sim.revision, Rows: sim.rows.Rows()}})
+	vmm.step(FleetRead{RequestedAt: clock.MomentOf(now), Update: table.Delta[fleet.Row]{Whole: true, Revision: sim.revision, Rows: sim.rows.Rows()}})
 }
 
 // changed delivers a change of the store to all VMs.
@@ -342,7 +347,7 @@
 }
 
 func (vmm *simVM) step(evt Event) {
-	for _, act := range vmm.mac.Step(vmm.sim.instant(), evt) {
+	for _, act := range vmm.mac.Step(vmm.instant(), evt) {
 		vmm.execute(act)
 	}
 }
@@ -479,7 +484,7 @@
 				return
 			}
 			if by := sim.vm(act.Forwarding.vm()); by != nil && by.mac != nil {
-				by.step(Forwarded{Forwarding: *act.Forwarding, StartedAt: sim.instant(), Outcome: health.Success, Announcement: &rsp.Announcement})
+				by.step(Forwarded{Forwarding: *act.Forwarding, StartedAt: by.instant(), Outcome: health.Success, Announcement: &rsp.Announcement})
 			}
 			req.ended = true
 			req.response = rsp
--- a/core/gateway/followers.go
+++ b/core/gateway/followers.go
@@ -80,7 +80,10 @@
 }
 
 func (mac *Machine) ages(now clock.Instant) Ages {
-	return Ages{Config: now.Since(mac.configConfirmedAt), Targets: now.Since(mac.targetsConfirmedAt), Fleet: now.Since(mac.fleet.ConfirmedAt()), Contact: now.Since(mac.configAnsweredAt)}
+	return Ages{
+		Config: mac.configConfirmedAt.AgeOr(neverAge, now), Targets: mac.targetsConfirmedAt.AgeOr(neverAge, now), Fleet: mac.fleet.ConfirmedAt().AgeOr(neverAge, now),
+		Contact: mac.configAnsweredAt.AgeOr(neverAge, now),
+	}
 }
 
 // followerQueried answers a VM that queries what has changed.
--- a/core/gateway/machine_test.go
+++ b/core/gateway/machine_test.go
@@ -55,10 +55,13 @@
 	return Policy{RevokeTime: 5 * time.Second, RewriteTime: 8 * time.Second, RetryShare: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second, Quota: quota.Policy{Window: 5 * time.Second, Excess: 0.1, Slack: 20}}
 }
 
+// processStart is when the first event is delivered, on the clock of the process, which counts from its start.
+var processStart = clock.At(time.Millisecond)
+
 func newVM(t *testing.T) *vm {
 	t.Helper()
 	self := member.VM{ID: "vm.r", Address: "127.0.0.1:1", FailureDomain: "a"}
-	vmm := &vm{t: t, now: clock.At(time.Hour), mac: New(Settings{Name: "vm", Self: self, Policy: policy()}, rand.New(rand.NewPCG(1, 1)))}
+	vmm := &vm{t: t, now: processStart, mac: New(Settings{Name: "vm", Self: self, Policy: policy()}, rand.New(rand.NewPCG(1, 1)))}
 	return vmm
 }
 
@@ -66,14 +69,14 @@
 // its token servers.
 func (vmm *vm) load() *vm {
 	self := vmm.mac.set.Self
-	vmm.step(FleetRead{RequestedAt: vmm.now, Update: table.Delta[fleet.Row]{Whole: true, Revision: 5, Rows: []table.Row[fleet.Row]{
+	vmm.step(FleetRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[fleet.Row]{Whole: true, Revision: 5, Rows: []table.Row[fleet.Row]{
 		{Name: fleet.VMName("vm"), Revision: 2, Value: fleet.Row{VM: self, Name: "vm"}},
 	}}})
 	var tokenServers []table.Row[fleet.Row]
 	for num := range fleet.TokenServerCount {
 		tokenServers = append(tokenServers, table.Row[fleet.Row]{Name: fleet.TokenServerName(num), Revision: 6, Value: fleet.Row{Holder: self.ID, Busy: quota.Busy{All: true}}})
 	}
-	vmm.step(FleetRead{RequestedAt: vmm.now, Update: table.Delta[fleet.Row]{Since: 5, Revision: 6, Rows: tokenServers}})
+	vmm.step(FleetRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[fleet.Row]{Since: 5, Revision: 6, Rows: tokenServers}})
 	vmm.config(1, content())
 	var rows []table.Row[registry.Entry]
 	for num := range 6 {
@@ -85,13 +88,13 @@
 			Service: svc, Address: fmt.Sprint("10.0.0.", num, ":80"), FailureDomain: "a", Slots: 3,
 		}})
 	}
-	vmm.step(TargetsRead{RequestedAt: vmm.now, Update: table.Delta[registry.Entry]{Whole: true, Revision: 9, Rows: rows}})
+	vmm.step(TargetsRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[registry.Entry]{Whole: true, Revision: 9, Rows: rows}})
 	vmm.advance(11 * time.Second)
 	return vmm
 }
 
 func (vmm *vm) config(version uint64, con config.Content) {
-	vmm.step(ConfigRead{RequestedAt: vmm.now, Update: NewConfig(version, con)})
+	vmm.step(ConfigRead{RequestedAt: clock.MomentOf(vmm.now), Update: NewConfig(version, con)})
 }
 
 func (vmm *vm) step(evt Event) []Action { return vmm.mac.Step(vmm.now, evt) }
@@ -100,9 +103,9 @@
 func (vmm *vm) advance(dur time.Duration) (acts []Action) {
 	for end := vmm.now.Add(dur); vmm.now.Before(end); {
 		vmm.now = vmm.now.Add(TickInterval)
-		vmm.step(ConfigRead{RequestedAt: vmm.now})
-		vmm.step(TargetsRead{RequestedAt: vmm.now, Update: table.Delta[registry.Entry]{Since: 9, Revision: 9}})
-		vmm.step(FleetRead{RequestedAt: vmm.now, Update: table.Delta[fleet.Row]{Since: 6, Revision: 6}})
+		vmm.step(ConfigRead{RequestedAt: clock.MomentOf(vmm.now)})
+		vmm.step(TargetsRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[registry.Entry]{Since: 9, Revision: 9}})
+		vmm.step(FleetRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[fleet.Row]{Since: 6, Revision: 6}})
 		acts = append(acts, vmm.step(Ticked{})...)
 	}
 	return acts
@@ -218,7 +221,8 @@
 
 // TestUnconfirmedConfigurationServesNoKey restarts a VM, which gets a configuration and targets from
 // another VM that may hold old ones. No key may be accepted before the configuration is confirmed, since
-// it may have been withdrawn meanwhile; the request waits for that, and is refused if it does not come.
+// it may have been withdrawn meanwhile; the request waits for that, and is refused if it does not come. That the process
+// runs for less than RevokeTime does not make the configuration a recent one.
 func TestUnconfirmedConfigurationServesNoKey(t *testing.T) {
 	vmm := newVM(t)
 	vmm.step(Ticked{})
@@ -460,7 +464,7 @@
 		id := fmt.Sprintf("other%d.r", num)
 		rows = append(rows, table.Row[fleet.Row]{Name: fleet.VMName(id), Revision: 7, Value: fleet.Row{VM: member.VM{ID: id, FailureDomain: "a"}, Name: id[:len(id)-2]}})
 	}
-	vmm.step(FleetRead{RequestedAt: vmm.now, Update: table.Delta[fleet.Row]{Since: 6, Revision: 7, Rows: rows}})
+	vmm.step(FleetRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[fleet.Row]{Since: 6, Revision: 7, Rows: rows}})
 	acts := vmm.arrive("/open/x", "")
 	if _, soon := dispatched(acts); soon {
 		t.Skip("this VM is the placer of the service")
--- a/core/gateway/membership.go
+++ b/core/gateway/membership.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		silent := now.Since(lastHeard)
-		if silent >= vmLostTime && now.Since(mac.fleet.ConfirmedAt()) < vmSilentTime {
+		if silent >= vmLostTime && mac.fleet.ConfirmedAt().Within(vmSilentTime, now) {
 			if row, listed := mac.fleet.Row(vmm.ID); listed {
 				mac.log("vmLost", "vm", vmm.ID, "silent", silent)
 				mac.emit(Delete{Name: row.Name, Revision: row.Revision})
--- a/core/gateway/pathsim_test.go
+++ b/core/gateway/pathsim_test.go
@@ -138,7 +138,7 @@
 		req.fail(AttemptFailed{Outcome: health.NotForwarded, Verdict: verdict.NotRun})
 		return nil
 	}
-	if _, _, rej := by.mac.MayForward(sim.instant(), *fwd); rej != nil {
+	if _, _, rej := by.mac.MayForward(by.instant(), *fwd); rej != nil {
 		req.fail(AttemptFailed{Outcome: rej.Outcome, Verdict: verdict.NotRun})
 		return nil
 	}
--- a/core/gateway/peers_test.go
+++ b/core/gateway/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/placement"
 	"marigoldlug.example/core/registry"
@@ -16,7 +17,7 @@
 	const revision = 8
 	row := otherRow(revision)
 	row.Value.VM.ID = "other.next"
-	vmm.step(FleetRead{RequestedAt: vmm.now, Update: table.Delta[fleet.Row]{Since: revision - 1, Revision: revision, Rows: []table.Row[fleet.Row]{row}}})
+	vmm.step(FleetRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[fleet.Row]{Since: revision - 1, Revision: revision, Rows: []table.Row[fleet.Row]{row}}})
 }
 
 // queriesPlacer reports whether the given VM is queried for a placement.
@@ -73,7 +74,7 @@
 		{"it knows the configuration", func(placer *vm) { placer.config(1, content()) }},
 		{"it knows targets of another service", func(placer *vm) {
 			placer.config(1, content())
-			placer.step(TargetsRead{RequestedAt: placer.now, Update: table.Delta[registry.Entry]{Whole: true, Revision: 9, Rows: []table.Row[registry.Entry]{
+			placer.step(TargetsRead{RequestedAt: clock.MomentOf(placer.now), Update: table.Delta[registry.Entry]{Whole: true, Revision: 9, Rows: []table.Row[registry.Entry]{
 				{Name: "t4", Revision: 5, Value: registry.Entry{Service: "new", Address: "10.0.0.4:80", FailureDomain: "a", Slots: 3}},
 			}}})
 		}},
@@ -98,7 +99,7 @@
 	placer := newVM(t)
 	vmm := newVM(t)
 	vmm.config(1, content())
-	vmm.step(TargetsRead{RequestedAt: vmm.now, Update: table.Delta[registry.Entry]{Whole: true, Revision: 9}})
+	vmm.step(TargetsRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[registry.Entry]{Whole: true, Revision: 9}})
 	vmm.placedByOther()
 	qry := sentMessages(vmm.arrive("/open/x", ""))[0]
 	answers := sentMessages(placer.step(Received{From: "asker.r", Message: qry}))
--- a/core/gateway/phases_test.go
+++ b/core/gateway/phases_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/health"
@@ -29,7 +30,7 @@
 	{"delisted", true, func(vmm *vm) {
 		vmm.load().step(StopBegan{})
 		vmm.released()
-		vmm.step(FleetRead{RequestedAt: vmm.now, Update: table.Delta[fleet.Row]{Since: 7, Revision: 8, Removed: []string{fleet.VMName("vm")}}})
+		vmm.step(FleetRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[fleet.Row]{Since: 7, Revision: 8, Removed: []string{fleet.VMName("vm")}}})
 		vmm.advanceOffline(TickInterval)
 	}},
 	{"past the stop deadline", true, func(vmm *vm) {
@@ -156,7 +157,7 @@
 				if stopping {
 					vmm.step(StopBegan{})
 				}
-				vmm.step(TargetsRead{RequestedAt: vmm.now, Update: table.Delta[registry.Entry]{Since: 9, Revision: 10, Rows: chg.rows, Removed: chg.removed}})
+				vmm.step(TargetsRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[registry.Entry]{Since: 9, Revision: 10, Rows: chg.rows, Removed: chg.removed}})
 				vmm.advanceOffline(TickInterval)
 				relays := 0
 				for range 2 {
@@ -199,7 +200,7 @@
 				t.Fatal("the placer was not queried")
 			}
 			vmm.step(StopBegan{})
-			vmm.step(TargetsRead{RequestedAt: vmm.now, Update: table.Delta[registry.Entry]{Since: 9, Revision: 10, Rows: chg.rows, Removed: chg.removed}})
+			vmm.step(TargetsRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[registry.Entry]{Since: 9, Revision: 10, Rows: chg.rows, Removed: chg.removed}})
 			dis := vmm.mustDispatch(vmm.step(Received{From: "other.r", Message: placement.Answer{
 				Number: qry.Number, Target: "t0", HedgeAfter: time.Second, ReplaceAfter: time.Second,
 			}}))
--- a/core/gateway/queue.go
+++ b/core/gateway/queue.go
@@ -27,7 +27,7 @@
 // with which it learns what is quarantined, and that the configuration was the newest at some time since its start:
 // without that no key can be relied on.
 func (mac *Machine) synced() bool {
-	return mac.config != nil && mac.registry.Revision() > 0 && mac.fleet.Revision() > 0 && mac.drainsKnown() && mac.configConfirmedAt != (clock.Instant{})
+	return mac.config != nil && mac.registry.Revision() > 0 && mac.fleet.Revision() > 0 && mac.drainsKnown() && mac.configConfirmedAt.Known()
 }
 
 // starting reports whether this VM has just started.
--- a/core/gateway/queue_test.go
+++ b/core/gateway/queue_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/registry"
 	"marigoldlug.example/core/table"
@@ -18,13 +19,13 @@
 	vmm.step(CallerLeft{Request: 1})
 	vmm.now = vmm.now.Add(300 * time.Millisecond)
 	vmm.config(1, content())
-	vmm.step(TargetsRead{RequestedAt: vmm.now, Update: table.Delta[registry.Entry]{Whole: true, Revision: 9, Rows: []table.Row[registry.Entry]{
+	vmm.step(TargetsRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[registry.Entry]{Whole: true, Revision: 9, Rows: []table.Row[registry.Entry]{
 		{Name: "t", Revision: 1, Value: registry.Entry{Service: "svc", Address: "10.0.0.1:80", FailureDomain: "a", Slots: 3}},
 	}}})
 	if dis, sent := dispatched(vmm.advanceOffline(TickInterval)); sent {
 		t.Errorf("%+v before the list of VMs was known", dis)
 	}
-	vmm.step(FleetRead{RequestedAt: vmm.now, Update: table.Delta[fleet.Row]{Whole: true, Revision: 5, Rows: []table.Row[fleet.Row]{
+	vmm.step(FleetRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[fleet.Row]{Whole: true, Revision: 5, Rows: []table.Row[fleet.Row]{
 		{Name: fleet.VMName("vm"), Revision: 2, Value: fleet.Row{VM: vmm.mac.set.Self, Name: "vm"}},
 	}}})
 	acts := vmm.advanceOffline(TickInterval)
--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"marigoldlug.example/core/bootstrap"
 	"marigoldlug.example/core/clock"
@@ -21,7 +22,7 @@
 // and that follow it.
 type replica struct {
 	config            *Config
-	configConfirmedAt clock.Instant
+	configConfirmedAt clock.Moment
 	// configPartial is set if the configuration came from a VM that may be of an older program, which leaves out fields
 	// of services.
 	configPartial bool
@@ -31,11 +32,11 @@
 	patches       map[uint64]*Patch
 	// configAnsweredAt is when the platform last answered a read of the configuration by this VM.
 	// Reads of the targets and of the fleet do not count.
-	configAnsweredAt clock.Instant
+	configAnsweredAt clock.Moment
 	restores         restores
 	registry         *registry.Registry
 	// targetsConfirmedAt is when the registry was last known to be up to date.
-	targetsConfirmedAt clock.Instant
+	targetsConfirmedAt clock.Moment
 	fleet              *fleet.Fleet
 	selector           *feed.Selector
 	followers          map[string]*follower
@@ -88,7 +89,7 @@
 	before := mac.registry.Revision()
 	changed := mac.registry.Apply(now, del)
 	if mac.entered(now, "targets", before, mac.registry.Revision()) {
-		mac.targetsConfirmedAt = clock.Instant{}
+		mac.targetsConfirmedAt = clock.Moment{}
 	}
 	mac.logDoubts()
 	if changed {
@@ -195,15 +196,15 @@
 		changed = mac.configRead(now, evt)
 	case TargetsRead:
 		changed = mac.applyTargets(now, evt.Update)
-		if revision.Covers(mac.registry.Revision(), evt.Update.Revision) {
-			mac.confirmTargets(now, evt.RequestedAt)
+		if at, known := evt.RequestedAt.Instant(); known && revision.Covers(mac.registry.Revision(), evt.Update.Revision) {
+			mac.confirmTargets(now, at)
 		}
 	case DrainsRead:
 		changed = mac.applyDrains(now, evt.Update)
 	case FleetRead:
 		changed = mac.applyFleet(now, evt.Update)
-		if revision.Covers(mac.fleet.Revision(), evt.Update.Revision) {
-			mac.fleet.Confirm(evt.RequestedAt)
+		if at, known := evt.RequestedAt.Instant(); known && revision.Covers(mac.fleet.Revision(), evt.Update.Revision) {
+			mac.fleet.Confirm(at)
 		}
 	}
 	if changed {
@@ -214,7 +215,7 @@
 func (mac *Machine) confirmTargets(now, at clock.Instant) {
 	mac.registry.Confirm(now, at)
 	mac.book.Confirm(at)
-	mac.targetsConfirmedAt = clock.Later(mac.targetsConfirmedAt, at)
+	mac.targetsConfirmedAt = mac.targetsConfirmedAt.Later(clock.MomentOf(at))
 }
 
 // updateReceived handles an update from the VM that is followed.
@@ -229,7 +230,7 @@
 	contact := upd.Ages.Contact
 	trusted := mac.trusts(now, from, upd)
 	if !trusted {
-		contact = untrustedContact
+		contact = neverAge
 	}
 	if upd.Number != 0 && (!trusted || !mac.provesStore(upd)) {
 		mac.restores.check.KnowsNoMore(from)
@@ -261,17 +262,23 @@
 	if mac.version() >= upd.Version && mac.provesStore(upd) {
 		mac.settle(now, bootstrap.Answered)
 	}
-	if mac.version() == upd.Version {
-		mac.configConfirmedAt = clock.Later(mac.configConfirmedAt, sent.Add(-upd.Ages.Config))
+	if at, known := dated(sent, upd.Ages.Config); known && mac.version() == upd.Version {
+		mac.configConfirmedAt = mac.configConfirmedAt.Later(clock.MomentOf(at))
 	}
-	if revision.Covers(mac.registry.Revision(), upd.Targets.Revision) {
-		mac.confirmTargets(now, sent.Add(-upd.Ages.Targets))
+	if at, known := dated(sent, upd.Ages.Targets); known && revision.Covers(mac.registry.Revision(), upd.Targets.Revision) {
+		mac.confirmTargets(now, at)
 	}
-	if revision.Covers(mac.fleet.Revision(), upd.Fleet.Revision) {
-		mac.fleet.Confirm(sent.Add(-upd.Ages.Fleet))
+	if at, known := dated(sent, upd.Ages.Fleet); known && revision.Covers(mac.fleet.Revision(), upd.Fleet.Revision) {
+		mac.fleet.Confirm(at)
 	}
 }
 
+// dated returns the instant that an age in an update stands for, which answers a query that was sent at the given time. known is
+// false if the sender has no confirmation.
+func dated(sent clock.Instant, age time.Duration) (at clock.Instant, known bool) {
+	return sent.Add(-age), age < neverAge
+}
+
 // updatedConfig returns the configuration that an update contains, whole or as a patch, or nil.
 func (mac *Machine) updatedConfig(upd Update) *Config {
 	pat := upd.Patch
@@ -283,7 +290,7 @@
 
 // follow decides whether this VM follows another one or reads the platform itself.
 func (mac *Machine) follow(now clock.Instant) {
-	for _, snd := range mac.selector.Tick(now, mac.query(), now.Since(mac.configAnsweredAt)) {
+	for _, snd := range mac.selector.Tick(now, mac.query(), mac.configAnsweredAt.AgeOr(now.Since(mac.startedAt), now)) {
 		if mac.configPartial && mac.tellsDrains(now, snd.To) {
 			snd.Query.Config = 0 // The VM is to send the whole configuration.
 		}
--- a/core/gateway/restore.go
+++ b/core/gateway/restore.go
@@ -15,10 +15,6 @@
 // offerInterval is the least time between two offers of the configuration.
 const offerInterval = 500 * time.Millisecond
 
-// untrustedContact stands for the time since the platform answered a VM whose updates prove nothing, so that it is
-// not followed.
-const untrustedContact = time.Hour
-
 // restores is what a VM knows of restores of the platform's store; see package revision.
 type restores struct {
 	// era is the latest era that this VM knows, and restored is set once it has risen.
@@ -28,9 +24,9 @@
 	// held then, 0 if none.
 	configEra     revision.Era
 	storedVersion uint64
-	// readAt is when the last read was sent that showed that version to be the newest one of the latest era; zero before.
+	// readAt is when the last read was sent that showed that version to be the newest one of the latest era.
 	// readRevision is the store's revision up to which it was read.
-	readAt       clock.Instant
+	readAt       clock.Moment
 	readRevision uint64
 	// firstVersion is the version that the store held when this VM first read it in firstEra, in a read that was not stale.
 	firstEra     revision.Era
@@ -47,7 +43,7 @@
 	// recordedAt is when this VM last recorded a proof in the store.
 	recordedAt clock.Moment
 	// offeredAt is when this VM last offered its configuration to other VMs.
-	offeredAt clock.Instant
+	offeredAt clock.Moment
 }
 
 // noteEra records an era that the store or another VM has told. A VM that was in sync until then knows what was in force.
@@ -65,7 +61,7 @@
 	switch {
 	case !res.check.Settled():
 		res.check = bootstrap.New(mac.rnd)
-	case now.Since(mac.configConfirmedAt) <= mac.set.Policy.RevokeTime:
+	case mac.configConfirmedAt.Within(mac.set.Policy.RevokeTime, now):
 		mac.eraProven(now)
 	}
 }
@@ -97,7 +93,7 @@
 	era := revision.EraOf(evt.Revision)
 	mac.noteEra(now, era)
 	changed := mac.adoptConfig(now, evt.Update, true)
-	mac.configAnsweredAt = now
+	mac.configAnsweredAt = clock.MomentOf(now)
 	if era < res.configEra {
 		return changed
 	}
@@ -120,7 +116,7 @@
 		return changed
 	}
 	if era == res.era {
-		res.readAt, res.readRevision = clock.Later(res.readAt, evt.RequestedAt), max(res.readRevision, evt.Revision)
+		res.readAt, res.readRevision = res.readAt.Later(evt.RequestedAt), max(res.readRevision, evt.Revision)
 		mac.confirmByStore()
 	}
 	return changed
@@ -128,10 +124,10 @@
 
 // rewritten reports whether the operator has written a configuration since the store was restored: the store holds a later
 // version than when this VM first read it in the latest era. Operators write the whole configuration, so that it contains
-// all that the store has lost. requestedAt is when the present read was sent, zero if it may be stale.
-func (mac *Machine) rewritten(era revision.Era, requestedAt clock.Instant) bool {
+// all that the store has lost. requestedAt is that of the present read.
+func (mac *Machine) rewritten(era revision.Era, requestedAt clock.Moment) bool {
 	res := &mac.restores
-	if era != res.era || requestedAt == (clock.Instant{}) {
+	if era != res.era || !requestedAt.Known() {
 		return false
 	}
 	if res.firstEra != era {
@@ -144,10 +140,10 @@
 // offerConfig sends the configuration to VMs that may not know it, though the store does not hold it any more.
 func (mac *Machine) offerConfig(now clock.Instant, ids []string) {
 	res := &mac.restores
-	if !res.restored || res.offeredAt != (clock.Instant{}) && now.Since(res.offeredAt) < offerInterval {
+	if age, offered := res.offeredAt.Age(now); !res.restored || offered && age < offerInterval {
 		return
 	}
-	res.offeredAt = now
+	res.offeredAt = clock.MomentOf(now)
 	for _, id := range ids {
 		mac.emit(Send{To: id, Message: Update{Version: mac.version(), Config: mac.config}})
 	}
--- a/core/gateway/restore_test.go
+++ b/core/gateway/restore_test.go
@@ -19,7 +19,7 @@
 
 // readIn returns the read of a configuration in an era, of the version before if con is nil.
 func readIn(era revision.Era, at clock.Instant, con *Config) ConfigRead {
-	return ConfigRead{RequestedAt: at, Update: con, Revision: revision.Join(era, 40)}
+	return ConfigRead{RequestedAt: clock.MomentOf(at), Update: con, Revision: revision.Join(era, 40)}
 }
 
 // sent returns the messages among actions by receiver.
@@ -43,19 +43,19 @@
 	later := now.Add(time.Second)
 	mac.Step(later, readIn(eraAfter, later, NewConfig(5, content())))
 	mac.Step(later, readIn(eraAfter, later, nil))
-	if mac.version() != 7 || mac.configConfirmedAt != now {
-		t.Errorf("version %d counts as confirmed %v ago, want version 7 as confirmed before the restore", mac.version(), later.Since(mac.configConfirmedAt))
+	if mac.version() != 7 || mac.configConfirmedAt != clock.MomentOf(now) {
+		t.Errorf("version %d counts as confirmed %v ago, want version 7 as confirmed before the restore", mac.version(), mac.configConfirmedAt.AgeOr(neverAge, later))
 	}
-	mac.Step(later, ConfigRead{RequestedAt: later, Revision: revision.Join(eraAfter, 41), Absent: true})
-	if mac.configConfirmedAt != now {
+	mac.Step(later, ConfigRead{RequestedAt: clock.MomentOf(later), Revision: revision.Join(eraAfter, 41), Absent: true})
+	if mac.configConfirmedAt != clock.MomentOf(now) {
 		t.Error("a store without a configuration confirms one")
 	}
 	mac.Step(later, readIn(eraBefore, later, nil))
-	if mac.configConfirmedAt != now {
+	if mac.configConfirmedAt != clock.MomentOf(now) {
 		t.Error("a read of the era before confirms the configuration")
 	}
 	mac.Step(later, readIn(eraAfter, later, NewConfig(7, content())))
-	if mac.version() != 7 || mac.configConfirmedAt != later {
+	if mac.version() != 7 || mac.configConfirmedAt != clock.MomentOf(later) {
 		t.Error("the version that the operator has written again is not confirmed")
 	}
 }
@@ -68,7 +68,7 @@
 	mac, now := pai.followed, pai.now
 	other := vmRow("other", "b", revision.Join(eraBefore, 6))
 	list := table.Delta[fleet.Row]{Whole: true, Revision: revision.Join(eraBefore, 6), Rows: []table.Row[fleet.Row]{vmRow("one", "a", 1), vmRow("two", "a", 2), other}}
-	mac.Step(now, FleetRead{RequestedAt: now, Update: list})
+	mac.Step(now, FleetRead{RequestedAt: clock.MomentOf(now), Update: list})
 	mac.Step(now, readIn(eraBefore, now, NewConfig(7, content())))
 	acts := sent(mac.Step(now, readIn(eraAfter, now, NewConfig(5, content()))))
 	if upd, ok := acts[other.Value.VM.ID].(Update); !ok || upd.Config == nil || upd.Config.Version != 7 || len(acts) != 1 {
@@ -120,9 +120,9 @@
 	if pai.follower.selector.Followed() != "" || !pai.follower.reading.On {
 		t.Errorf("follows %q, reads the store: %v", pai.follower.selector.Followed(), pai.follower.reading.On)
 	}
-	for name, at := range map[string]clock.Instant{"configuration": pai.follower.configConfirmedAt, "targets": pai.follower.targetsConfirmedAt, "list of VMs": pai.follower.fleet.ConfirmedAt()} {
-		if known.Before(at) {
-			t.Errorf("the %s counts as confirmed %v after an era was known", name, at.Since(known))
+	for name, at := range map[string]clock.Moment{"configuration": pai.follower.configConfirmedAt, "targets": pai.follower.targetsConfirmedAt, "list of VMs": pai.follower.fleet.ConfirmedAt()} {
+		if ins, confirmed := at.Instant(); confirmed && known.Before(ins) {
+			t.Errorf("the %s counts as confirmed %v after an era was known", name, ins.Since(known))
 		}
 	}
 }
@@ -134,12 +134,12 @@
 	mac, now := pai.followed, pai.now
 	now = now.Add(time.Second)
 	rows := []table.Row[fleet.Row]{vmRow("one", "a", revision.Join(eraAfter, 2)), vmRow("two", "a", revision.Join(eraAfter, 3))}
-	mac.Step(now, TargetsRead{RequestedAt: now, Update: table.Delta[registry.Entry]{Whole: true, Revision: revision.Join(eraAfter, 3)}})
-	mac.Step(now, FleetRead{RequestedAt: now, Update: table.Delta[fleet.Row]{Whole: true, Revision: revision.Join(eraAfter, 3), Rows: rows}})
+	mac.Step(now, TargetsRead{RequestedAt: clock.MomentOf(now), Update: table.Delta[registry.Entry]{Whole: true, Revision: revision.Join(eraAfter, 3)}})
+	mac.Step(now, FleetRead{RequestedAt: clock.MomentOf(now), Update: table.Delta[fleet.Row]{Whole: true, Revision: revision.Join(eraAfter, 3), Rows: rows}})
 	later := now.Add(time.Second)
-	mac.Step(later, TargetsRead{RequestedAt: later, Update: table.Delta[registry.Entry]{Whole: true, Revision: revision.Join(eraBefore, 90)}})
-	mac.Step(later, FleetRead{RequestedAt: later, Update: table.Delta[fleet.Row]{Whole: true, Revision: revision.Join(eraBefore, 90)}})
-	if mac.targetsConfirmedAt != now || mac.fleet.ConfirmedAt() != now || mac.fleet.View().Size() != 2 {
-		t.Errorf("targets count as confirmed %v and VMs %v later", mac.targetsConfirmedAt.Since(now), mac.fleet.ConfirmedAt().Since(now))
+	mac.Step(later, TargetsRead{RequestedAt: clock.MomentOf(later), Update: table.Delta[registry.Entry]{Whole: true, Revision: revision.Join(eraBefore, 90)}})
+	mac.Step(later, FleetRead{RequestedAt: clock.MomentOf(later), Update: table.Delta[fleet.Row]{Whole: true, Revision: revision.Join(eraBefore, 90)}})
+	if mac.targetsConfirmedAt != clock.MomentOf(now) || mac.fleet.ConfirmedAt() != clock.MomentOf(now) || mac.fleet.View().Size() != 2 {
+		t.Errorf("targets count as confirmed %v and VMs %v before", mac.targetsConfirmedAt.AgeOr(neverAge, later), mac.fleet.ConfirmedAt().AgeOr(neverAge, later))
 	}
 }
--- a/core/gateway/scale_test.go
+++ b/core/gateway/scale_test.go
@@ -32,17 +32,17 @@
 		vms = append(vms, table.Row[fleet.Row]{Name: fleet.VMName(name), Revision: uint64(num + 1), Value: fleet.Row{VM: vmm, Name: name}})
 	}
 	mac := New(Settings{Name: "vm-0", Self: vms[0].Value.VM, Policy: policy()}, rand.New(rand.NewPCG(1, 1)))
-	mac.Step(now, FleetRead{RequestedAt: now, Update: table.Delta[fleet.Row]{Whole: true, Revision: fullScaleVMs, Rows: vms}})
+	mac.Step(now, FleetRead{RequestedAt: clock.MomentOf(now), Update: table.Delta[fleet.Row]{Whole: true, Revision: fullScaleVMs, Rows: vms}})
 	var con config.Content
 	for num := range fullScaleServices {
 		con.Services = append(con.Services, config.Service{Name: fmt.Sprint("service-", num)})
 	}
-	mac.Step(now, ConfigRead{RequestedAt: now, Update: NewConfig(1, con)})
+	mac.Step(now, ConfigRead{RequestedAt: clock.MomentOf(now), Update: NewConfig(1, con)})
 	var rows []table.Row[registry.Entry]
 	for num := range fullScaleTargets {
 		rows = append(rows, fullScaleTarget(num, uint64(num+1)))
 	}
-	mac.Step(now, TargetsRead{RequestedAt: now, Update: table.Delta[registry.Entry]{Whole: true, Revision: fullScaleTargets, Rows: rows}})
+	mac.Step(now, TargetsRead{RequestedAt: clock.MomentOf(now), Update: table.Delta[registry.Entry]{Whole: true, Revision: fullScaleTargets, Rows: rows}})
 	return mac, now
 }
 
@@ -58,7 +58,7 @@
 	revision := uint64(fullScaleTargets)
 	for b.Loop() {
 		revision++
-		mac.Step(now, TargetsRead{RequestedAt: now, Update: table.Delta[registry.Entry]{
+		mac.Step(now, TargetsRead{RequestedAt: clock.MomentOf(now), Update: table.Delta[registry.Entry]{
 			Since: revision - 1, Revision: revision, Rows: []table.Row[registry.Entry]{fullScaleTarget(7, revision)},
 		}})
 	}
--- a/core/gateway/stop_test.go
+++ b/core/gateway/stop_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/quota"
@@ -55,7 +56,7 @@
 
 // list delivers changes to the fleet's list and then a tick.
 func (vmm *vm) list(since, revision uint64, rows ...table.Row[fleet.Row]) []Action {
-	acts := vmm.step(FleetRead{RequestedAt: vmm.now, Update: table.Delta[fleet.Row]{Since: since, Revision: revision, Rows: rows}})
+	acts := vmm.step(FleetRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[fleet.Row]{Since: since, Revision: revision, Rows: rows}})
 	return append(acts, vmm.advanceOffline(TickInterval)...)
 }
 
@@ -82,11 +83,11 @@
 		}, ""},
 		{"starting, the list arrives while stopping", func(vmm *vm) []Action {
 			acts := vmm.step(StopBegan{})
-			acts = append(acts, vmm.step(FleetRead{RequestedAt: vmm.now, Update: table.Delta[fleet.Row]{Whole: true, Revision: 5, Rows: []table.Row[fleet.Row]{otherRow(3)}}})...)
+			acts = append(acts, vmm.step(FleetRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[fleet.Row]{Whole: true, Revision: 5, Rows: []table.Row[fleet.Row]{otherRow(3)}}})...)
 			return append(acts, vmm.advanceOffline(3*time.Second)...)
 		}, ""},
 		{"starting, its listing takes effect while stopping", func(vmm *vm) []Action {
-			vmm.step(FleetRead{RequestedAt: vmm.now, Update: table.Delta[fleet.Row]{Whole: true, Revision: 5, Rows: []table.Row[fleet.Row]{otherRow(3)}}})
+			vmm.step(FleetRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[fleet.Row]{Whole: true, Revision: 5, Rows: []table.Row[fleet.Row]{otherRow(3)}}})
 			if got := storeCalls(vmm.advanceOffline(TickInterval)); got != "list vm.vm at 0" {
 				t.Fatalf("wrote %q at its start", got)
 			}
@@ -131,7 +132,7 @@
 		{"stopping, the store accepts all but one release", func(vmm *vm) []Action {
 			vmm.load().step(StopBegan{})
 			free := fleet.Row{Holder: self, Released: true}
-			vmm.step(FleetRead{RequestedAt: vmm.now, Update: table.Delta[fleet.Row]{
+			vmm.step(FleetRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[fleet.Row]{
 				Since: 6, Revision: 7, Rows: []table.Row[fleet.Row]{tokenServerRow(1, free, 7), tokenServerRow(2, free, 7)}, Removed: []string{fleet.VMName("vm")},
 			}})
 			return vmm.advanceOffline(releaseRetryInterval + TickInterval)
@@ -144,13 +145,13 @@
 		{"stopping, a token server becomes vacant", func(vmm *vm) []Action {
 			vmm.load().step(StopBegan{})
 			vmm.released()
-			vmm.step(FleetRead{RequestedAt: vmm.now, Update: table.Delta[fleet.Row]{Since: 7, Revision: 8, Removed: []string{fleet.VMName("vm")}}})
+			vmm.step(FleetRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[fleet.Row]{Since: 7, Revision: 8, Removed: []string{fleet.VMName("vm")}}})
 			return vmm.advanceOffline(3 * time.Second)
 		}, ""},
 		{"stopping, the store is reachable again", func(vmm *vm) []Action {
 			vmm.load().step(StopBegan{})
 			vmm.advanceOffline(8 * time.Second)
-			vmm.step(FleetRead{RequestedAt: vmm.now, Update: table.Delta[fleet.Row]{Whole: true, Revision: 9, Rows: []table.Row[fleet.Row]{otherRow(3)}}})
+			vmm.step(FleetRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[fleet.Row]{Whole: true, Revision: 9, Rows: []table.Row[fleet.Row]{otherRow(3)}}})
 			return vmm.advanceOffline(3 * time.Second)
 		}, ""},
 		{"stopping, another run of the VM is listed", func(vmm *vm) []Action {
--- a/core/gateway/stopdeadline_test.go
+++ b/core/gateway/stopdeadline_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/placement"
@@ -96,7 +97,7 @@
 	for num := range fleet.TokenServerCount {
 		rows = append(rows, tokenServerRow(num, fleet.Row{Holder: "other.r"}, 7))
 	}
-	vmm.step(FleetRead{RequestedAt: vmm.now, Update: table.Delta[fleet.Row]{Whole: true, Revision: 7, Rows: rows}})
+	vmm.step(FleetRead{RequestedAt: clock.MomentOf(vmm.now), Update: table.Delta[fleet.Row]{Whole: true, Revision: 7, Rows: rows}})
 	vmm.advanceOffline(TickInterval)
 	return vmm
 }
--- a/core/gateway/storecheck.go
+++ b/core/gateway/storecheck.go
@@ -108,12 +108,12 @@
 // once relied on it lives through later restores.
 func (mac *Machine) confirmByStore() {
 	res := &mac.restores
-	if !mac.reliesOnStore() || res.readAt == (clock.Instant{}) || res.storedVersion < mac.version() {
+	if !mac.reliesOnStore() || !res.readAt.Known() || res.storedVersion < mac.version() {
 		return
 	}
 	res.check.Settle(bootstrap.NeverRestored)
 	res.confirmedEra = res.configEra
-	mac.configConfirmedAt = clock.Later(mac.configConfirmedAt, res.readAt)
+	mac.configConfirmedAt = mac.configConfirmedAt.Later(res.readAt)
 }
 
 // recordProof records in the store that it holds the newest configuration in its present era, for the VMs that start in it:
--- a/core/gateway/storecheck_test.go
+++ b/core/gateway/storecheck_test.go
@@ -28,7 +28,7 @@
 
 // newStarters returns VMs that are listed in the era after a restore, and know nothing else.
 func newStarters(count int) *starters {
-	sts := &starters{now: clock.At(time.Millisecond), macs: make(map[string]*Machine), silent: make(map[string]bool)}
+	sts := &starters{now: processStart, macs: make(map[string]*Machine), silent: make(map[string]bool)}
 	for num := range count {
 		name := fmt.Sprint("v", num)
 		vmm := member.VM{ID: name + ".r", Address: fmt.Sprint("127.0.0.1:", num+1), FailureDomain: fmt.Sprint("d", num)}
@@ -53,9 +53,9 @@
 // read lets a VM read the platform in the era after a restore, where the store holds a configuration.
 func (sts *starters) read(mac *Machine, con *Config) {
 	rev := revision.Join(eraAfter, 40)
-	sts.step(mac, FleetRead{RequestedAt: sts.now, Update: table.Delta[fleet.Row]{Whole: true, Revision: rev, Rows: sts.rows}})
-	sts.step(mac, TargetsRead{RequestedAt: sts.now, Update: table.Delta[registry.Entry]{Whole: true, Revision: rev}})
-	sts.step(mac, ConfigRead{RequestedAt: sts.now, Update: con, Revision: rev})
+	sts.step(mac, FleetRead{RequestedAt: clock.MomentOf(sts.now), Update: table.Delta[fleet.Row]{Whole: true, Revision: rev, Rows: sts.rows}})
+	sts.step(mac, TargetsRead{RequestedAt: clock.MomentOf(sts.now), Update: table.Delta[registry.Entry]{Whole: true, Revision: rev}})
+	sts.step(mac, ConfigRead{RequestedAt: clock.MomentOf(sts.now), Update: con, Revision: rev})
 }
 
 // advance lets time pass for some VMs, each of which reads that nothing has changed.
@@ -63,7 +63,7 @@
 	for end := sts.now.Add(dur); sts.now.Before(end); {
 		sts.now = sts.now.Add(TickInterval)
 		for _, mac := range macs {
-			sts.step(mac, ConfigRead{RequestedAt: sts.now, Revision: revision.Join(eraAfter, 40)})
+			sts.step(mac, ConfigRead{RequestedAt: clock.MomentOf(sts.now), Revision: revision.Join(eraAfter, 40)})
 			sts.step(mac, Ticked{})
 		}
 	}
@@ -77,27 +77,27 @@
 	early, late := NewConfig(5, content()), NewConfig(7, content())
 	old, young := sts.at(0), sts.at(1)
 	old.restores.check.Settle(bootstrap.NeverRestored)
-	sts.step(old, ConfigRead{RequestedAt: sts.now, Update: late, Revision: revision.Join(eraBefore, 90)})
+	sts.step(old, ConfigRead{RequestedAt: clock.MomentOf(sts.now), Update: late, Revision: revision.Join(eraBefore, 90)})
 	sts.read(old, early)
 	known := sts.now
 	sts.now = sts.now.Add(time.Second)
 	sts.read(young, early)
-	if young.synced() || young.Ready() || young.configConfirmedAt != (clock.Instant{}) {
+	if young.synced() || young.Ready() || young.configConfirmedAt.Known() {
 		t.Error("the VM relies on the store before it has asked another VM")
 	}
 	sts.advance(TickInterval, young)
-	if young.version() != 7 || young.configConfirmedAt != known || !young.Ready() {
-		t.Errorf("version %d counts as confirmed %v after the restore, want version 7 as confirmed before it; outcome %q", young.version(), young.configConfirmedAt.Since(known), young.restores.check.Outcome())
+	if young.version() != 7 || young.configConfirmedAt != clock.MomentOf(known) || !young.Ready() {
+		t.Errorf("version %d counts as confirmed %v after the restore, want version 7 as confirmed before it; outcome %q", young.version(), young.configConfirmedAt.AgeOr(neverAge, known), young.restores.check.Outcome())
 	}
 	sts.advance(time.Second, young, old)
-	if young.configConfirmedAt != known {
+	if young.configConfirmedAt != clock.MomentOf(known) {
 		t.Error("reads of the earlier configuration confirm the later one")
 	}
 }
 
 // usesKeys reports whether a VM serves requests with keys.
 func (sts *starters) usesKeys(mac *Machine) bool {
-	return mac.synced() && mac.Ready() && sts.now.Since(mac.configConfirmedAt) <= mac.set.Policy.RevokeTime
+	return mac.synced() && mac.Ready() && mac.configConfirmedAt.Within(mac.set.Policy.RevokeTime, sts.now)
 }
 
 // TestVMWithoutListedPeersUsesNoKeyAfterARestore starts a VM after a restore to a copy that lists no other VM, though one lives that knows
@@ -106,7 +106,7 @@
 	sts := newStarters(2)
 	young, old, rows := sts.at(0), sts.at(1), sts.rows
 	old.restores.check.Settle(bootstrap.NeverRestored)
-	sts.step(old, ConfigRead{RequestedAt: sts.now, Update: NewConfig(7, content()), Revision: revision.Join(eraBefore, 90)})
+	sts.step(old, ConfigRead{RequestedAt: clock.MomentOf(sts.now), Update: NewConfig(7, content()), Revision: revision.Join(eraBefore, 90)})
 	sts.read(old, NewConfig(5, content()))
 	sts.rows = rows[:1]
 	sts.read(young, NewConfig(5, content()))
@@ -118,7 +118,7 @@
 	}
 	rev := revision.Join(eraAfter, 41)
 	rows[1].Revision = rev
-	sts.step(young, FleetRead{RequestedAt: sts.now, Update: table.Delta[fleet.Row]{Revision: rev, Rows: rows[1:]}})
+	sts.step(young, FleetRead{RequestedAt: clock.MomentOf(sts.now), Update: table.Delta[fleet.Row]{Revision: rev, Rows: rows[1:]}})
 	sts.advance(time.Second, young, old)
 	if young.version() != 7 || young.restores.check.Outcome() != bootstrap.Answered {
 		t.Errorf("version %d, outcome %q", young.version(), young.restores.check.Outcome())
@@ -146,7 +146,7 @@
 		if sts.usesKeys(mac) {
 			t.Fatalf("VM %d uses keys by what a restored store shows; outcome %q", num, mac.restores.check.Outcome())
 		}
-		sts.step(mac, ConfigRead{RequestedAt: sts.now, Update: NewConfig(7, content()), Revision: revision.Join(eraAfter, 50)})
+		sts.step(mac, ConfigRead{RequestedAt: clock.MomentOf(sts.now), Update: NewConfig(7, content()), Revision: revision.Join(eraAfter, 50)})
 		if !sts.usesKeys(mac) || mac.restores.check.Outcome() != bootstrap.Rewritten {
 			t.Errorf("VM %d does not use keys though the operator has written; outcome %q", num, mac.restores.check.Outcome())
 		}
@@ -184,7 +184,7 @@
 		if sts.usesKeys(mac) {
 			t.Errorf("the proof %+v counts; outcome %q", row, mac.restores.check.Outcome())
 		}
-		sts.step(mac, ConfigRead{RequestedAt: sts.now, Revision: revision.Join(eraAfter, 46)})
+		sts.step(mac, ConfigRead{RequestedAt: clock.MomentOf(sts.now), Revision: revision.Join(eraAfter, 46)})
 		sts.advance(TickInterval, mac)
 		if current := row.Value.Era == eraAfter; sts.usesKeys(mac) != current {
 			t.Errorf("after a later read the proof %+v counts: %v", row, !current)
@@ -231,7 +231,7 @@
 	} {
 		sts := newStarters(1)
 		mac := sts.at(0)
-		mac.Step(sts.now, ConfigRead{RequestedAt: sts.now, Update: NewConfig(7, content()), Revision: revision.Join(eraTold0(), 90)})
+		mac.Step(sts.now, ConfigRead{RequestedAt: clock.MomentOf(sts.now), Update: NewConfig(7, content()), Revision: revision.Join(eraTold0(), 90)})
 		sts.now = sts.now.Add(tst.before)
 		sts.read(mac, NewConfig(tst.stored, content()))
 		if wrt := recorded(mac.Step(sts.now, Ticked{})); (wrt != nil) != tst.want || wrt != nil && wrt.Row.Era != eraAfter {
@@ -256,7 +256,7 @@
 	advance := func(dur time.Duration) {
 		for end := sts.now.Add(dur); sts.now.Before(end); {
 			sts.now = sts.now.Add(TickInterval)
-			young.Step(sts.now, ConfigRead{RequestedAt: sts.now, Revision: revision.Join(eraAfter, 40)})
+			young.Step(sts.now, ConfigRead{RequestedAt: clock.MomentOf(sts.now), Revision: revision.Join(eraAfter, 40)})
 			for _, act := range young.Step(sts.now, Ticked{}) {
 				if snd, isSend := act.(Send); isSend && snd.To == old {
 					if qry, isQuery := snd.Message.(feed.Query); isQuery {
@@ -330,9 +330,9 @@
 	for _, era := range []revision.Era{0, revision.EraTold(0)} {
 		sts := newStarters(3)
 		mac := sts.at(0)
-		mac.Step(sts.now, FleetRead{RequestedAt: sts.now, Update: table.Delta[fleet.Row]{Whole: true, Revision: revision.Join(era, 9), Rows: sts.rows}})
-		mac.Step(sts.now, TargetsRead{RequestedAt: sts.now, Update: table.Delta[registry.Entry]{Whole: true, Revision: revision.Join(era, 9)}})
-		acts := mac.Step(sts.now, ConfigRead{RequestedAt: sts.now, Update: NewConfig(5, content()), Revision: revision.Join(era, 9)})
+		mac.Step(sts.now, FleetRead{RequestedAt: clock.MomentOf(sts.now), Update: table.Delta[fleet.Row]{Whole: true, Revision: revision.Join(era, 9), Rows: sts.rows}})
+		mac.Step(sts.now, TargetsRead{RequestedAt: clock.MomentOf(sts.now), Update: table.Delta[registry.Entry]{Whole: true, Revision: revision.Join(era, 9)}})
+		acts := mac.Step(sts.now, ConfigRead{RequestedAt: clock.MomentOf(sts.now), Update: NewConfig(5, content()), Revision: revision.Join(era, 9)})
 		acts = append(acts, mac.Step(sts.now, Ticked{})...)
 		asked := slices.ContainsFunc(acts, func(act Action) bool {
 			snd, isSend := act.(Send)
--- a/core/gateway/tokens.go
+++ b/core/gateway/tokens.go
@@ -53,7 +53,7 @@
 			mac.log("ceaseTokens", "part", num, "holder", mac.fleet.Holder(num))
 			mac.tokenServers[num] = nil
 		case srv == nil && mac.config != nil && !mac.stopping && mac.fleet.MayServe(now, num):
-			mac.log("serveTokens", "part", num, "proofAge", now.Since(mac.fleet.ConfirmedAt()))
+			mac.log("serveTokens", "part", num, "proofAge", mac.fleet.ConfirmedAt().AgeOr(neverAge, now))
 			mac.tokenServers[num] = quota.NewServer(now, mac.set.Policy.Quota, fleet.TokenServerCount, mac.fleet.InheritedBusy(num), mac.limit)
 		case srv != nil:
 			mac.publishBusy(now, num)
--- a/core/gateway/updates_test.go
+++ b/core/gateway/updates_test.go
@@ -21,6 +21,8 @@
 type pair struct {
 	now                clock.Instant
 	followed, follower *Machine
+	// rows are those of both in the list of VMs.
+	rows []table.Row[fleet.Row]
 	// lose reports whether an update to the follower is lost.
 	lose func(update Update) bool
 	// loseDrains reports whether a report of drains to the follower is lost; nil if none is.
@@ -31,7 +33,7 @@
 
 func newPair(t *testing.T) *pair {
 	t.Helper()
-	pai := &pair{now: clock.At(time.Hour)}
+	pai := &pair{now: processStart}
 	var rows []table.Row[fleet.Row]
 	var vms []member.VM
 	for num, name := range []string{"one", "two"} {
@@ -39,18 +41,19 @@
 		vms = append(vms, vmm)
 		rows = append(rows, table.Row[fleet.Row]{Name: fleet.VMName(name), Revision: uint64(num + 1), Value: fleet.Row{VM: vmm, Name: name}})
 	}
+	pai.rows = rows
 	first := member.Ranked(vms, "feed/a", 1)[0]
 	for num, vmm := range vms {
 		mac := New(Settings{Name: rows[num].Value.Name, Self: vmm, Policy: policy()}, rand.New(rand.NewPCG(uint64(num), 1)))
 		mac.restores.check.Settle(bootstrap.NeverRestored) // Both have run since before any restore.
-		mac.Step(pai.now, FleetRead{RequestedAt: pai.now, Update: table.Delta[fleet.Row]{Whole: true, Revision: 5, Rows: rows}})
+		mac.Step(pai.now, FleetRead{RequestedAt: clock.MomentOf(pai.now), Update: table.Delta[fleet.Row]{Whole: true, Revision: 5, Rows: rows}})
 		if vmm == first {
 			pai.followed = mac
 		} else {
 			pai.follower = mac
 		}
 	}
-	pai.followed.Step(pai.now, TargetsRead{RequestedAt: pai.now, Update: table.Delta[registry.Entry]{Whole: true, Revision: 9}})
+	pai.followed.Step(pai.now, TargetsRead{RequestedAt: clock.MomentOf(pai.now), Update: table.Delta[registry.Entry]{Whole: true, Revision: 9}})
 	return pai
 }
 
@@ -58,16 +61,16 @@
 // that nothing has changed.
 func (pai *pair) advance(dur time.Duration) {
 	for end := pai.now.Add(dur); pai.now.Before(end); pai.now = pai.now.Add(TickInterval) {
-		pai.deliver(pai.followed, pai.followed.Step(pai.now, ConfigRead{RequestedAt: pai.now}))
-		pai.deliver(pai.followed, pai.followed.Step(pai.now, TargetsRead{RequestedAt: pai.now, Update: table.Delta[registry.Entry]{Since: 9, Revision: 9}}))
-		pai.deliver(pai.followed, pai.followed.Step(pai.now, FleetRead{RequestedAt: pai.now, Update: table.Delta[fleet.Row]{Since: 5, Revision: 5}}))
+		pai.deliver(pai.followed, pai.followed.Step(pai.now, ConfigRead{RequestedAt: clock.MomentOf(pai.now)}))
+		pai.deliver(pai.followed, pai.followed.Step(pai.now, TargetsRead{RequestedAt: clock.MomentOf(pai.now), Update: table.Delta[registry.Entry]{Since: 9, Revision: 9}}))
+		pai.deliver(pai.followed, pai.followed.Step(pai.now, FleetRead{RequestedAt: clock.MomentOf(pai.now), Update: table.Delta[fleet.Row]{Since: 5, Revision: 5}}))
 		pai.deliver(pai.followed, pai.followed.Step(pai.now, Ticked{}))
 		pai.deliver(pai.follower, pai.follower.Step(pai.now, Ticked{}))
 	}
 }
 
 func (pai *pair) config(version uint64, con config.Content) {
-	pai.deliver(pai.followed, pai.followed.Step(pai.now, ConfigRead{RequestedAt: pai.now, Update: NewConfig(version, con)}))
+	pai.deliver(pai.followed, pai.followed.Step(pai.now, ConfigRead{RequestedAt: clock.MomentOf(pai.now), Update: NewConfig(version, con)}))
 }
 
 func (pai *pair) deliver(from *Machine, acts []Action) {
@@ -190,7 +193,7 @@
 		revision++
 		name := fmt.Sprint("vm-", num)
 		row := table.Row[fleet.Row]{Name: fleet.VMName(name), Revision: revision, Value: fleet.Row{VM: member.VM{ID: name + ".r", FailureDomain: "b"}, Name: name}}
-		pai.deliver(pai.followed, pai.followed.Step(pai.now, FleetRead{RequestedAt: pai.now, Update: table.Delta[fleet.Row]{Since: revision - 1, Revision: revision, Rows: []table.Row[fleet.Row]{row}}}))
+		pai.deliver(pai.followed, pai.followed.Step(pai.now, FleetRead{RequestedAt: clock.MomentOf(pai.now), Update: table.Delta[fleet.Row]{Since: revision - 1, Revision: revision, Rows: []table.Row[fleet.Row]{row}}}))
 	}
 	for num := range 30 {
 		if num == 1 {
@@ -202,7 +205,7 @@
 			list(num)
 		}
 		pai.now = pai.now.Add(TickInterval)
-		pai.deliver(pai.followed, pai.followed.Step(pai.now, ConfigRead{RequestedAt: pai.now}))
+		pai.deliver(pai.followed, pai.followed.Step(pai.now, ConfigRead{RequestedAt: clock.MomentOf(pai.now)}))
 		pai.deliver(pai.followed, pai.followed.Step(pai.now, Ticked{}))
 		pai.deliver(pai.follower, pai.follower.Step(pai.now, Ticked{}))
 	}
@@ -213,3 +216,28 @@
 		t.Errorf("the follower knows %d VMs, want 30 at least", got)
 	}
 }
+
+// TestWhatWasNeverConfirmedIsNotPassedOnAsConfirmed lets a VM answer a follower whose targets and list of VMs may be seconds old, since the
+// store has only listed them cheaply. The follower must not take them for confirmed: it would go by a list that lacks holders of roles
+// as if its lease were good.
+func TestWhatWasNeverConfirmedIsNotPassedOnAsConfirmed(t *testing.T) {
+	pai := newPair(t)
+	pai.followed.targetsConfirmedAt, pai.followed.registry = clock.Moment{}, registry.New()
+	pai.followed.Step(pai.now, TargetsRead{Update: table.Delta[registry.Entry]{Whole: true, Revision: 9}})
+	held := pai.followed.fleet.ConfirmedAt()
+	pai.followed.fleet = fleet.New(pai.followed.set.Self, pai.followed.set.Name)
+	pai.followed.Step(pai.now, FleetRead{Update: table.Delta[fleet.Row]{Whole: true, Revision: 6, Rows: pai.rows}})
+	pai.config(1, content())
+	for range 20 {
+		pai.now = pai.now.Add(TickInterval)
+		pai.deliver(pai.followed, pai.followed.Step(pai.now, ConfigRead{RequestedAt: clock.MomentOf(pai.now)}))
+		pai.deliver(pai.follower, pai.follower.Step(pai.now, Ticked{}))
+	}
+	mac := pai.follower
+	if !mac.configConfirmedAt.Known() {
+		t.Fatal("the follower was not answered")
+	}
+	if mac.targetsConfirmedAt.Known() || mac.fleet.ConfirmedAt() != held {
+		t.Errorf("the targets count as confirmed: %t; the list of VMs: %+v, want %+v", mac.targetsConfirmedAt.Known(), mac.fleet.ConfirmedAt(), held)
+	}
+}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -83,13 +83,13 @@
 	// forgotAt is when old lastRuns were last dropped.
 	forgotAt clock.Instant
 	// confirmedAt is the latest time at which the entries are known to have been up to date.
-	confirmedAt clock.Instant
+	confirmedAt clock.Moment
 	// renewedAt is when this VM last learned of a later confirmation. The confirmed time
 	// may be long before that.
-	renewedAt clock.Instant
+	renewedAt clock.Moment
 	// recoveredAt is when the entries were first confirmed after the last outage, or first read after the last
 	// restore of the store.
-	recoveredAt clock.Instant
+	recoveredAt clock.Moment
 }
 
 // New returns an empty registry.
@@ -124,19 +124,14 @@
 // Confirm records that the entries were up to date at the time at, as this VM learns at now. If at
 // is at most confirmSlack later than the recorded time, it is taken for the same confirmation.
 func (reg *Registry) Confirm(now, at clock.Instant) {
-	if reg.confirmedAt == (clock.Instant{}) {
-		reg.confirmedAt, reg.renewedAt = at, now
+	before, known := reg.confirmedAt.Instant()
+	if known && (!before.Before(at) || at.Since(before) <= confirmSlack) {
 		return
 	}
-	if !reg.confirmedAt.Before(at) {
-		return
-	}
-	if at.Since(reg.confirmedAt) > confirmSlack {
-		if reg.stale(now) {
-			reg.recoveredAt = now
-		}
-		reg.confirmedAt, reg.renewedAt = at, now
+	if known && reg.stale(now) {
+		reg.recoveredAt = clock.MomentOf(now)
 	}
+	reg.confirmedAt, reg.renewedAt = clock.MomentOf(at), clock.MomentOf(now)
 }
 
 // Apply applies a delta and reports whether any target changed.
@@ -146,7 +141,7 @@
 		return false
 	}
 	if before != 0 && revision.EraOf(before) != revision.EraOf(reg.entries.Revision()) {
-		reg.recoveredAt = now // Targets write again what the store has lost, as after an outage.
+		reg.recoveredAt = clock.MomentOf(now) // Targets write again what the store has lost, as after an outage.
 	}
 	changed := false
 	for _, row := range del.Rows {
@@ -184,8 +179,8 @@
 // mayReappear reports whether a missing entry may have expired because of an outage, so that its
 // target may register again.
 func (reg *Registry) mayReappear(now clock.Instant) bool {
-	return reg.confirmedAt != (clock.Instant{}) && reg.stale(now) ||
-		reg.recoveredAt != (clock.Instant{}) && now.Since(reg.recoveredAt) < ReappearTimeout
+	age, recovered := reg.recoveredAt.Age(now)
+	return reg.confirmedAt.Known() && reg.stale(now) || recovered && age < ReappearTimeout
 }
 
 // put handles the entry of a target, and reports whether the target changed.
@@ -227,7 +222,7 @@
 }
 
 // stale reports whether no new confirmation has arrived for more than outageAge.
-func (reg *Registry) stale(now clock.Instant) bool { return now.Since(reg.renewedAt) > outageAge }
+func (reg *Registry) stale(now clock.Instant) bool { return !reg.renewedAt.Within(outageAge, now) }
 
 // Targets returns the targets that may be sent new requests, by service and sorted by ID.
 func (reg *Registry) Targets() map[string][]health.Target {
--- a/lugd/pkg/driver/reader.go
+++ b/lugd/pkg/driver/reader.go
@@ -145,7 +145,7 @@
 		markAnswered()
 	}
 	dri.work.Go(func() {
-		read(ctx, dri, configKind, dri.platform.Config(), since, con, func(requestedAt clock.Instant, del table.Delta[*gateway.Config]) {
+		read(ctx, dri, configKind, dri.platform.Config(), since, con, func(requestedAt clock.Moment, del table.Delta[*gateway.Config]) {
 			dri.handleConfig(requestedAt, del)
 			markAnswered()
 		})
@@ -154,7 +154,7 @@
 		if !await(ctx, answered) {
 			return
 		}
-		read(ctx, dri, targetsKind, dri.platform.Targets(), revisions.Targets, tgs, func(requestedAt clock.Instant, del table.Delta[registry.Entry]) {
+		read(ctx, dri, targetsKind, dri.platform.Targets(), revisions.Targets, tgs, func(requestedAt clock.Moment, del table.Delta[registry.Entry]) {
 			dri.Step(gateway.TargetsRead{RequestedAt: requestedAt, Update: del})
 		})
 	})
@@ -175,14 +175,14 @@
 
 // readDrains reads the drained failure domains until ctx is done.
 func (dri *Driver) readDrains(ctx context.Context, since uint64, opt readOptions) {
-	read(ctx, dri, drainsKind, dri.platform.Drains(), since, opt, func(_ clock.Instant, del table.Delta[drain.Entry]) {
+	read(ctx, dri, drainsKind, dri.platform.Drains(), since, opt, func(_ clock.Moment, del table.Delta[drain.Entry]) {
 		dri.Step(gateway.DrainsRead{Update: del})
 	})
 }
 
 // readFleet reads the list of VMs until ctx is done.
 func (dri *Driver) readFleet(ctx context.Context, since uint64, opt readOptions) {
-	read(ctx, dri, fleetKind, dri.platform.Fleet(), since, opt, func(requestedAt clock.Instant, del table.Delta[fleet.Row]) {
+	read(ctx, dri, fleetKind, dri.platform.Fleet(), since, opt, func(requestedAt clock.Moment, del table.Delta[fleet.Row]) {
 		dri.Step(gateway.FleetRead{RequestedAt: requestedAt, Update: del})
 	})
 }
@@ -199,7 +199,7 @@
 }
 
 // handleConfig delivers the newest configuration in a delta to the machine.
-func (dri *Driver) handleConfig(requestedAt clock.Instant, del table.Delta[*gateway.Config]) {
+func (dri *Driver) handleConfig(requestedAt clock.Moment, del table.Delta[*gateway.Config]) {
 	evt := gateway.ConfigRead{RequestedAt: requestedAt, Revision: del.Revision, Absent: del.Whole && len(del.Rows) == 0 && len(del.Removed) == 0}
 	for _, row := range del.Rows {
 		if row.Value != nil && (evt.Update == nil || row.Value.Version > evt.Update.Version) {
@@ -214,8 +214,8 @@
 
 // read lists and then watches one kind of object until ctx is done, and passes each
 // delta to handle. requestedAt is when the read was sent, and so a time at which the delta
-// was up to date; it is zero for a listing that may be stale.
-func read[T any](ctx context.Context, dri *Driver, kind string, src Source[T], since uint64, opt readOptions, handle func(requestedAt clock.Instant, del table.Delta[T])) {
+// was up to date; it has never come for a listing that may be stale.
+func read[T any](ctx context.Context, dri *Driver, kind string, src Source[T], since uint64, opt readOptions, handle func(requestedAt clock.Moment, del table.Delta[T])) {
 	log := dri.log.WithField("kind", kind)
 	backoff, lost, allowStale, wait := firstBackoff, false, opt.allowStale, confirmWait
 	for ctx.Err() == nil {
@@ -250,14 +250,11 @@
 		backoff, lost = firstBackoff, false
 		since = del.Revision
 		if listed {
-			if allowStale {
-				requestedAt = clock.Instant{}
-			}
-			handle(requestedAt, del)
+			handle(freshAt(requestedAt, allowStale), del)
 			Sleep(ctx, opt.watchDelay)
 			continue
 		}
-		handle(requestedAt, del)
+		handle(clock.MomentOf(requestedAt), del)
 		wait = opt.wait
 		if left := opt.minInterval - dri.clock.Now().Since(requestedAt); left > 0 {
 			Sleep(ctx, left)
@@ -265,6 +262,14 @@
 	}
 }
 
+// freshAt returns when the result of a read was certainly up to date.
+func freshAt(requestedAt clock.Instant, mayBeStale bool) clock.Moment {
+	if mayBeStale {
+		return clock.Moment{}
+	}
+	return clock.MomentOf(requestedAt)
+}
+
 // The kinds of objects, as named in metrics and logs.
 const (
 	configKind  = "config"
