target: A reset during an upload is not the end of a body

The caller got the part as a whole answer.

Cause: the kernel gives the error of a connection once, to whoever asks first. If the reset reached the goroutine that writes the request, the one that reads saw a plain end, and that is the end of a body without a length. Ruled out: the buffered first part of the body (other sizes failed, too) and the way to the caller (the pool itself reported a whole body).

Fix: the connection keeps the error with which writing first failed, and the kernel is asked how the other end has ended its side (socket.EndOf, which takes no error). An end that is not known to be in order waits up to 0.1 s for the writer to report; anything but a broken pipe cuts the body. After an end in order the kernel reports a broken pipe, so a target that answers early, whole, and closes in order is still believed.

The test of those showed the other side of the mistake: the goroutine that writes closed the connection when writing failed, and what had arrived was lost if it was read late, also of answers with a length. It now closes the connection only if the body of the request failed, not the connection.

--- a/lugd/pkg/target/conn.go
+++ b/lugd/pkg/target/conn.go
@@ -37,6 +37,8 @@
 	// watched tells if the machine at the other end does not answer, and silent is set once it is closed for that.
 	watched *socket.Watched
 	silent  atomic.Bool
+	// writeError holds the error with which writing first failed.
+	writeError atomic.Pointer[error]
 }
 
 // errSilent is why a connection fails whose other end does not answer.
@@ -87,7 +89,20 @@
 	cnt, err := con.Conn.Write(buf)
 	con.watched.Sent(cnt)
 	con.sent += int64(cnt)
-	return cnt, con.failure(err)
+	err = con.failure(err)
+	if err != nil {
+		con.writeError.CompareAndSwap(nil, &err)
+	}
+	return cnt, err
+}
+
+// writeFailure returns the error with which writing first failed, or nil. The kernel gives the error of a connection once: if
+// writing has got it, reading sees a plain end.
+func (con *conn) writeFailure() error {
+	if err := con.writeError.Load(); err != nil {
+		return *err
+	}
+	return nil
 }
 
 // Close closes the connection and releases its place among the open ones. Further calls do nothing.
--- a/lugd/pkg/target/exchange.go
+++ b/lugd/pkg/target/exchange.go
@@ -9,10 +9,12 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/verdict"
+	"marigoldlug.example/lugd/pkg/socket"
 )
 
 // exchange is one request on one connection.
@@ -25,14 +27,16 @@
 	// stop keeps the end of the context from closing the connection. It returns false if the context
 	// has ended already.
 	stop func() bool
-	// written receives the result of writing the request once.
-	written chan error
+	// written is closed once the request has been written or writing it has failed, with writeError set.
+	written    chan struct{}
+	writeError error
 }
 
 // writers holds buffered writers for reuse.
 var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, connBufferBytes) }}
 
-// write sends the request and reports the result on exc.written.
+// write sends the request, records the result and closes exc.written. If the connection has failed, what has arrived of the
+// response can still be read.
 func (exc *exchange) write(req *http.Request) {
 	wrt, ok := writers.Get().(*bufio.Writer)
 	if !ok {
@@ -47,11 +51,12 @@
 	if err == nil {
 		err = wrt.Flush()
 	}
-	if err != nil {
+	if err != nil && exc.con.writeFailure() == nil {
 		// The target must not take a request that was cut short for a complete one.
 		_ = exc.con.Close()
 	}
-	exc.written <- err
+	exc.writeError = err
+	close(exc.written)
 }
 
 // readHead reads the head of the response; its body is still to be read. It skips interim (1xx)
@@ -140,14 +145,40 @@
 // been sent.
 func (exc *exchange) writeResult() (done bool, err error) {
 	_ = exc.con.SetWriteDeadline(time.Now())
+	return exc.awaitWritten(writeResultTimeout)
+}
+
+// awaitWritten waits until the request has been written, or writing it has failed, and returns the result. done is false if
+// that takes longer than a timeout.
+func (exc *exchange) awaitWritten(timeout time.Duration) (done bool, err error) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
 	select {
-	case err := <-exc.written:
-		return true, err
-	case <-time.After(writeResultTimeout):
+	case <-exc.written:
+		return true, exc.writeError
+	case <-timer.C:
 		return false, nil
 	}
 }
 
+// endTimeout is how long to wait, once the connection has ended, for the goroutine that sends the request to report that
+// it has failed.
+const endTimeout = 100 * time.Millisecond
+
+// cut returns why the end of the connection, which was just read, is not the end of the response, or nil if it is. The
+// error of a connection that was reset goes to whoever asks the kernel first, which may be the goroutine that sends the
+// request; reading sees a plain end then. After an end in order, writing fails in another way.
+func (exc *exchange) cut() error {
+	if socket.EndOf(exc.con.Conn) == socket.EndInOrder {
+		return nil
+	}
+	_, _ = exc.awaitWritten(endTimeout)
+	if err := exc.con.writeFailure(); err != nil && !errors.Is(err, syscall.EPIPE) {
+		return fmt.Errorf("the answer of target %s was cut: %w", exc.con.address, err)
+	}
+	return nil
+}
+
 // fail ends an exchange that has no usable response and returns its error. It closes the connection
 // and waits up to writeResultTimeout for the goroutine that sends the request. Once that goroutine
 // has reported, it no longer reads the request, and so the verdict is final.
@@ -179,8 +210,9 @@
 type body struct {
 	io.ReadCloser
 	exchange *exchange
-	// reusable is set if the target keeps the connection open.
-	reusable bool
+	// reusable is set if the target keeps the connection open, and endsWithConn if only the end of the connection
+	// marks that of the body.
+	reusable, endsWithConn bool
 	// late bounds what is read after the timeout of the request.
 	late lateBudget
 	// complete is set once the body has been read to its end.
@@ -202,6 +234,11 @@
 		return 0, err
 	}
 	cnt, err := bod.ReadCloser.Read(buf)
+	if errors.Is(err, io.EOF) && bod.endsWithConn {
+		if cut := bod.exchange.cut(); cut != nil {
+			err = cut
+		}
+	}
 	if errors.Is(err, io.EOF) {
 		bod.complete = true
 	}
--- a/lugd/pkg/target/pool.go
+++ b/lugd/pkg/target/pool.go
@@ -273,7 +273,7 @@
 		return nil, blameForwarder(cal, &Error{Verdict: verdict.NotRun, Outcome: outcome, Err: fmt.Errorf("cannot connect to target %s: %w", cal.peer(), err)})
 	}
 	con.carry(cal.CallerRequestID)
-	exc := &exchange{con: con, cancel: cancel, callerRequestID: cal.CallerRequestID, written: make(chan error, 1)}
+	exc := &exchange{con: con, cancel: cancel, callerRequestID: cal.CallerRequestID, written: make(chan struct{})}
 	exc.stop = context.AfterFunc(ctx, func() { _ = con.Close() })
 	wch.connected(con.Conn)
 	go exc.write(req)
@@ -290,7 +290,7 @@
 		}
 	}
 	con.keepAlive = announcedKeepAlive(raw.Header)
-	raw.Body = &body{ReadCloser: raw.Body, exchange: exc, reusable: !raw.Close, late: lateBudget{from: began.Add(cal.Timeout), time: lateReadTime, bytes: maxLateBytes}}
+	raw.Body = &body{ReadCloser: raw.Body, exchange: exc, reusable: !raw.Close, endsWithConn: closeDelimited(raw, req.Method), late: lateBudget{from: began.Add(cal.Timeout), time: lateReadTime, bytes: maxLateBytes}}
 	rsp := &Response{Response: raw, portClosed: func() bool { return cal.Forwarding == nil && pol.portClosed(cal) }}
 	if err = pol.buffer(cal, rsp); err != nil || !timer.Stop() {
 		err = cause(ctx, err)
