path: Count failures among the targets that a service still has

Cause: the book of paths keeps failed targets by name, also those that have left, and compared their number with the number of targets that are left. With two failed and one left, -1 targets were to be probed: panic. The same comparison took a service for lost whose remaining targets had not been tried, warned other VMs, and put the paths to all services in doubt.

Fix: failures are counted among the targets that the service has, and further targets are probed only if failures are missing for a loss: if sound targets leave, more may have failed than then must. Failures also expire while nothing fails, so that such a service is probed again.

Bounds of slices and of random choices all over core were read for the same mistake; none other goes below zero.

--- a/core/gateway/paths.go
+++ b/core/gateway/paths.go
@@ -70,7 +70,7 @@
 	if svc == nil {
 		return
 	}
-	if mac.paths.Failed(now, name, target, svc.targetCount()) {
+	if mac.paths.Failed(now, name, target, svc.targets()) {
 		mac.log("pathsLost", "service", name, "targets", mac.paths.FailedTargets(name))
 		mac.pathsLost(now, name)
 	}
--- a/core/path/path.go
+++ b/core/path/path.go
@@ -153,21 +153,38 @@
 }
 
 // Failed records that no connection to a target could be opened, and reports whether the service is lost by
-// that. targets is the number of targets of the service.
-func (bok *Book) Failed(now clock.Instant, name, target string, targets int) (lost bool) {
+// that. tgs are the targets of the service; a target that is none of them any more is no evidence that those are lost.
+func (bok *Book) Failed(now clock.Instant, name, target string, tgs []health.Target) (lost bool) {
 	svc := bok.service(name)
 	clear(svc.reached)
-	maps.DeleteFunc(svc.failed, func(_ string, at clock.Instant) bool { return now.Since(at) > failureTime })
+	svc.expire(now)
 	svc.failed[target] = now
 	bok.Doubted(name, target, Unanswered)
-	if svc.lost || len(svc.failed) < lostCount(targets) {
+	if svc.lost || len(tgs) == 0 || svc.failedAmong(tgs) < lostCount(len(tgs)) {
 		return false
 	}
 	svc.lost, svc.interval = true, minLostInterval
 	return true
 }
 
-// FailedTargets returns the sorted targets at which connections failed lately.
+// expire forgets the failures that count no longer.
+func (svc *service) expire(now clock.Instant) {
+	maps.DeleteFunc(svc.failed, func(_ string, at clock.Instant) bool { return now.Since(at) > failureTime })
+}
+
+// failedAmong returns at how many of some targets connections failed lately. That may be less than the number of entries in
+// failed, which also has targets that the service has no longer.
+func (svc *service) failedAmong(tgs []health.Target) int {
+	cnt := 0
+	for _, tgt := range tgs {
+		if _, failed := svc.failed[tgt.ID]; failed {
+			cnt++
+		}
+	}
+	return cnt
+}
+
+// FailedTargets returns the sorted targets at which connections failed lately, also of those that the service has no longer.
 func (bok *Book) FailedTargets(name string) []string {
 	svc := bok.services[name]
 	if svc == nil {
@@ -183,15 +200,20 @@
 	if svc == nil || svc.doubt == None || len(tgs) == 0 {
 		return nil
 	}
+	svc.expire(now)
+	failed := svc.failedAmong(tgs)
+	// missing is at how many more targets connections must fail until the service is lost. It is not positive if targets have
+	// left the service since connections last failed.
+	missing := lostCount(len(tgs)) - failed
 	interval, count := doubtInterval, firstProbes
 	switch {
 	case svc.lost:
 		interval, count = svc.interval, foundCount
 	case svc.doubt == Slow:
 		count = 1
-	case len(svc.failed) >= min(firstProbes, len(tgs)) && !svc.widened && svc.mayWiden(now):
+	case failed >= min(firstProbes, len(tgs)) && missing > 0 && !svc.widened && svc.mayWiden(now):
 		svc.widened, svc.probedAt, svc.widenedAt = true, now, now
-		return svc.choose(rnd, tgs, lostCount(len(tgs))-len(svc.failed))
+		return svc.choose(rnd, tgs, missing)
 	}
 	if svc.probedAt != (clock.Instant{}) && now.Since(svc.probedAt) < interval {
 		return nil
--- a/core/path/path_test.go
+++ b/core/path/path_test.go
@@ -27,6 +27,7 @@
 				t.Fatal(err)
 			}
 			now := clock.At(time.Hour + time.Duration(sec*float64(time.Second)))
+			tgs := numberedTargets(targets)
 			switch words[1] {
 			case "targets":
 				if targets, err = strconv.Atoi(words[2]); err != nil {
@@ -34,7 +35,7 @@
 				}
 				continue
 			case "fail":
-				bok.Failed(now, "svc", words[2], targets)
+				bok.Failed(now, "svc", words[2], tgs)
 			case "connect":
 				bok.Connected(now, "svc", words[2], targets)
 			case "respond":
@@ -47,16 +48,21 @@
 			default:
 				t.Fatalf("unknown verb %q", words[1])
 			}
-			var tgs []health.Target
-			for num := range targets {
-				tgs = append(tgs, health.Target{ID: fmt.Sprint("t", num)})
-			}
 			fmt.Fprintf(&out, "lost %t, failed %v, probes %d\n", bok.Lost("svc"), bok.FailedTargets("svc"), len(bok.Probes(now, rnd, "svc", tgs)))
 		}
 		return out.String()
 	})
 }
 
+// numberedTargets returns t0, t1 and so on.
+func numberedTargets(cnt int) []health.Target {
+	var tgs []health.Target
+	for num := range cnt {
+		tgs = append(tgs, health.Target{ID: fmt.Sprint("t", num)})
+	}
+	return tgs
+}
+
 // TestProbesDoNotMultiply probes a service of which half of the targets are down, as after crashes. The results of probes must not
 // lead to ever more of them.
 func TestProbesDoNotMultiply(t *testing.T) {
@@ -76,7 +82,7 @@
 		running = nil
 		for _, tgt := range append(done, tgs[rnd.IntN(len(tgs))]) {
 			if down[tgt.ID] {
-				bok.Failed(now, "svc", tgt.ID, len(tgs))
+				bok.Failed(now, "svc", tgt.ID, tgs)
 			} else {
 				bok.Connected(now, "svc", tgt.ID, len(tgs))
 			}
