--- a/lugbench/pkg/playground/restore_test.go
+++ b/lugbench/pkg/playground/restore_test.go
@@ -179,6 +179,20 @@
 	}
 }
 
+// TestVMsOfAFirstStartDoNotWaitForAProof starts a VM whose settings say that the fleet starts for the first time, beside a store that
+// was restored before. The setting had no effect: it was not passed on.
+func TestVMsOfAFirstStartDoNotWaitForAProof(t *testing.T) {
+	pgr := start(t, 0)
+	pgr.Store.Restore(pgr.Store.Backup())
+	began := time.Now()
+	if err := pgr.startVM(context.Background(), 0, pgr.StoreAddress, Settings{Log: io.Discard, firstStart: true}); err != nil {
+		t.Fatal(err)
+	}
+	if res := pgr.send(0, http.MethodGet, "/recipes/x", "first", Key); res.Status != http.StatusOK || time.Since(began) > 2*time.Second {
+		t.Errorf("status %d after %v", res.Status, time.Since(began))
+	}
+}
+
 // TestConfigurationInForceStaysAfterTheStoreWasRestored restores the store from a copy that lacks the last configuration.
 // No VM may go back to the one before, nor may one that starts meanwhile; once the operator has written the lost
 // one again, and a further one, that must be in force.
--- a/lugd/pkg/edge/daemon.go
+++ b/lugd/pkg/edge/daemon.go
@@ -124,7 +124,7 @@
 	met := metrics.New()
 	dmn.metrics = met
 	dmn.driver = driver.New(workCtx, gateway.Settings{
-		Name: set.Name, Self: dmn.self, Policy: policy(set),
+		Name: set.Name, Self: dmn.self, Policy: policy(set), FirstStart: set.FirstStart,
 	}, adp.Connect(set.PlatformAddress, lgs.Logger(logflags.Platform)), driver.NewClock(), met, lgs.Logger(logflags.Machine), set.LogLinesPerSec)
 	dmn.transport = peer.New(dmn.self, dmn.listeners.peers, dmn.budgets.peerMemory, dmn.driver, lgs.Logger(logflags.Peer))
 	dmn.driver.SetTransport(dmn.transport)
