http1: Keep one reader for the whole life of a connection

Cause: http.ReadRequest binds a body to the reader of the connection. While 100 Continue waits for earlier responses, the VM reads ahead, and a full buffer was replaced together with its reader; the body was then read from the old one.

Fix: the buffer is replaced within the reader, which stays the same one, so that all that is bound to it sees the same bytes once.

--- a/lugd/pkg/http1/connmemory.go
+++ b/lugd/pkg/http1/connmemory.go
@@ -179,13 +179,15 @@
 	con.grown = 0
 }
 
-// replaceBuffer makes the read buffer one of another size with the same content.
+// replaceBuffer makes the read buffer one of another size with the same content. The reader itself stays the same one: a body that
+// has yet to be read is bound to it.
 func (con *conn) replaceBuffer(size int) {
 	buffered, _ := con.reader.Peek(con.reader.Buffered()) // Peek of buffered bytes cannot fail.
 	src := &prefixedReader{prefix: buffered, conn: con.raw}
-	con.reader = bufio.NewReaderSize(src, size)
-	_, _ = con.reader.Peek(len(buffered)) // Copies these bytes and reads nothing from the connection.
+	resized := bufio.NewReaderSize(src, size)
+	_, _ = resized.Peek(len(buffered)) // Copies these bytes and reads nothing from the connection.
 	src.prefix = nil
+	*con.reader = *resized
 }
 
 // prefixedReader reads a prefix and then from a connection.
