registry: Tell VMs that start which targets have left

Cause: what a VM knows of runs that have left stayed with it alone. A VM that starts was told rows, in which the entry stands as the store has it.

Fix: a VM that is asked by one that starts tells which runs have left before it answers, and that one keeps to it as if it had seen it. The same for two ways that reading found: the check may end by a record in the store before anybody was asked, and a VM that started shortly before the restore does not know what left before its start. Queries say at their end that the sender knows the message, so older programs are neither told nor confused.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -63,8 +63,10 @@
 	KnowsEras bool
 	// KnowsDrains is set if the sender keeps to the drains of failure domains and wants to be told them.
 	KnowsDrains bool
-	// Starting is set if the sender does not rely on the store yet, and knows bootstrap.Newcomer.
+	// Starting is set if the sender has just started and asks several VMs what the store may have lost. It knows bootstrap.Newcomer.
 	Starting bool
+	// KnowsDepartures is set if such a sender also wants to be told which targets have left.
+	KnowsDepartures bool
 }
 
 // Send is a Query that has to be sent to the VM with the ID To.
--- a/core/gateway/followers.go
+++ b/core/gateway/followers.go
@@ -106,6 +106,7 @@
 	if mac.config == nil || !mac.drainsKnown() {
 		return // There is nothing to send, or not enough to be followed; the VM queries another one.
 	}
+	mac.tellDepartures(now, from, qry)
 	mac.sendUpdate(now, from, fol, qry.Number)
 	if qry.Starting {
 		delete(mac.followers, from) // It asks several VMs, and queries again the one that it follows.
--- a/core/gateway/machine.go
+++ b/core/gateway/machine.go
@@ -77,10 +77,11 @@
 	requests       map[request.ID]*inFlight
 	// book is what this VM knows of the announcements of targets, and forgotAt when old ones were last
 	// dropped.
-	book     *announcement.Book
-	forgotAt clock.Instant
-	contents contents
-	drains   drains
+	book       *announcement.Book
+	forgotAt   clock.Instant
+	contents   contents
+	drains     drains
+	departures departures
 	// paths is what this VM knows of its paths to the targets.
 	paths *path.Book
 	// portAskers holds the VMs that wait to hear whether this one reaches a run.
@@ -197,6 +198,8 @@
 		mac.followerQueried(now, evt.From, msg)
 	case Update:
 		mac.updateReceived(now, evt.From, msg)
+	case Departures:
+		mac.departuresTold(now, evt.From, msg)
 	case bootstrap.Newcomer:
 		mac.restores.check.KnowsNoMore(evt.From)
 	case Ping:
@@ -230,6 +233,7 @@
 	mac.tokens.SetServerView(mac.tokenServerView())
 	mac.tickDrains(now)
 	mac.checkStore(now)
+	mac.askForDepartures(now)
 	mac.recordProof(now)
 	mac.handleQueued(now)
 	mac.follow(now)
--- a/core/gateway/restore.go
+++ b/core/gateway/restore.go
@@ -57,6 +57,7 @@
 		res.restored = true
 		mac.log("eraKnown", "era", era, "before", res.era)
 	}
+	mac.noteEraOfDepartures(now)
 	res.era, res.eraSince = era, clock.MomentOf(now)
 	switch {
 	case !res.check.Settled():
--- a/core/gateway/storecheck.go
+++ b/core/gateway/storecheck.go
@@ -148,6 +148,6 @@
 // query returns what this VM holds, for a query to another one.
 func (mac *Machine) query() feed.Query {
 	held := mac.Revisions()
-	held.KnowsDrains, held.Starting = mac.keepsDrains(), !mac.reliesOnStore()
+	held.KnowsDrains, held.Starting, held.KnowsDepartures = mac.keepsDrains(), !mac.reliesOnStore(), true
 	return held
 }
--- a/lugd/pkg/peer/codec.go
+++ b/lugd/pkg/peer/codec.go
@@ -58,6 +58,8 @@
 	kindDrains = 74
 	// kindNewcomer is sent only to VMs whose queries say that they have just started.
 	kindNewcomer = 75
+	// kindDepartures is sent only to VMs whose queries say that they know it.
+	kindDepartures = 76
 )
 
 // protocolVersion is raised when frames change in a way that older programs cannot
--- a/lugd/pkg/peer/codec_test.go
+++ b/lugd/pkg/peer/codec_test.go
@@ -59,6 +59,8 @@
 		State{VM: vmm, Version: 1, VMs: 3, Ready: true, Reading: true, Follows: "vm", ConfigAge: time.Second, Requests: 5, Suspected: []string{"t"}},
 		feed.Query{Number: 1, Config: 2, Targets: 3, Fleet: 4},
 		bootstrap.Newcomer{},
+		gateway.Departures{Known: true, Runs: []registry.Departure{{Run: run, Removed: true}, {Run: health.Run{Target: "u", Born: 6}, Leaving: true}}},
+		gateway.Departures{},
 		gateway.Update{
 			Number: 1, Ages: gateway.Ages{Config: 1, Targets: 2, Fleet: 3, Contact: 4}, Version: 7, Config: gateway.NewConfig(7, content),
 			Targets: table.Delta[registry.Entry]{Whole: true, Since: 1, Revision: 2, Rows: []table.Row[registry.Entry]{{Name: "t", Revision: 2, Value: entry}}, Removed: []string{"u"}},
--- a/lugd/pkg/peer/drain_test.go
+++ b/lugd/pkg/peer/drain_test.go
@@ -32,6 +32,8 @@
 	knows.KnowsDrains = true
 	starts := knows
 	starts.Starting = true
+	learns := starts
+	learns.KnowsDepartures = true
 	change := func(svs []config.Service) gateway.Update {
 		return gateway.Update{Version: 8, Patch: &gateway.Patch{Base: 7, Version: 8, Change: config.Patch{Changed: config.Content{Services: svs}}}}
 	}
@@ -39,7 +41,7 @@
 		return gateway.Update{Version: 8, Config: gateway.NewConfig(8, config.Content{Services: svs})}
 	}
 	plain := []config.Service{{Name: "s"}, {Name: "t", Connections: 3}}
-	for _, one := range []struct{ old, msg any }{{query, knows}, {knows, starts}, {change(plain), change(coldServicesOfTest())}, {whole(plain), whole(coldServicesOfTest())}} {
+	for _, one := range []struct{ old, msg any }{{query, knows}, {knows, starts}, {starts, learns}, {change(plain), change(coldServicesOfTest())}, {whole(plain), whole(coldServicesOfTest())}} {
 		old, err := encode(one.old)
 		if err != nil {
 			t.Fatal(err)
--- a/lugd/pkg/peer/gateway.go
+++ b/lugd/pkg/peer/gateway.go
@@ -42,6 +42,8 @@
 		wrt.drains(msg)
 	case bootstrap.Newcomer:
 		wrt.unsigned(kindNewcomer)
+	case gateway.Departures:
+		wrt.departures(msg)
 	case quota.Query:
 		wrt.unsigned(kindTokenQuery)
 		wrt.text(msg.Organisation)
@@ -75,6 +77,8 @@
 		return rdr.drains()
 	case kindNewcomer:
 		return bootstrap.Newcomer{}
+	case kindDepartures:
+		return rdr.departures()
 	case kindVMPing:
 		return gateway.Ping{}
 	case kindVMPong:
@@ -96,7 +100,7 @@
 	return rdr.decodePlacementMessage(kind)
 }
 
-// feedQuery encodes a query. The eras of the revisions, and then whether the sender keeps to drains and has just started, stand at
+// feedQuery encodes a query. The eras of the revisions, and then whether the sender keeps to drains, has just started and knows departures, stand at
 // the end, where older programs do not read.
 func (wrt *writer) feedQuery(msg feed.Query) {
 	wrt.unsigned(kindFeedQuery)
@@ -115,6 +119,9 @@
 	if msg.Starting {
 		wrt.boolean(true)
 	}
+	if msg.Starting && msg.KnowsDepartures {
+		wrt.boolean(true)
+	}
 }
 
 func (rdr *reader) feedQuery() feed.Query {
@@ -131,6 +138,9 @@
 	if rdr.err == nil && rdr.src.Len() > 0 {
 		msg.Starting = rdr.boolean()
 	}
+	if rdr.err == nil && rdr.src.Len() > 0 {
+		msg.KnowsDepartures = rdr.boolean()
+	}
 	return msg
 }
 
