quarantine: Do not take a restored list for proof of being alone

What could have happened: after a restore from a copy that lists one VM, that VM became keeper of the quarantine and allowed a suspected content at once, beside an attempt that the keeper of before had allowed.

Cause: "listed alone" counted as "no other VM can have been the keeper". After a restore it is what the copy shows. The keeper now waits its second there, as any new keeper does. It also no longer encodes "not the keeper" as a zero instant, which a keeper that settled one second after the start of its process had.

Evidence: TestKeeperThatARestoredListShowsAloneWaits failed before.

--- a/core/gateway/contents.go
+++ b/core/gateway/contents.go
@@ -276,7 +276,7 @@
 	clear(con.changed)
 	clear(con.repeats)
 	if keeper == self {
-		con.keeper.Begin(now, vie.Size() <= 1)
+		con.keeper.Begin(now, vie.Size() <= 1 && neverRestored(mac.restores.era)) // A restored list may lack the keeper of before.
 		con.writeDue = true
 	}
 	if con.keeper.Serving() {
--- a/core/gateway/storecheck_test.go
+++ b/core/gateway/storecheck_test.go
@@ -11,8 +11,11 @@
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/feed"
 	"marigoldlug.example/core/fleet"
+	"marigoldlug.example/core/health"
 	"marigoldlug.example/core/member"
+	"marigoldlug.example/core/quarantine"
 	"marigoldlug.example/core/registry"
+	"marigoldlug.example/core/request"
 	"marigoldlug.example/core/revision"
 	"marigoldlug.example/core/table"
 )
@@ -344,3 +347,27 @@
 		}
 	}
 }
+
+// TestKeeperThatARestoredListShowsAloneWaits starts a VM at a store that was restored from a copy which lists it alone. The keeper that the store
+// has lost may still have an attempt of a suspected content under way, so the VM must not allow another one at once.
+func TestKeeperThatARestoredListShowsAloneWaits(t *testing.T) {
+	for _, restored := range []bool{true, false} {
+		sts := newStarters(1)
+		mac := sts.at(0)
+		era := eraTold0()
+		if restored {
+			era = eraAfter
+		}
+		sts.step(mac, FleetRead{RequestedAt: clock.MomentOf(sts.now), Update: table.Delta[fleet.Row]{Whole: true, Revision: revision.Join(era, 40), Rows: sts.rows}})
+		con, kee := request.FingerprintOf("GET", "h", "/", nil), mac.contents.keeper
+		mac.contents.book.Merge(sts.now, quarantine.Report{Content: con, Ends: []quarantine.End{{Run: health.Run{Target: "t", Born: 5}}}})
+		ask := quarantine.Ask{Number: 1, TimeLeft: time.Second, Known: quarantine.Report{Content: con}}
+		if got := kee.Allow(sts.now, mac.set.Self.ID, ask); got == restored {
+			t.Errorf("restored %v: allowed at once: %v", restored, got)
+		}
+		sts.now = sts.now.Add(2 * time.Second)
+		if !kee.Allow(sts.now, mac.set.Self.ID, ask) {
+			t.Errorf("restored %v: not allowed later", restored)
+		}
+	}
+}
--- a/core/quarantine/keeper.go
+++ b/core/quarantine/keeper.go
@@ -28,9 +28,10 @@
 // VM is the keeper of the fleet. It is not safe for concurrent use.
 type Keeper struct {
 	book *Book
-	// since is when the VM became the keeper; zero while it is not.
-	since   clock.Instant
-	permits map[request.Fingerprint]permit
+	// serving is set while the VM is the keeper, which allows nothing before allowsFrom.
+	serving    bool
+	allowsFrom clock.Instant
+	permits    map[request.Fingerprint]permit
 	// trial holds the quarantined content that may be tried once, and trialReady is set once the store
 	// counts that trial.
 	trial      request.Fingerprint
@@ -52,20 +53,20 @@
 // Begin records that the VM has become the keeper. settled is set if no other VM can have been the keeper
 // until now.
 func (kee *Keeper) Begin(now clock.Instant, settled bool) {
-	kee.since = now
-	if settled {
-		kee.since = now.Add(-settleTime)
+	kee.serving, kee.allowsFrom = true, now
+	if !settled {
+		kee.allowsFrom = now.Add(settleTime)
 	}
 }
 
 // End records that the VM is not the keeper any more.
 func (kee *Keeper) End() {
-	kee.since, kee.trial, kee.trialReady = clock.Instant{}, request.Fingerprint{}, false
+	kee.serving, kee.trial, kee.trialReady = false, request.Fingerprint{}, false
 	clear(kee.permits)
 }
 
 // Serving reports whether the VM is the keeper.
-func (kee *Keeper) Serving() bool { return kee.since != (clock.Instant{}) }
+func (kee *Keeper) Serving() bool { return kee.serving }
 
 // Allow decides whether a VM may make an attempt.
 func (kee *Keeper) Allow(now clock.Instant, vmm string, ask Ask) bool {
@@ -76,7 +77,7 @@
 	}
 	per, found := kee.permits[fpr]
 	busy := found && now.Before(per.until) && (per.holder != vmm || per.number != ask.Number)
-	if !kee.Serving() || now.Since(kee.since) < settleTime || sta == Quarantined || busy || !found && len(kee.permits) >= maxPermits {
+	if !kee.Serving() || now.Before(kee.allowsFrom) || sta == Quarantined || busy || !found && len(kee.permits) >= maxPermits {
 		return false
 	}
 	kee.permits[fpr] = permit{holder: vmm, number: ask.Number, until: now.Add(ask.TimeLeft + permitMargin)}
