soak: Send uploads ahead, cut early answers, let VMs stand still in restores

Callers that state "Expect: 100-continue" and send three uploads ahead, of which targets check the bodies; uploads of 8 MiB that a target answers with a part and a reset; VMs that stand still for up to 4 s around a restore, while others are killed and start. The random numbers of the other faults are the same as before.

--- a/lugbench/pkg/soak/conn.go
+++ b/lugbench/pkg/soak/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"marigoldlug.example/lugbench/pkg/playground"
+	"marigoldlug.example/lugbench/pkg/targetfake"
 	"marigoldlug.example/platform/pkg/objects"
 )
 
@@ -105,6 +106,10 @@
 // connection after it.
 func (con *conn) readResponse(req *sentRequest) (closing bool, err error) {
 	rsp, err := http.ReadResponse(con.rdr, nil)
+	for err == nil && rsp.StatusCode == http.StatusContinue {
+		_ = rsp.Body.Close()
+		rsp, err = http.ReadResponse(con.rdr, nil)
+	}
 	if err != nil {
 		return false, err
 	}
@@ -118,11 +123,18 @@
 
 func (req *sentRequest) write(dst io.Writer, key string) error {
 	method := http.MethodGet
-	if req.nonIdempotent {
+	switch {
+	case req.nonIdempotent:
 		method = http.MethodPost
+	case req.upload > 0:
+		method = http.MethodPut
 	}
 	httpReq, err := playground.NewRequest(context.Background(), req.vm.set.CallerAddress, method, req.path, req.id, key, requestTimeout)
 	if err == nil {
+		if req.upload > 0 {
+			httpReq.Body, httpReq.ContentLength = io.NopCloser(strings.NewReader(targetfake.UploadBody(req.id, req.upload))), int64(req.upload)
+			httpReq.Header.Set("Expect", "100-continue")
+		}
 		if req.crash != "" {
 			httpReq.Body, httpReq.ContentLength = http.NoBody, 0 // It asks for the same each time.
 		}
--- a/lugbench/pkg/soak/load.go
+++ b/lugbench/pkg/soak/load.go
@@ -29,6 +29,10 @@
 	at  time.Time
 	// padding is how many bytes follow the body of the response.
 	padding int
+	// upload is the length of the body in bytes, which is sent without waiting for the 100 Continue that the head asks for; 0 for
+	// other requests. early is set if the target answers a part before it has read the body, and resets the connection.
+	upload int
+	early  bool
 	// crash is the name of a request that crashes its targets; empty for all others.
 	crash string
 	// endedAt is when the whole response was read, and limits and leaving are what it announced.
@@ -192,6 +196,9 @@
 			if run.Key {
 				rep.violationf("%s reached a target with the caller's key", run.Request)
 			}
+			if run.Changed {
+				rep.violationf("%s ran with another body than was sent", run.Request)
+			}
 		}
 	}
 	rep.verifyQuota(runs)
@@ -312,6 +319,8 @@
 		}
 	}
 	switch {
+	case succeeded && req.early:
+		rep.violationf("%s got %d bytes as a whole response, of a target that reset the connection", req.id, len(req.response.Body))
 	case req.cutReason != "" && req.padding > bufferedBytes:
 		// Its target may have cut it, which its caller must see.
 	case req.cutReason != "" && (len(runs) > 0 || !req.maybeUnread):
--- a/lugbench/pkg/soak/proxy.go
+++ b/lugbench/pkg/soak/proxy.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"marigoldlug.example/lugd/pkg/socket"
 )
 
 // linkFaults are the faults that a proxy injects into the connections through it. The
@@ -149,7 +151,8 @@
 			}
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && !dropped {
+			// The error of a reset may have gone to the goroutine that writes to src; reading sees a plain end then.
+			if errors.Is(err, io.EOF) && !dropped && socket.EndOf(src) != socket.EndClosed {
 				if tcp, ok := dst.(*net.TCPConn); ok {
 					_ = tcp.CloseWrite()
 				}
--- a/lugbench/pkg/soak/restores.go
+++ b/lugbench/pkg/soak/restores.go
@@ -27,7 +27,11 @@
 	// maxRedoTime is when the operator and the targets have written again what was lost, and expiryTime when the
 	// entry of a target expires that has not written it again.
 	maxRedoTime = 1500 * time.Millisecond
-	expiryTime  = 3 * heartbeatTime
+	// standstillStream separates the random numbers of standstills from those of other streams, and maxStandstill is for how long a VM
+	// that knows what the store has lost stands still at most.
+	standstillStream = 1 << 37
+	maxStandstill    = 4 * time.Second
+	expiryTime       = 3 * heartbeatTime
 )
 
 // The kinds of objects that others than VMs write, and write again after a restore.
@@ -40,12 +44,17 @@
 
 // restoreStore restores the store from a backup at random times, sometimes twice in a row, until ctx is done.
 func (flt *fleet) restoreStore(ctx context.Context) {
-	rnd := rand.New(rand.NewPCG(flt.set.Seed, restoreStream))
+	rnd, still := rand.New(rand.NewPCG(flt.set.Seed, restoreStream)), rand.New(rand.NewPCG(flt.set.Seed, standstillStream))
 	for {
 		driver.Sleep(ctx, time.Duration(rnd.ExpFloat64()*float64(meanRestoreInterval)))
 		if ctx.Err() != nil {
 			return
 		}
+		if still.IntN(2) == 0 {
+			prc := flt.faultVMs[still.IntN(len(flt.faultVMs))]
+			from, dur := randomTime(still, maxBackupAge), randomTime(still, maxStandstill)
+			time.AfterFunc(from, func() { prc.pause(dur) })
+		}
 		flt.restoreOnce(ctx, rnd)
 	}
 }
--- a/lugbench/pkg/soak/soak.go
+++ b/lugbench/pkg/soak/soak.go
@@ -130,12 +130,14 @@
 	wgr.Go(func() { load.sendAtRate(sendCtx, set.PerSecond, load.send) })
 	wgr.Go(func() { load.sendAtRate(sendCtx, smallPerSecond, load.sendSmall) })
 	wgr.Go(func() { load.sendAtRate(sendCtx, slowPerSecond, load.sendSlow) })
+	wgr.Go(func() { load.sendAtRate(sendCtx, uploadsPerSecond, load.sendUploads) })
 	time.Sleep(faultFreeTime)
 	announceCtx, stopAnnouncing := context.WithTimeout(sendCtx, set.FaultTime)
 	for stream := range uint64(announcementStreams) {
 		wgr.Go(func() { flt.announce(announceCtx, stream) })
 	}
 	wgr.Go(func() { flt.drain(announceCtx) })
+	wgr.Go(func() { load.sendAtRate(announceCtx, earlyPerSecond, load.sendEarly) })
 	if set.Restores {
 		wgr.Go(func() {
 			restoreCtx, stopRestoring := context.WithTimeout(announceCtx, max(set.FaultTime-leaseTime, 0))
--- a/lugbench/pkg/targetfake/target.go
+++ b/lugbench/pkg/targetfake/target.go
@@ -59,6 +59,8 @@
 	At           time.Time
 	// Key is set if the request still carried the caller's key.
 	Key bool
+	// Changed is set if the body of an upload was another one than its caller sent.
+	Changed bool
 }
 
 // Announcements are what a target announces in all its responses, as it sends them: the values need
@@ -240,7 +242,11 @@
 	defer func() { tgt.freeSlots <- struct{}{} }()
 	fls := tgt.startRun(req)
 	hdr.Set(tgt.names.Request, req.Header.Get(tgt.names.Request))
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+	if req.URL.Query().Has(EarlyParameter) {
+		tgt.answerEarly(wrt, req)
+		return
+	}
+	if err := tgt.readBody(req); err != nil {
 		return // The VM has closed the connection.
 	}
 	if latency, err := time.ParseDuration(req.URL.Query().Get(LatencyParameter)); err == nil {
