--- a/lugbench/pkg/soak/load.go
+++ b/lugbench/pkg/soak/load.go
@@ -121,6 +121,9 @@
 func (loa *load) exchange(reqs []sentRequest, num int, key string) {
 	// Adding num/pathCount sends the requests for each path to every VM in turn.
 	vmm := loa.flt.vms[(num+num/pathCount)%len(loa.flt.vms)]
+	if reqs[0].upload > 0 && !vmm.run.Load().isPresent(loa.flt.set) {
+		return // Older programs mix up uploads that are sent ahead.
+	}
 	for idx := range reqs {
 		reqs[idx].at, reqs[idx].afterFaults, reqs[idx].vm, reqs[idx].run = time.Now(), loa.afterFaults.Load(), vmm, vmm.run.Load()
 	}
