bootstrap: Take a fleet for a new one by its setting alone

What callers could see (CONFIG): after a restore from a copy of before any VM was listed, with the VM that knew better standing still for 5 s, a VM that started served a withdrawn key 3.4 s after its start.

A VM may stand still for longer.

Elsewhere a new fleet beside a restored store waits for rewrite-time or the operator.

Evidence: TestVMThatReadsAnEmptyListAfterARestoreUsesNoKey; the scripts of core/bootstrap for an empty list now demand that the VM waits. Playground and soak start their fleets with first-start, as these are new ones.

--- a/core/bootstrap/bootstrap.go
+++ b/core/bootstrap/bootstrap.go
@@ -5,7 +5,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"marigoldlug.example/core/clock"
@@ -22,8 +21,6 @@
 	// searchTime is how long a VM looks for one that knows more. It is shorter than the time for which callers are queued at
 	// a VM that has just started.
 	searchTime = 400 * time.Millisecond
-	// relistTime is how long VMs take at most, after a restore, to put themselves on the list again and to be asked.
-	relistTime = 3 * time.Second
 )
 
 // Outcome is what proves that a VM may rely on the store.
@@ -34,8 +31,7 @@
 	Unsettled Outcome = ""
 	// NeverRestored: the store has never been restored.
 	NeverRestored Outcome = "neverRestored"
-	// FirstStart: the whole fleet starts for the first time, so that no configuration was in force before. The settings say so, or
-	// the store held no trace of a fleet, and no VM that could have lived before has shown up.
+	// FirstStart: the whole fleet starts for the first time, as the settings say, so that no configuration was in force before.
 	FirstStart Outcome = "firstStart"
 	// Answered: a VM that relies on the store in its present era has told what it holds.
 	Answered Outcome = "answered"
@@ -49,8 +45,6 @@
 
 // Limits bound how long a VM that has no proof waits.
 type Limits struct {
-	// NoTrace is set if the list of VMs was empty, without roles either, when this VM first read it.
-	NoTrace bool
 	// Silence is how long a VM that does not answer is taken for one that may know more.
 	Silence time.Duration
 	// Rewrite is how long after a restore operators may take to write again what the store has lost.
@@ -121,10 +115,6 @@
 		chk.Settle(Waited)
 		return nil
 	}
-	if lim.NoTrace && elapsed >= relistTime && chk.allNew(others) {
-		chk.Settle(FirstStart)
-		return nil
-	}
 	chk.searched = chk.searched || chk.nobodyLeft(now, elapsed, others, lim.Silence)
 	interval := askInterval
 	if chk.searched {
@@ -137,11 +127,6 @@
 	return chk.choose(now, others)
 }
 
-// allNew reports whether all listed VMs have said that they know no more than the store.
-func (chk *Check) allNew(others []string) bool {
-	return !slices.ContainsFunc(others, func(id string) bool { return !chk.newcomers[id] })
-}
-
 // nobodyLeft reports whether all VMs that could be asked know no more, or the time for which silent ones are waited for is over.
 func (chk *Check) nobodyLeft(now clock.Instant, elapsed time.Duration, others []string, silence time.Duration) bool {
 	silent, newcomers := 0, 0
--- a/core/bootstrap/bootstrap_test.go
+++ b/core/bootstrap/bootstrap_test.go
@@ -15,7 +15,7 @@
 
 // TestVMThatStartsReliesOnTheStoreByAProofAlone guards against a VM that relies on a restored store since that lists no other
 // VM, or since none has answered: another one may know what the store has lost. It runs the scripts in testdata:
-//   - "start vms=a,b,c" begins the check of a VM that knows these others. With "noTrace" the list was empty at first.
+//   - "start vms=a,b,c" begins the check of a VM that knows these others.
 //   - "list vms=a,b" replaces the others.
 //   - "tick for=TIME" lets time pass in steps of 50 ms, and prints who was asked and the outcome at the end.
 //   - "newcomer vms=a,b" delivers the answers of VMs that have just started, too, and "answer" that of one that knows more.
@@ -35,7 +35,6 @@
 			switch dat.Cmd {
 			case "start":
 				chk, others = New(rand.New(rand.NewPCG(1, 2))), vms(dat)
-				lim.NoTrace = dat.HasArg("noTrace")
 			case "list":
 				others = vms(dat)
 			case "newcomer":
--- a/core/gateway/replica.go
+++ b/core/gateway/replica.go
@@ -130,7 +130,6 @@
 		return false
 	}
 	mac.entered(now, "fleet", held, mac.fleet.Revision())
-	mac.noteEmptyList(held, del)
 	vie := mac.fleet.View()
 	mac.log("fleet", "vms", vie.Size(), "revision", revision.Number(vie.Revision()), "holders", mac.fleet.Holders())
 	mac.viewChanged(now, before)
--- a/core/gateway/restore.go
+++ b/core/gateway/restore.go
@@ -6,10 +6,8 @@
 	"marigoldlug.example/core/bootstrap"
 	"marigoldlug.example/core/clock"
 	"marigoldlug.example/core/feed"
-	"marigoldlug.example/core/fleet"
 	"marigoldlug.example/core/member"
 	"marigoldlug.example/core/revision"
-	"marigoldlug.example/core/table"
 )
 
 // offerInterval is the least time between two offers of the configuration.
@@ -38,8 +36,6 @@
 	// configuration.
 	eraSince, provenAt      clock.Moment
 	provenEra, confirmedEra revision.Era
-	// emptyEra is the latest era in which the list of VMs was empty when this VM first read it.
-	emptyEra revision.Era
 	// recordedAt is when this VM last recorded a proof in the store.
 	recordedAt clock.Moment
 	// offeredAt is when this VM last offered its configuration to other VMs.
@@ -78,14 +74,6 @@
 	return true
 }
 
-// noteEmptyList records whether the list of VMs was empty when this VM first read it in an era. held is the revision that it held before.
-func (mac *Machine) noteEmptyList(held uint64, del table.Delta[fleet.Row]) {
-	first := held == 0 || revision.EraOf(held) < revision.EraOf(del.Revision)
-	if first && del.Whole && len(del.Rows) == 0 {
-		mac.restores.emptyEra = revision.EraOf(del.Revision)
-	}
-}
-
 // configRead handles a read of the configuration, and reports whether another one is in force. The version in
 // force is the greatest one that was ever known: after a restore the store may hold an earlier one until the operator has
 // written the later one again. The earlier one does not confirm the later one.
--- a/core/gateway/storecheck.go
+++ b/core/gateway/storecheck.go
@@ -50,7 +50,7 @@
 	}
 	chk := mac.restores.check
 	pol := mac.set.Policy
-	ids := chk.Tick(now, mac.askable(), bootstrap.Limits{NoTrace: mac.restores.emptyEra == mac.restores.era, Silence: pol.RevokeTime, Rewrite: pol.RewriteTime})
+	ids := chk.Tick(now, mac.askable(), bootstrap.Limits{Silence: pol.RevokeTime, Rewrite: pol.RewriteTime})
 	if chk.Settled() {
 		mac.storeChecked(now)
 		return
--- a/core/gateway/storecheck_test.go
+++ b/core/gateway/storecheck_test.go
@@ -128,6 +128,22 @@
 	}
 }
 
+// TestVMThatReadsAnEmptyListAfterARestoreUsesNoKey starts a VM after a restore to a copy of before any VM was listed. One that knows that a key was
+// withdrawn stands still for as long as a VM may, so that it is not on the list for 5 s. The VM that starts took its fleet for a
+// new one after 3 s, and served the key.
+func TestVMThatReadsAnEmptyListAfterARestoreUsesNoKey(t *testing.T) {
+	sts := newStarters(1)
+	sts.rows = nil
+	mac := sts.at(0)
+	sts.read(mac, NewConfig(5, content()))
+	for range int(7 * time.Second / TickInterval) {
+		sts.advance(TickInterval, mac)
+		if sts.usesKeys(mac) {
+			t.Fatalf("the VM uses keys, outcome %q", mac.restores.check.Outcome())
+		}
+	}
+}
+
 // TestVMsThatAllStartInTheGapUseNoKeyUntilTheOperatorWrites starts all VMs of a fleet after a restore, as after the loss of all. Nobody
 // knows more than the store, which may have lost the withdrawal of a key: keys must not be used until the operator has written again, but
 // at once then. Routes without keys must be served within the time for which callers are queued.
--- a/lugbench/pkg/playground/playground.go
+++ b/lugbench/pkg/playground/playground.go
@@ -210,9 +210,9 @@
 	return set, nil
 }
 
-// SettingsText returns the settings that VMSettings sets, in the form of a settings file.
+// SettingsText returns the settings that VMSettings sets, in the form of a settings file, for a VM of a fleet that starts for the first time.
 func SettingsText(set edge.Settings) string {
-	return fmt.Sprintf("name=%s\nfailure-domain=%s\ncaller-address=%s\nready-address=%s\npeer-address=%s\noperator-address=%s\nplatform-address=%s\nplain-text=%s\nbalancer-lag=%v\nstop-time=%v\n",
+	return fmt.Sprintf("name=%s\nfailure-domain=%s\ncaller-address=%s\nready-address=%s\npeer-address=%s\noperator-address=%s\nplatform-address=%s\nplain-text=%s\nbalancer-lag=%v\nstop-time=%v\nfirst-start=true\n",
 		set.Name, set.FailureDomain, set.CallerAddress, set.ReadyAddress, set.PeerAddress, set.OperatorAddress, set.PlatformAddress,
 		strings.Join(set.PlainText, ","), set.BalancerLag, set.StopTime)
 }
--- a/lugbench/pkg/soak/process.go
+++ b/lugbench/pkg/soak/process.go
@@ -81,6 +81,9 @@
 		"--retry-share="+fmt.Sprint(retryShare), "--retry-extra="+fmt.Sprint(retryExtra), "--retry-window="+retryWindow.String(),
 		"--quota-window="+quotaWindow.String(), "--log-lines=2000")
 	cmd.Args = append(cmd.Args, prc.flt.set.drainFlags(program)...)
+	if prc.starts == 0 && program == prc.flt.set.Program {
+		cmd.Args = append(cmd.Args, "--first-start")
+	}
 	cmd.Env = append(os.Environ(), objects.SettingsVariable+"="+prc.settingsFile)
 	prc.starts++
 	path := os.DevNull
