--- a/lugbench/pkg/soak/restores.go
+++ b/lugbench/pkg/soak/restores.go
@@ -27,11 +27,11 @@
 	// maxRedoTime is when the operator and the targets have written again what was lost, and expiryTime when the
 	// entry of a target expires that has not written it again.
 	maxRedoTime = 1500 * time.Millisecond
+	expiryTime  = 3 * heartbeatTime
 	// standstillStream separates the random numbers of standstills from those of other streams, and maxStandstill is for how long a VM
 	// that knows what the store has lost stands still at most.
 	standstillStream = 1 << 37
 	maxStandstill    = 4 * time.Second
-	expiryTime       = 3 * heartbeatTime
 )
 
 // The kinds of objects that others than VMs write, and write again after a restore.
